Land the skeleton: packaging, kernel, ids, errors, events, peer messages

Cause: an empty repository; several people are to work on disjoint modules at once. Conclusion: modules can now be written side by side against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,37 @@
+# Each target works from an empty machine with python3, make and git.
+
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+STAMP := $(VENV)/.installed
+NAME ?= overhead
+
+.PHONY: bench clean demo format lint lock test
+
+$(STAMP): pyproject.toml constraints.txt
+	python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check \
+		--constraint constraints.txt --editable '.[dev]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/celeryspan demo
+
+test: $(STAMP)
+	$(PYTHON) -m pytest
+
+lint: $(STAMP)
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -m ruff format --check .
+
+format: $(STAMP)
+	$(PYTHON) -m ruff check --fix .
+	$(PYTHON) -m ruff format .
+
+bench: $(STAMP)
+	$(PYTHON) -m bench $(NAME)
+
+lock:
+	$(PYTHON) -m pip freeze --exclude-editable | LC_ALL=C sort -f > constraints.txt
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache build *.egg-info
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: replay of traces, loopback runs, slopes."""
--- /dev/null
+++ b/celeryspan/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""One narrow adapter for each outside system."""
--- /dev/null
+++ b/celeryspan/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Thin daemons and the command line."""
--- /dev/null
+++ b/celeryspan/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load and faults: no network, clock, thread or randomness."""
--- /dev/null
+++ b/celeryspan/events.py
@@ -0,0 +1,79 @@
+"""The numbered events that the daemons log, and how they are written.
+
+Each event has a number that never changes its meaning; ``docs/events.md`` describes
+them all and a test holds the two together. Hundreds group by subject: 1xx process,
+2xx request, 3xx scheduling, 4xx membership and links, 5xx configuration, 6xx store,
+7xx leases and orders.
+"""
+
+from __future__ import annotations
+
+import enum
+from typing import IO
+
+import eliot
+
+
+class Event(enum.IntEnum):
+    """Number of each event; the name is its short text."""
+
+    SERVICE_STARTED = 101
+    SERVICE_STOPPED = 102
+    TASK_FAILED = 103
+    SIGNAL_RECEIVED = 104
+    STOP_CUT_REQUESTS = 105
+
+    REQUEST_ACCEPTED = 201
+    REQUEST_REFUSED = 202
+    REQUEST_SENT = 203
+    REQUEST_SETTLED = 204
+    REQUEST_FORWARDED = 205
+    STREAM_RESUMED = 206
+    CALLER_LEFT = 207
+    STALE_ANSWER_DROPPED = 208
+
+    GRANT_ISSUED = 301
+    GRANT_EXPIRED = 302
+    HOME_TAKEN = 303
+    HOME_LEFT = 304
+    SERVER_EJECTED = 305
+    SERVER_RETURNED = 306
+    SERVER_LEAVING = 307
+    WINDOW_CHANGED = 308
+    FALLBACK_ENTERED = 309
+    FALLBACK_LEFT = 310
+
+    LINK_OPENED = 401
+    LINK_CLOSED = 402
+    LINK_REFUSED = 403
+    MEMBER_JOINED = 404
+    MEMBER_SUSPECTED = 405
+    MEMBER_DEAD = 406
+    MEMBER_LEAVING = 407
+    SELF_REFUTED = 408
+
+    CONFIGURATION_IN_FORCE = 501
+    CONFIGURATION_REFUSED = 502
+    CONFIGURATION_OLD_IGNORED = 503
+
+    STORE_UNREACHABLE = 601
+    STORE_REACHABLE = 602
+    STORE_ANSWER_LOST = 603
+    CLAIM_WON = 604
+    CLAIM_LOST = 605
+
+    LEASE_TAKEN = 701
+    LEASE_LOST = 702
+    ORDER_SENT = 703
+    ORDER_REFUSED = 704
+    SERVER_MOVED = 705
+
+
+def open_log(file: IO[str]) -> None:
+    """Write all events to a file, one JSON object a line."""
+    eliot.to_file(file)
+
+
+def log(event: Event, **fields: object) -> None:
+    """Write one event with its number, its name and further fields."""
+    eliot.log_message(message_type=event.name.lower(), number=int(event), **fields)
--- /dev/null
+++ b/celeryspan/ids.py
@@ -0,0 +1,39 @@
+"""Distinct types for the identifiers that pass between modules."""
+
+from __future__ import annotations
+
+from typing import NamedTuple, NewType
+
+AccountId = NewType("AccountId", str)
+DataCentreId = NewType("DataCentreId", str)
+Generation = NewType("Generation", int)
+GrantId = NewType("GrantId", int)
+Incarnation = NewType("Incarnation", int)
+RequestId = NewType("RequestId", str)
+RouterId = NewType("RouterId", str)
+ServerId = NewType("ServerId", str)
+ServiceId = NewType("ServiceId", str)
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``host:port``.
+
+        Raises
+        ------
+        ValueError
+            If the text has no port or the port is not a number.
+        """
+        host, _, port = text.rpartition(":")
+        if not host:
+            raise ValueError(f"expected host:port, found {text!r}")
+        return cls(host, int(port))
--- /dev/null
+++ b/celeryspan/rules.py
@@ -0,0 +1,25 @@
+"""The rules that operators put on top of the register."""
+
+from __future__ import annotations
+
+import pydantic
+
+from celeryspan import register
+
+
+class Rules(register.Model):
+    """Weights of client accounts, retirements and planned stops.
+
+    Attributes
+    ----------
+    weights : dict
+        Weight of each client account that differs from one.
+    retirements : tuple of str
+        Names of backend servers that get no new work.
+    planned_stops : tuple of str
+        Names of entry VMs whose routers drain and stop.
+    """
+
+    weights: dict[str, float] = pydantic.Field(default_factory=dict)
+    retirements: tuple[str, ...] = ()
+    planned_stops: tuple[str, ...] = ()
--- /dev/null
+++ b/celeryspan/settings.py
@@ -0,0 +1,38 @@
+"""The settings of one router process."""
+
+from __future__ import annotations
+
+import pydantic
+
+from celeryspan import register
+
+
+class Settings(register.Model):
+    """What a router must be told; all else it learns from the store and its peers.
+
+    Attributes
+    ----------
+    store_address : str
+        Address of the platform's object API.
+    fleet_keys : tuple of str
+        Shared keys that prove a peer: the first signs, all are accepted.
+    address_seconds : float
+        How long a caller may keep an answer of ``GET /v1/addresses``, in seconds.
+    drain_seconds : float
+        Greatest time that a planned stop waits for requests, in seconds.
+    peers : tuple of str
+        Peer addresses to join through when the store can't be reached.
+    """
+
+    router: register.Name
+    data_centre: register.Name
+    caller_address: register.HostPort
+    peer_address: register.HostPort
+    store_address: register.HostPort
+    fleet_keys: tuple[str, ...] = pydantic.Field(min_length=1, max_length=2)
+    peers: tuple[register.HostPort, ...] = ()
+    address_seconds: float = pydantic.Field(default=5.0, gt=0)
+    drain_seconds: float = pydantic.Field(default=600.0, gt=0)
+    body_bytes_max: int = pydantic.Field(default=4_194_304, gt=0)
+    caller_threads: int = pydantic.Field(default=256, ge=4)
+    log_file: str = ""
--- /dev/null
+++ b/celeryspan/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between routers and their codec."""
--- /dev/null
+++ b/celeryspan/wire/messages.py
@@ -0,0 +1,208 @@
+"""Typed messages between routers.
+
+Every message is a frozen value; the codec turns lists of them into frames. A message
+of a kind that this version does not know is skipped by the codec, so routers of two
+versions can work side by side during a rolling upgrade.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from celeryspan import ids, states
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demand:
+    """What waits at a router for one service and client account.
+
+    The newest report replaces all older ones of the same router, service and account.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests in the queue that hold no grant; 0 withdraws the demand.
+    oldest_age : float
+        Waiting time of the oldest of them, in seconds.
+    sequence : int
+        Grows with each report of this router, so that a late one is recognised.
+    cost_estimate : float
+        Mean estimated cost of the waiting requests, in cost units.
+    """
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    waiting: int
+    oldest_age: float
+    sequence: int
+    cost_estimate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """One slot of a backend server, given to a client account at a router.
+
+    Attributes
+    ----------
+    grant : GrantId
+        Unique within the home's incarnation.
+    valid_seconds : float
+        The request must be sent within this time of receipt.
+    """
+
+    grant: ids.GrantId
+    server: ids.ServerId
+    service: ids.ServiceId
+    account: ids.AccountId
+    valid_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantUsed:
+    """The router sends a request with this grant now."""
+
+    grant: ids.GrantId
+    server: ids.ServerId
+    account: ids.AccountId
+    cost_estimate: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GrantEnded:
+    """The slot is free again; ``cost`` is the true cost, 0 if it was not used."""
+
+    grant: ids.GrantId
+    server: ids.ServerId
+    account: ids.AccountId
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotsHeld:
+    """All grants in use at a router for one server: lets a new home take over.
+
+    Attributes
+    ----------
+    grants : tuple of (account, cost estimate)
+        One entry per request in progress.
+    """
+
+    server: ids.ServerId
+    grants: tuple[tuple[ids.AccountId, float], ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Counter:
+    """Service given by one router incarnation to an account, in cost units so far.
+
+    Counters only grow, so that merging by maximum makes late, doubled and reordered
+    messages harmless.
+    """
+
+    router: ids.RouterId
+    incarnation: ids.Incarnation
+    service: ids.ServiceId
+    account: ids.AccountId
+    units: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """What the sender believes about one router; rides on probes."""
+
+    router: ids.RouterId
+    incarnation: ids.Incarnation
+    state: states.MemberState
+    data_centre: ids.DataCentreId
+    caller_address: ids.Address
+    peer_address: ids.Address
+    generation: ids.Generation
+    refutations: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Ask a member whether it is alive."""
+
+    sequence: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeRequest:
+    """Ask a member to probe a third one that did not answer."""
+
+    sequence: int
+    target: ids.RouterId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer to a probe, direct or passed on for ``subject``."""
+
+    sequence: int
+    subject: ids.RouterId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServerFact:
+    """A backend server is leaving, or is back; spreads faster than the VM list."""
+
+    server: ids.ServerId
+    state: states.ServerState
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationOffer:
+    """The generation that the sender has in force."""
+
+    generation: ids.Generation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Ask a peer for its configuration because its generation is higher."""
+
+    above: ids.Generation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationValue:
+    """A whole configuration, as it stands in the object API."""
+
+    generation: ids.Generation
+    body: bytes
+
+
+Message = (
+    Demand
+    | Grant
+    | GrantUsed
+    | GrantEnded
+    | SlotsHeld
+    | Counter
+    | Member
+    | Probe
+    | ProbeRequest
+    | Ack
+    | ServerFact
+    | ConfigurationOffer
+    | ConfigurationRequest
+    | ConfigurationValue
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Frame:
+    """Messages of one sender to one receiver.
+
+    Attributes
+    ----------
+    sequence : int
+        Grows with each frame of one incarnation to one receiver.
+    """
+
+    sender: ids.RouterId
+    incarnation: ids.Incarnation
+    sequence: int
+    messages: tuple[Message, ...]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the demo."""
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,45 @@
+"""The kernel's order of start and stop."""
+
+from __future__ import annotations
+
+import pytest
+
+from celeryspan import errors, kernel
+
+
+def make_registry(trace: list[str], failing: str = "") -> dict:
+    """Return services c -> b -> a that write what happens to them."""
+
+    def make(name: str) -> type:
+        class Recorder:
+            def __init__(self, _kernel: kernel.Kernel) -> None:
+                pass
+
+            def start(self) -> None:
+                if name == failing:
+                    raise OSError("address in use")
+                trace.append(f"start {name}")
+
+            def stop(self) -> None:
+                trace.append(f"stop {name}")
+
+        return Recorder
+
+    needs = {"a": (), "b": ("a",), "c": ("b", "a")}
+    return {name: kernel.Registration(make(name), needs[name]) for name in needs}
+
+
+def test_starts_in_order_of_need_and_stops_in_reverse() -> None:
+    trace: list[str] = []
+    box = kernel.Kernel(None, make_registry(trace))
+    box.start(["c"])
+    box.stop()
+    assert trace == ["start a", "start b", "start c", "stop c", "stop b", "stop a"]
+
+
+def test_failed_start_names_the_service_and_stops_the_rest() -> None:
+    trace: list[str] = []
+    box = kernel.Kernel(None, make_registry(trace, failing="b"))
+    with pytest.raises(errors.StartError, match=r"'b'.*address in use"):
+        box.start(["c"])
+    assert trace == ["start a", "stop a"]
