--- /dev/null
+++ b/celeryspan/configuration.py
@@ -0,0 +1,70 @@
+"""One accepted configuration, indexed for the lookups of a router."""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+import hmac
+
+import pydantic
+
+from celeryspan import ids, register, rules
+
+DEFAULT_WEIGHT = 1.0
+
+
+class Configuration(register.Model):
+    """Register and rules of one generation.
+
+    Attributes
+    ----------
+    generation : int
+        Number of the configuration; a router applies only a higher one.
+    author : str
+        Who applied it, for the loser of a race to read.
+    """
+
+    generation: int = pydantic.Field(ge=1)
+    author: str = ""
+    register: register.Register
+    rules: rules.Rules = pydantic.Field(default_factory=rules.Rules)
+
+    @functools.cached_property
+    def services(self) -> dict[ids.ServiceId, register.Service]:
+        """Services by name."""
+        return {ids.ServiceId(item.name): item for item in self.register.services}
+
+    @functools.cached_property
+    def servers(self) -> dict[ids.ServerId, register.Server]:
+        """Backend servers by name, without the retired ones."""
+        retired = set(self.rules.retirements)
+        return {
+            ids.ServerId(item.name): item
+            for item in self.register.servers
+            if item.name not in retired
+        }
+
+    @functools.cached_property
+    def _accounts_by_hash(self) -> dict[str, ids.AccountId]:
+        return {
+            key_hash: ids.AccountId(account.name)
+            for account in self.register.accounts
+            for key_hash in account.key_hashes
+        }
+
+    def weight(self, account: ids.AccountId) -> float:
+        """Return the weight of a client account."""
+        return self.rules.weights.get(account, DEFAULT_WEIGHT)
+
+    def find_account(self, key: str) -> ids.AccountId | None:
+        """Return the client account that a key proves, or None.
+
+        Every stored hash is compared, each in constant time, so that the time taken
+        tells nothing about how much of a guessed key is right.
+        """
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        found = None
+        for key_hash, account in self._accounts_by_hash.items():
+            if hmac.compare_digest(key_hash, digest):
+                found = account
+        return found
