--- /dev/null
+++ b/celeryspan/decisions/admission.py
@@ -0,0 +1,215 @@
+"""Who is let into a queue, who is refused, and when the refused should come back.
+
+Load pattern: a burst, a caller in a loop, or steady load at two to ten times the
+capacity, towards a router whose memory is small.
+
+Without it: every queue grows until each answer comes after its caller has left, so
+that the fleet is fully busy and nobody is served; one account's flood takes the memory
+of all; refused callers told the same second come back together and are refused again.
+
+Grounds of the figures: stated beside each constant; `docs/design/admission.md` has the
+measurements.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from celeryspan import dispatch, errors, ids
+from celeryspan.decisions import queueing
+
+MAX_WAITING = 512
+"""Requests of one account that wait for one service at one router."""
+
+MAX_ACCOUNT_BYTES = 8 << 20
+"""Bytes of one account's waiting requests, as long as others need memory too."""
+
+MAX_TOTAL_BYTES = 64 << 20
+"""Bytes of all waiting requests of a router; a small VM has 1 to 2 GiB."""
+
+MIN_RETRY_SECONDS = 1.0
+"""Least `Retry-After`: HTTP states whole seconds."""
+
+MAX_RETRY_SECONDS = 60.0
+"""Greatest `Retry-After`: beyond it the drain rate says nothing about the future."""
+
+UNKNOWN_RETRY_SECONDS = 2.0
+"""`Retry-After` as long as no drain rate has been measured."""
+
+JITTER_SHARE = 0.25
+"""Width of the random part of `Retry-After`, as a share of it."""
+
+
+class Reason(enum.Enum):
+    """Why a request is refused; the value is the error's code."""
+
+    QUEUE_FULL = "queue-full"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    MEMORY_FULL = "memory-full"
+    EXPIRED = "deadline-passed"
+
+
+STATUSES = {
+    Reason.QUEUE_FULL: 429,
+    Reason.DEADLINE_UNREACHABLE: 503,
+    Reason.MEMORY_FULL: 503,
+    Reason.EXPIRED: 504,
+}
+
+MESSAGES = {
+    Reason.QUEUE_FULL: "too many requests of this client account are waiting",
+    Reason.DEADLINE_UNREACHABLE: "the deadline would pass while the request waits",
+    Reason.MEMORY_FULL: "no memory is left for waiting requests of this account",
+    Reason.EXPIRED: "the deadline passed while the request waited",
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """A request that was not run and will not be.
+
+    Attributes
+    ----------
+    retry_after : float
+        Seconds after which a repeat is expected to be let in.
+    """
+
+    request: ids.RequestId
+    reason: Reason
+    retry_after: float
+
+    def make_error(self) -> errors.NotRun:
+        """Return the error that tells the caller."""
+        return errors.NotRun(
+            MESSAGES[self.reason],
+            code=self.reason.value,
+            status=STATUSES[self.reason],
+            retry_after=self.retry_after,
+            step="wait for a slot",
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """A request that waits now.
+
+    Attributes
+    ----------
+    shed : tuple of Refused
+        Requests of the account with the most waiting bytes that gave way.
+    """
+
+    entry: queueing.Entry
+    shed: tuple[Refused, ...] = ()
+
+
+Verdict = Admitted | Refused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Bounds:
+    """How much may wait at one router."""
+
+    waiting: int = MAX_WAITING
+    account_bytes: int = MAX_ACCOUNT_BYTES
+    total_bytes: int = MAX_TOTAL_BYTES
+
+
+class Admission:
+    """Lets requests into the queues of one router or refuses them.
+
+    Parameters
+    ----------
+    queues : Queues
+        Where admitted requests wait.
+    bounds : Bounds
+        How much may wait.
+    """
+
+    def __init__(self, queues: queueing.Queues, bounds: Bounds | None = None) -> None:
+        self._queues = queues
+        self._bounds = bounds or Bounds()
+        self._promised: dict[tuple[ids.ServiceId, ids.AccountId], float] = {}
+
+    def admit(
+        self,
+        work: dispatch.Work,
+        size: int,
+        estimate: float,
+        now: float,
+        jitter: float,
+    ) -> Verdict:
+        """Let a request in or refuse it.
+
+        Parameters
+        ----------
+        size : int
+            Bytes that the request takes while it waits.
+        estimate : float
+            Expected cost in cost units.
+        now : float
+            Seconds.
+        jitter : float
+            Random number from 0 to 1, for the `Retry-After` of a refusal.
+        """
+        reason = self._find_reason(work, size, now)
+        if reason is not None:
+            return self.refuse(work, reason, now, jitter)
+        shed = self._make_room(work, size, now, jitter)
+        if shed is None:
+            return self.refuse(work, Reason.MEMORY_FULL, now, jitter)
+        return Admitted(self._queues.add(work, size, estimate, now), shed)
+
+    def refuse(
+        self, work: dispatch.Work, reason: Reason, now: float, jitter: float
+    ) -> Refused:
+        """Return a refusal with the time at which the account has room again.
+
+        Each refused caller is promised a place of its own: the places follow each
+        other at the account's drain rate, so that those who come back are let in.
+        """
+        key = (work.service, work.account)
+        rate = self._queues.drain_rate(*key, now)
+        if not rate:
+            seconds = UNKNOWN_RETRY_SECONDS
+        else:
+            opening = now + 1.0 / rate
+            if reason is not Reason.QUEUE_FULL:
+                opening = now + self._queues.waiting(*key) / rate
+            place = max(opening, self._promised.get(key, now) + 1.0 / rate)
+            place = min(place, now + MAX_RETRY_SECONDS)
+            self._promised[key] = place
+            seconds = place - now
+        seconds = max(MIN_RETRY_SECONDS, seconds) * (1.0 + JITTER_SHARE * jitter)
+        return Refused(work.request, reason, seconds)
+
+    def _find_reason(self, work: dispatch.Work, size: int, now: float) -> Reason | None:
+        if work.deadline <= now:
+            return Reason.EXPIRED
+        waiting = self._queues.waiting(work.service, work.account)
+        held = self._queues.account_bytes(work.account)
+        if waiting >= self._bounds.waiting or held + size > self._bounds.account_bytes:
+            return Reason.QUEUE_FULL
+        rate = self._queues.drain_rate(work.service, work.account, now)
+        if rate is not None and waiting > rate * (work.deadline - now):
+            return Reason.DEADLINE_UNREACHABLE
+        return None
+
+    def _make_room(
+        self, work: dispatch.Work, size: int, now: float, jitter: float
+    ) -> tuple[Refused, ...] | None:
+        """Shed from the account with the most waiting bytes until a request fits."""
+        shed: list[Refused] = []
+        mine = self._queues.account_bytes(work.account) + size
+        while self._queues.total_bytes + size > self._bounds.total_bytes:
+            largest = self._queues.largest_account()
+            if largest is None or self._queues.account_bytes(largest) <= mine:
+                return tuple(shed) if shed and self._fits(size) else None
+            entry = self._queues.shed(largest, now)
+            assert entry is not None
+            shed.append(self.refuse(entry.work, Reason.MEMORY_FULL, now, jitter))
+        return tuple(shed)
+
+    def _fits(self, size: int) -> bool:
+        return self._queues.total_bytes + size <= self._bounds.total_bytes
--- /dev/null
+++ b/celeryspan/decisions/queueing.py
@@ -0,0 +1,366 @@
+"""Queues of one router: one for each service and client account.
+
+Load pattern: more requests arrive than the granted slots can take, from accounts whose
+load differs by orders of magnitude, with long jobs among short ones and with prompts
+that share prefixes.
+
+Without it: one queue for all lets a flooding account stand before everyone else;
+strict arrival order sends a prompt to whichever server is free and recomputes a prefix
+that another server has cached; choosing by cached prefix alone passes over a request
+without a known prefix for ever; a queue that is only looked at when a slot is free
+answers a request whose time is over long after its caller has left.
+
+Grounds of the figures: stated beside each constant; `docs/design/admission.md` has the
+measurements.
+"""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+import math
+from collections.abc import Callable, Iterator
+
+from celeryspan import dispatch, ids
+from celeryspan.wire import messages
+
+PASS_LIMIT = 16
+"""Times that younger requests may be served before an older one of the account."""
+
+SCAN_LIMIT = 64
+"""Requests at the head of a queue that compete for a grant; bounds time per pick."""
+
+LONG_FACTOR = 4.0
+"""A request is long if its estimate exceeds the account's mean by this factor."""
+
+LONG_SHARE = 0.5
+"""Share of an account's slots that long requests may hold while short ones wait."""
+
+DRAIN_SECONDS = 10.0
+"""Memory of the drain rate: several lags of a load report, shorter than a deadline."""
+
+DRAIN_COUNT = 3.0
+"""Departures needed before a drain rate is believed."""
+
+Fit = Callable[[dispatch.Work], float]
+"""Cost units saved if a request ran on the granted server rather than elsewhere."""
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """A request that waits or holds a grant.
+
+    Attributes
+    ----------
+    size : int
+        Bytes of memory that its body takes.
+    cost_estimate : float
+        Expected cost in cost units.
+    enqueued_at : float
+        Time of admission, in seconds.
+    passes : int
+        How often a younger request of the account was served before it.
+    picked_at : float or None
+        Time at which it was given a grant.
+    """
+
+    work: dispatch.Work
+    size: int
+    cost_estimate: float
+    enqueued_at: float
+    passes: int = 0
+    picked_at: float | None = None
+
+
+class DrainRate:
+    """Requests a second that leave a queue while it is backlogged.
+
+    Idle time does not count, so that an account that asks rarely is not believed slow.
+    """
+
+    __slots__ = ("_busy", "_departures", "_since")
+
+    def __init__(self) -> None:
+        self._departures = 0.0
+        self._busy = 0.0
+        self._since: float | None = None
+
+    def begin(self, now: float) -> None:
+        """Say that the queue has become backlogged."""
+        self._since = now
+
+    def depart(self, now: float, count: int = 1) -> None:
+        """Count requests that were given a grant."""
+        self._advance(now)
+        self._departures += count
+
+    def stop(self, now: float) -> None:
+        """Say that the queue is empty."""
+        self._advance(now)
+        self._since = None
+
+    def read(self, now: float) -> float | None:
+        """Return requests a second, or None as long as too few have left."""
+        self._advance(now)
+        known = self._departures >= DRAIN_COUNT or self._busy >= DRAIN_SECONDS / 2
+        if not known or self._busy <= 0.0:
+            return None
+        return self._departures / self._busy
+
+    def _advance(self, now: float) -> None:
+        if self._since is None or now <= self._since:
+            return
+        elapsed = now - self._since
+        kept = math.exp(-elapsed / DRAIN_SECONDS)
+        self._departures *= kept
+        self._busy = self._busy * kept + DRAIN_SECONDS * (1.0 - kept)
+        self._since = now
+
+
+class AccountQueue:
+    """Requests of one client account for one service, at this router."""
+
+    __slots__ = ("cost", "drain", "entries", "long_running", "mean_cost", "running")
+
+    def __init__(self) -> None:
+        self.entries: collections.OrderedDict[ids.RequestId, Entry] = (
+            collections.OrderedDict()
+        )
+        self.drain = DrainRate()
+        self.cost = 0.0
+        self.mean_cost = 0.0
+        self.running = 0
+        self.long_running = 0
+
+    def is_long(self, entry: Entry) -> bool:
+        """Tell whether a request is long for this account."""
+        return entry.cost_estimate > LONG_FACTOR * self.mean_cost
+
+
+class Queues:
+    """All queues of one router."""
+
+    def __init__(self) -> None:
+        self._queues: dict[tuple[ids.ServiceId, ids.AccountId], AccountQueue] = {}
+        self._waiting: dict[ids.RequestId, Entry] = {}
+        self._running: dict[ids.RequestId, tuple[Entry, bool]] = {}
+        self._deadlines: list[tuple[float, ids.RequestId]] = []
+        self._bytes: dict[ids.AccountId, int] = {}
+        self.total_bytes = 0
+
+    def add(self, work: dispatch.Work, size: int, estimate: float, now: float) -> Entry:
+        """Append a request that admission has let in."""
+        entry = Entry(work, size, estimate, now)
+        queue = self._find(work)
+        self._insert(queue, entry, now)
+        queue.mean_cost += (estimate - queue.mean_cost) * (
+            0.05 if queue.mean_cost else 1.0
+        )
+        return entry
+
+    def pick(
+        self,
+        service: ids.ServiceId,
+        account: ids.AccountId,
+        server: ids.ServerId,
+        now: float,
+        fit: Fit | None = None,
+    ) -> Entry | None:
+        """Take the request that fits a granted server best.
+
+        A request is served at most ``PASS_LIMIT`` picks later than in order of arrival.
+        Returns None if no waiting request may go to this server.
+        """
+        queue = self._queues.get((service, account))
+        if queue is None:
+            return None
+        candidates = list(self._candidates(queue, server, now))
+        if not candidates:
+            return None
+        chosen = self._choose(queue, candidates, fit)
+        for entry in candidates:
+            if entry is chosen:
+                break
+            entry.passes += 1
+        self._start(queue, chosen, now)
+        return chosen
+
+    def restore(self, request: ids.RequestId, now: float) -> None:
+        """Put a picked request back in front: its grant ended before it was sent."""
+        entry, was_long = self._running.pop(request)
+        queue = self._find(entry.work)
+        queue.running -= 1
+        queue.long_running -= was_long
+        queue.drain.depart(now, -1)
+        entry.picked_at = None
+        entry.passes = PASS_LIMIT
+        self._insert(queue, entry, now)
+        queue.entries.move_to_end(request, last=False)
+
+    def end(self, request: ids.RequestId) -> None:
+        """Forget a picked request: it has its answer or its error."""
+        found = self._running.pop(request, None)
+        if found is None:
+            return
+        entry, was_long = found
+        queue = self._find(entry.work)
+        queue.running -= 1
+        queue.long_running -= was_long
+        self._drop_if_unused(entry.work)
+
+    def cancel(self, request: ids.RequestId, now: float) -> Entry | None:
+        """Take out a waiting request whose caller has left."""
+        entry = self._waiting.get(request)
+        if entry is not None:
+            self._remove(entry, now)
+        return entry
+
+    def expire(self, now: float) -> list[Entry]:
+        """Take out the requests whose deadline has passed, to be answered at once."""
+        expired = []
+        while self._deadlines and self._deadlines[0][0] <= now:
+            deadline, request = heapq.heappop(self._deadlines)
+            entry = self._waiting.get(request)
+            if entry is not None and entry.work.deadline == deadline:
+                self._remove(entry, now)
+                expired.append(entry)
+        return expired
+
+    def shed(self, account: ids.AccountId, now: float) -> Entry | None:
+        """Take out the youngest waiting request of an account."""
+        found = [
+            next(reversed(queue.entries.values()))
+            for key, queue in self._queues.items()
+            if key[1] == account and queue.entries
+        ]
+        if not found:
+            return None
+        youngest = max(found, key=lambda entry: entry.enqueued_at)
+        self._remove(youngest, now)
+        return youngest
+
+    def next_deadline(self) -> float | None:
+        """Return when to call :meth:`expire` next, or None if nothing waits."""
+        while self._deadlines and self._deadlines[0][1] not in self._waiting:
+            heapq.heappop(self._deadlines)
+        return self._deadlines[0][0] if self._deadlines else None
+
+    def demand(
+        self,
+        service: ids.ServiceId,
+        account: ids.AccountId,
+        sequence: int,
+        now: float,
+    ) -> messages.Demand:
+        """Return what to report to the homes of a service."""
+        queue = self._queues.get((service, account))
+        waiting = len(queue.entries) if queue else 0
+        if queue is None or not waiting:
+            return messages.Demand(service, account, 0, 0.0, sequence, 0.0)
+        oldest = next(iter(queue.entries.values()))
+        age = now - oldest.enqueued_at
+        mean = queue.cost / waiting
+        return messages.Demand(service, account, waiting, age, sequence, mean)
+
+    def backlogged(self) -> list[tuple[ids.ServiceId, ids.AccountId]]:
+        """Return the queues in which something waits."""
+        return [key for key, queue in self._queues.items() if queue.entries]
+
+    def waiting(self, service: ids.ServiceId, account: ids.AccountId) -> int:
+        """Return how many requests wait in one queue."""
+        queue = self._queues.get((service, account))
+        return len(queue.entries) if queue else 0
+
+    def drain_rate(
+        self, service: ids.ServiceId, account: ids.AccountId, now: float
+    ) -> float | None:
+        """Return requests a second that leave a queue, or None if not yet known."""
+        queue = self._queues.get((service, account))
+        return queue.drain.read(now) if queue else None
+
+    def account_bytes(self, account: ids.AccountId) -> int:
+        """Return the bytes that an account's waiting requests take."""
+        return self._bytes.get(account, 0)
+
+    def largest_account(self) -> ids.AccountId | None:
+        """Return the account with the most waiting bytes."""
+        if not self._bytes:
+            return None
+        return max(self._bytes, key=lambda account: (self._bytes[account], account))
+
+    def _candidates(
+        self, queue: AccountQueue, server: ids.ServerId, now: float
+    ) -> Iterator[Entry]:
+        scanned = 0
+        for entry in queue.entries.values():
+            if entry.work.deadline <= now or server in entry.work.excluded:
+                continue
+            yield entry
+            scanned += 1
+            if scanned >= SCAN_LIMIT:
+                return
+
+    def _choose(
+        self, queue: AccountQueue, candidates: list[Entry], fit: Fit | None
+    ) -> Entry:
+        for entry in candidates:
+            if entry.passes >= PASS_LIMIT:
+                return entry
+        allowed = LONG_SHARE * (queue.running + 1)
+        if queue.long_running + 1 > allowed:
+            short = [entry for entry in candidates if not queue.is_long(entry)]
+            candidates = short or candidates
+        if fit is None:
+            return candidates[0]
+        return max(candidates, key=lambda entry: fit(entry.work))
+
+    def _start(self, queue: AccountQueue, entry: Entry, now: float) -> None:
+        queue.drain.depart(now)
+        self._remove(entry, now, keep=True)
+        entry.picked_at = now
+        was_long = queue.is_long(entry)
+        queue.running += 1
+        queue.long_running += was_long
+        self._running[entry.work.request] = (entry, was_long)
+
+    def _find(self, work: dispatch.Work) -> AccountQueue:
+        key = (work.service, work.account)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = AccountQueue()
+        return queue
+
+    def _insert(self, queue: AccountQueue, entry: Entry, now: float) -> None:
+        work = entry.work
+        if not queue.entries:
+            queue.drain.begin(now)
+        queue.entries[work.request] = entry
+        queue.cost += entry.cost_estimate
+        self._waiting[work.request] = entry
+        self._bytes[work.account] = self._bytes.get(work.account, 0) + entry.size
+        self.total_bytes += entry.size
+        heapq.heappush(self._deadlines, (work.deadline, work.request))
+
+    def _remove(self, entry: Entry, now: float, keep: bool = False) -> None:
+        work = entry.work
+        queue = self._find(work)
+        del queue.entries[work.request]
+        del self._waiting[work.request]
+        queue.cost -= entry.cost_estimate
+        if not queue.entries:
+            queue.cost = 0.0
+            queue.drain.stop(now)
+        self.total_bytes -= entry.size
+        self._bytes[work.account] -= entry.size
+        if not self._bytes[work.account]:
+            del self._bytes[work.account]
+        if not keep:
+            self._drop_if_unused(work)
+
+    def _drop_if_unused(self, work: dispatch.Work) -> None:
+        """Keep a queue's measured rate; only queues that never served are dropped."""
+        key = (work.service, work.account)
+        queue = self._queues[key]
+        if not queue.entries and not queue.running and queue.drain.read(0.0) is None:
+            del self._queues[key]
