--- /dev/null
+++ b/standins/service.py
@@ -0,0 +1,134 @@
+"""Stand-in for a plain service, with a journal of every call that it carried out."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from standins import slots as slots_module, web
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What the stand-in has been told to do.
+
+    Attributes
+    ----------
+    work_seconds : float
+        Time that each call takes, in seconds.
+    cut : str or None
+        Cut the connection ``"before"`` carrying out a call, ``"after"`` it, or in the
+        ``"middle"`` of its answer.
+    cut_count : int
+        So many calls are cut.
+    silent : bool
+        Carry out calls and never answer.
+    leaving : bool
+        Refuse calls with 503 before carrying them out.
+    """
+
+    work_seconds: float = 0.02
+    cut: str | None = None
+    cut_count: int = 0
+    silent: bool = False
+    leaving: bool = False
+
+
+class Service(web.StandIn):
+    """Echoes calls after some work, a few at once.
+
+    Attributes
+    ----------
+    journal : list of dict
+        Each call carried out, with the request that it came with.
+    """
+
+    def __init__(
+        self,
+        *,
+        port: int = 0,
+        host: str = "127.0.0.1",
+        slots: int = 8,
+        work_seconds: float = Faults.work_seconds,
+        load_lag_seconds: float = 0.0,
+    ) -> None:
+        super().__init__(port=port, host=host)
+        self.faults = Faults(work_seconds=work_seconds)
+        self.journal: list[dict] = []
+        self._slots = slots_module.Slots(slots)
+        self._load = slots_module.LoadReport(load_lag_seconds)
+        self._lock = threading.Lock()
+        self._note_load()
+
+    def control(self, **faults: object) -> None:
+        """Change the behaviour; the same fields as ``POST /_control``."""
+        if faults.pop("silence_open", False):
+            self.silence_open_connections()
+        self._load.lag_seconds = faults.pop("load_lag_seconds", self._load.lag_seconds)
+        with self._lock:
+            self.faults = dataclasses.replace(self.faults, **faults)
+        self._note_load()
+
+    def handle(self, request: web.Request) -> web.Response:
+        """Answer one call."""
+        if request.path == "/_control":
+            self.control(**request.read_json())
+            return web.Response(HTTPStatus.NO_CONTENT)
+        if request.path == "/_journal":
+            return web.answer_json({"calls": self.journal})
+        if request.path == "/load" and request.method == "GET":
+            return web.answer_json(self._load.show())
+        if self.faults.leaving:
+            return web.answer_json({"error": "leaving"}, HTTPStatus.SERVICE_UNAVAILABLE)
+        cut = self._take_cut()
+        if cut == "before":
+            raise web.CutError
+        answer = self._carry_out(request)
+        if self.faults.silent:
+            self.keep_silent(request)
+        if cut == "after":
+            raise web.CutError
+        if cut == "middle":
+            answer.body = _cut_in_the_middle(answer.body)
+        return answer
+
+    def _carry_out(self, request: web.Request) -> web.Response:
+        with self._slots.hold():
+            self._note_load()
+            call = {
+                "request": request.headers.get("celeryspan-request-id", ""),
+                "method": request.method,
+                "path": request.path,
+                "started": time.time(),
+                "ended": None,
+            }
+            with self._lock:
+                self.journal.append(call)
+            self.stopping.wait(self.faults.work_seconds)
+            call["ended"] = time.time()
+        self._note_load()
+        shown = {name: call[name] for name in ("request", "path", "method")}
+        return web.answer_json(shown | {"body": request.body.decode(errors="replace")})
+
+    def _take_cut(self) -> str | None:
+        with self._lock:
+            if self.faults.cut is None or self.faults.cut_count <= 0:
+                return None
+            self.faults.cut_count -= 1
+            return self.faults.cut
+
+    def _note_load(self) -> None:
+        self._load.note(
+            slots=self._slots.slots,
+            running=self._slots.running,
+            waiting=self._slots.waiting,
+            leaving=self.faults.leaving,
+        )
+
+
+def _cut_in_the_middle(body: bytes) -> Iterator[bytes]:
+    yield body[: len(body) // 2]
+    raise web.CutError
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,208 @@
+"""Stand-in for the platform's object API and its VM list."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import threading
+import time
+from http import HTTPStatus
+
+from standins import web
+
+VALUE_BYTES_MAX = 1 << 20
+WATCH_SECONDS_MAX = 60.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    """One key: its value now (None once deleted) and the one before."""
+
+    version: int
+    value: bytes | None
+    previous: tuple[int, bytes | None] = (0, None)
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What the stand-in has been told to do wrong.
+
+    Attributes
+    ----------
+    down : bool
+        Answer 503 to all calls of the object API.
+    slow_seconds : float
+        Wait before each answer, in seconds.
+    lose_answers : int
+        So many writes take effect and are not answered.
+    stale_reads : int
+        So many reads are answered with the value before the last.
+    """
+
+    down: bool = False
+    slow_seconds: float = 0.0
+    lose_answers: int = 0
+    stale_reads: int = 0
+
+
+class Store(web.StandIn):
+    """Keys with versions, conditional writes and watches, held in memory.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls by kind: read, watch, write, list, vms.
+    """
+
+    def __init__(self, *, port: int = 0, host: str = "127.0.0.1") -> None:
+        super().__init__(port=port, host=host, threads=128)
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.faults = Faults()
+        self._changed = threading.Condition()
+        self._entries: dict[str, _Entry] = {}
+        self._version = 0
+        self._vm_lists: list[tuple[float, list[dict]]] = [(0.0, [])]
+
+    def control(self, **faults: object) -> None:
+        """Change what goes wrong; the same fields as ``POST /_control``."""
+        with self._changed:
+            self.faults = dataclasses.replace(self.faults, **faults)
+            self._changed.notify_all()
+
+    def set_vms(self, vms: list[dict], lag_seconds: float = 0.0) -> None:
+        """Publish another VM list after a lag in seconds."""
+        with self._changed:
+            self._vm_lists.append((time.monotonic() + lag_seconds, vms))
+
+    def handle(self, request: web.Request) -> web.Response:
+        """Answer one call."""
+        if request.path == "/_control":
+            self.control(**request.read_json())
+            return web.Response(HTTPStatus.NO_CONTENT)
+        if request.path == "/_calls":
+            return web.answer_json(dict(self.calls))
+        if request.path == "/_vms":
+            self.set_vms(**request.read_json())
+            return web.Response(HTTPStatus.NO_CONTENT)
+        if request.path == "/vms":
+            self.calls["vms"] += 1
+            return web.answer_json({"vms": self._find_vms()})
+        return self._handle_object_call(request)
+
+    def _handle_object_call(self, request: web.Request) -> web.Response:
+        _, kind, key = [*request.path.split("/", 2), "", ""][:3]
+        if kind not in ("objects", "list"):
+            return web.answer_json({"error": "no such path"}, HTTPStatus.NOT_FOUND)
+        self.calls[_name_call(request, kind)] += 1
+        if self.faults.slow_seconds:
+            self.stopping.wait(self.faults.slow_seconds)
+        if self.faults.down:
+            return web.answer_json({"error": "down"}, HTTPStatus.SERVICE_UNAVAILABLE)
+        if kind == "list":
+            return self._list(request.query.get("prefix", ""))
+        if request.method == "GET" and "above" in request.query:
+            return self._watch(key, request.query)
+        if request.method == "GET":
+            return self._read(key)
+        return self._write(key, request)
+
+    def _read(self, key: str) -> web.Response:
+        with self._changed:
+            entry = self._entries.get(key, _Entry(0, None))
+            version, value = entry.version, entry.value
+            if self.faults.stale_reads > 0:
+                self.faults.stale_reads -= 1
+                version, value = entry.previous
+        return _answer_value(version, value)
+
+    def _watch(self, key: str, query: dict[str, str]) -> web.Response:
+        above = int(query["above"])
+        wait = min(float(query.get("wait", "0")), WATCH_SECONDS_MAX)
+        ends = time.monotonic() + wait
+        with self._changed:
+            while not self.stopping.is_set():
+                if self.faults.down:
+                    return web.answer_json(
+                        {"error": "down"}, HTTPStatus.SERVICE_UNAVAILABLE
+                    )
+                entry = self._entries.get(key)
+                if entry is not None and entry.version > above:
+                    return _answer_value(entry.version, entry.value)
+                left = ends - time.monotonic()
+                if left <= 0:
+                    break
+                self._changed.wait(min(left, 1.0))
+        return web.Response(HTTPStatus.NOT_MODIFIED)
+
+    def _write(self, key: str, request: web.Request) -> web.Response:
+        if len(request.body) > VALUE_BYTES_MAX:
+            return web.answer_json(
+                {"error": "value above 1 MiB"}, HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+            )
+        with self._changed:
+            response = self._write_locked(key, request)
+            done = response.status < HTTPStatus.MULTIPLE_CHOICES
+            lose = done and self.faults.lose_answers > 0
+            if lose:
+                self.faults.lose_answers -= 1
+            self._changed.notify_all()
+        if lose:
+            raise web.CutError
+        return response
+
+    def _write_locked(self, key: str, request: web.Request) -> web.Response:
+        entry = self._entries.get(key, _Entry(0, None))
+        create = request.headers.get("if-none-match") == "*"
+        expected = request.headers.get("if-match", "").strip('"')
+        if not create and not expected:
+            return web.answer_json(
+                {"error": "a write needs a condition"}, HTTPStatus.PRECONDITION_REQUIRED
+            )
+        if request.method == "DELETE" and entry.value is None:
+            return web.Response(HTTPStatus.NOT_FOUND)
+        fits = entry.value is None if create else expected == str(entry.version)
+        if not fits or (not create and entry.value is None):
+            return web.Response(
+                HTTPStatus.PRECONDITION_FAILED, headers=_tag(entry.version)
+            )
+        value = None if request.method == "DELETE" else request.body
+        self._version += 1
+        previous = (entry.version, entry.value)
+        self._entries[key] = _Entry(self._version, value, previous)
+        if value is None:
+            return web.Response(HTTPStatus.NO_CONTENT)
+        status = HTTPStatus.CREATED if create else HTTPStatus.OK
+        return web.Response(status, headers=_tag(self._version))
+
+    def _list(self, prefix: str) -> web.Response:
+        with self._changed:
+            keys = [
+                {"key": key, "version": entry.version}
+                for key, entry in sorted(self._entries.items())
+                if key.startswith(prefix) and entry.value is not None
+            ]
+        return web.answer_json({"keys": keys})
+
+    def _find_vms(self) -> list[dict]:
+        now = time.monotonic()
+        with self._changed:
+            return [vms for visible, vms in self._vm_lists if visible <= now][-1]
+
+
+def _name_call(request: web.Request, kind: str) -> str:
+    if kind == "list":
+        return "list"
+    if request.method != "GET":
+        return "write"
+    return "watch" if "above" in request.query else "read"
+
+
+def _tag(version: int) -> dict[str, str]:
+    return {"ETag": f'"{version}"'}
+
+
+def _answer_value(version: int, value: bytes | None) -> web.Response:
+    if value is None:
+        return web.answer_json({"error": "no such key"}, HTTPStatus.NOT_FOUND)
+    headers = _tag(version) | {"Content-Type": "application/octet-stream"}
+    return web.Response(HTTPStatus.OK, value, headers)
