--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,66 @@
+"""Histograms for each client account and service, and their bound."""
+
+from __future__ import annotations
+
+from celeryspan import ids, metrics, states
+
+GATE = ids.ServiceId("gate-desk")
+ACCOUNT = ids.AccountId("tower")
+
+
+def test_request_shows_in_every_histogram() -> None:
+    counts = metrics.Metrics()
+    counts.observe_wait(GATE, ACCOUNT, 0.2)
+    counts.observe_first_token(GATE, ACCOUNT, 0.3)
+    counts.observe_token_gap(GATE, ACCOUNT, 0.04)
+    counts.observe_request(GATE, ACCOUNT, states.Outcome.RAN, 1.5, 300)
+    labels = {"service": GATE, "account": ACCOUNT}
+    for name in (
+        "wait_seconds",
+        "first_token_seconds",
+        "token_gap_seconds",
+        "request_seconds",
+        "request_cost_units",
+    ):
+        found = counts.registry.get_sample_value(f"celeryspan_{name}_count", labels)
+        assert found == 1, name
+    cost = counts.registry.get_sample_value("celeryspan_request_cost_units_sum", labels)
+    assert cost == 300
+
+
+def test_gauges_and_control_bytes() -> None:
+    counts = metrics.Metrics()
+    server = ids.ServerId("gate-1")
+    counts.set_backlog(GATE, ACCOUNT, 7)
+    counts.set_window(server, 8)
+    counts.set_grants(server, 3)
+    counts.count_control(metrics.Direction.OUT, "Grant", 38)
+    counts.count_control(metrics.Direction.OUT, "Grant", 2)
+    text = counts.render().decode()
+    assert 'celeryspan_backlog{account="tower",service="gate-desk"} 7.0' in text
+    assert 'celeryspan_window_slots{server="gate-1"} 8.0' in text
+    assert 'celeryspan_control_bytes_total{direction="out",kind="Grant"} 40.0' in text
+    counts.forget_server(server)
+    assert 'server="gate-1"' not in counts.render().decode()
+
+
+def test_accounts_beyond_the_bound_share_a_label() -> None:
+    """Thousands of client accounts use one router over its life.
+
+    A user would see scrapes time out and the router run out of memory, because each
+    new account adds series that are never given back.
+    """
+    counts = metrics.Metrics()
+    for place in range(metrics.PAIRS_MAX + 50):
+        counts.observe_wait(GATE, ids.AccountId(f"account-{place}"), 0.1)
+    name = "celeryspan_wait_seconds_count"
+    overflow = {"service": GATE, "account": metrics.OVERFLOW}
+    first = {"service": GATE, "account": "account-0"}
+    assert counts.registry.get_sample_value(name, overflow) == 50
+    assert counts.registry.get_sample_value(name, first) == 1
+
+
+def test_routers_in_one_process_stay_apart() -> None:
+    left, right = metrics.Metrics(), metrics.Metrics()
+    left.set_backlog(GATE, ACCOUNT, 1)
+    assert "tower" not in right.render().decode()
