--- a/celeryspan/register.py
+++ b/celeryspan/register.py
@@ -8,8 +8,13 @@
 
 from celeryspan import states
 
-Name = Annotated[str, pydantic.Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-HostPort = Annotated[str, pydantic.Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
+ADDRESS_PATTERN = r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"
+HASH_PATTERN = r"^[0-9a-f]{64}$"
+
+Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+HostPort = Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
+KeyHash = Annotated[str, pydantic.Field(pattern=HASH_PATTERN)]
 
 DEFAULT_SLOTS = 8
 
@@ -82,9 +87,7 @@
     """
 
     name: Name
-    key_hashes: tuple[
-        Annotated[str, pydantic.Field(pattern=r"^[0-9a-f]{64}$")], ...
-    ] = pydantic.Field(min_length=1)
+    key_hashes: tuple[KeyHash, ...] = pydantic.Field(min_length=1)
 
 
 class Register(Model):
--- a/celeryspan/rules.py
+++ b/celeryspan/rules.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import pydantic
 
 from celeryspan import register
 
+Weight = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+
 
 class Rules(register.Model):
     """Weights of client accounts, retirements and planned stops.
@@ -13,13 +17,13 @@
     Attributes
     ----------
     weights : dict
-        Weight of each client account that differs from one.
+        Weight of each client account that differs from one; above zero.
     retirements : tuple of str
         Names of backend servers that get no new work.
     planned_stops : tuple of str
         Names of entry VMs whose routers drain and stop.
     """
 
-    weights: dict[str, float] = pydantic.Field(default_factory=dict)
+    weights: dict[str, Weight] = pydantic.Field(default_factory=dict)
     retirements: tuple[str, ...] = ()
     planned_stops: tuple[str, ...] = ()
--- a/celeryspan/settings.py
+++ b/celeryspan/settings.py
@@ -16,6 +16,8 @@
         Address of the platform's object API.
     fleet_keys : tuple of str
         Shared keys that prove a peer: the first signs, all are accepted.
+    operator_key_hashes : tuple of str
+        SHA-256 of each key that may read status and drain; none refuses all.
     address_seconds : float
         How long a caller may keep an answer of ``GET /v1/addresses``, in seconds.
     drain_seconds : float
@@ -30,6 +32,7 @@
     peer_address: register.HostPort
     store_address: register.HostPort
     fleet_keys: tuple[str, ...] = pydantic.Field(min_length=1, max_length=2)
+    operator_key_hashes: tuple[register.KeyHash, ...] = ()
     peers: tuple[register.HostPort, ...] = ()
     address_seconds: float = pydantic.Field(default=5.0, gt=0)
     drain_seconds: float = pydantic.Field(default=600.0, gt=0)
