--- a/celeryspan/errors.py
+++ b/celeryspan/errors.py
@@ -94,6 +94,10 @@
     """The object API refused a call or did not answer it."""
 
 
+class NotFound(StoreError):
+    """The object API holds no value under this key."""
+
+
 class Conflict(StoreError):
     """A conditional write lost against another writer; it took no effect."""
 
@@ -102,6 +106,10 @@
     """No answer from the object API; a write may or may not have taken effect."""
 
 
+class StoreNotAsked(StoreUnavailable):
+    """The call was held back here, so that it certainly took no effect."""
+
+
 class LinkError(CeleryspanError):
     """A link to another router failed, or the peer could not prove itself."""
 
