Carry typed messages between routers in packed Cap'n Proto frames

Cause: routers must talk in one format that a rolling upgrade does not break. The kinds Hello, Proof, Heartbeat and MembersRequest are added for links and joining.

--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -174,6 +174,39 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message of each side of a link.
+
+    Attributes
+    ----------
+    version : int
+        Version of the protocol that the sender speaks.
+    nonce : bytes
+        Random, never used before; the other side's proof covers it.
+    """
+
+    version: int
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Keyed hash over both nonces: the sender knows a fleet key."""
+
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Nothing to say; the link works."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """Ask for a :class:`Member` of each router that the receiver knows."""
+
+
 Message = (
     Demand
     | Grant
@@ -189,6 +222,10 @@
     | ConfigurationOffer
     | ConfigurationRequest
     | ConfigurationValue
+    | Hello
+    | Proof
+    | Heartbeat
+    | MembersRequest
 )
 
 
--- /dev/null
+++ b/celeryspan/wire/peer.capnp
@@ -0,0 +1,147 @@
+@0xd5c0a5be1f3a7c21;
+# Frames between routers. Fields and members are only ever added, with new numbers: an
+# older router reads what it knows, skips union members that it does not, and a newer
+# one finds defaults for what an older one did not send.
+#
+# A number of type Text below is the place of a text in `texts` of its frame.
+
+using Text = UInt32;
+
+struct Frame {
+  sender @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  texts @3 :Data;  # All texts of the frame, each once, separated by NUL.
+  messages @4 :List(Message);
+}
+
+struct Message {
+  union {
+    demand @0 :Demand;
+    grant @1 :Grant;
+    grantUsed @2 :GrantUsed;
+    grantEnded @3 :GrantEnded;
+    slotsHeld @4 :SlotsHeld;
+    counter @5 :Counter;
+    member @6 :Member;
+    probe @7 :Probe;
+    probeRequest @8 :ProbeRequest;
+    ack @9 :Ack;
+    serverFact @10 :ServerFact;
+    configurationOffer @11 :ConfigurationOffer;
+    configurationRequest @12 :ConfigurationRequest;
+    configurationValue @13 :ConfigurationValue;
+    hello @14 :Hello;
+    proof @15 :Proof;
+    heartbeat @16 :Heartbeat;
+    membersRequest @17 :MembersRequest;
+  }
+}
+
+struct Demand {
+  service @0 :Text;
+  account @1 :Text;
+  waiting @2 :UInt32;
+  oldestAge @3 :Float32;
+  sequence @4 :UInt64;
+  costEstimate @5 :Float32;
+}
+
+struct Grant {
+  grant @0 :UInt64;
+  server @1 :Text;
+  service @2 :Text;
+  account @3 :Text;
+  validSeconds @4 :Float32;
+}
+
+struct GrantUsed {
+  grant @0 :UInt64;
+  server @1 :Text;
+  account @2 :Text;
+  costEstimate @3 :Float32;
+}
+
+struct GrantEnded {
+  grant @0 :UInt64;
+  server @1 :Text;
+  account @2 :Text;
+  cost @3 :Float64;
+}
+
+struct HeldGrant {
+  account @0 :Text;
+  cost @1 :Float64;
+}
+
+struct SlotsHeld {
+  server @0 :Text;
+  grants @1 :List(HeldGrant);
+}
+
+struct Counter {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  service @2 :Text;
+  account @3 :Text;
+  units @4 :Float64;
+}
+
+struct Member {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+  state @2 :Text;
+  dataCentre @3 :Text;
+  callerAddress @4 :Text;
+  peerAddress @5 :Text;
+  generation @6 :UInt64;
+  refutations @7 :UInt64;
+}
+
+struct Probe {
+  sequence @0 :UInt64;
+}
+
+struct ProbeRequest {
+  sequence @0 :UInt64;
+  target @1 :Text;
+}
+
+struct Ack {
+  sequence @0 :UInt64;
+  subject @1 :Text;
+}
+
+struct ServerFact {
+  server @0 :Text;
+  state @1 :Text;
+  version @2 :UInt64;
+}
+
+struct ConfigurationOffer {
+  generation @0 :UInt64;
+}
+
+struct ConfigurationRequest {
+  above @0 :UInt64;
+}
+
+struct ConfigurationValue {
+  generation @0 :UInt64;
+  body @1 :Data;
+}
+
+struct Hello {
+  version @0 :UInt32;
+  nonce @1 :Data;
+}
+
+struct Proof {
+  digest @0 :Data;
+}
+
+struct Heartbeat {
+}
+
+struct MembersRequest {
+}
--- /dev/null
+++ b/tests/wire/test_codec.py
@@ -0,0 +1,110 @@
+"""Frames survive the wire; garbage and newer versions do no harm."""
+
+from __future__ import annotations
+
+import capnp
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from celeryspan import errors, ids, states
+from celeryspan.wire import codec, messages
+
+ADDRESS = ids.Address("127.0.0.1", 7000)
+
+SAMPLES = (
+    messages.Demand("planner-llm", "desk", 3, 1.5, 7, 420.0),
+    messages.Grant(9, "gpu-1", "planner-llm", "desk", 0.25),
+    messages.GrantUsed(9, "gpu-1", "desk", 400.0),
+    messages.GrantEnded(9, "gpu-1", "desk", 411.25),
+    messages.SlotsHeld("gpu-1", (("desk", 400.0), ("crew", 1.0))),
+    messages.Counter("r-1", 2**60, "planner-llm", "desk", 1e9),
+    messages.Member(
+        "r-1", 5, states.MemberState.SUSPECT, "hala-a", ADDRESS, ADDRESS, 4, 1
+    ),
+    messages.Probe(1),
+    messages.ProbeRequest(1, "r-2"),
+    messages.Ack(1, "r-2"),
+    messages.ServerFact("gpu-1", states.ServerState.LEAVING, 12),
+    messages.ConfigurationOffer(3),
+    messages.ConfigurationRequest(2),
+    messages.ConfigurationValue(3, b"\0\1"),
+    messages.Hello(1, b"n" * 16),
+    messages.Proof(b"d" * 32),
+    messages.Heartbeat(),
+    messages.MembersRequest(),
+)
+
+
+def make_frame(*items: messages.Message) -> messages.Frame:
+    return messages.Frame(ids.RouterId("r-1"), ids.Incarnation(5), 8, items)
+
+
+def test_every_kind_survives_the_wire() -> None:
+    frame = make_frame(*SAMPLES)
+    assert {type(item) for item in SAMPLES} == set(codec._layouts())
+    assert codec.decode(codec.encode(frame)) == frame
+
+
+def test_texts_are_sent_once_a_frame() -> None:
+    grant = SAMPLES[1]
+    one = len(codec.encode(make_frame(grant)))
+    ten = len(codec.encode(make_frame(*[grant] * 10)))
+    assert ten - one < 9 * 20
+
+
+def test_newer_kinds_and_states_are_skipped(tmp_path) -> None:
+    """In a rolling upgrade half the fleet speaks a newer version for a while.
+
+    It sends a kind of message and a state of a server that this version has never
+    seen. If the whole frame were refused, the halves would hold each other dead.
+    """
+    source = codec.importlib.resources.files("celeryspan.wire") / "peer.capnp"
+    newer = source.read_text().replace("0xd5c0a5be1f3a7c21", "0xd5c0a5be1f3a7c22")
+    newer = newer.replace(
+        "membersRequest @17 :MembersRequest;",
+        "membersRequest @17 :MembersRequest; later @18 :Probe;",
+    )
+    (tmp_path / "newer.capnp").write_text(newer)
+    schema = capnp.load(str(tmp_path / "newer.capnp"))
+    frame = schema.Frame.new_message(texts=b"r-1\0gpu-1\0resting")
+    entries = frame.init("messages", 3)
+    entries[0].init("later").sequence = 1
+    entries[1].init("serverFact").server = 1
+    entries[1].serverFact.state = 2
+    entries[2].init("probe").sequence = 6
+    decoded = codec.decode(frame.to_bytes_packed())
+    assert decoded.messages == (messages.Probe(6),)
+
+
+@hypothesis.given(strategies.binary(max_size=200))
+def test_garbage_is_a_link_error(data: bytes) -> None:
+    try:
+        codec.decode(data)
+    except errors.LinkError:
+        pass
+
+
+@hypothesis.given(strategies.data())
+def test_damaged_frames_are_link_errors_or_frames(data) -> None:
+    damaged = bytearray(codec.encode(make_frame(*SAMPLES)))
+    for _ in range(data.draw(strategies.integers(1, 4))):
+        place = data.draw(strategies.integers(0, len(damaged) - 1))
+        damaged[place] = data.draw(strategies.integers(0, 255))
+    try:
+        codec.decode(bytes(damaged))
+    except errors.LinkError:
+        pass
+
+
+def test_a_small_frame_can_not_fill_the_memory() -> None:
+    frame = make_frame(messages.ConfigurationValue(1, bytes(32 * 1024 * 1024)))
+    data = codec.encode(frame)
+    assert len(data) < codec.FRAME_BYTES_MAX
+    with pytest.raises(errors.LinkError):
+        codec.decode(data)
+
+
+def test_numbers_that_do_not_fit_are_refused() -> None:
+    with pytest.raises(ValueError, match="fit"):
+        codec.encode(make_frame(messages.Probe(2**70)))
