Carry requests from callers to backend servers, thin

Cause: no request could pass through a router yet. Configuration could not be imported: its fields hid the modules of the same names; they are named by aliases now.

--- /dev/null
+++ b/celeryspan/calls.py
@@ -0,0 +1,101 @@
+"""What a caller asks for, free of HTTP and of any backend server's field names."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+from collections.abc import Callable
+
+from celeryspan import ids
+
+# Methods that RFC 9110 calls safe. PUT and DELETE are idempotent by the RFC, but
+# services exist that book by PUT; they are repeated only if the register says so.
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+
+class Presence:
+    """Whether the caller of one request is still there.
+
+    ``leave`` runs the callback that fits the step in progress: it takes the request
+    out of its queue, or wakes the thread that reads from the backend server.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._callback: Callable[[], None] | None = None
+        self.left = False
+
+    def watch(self, callback: Callable[[], None]) -> None:
+        """Call back when the caller leaves; at once if it has left already."""
+        with self._lock:
+            self._callback = callback
+            left = self.left
+        if left:
+            callback()
+
+    def leave(self) -> None:
+        """Say that the caller has left."""
+        with self._lock:
+            self.left = True
+            callback = self._callback
+        if callback is not None:
+            callback()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Call:
+    """One request of a client account to a service.
+
+    Attributes
+    ----------
+    target : str
+        Path and query towards a plain service, as the caller wrote them.
+    idempotent : bool
+        Whether a second run does no harm.
+    deadline : float
+        Monotonic time after which the router gives up, in seconds.
+    headers : tuple of (name, value)
+        Headers to pass on.
+    hint : float or None
+        Rough cost known beforehand, in cost units.
+    prefix : tuple of int
+        Chained hashes of the prompt's blocks.
+    """
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    account: ids.AccountId
+    idempotent: bool
+    deadline: float
+    method: str = "POST"
+    target: str = "/"
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    hint: float | None = None
+    prefix: tuple[int, ...] = ()
+    presence: Presence = dataclasses.field(default_factory=Presence)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChatCall(Call):
+    """A request to a model engine.
+
+    Attributes
+    ----------
+    messages : tuple of dict
+        The chat so far, each with ``role`` and ``content``.
+    tokens_max : int
+        Greatest number of tokens of the answer.
+    stream : bool
+        Whether the caller wants the tokens as they come.
+    """
+
+    model: str
+    messages: tuple[dict[str, object], ...]
+    tokens_max: int
+    stream: bool = False
+
+
+def is_idempotent(method: str, path: str, prefixes: tuple[str, ...]) -> bool:
+    """Say whether a call may run twice, by its method or the register."""
+    return method in SAFE_METHODS or any(path.startswith(item) for item in prefixes)
--- a/celeryspan/configuration.py
+++ b/celeryspan/configuration.py
@@ -12,6 +12,10 @@
 
 DEFAULT_WEIGHT = 1.0
 
+# Inside the class the fields hide the modules of the same names.
+_Register = register.Register
+_Rules = rules.Rules
+
 
 class Configuration(register.Model):
     """Register and rules of one generation.
@@ -26,8 +30,8 @@
 
     generation: int = pydantic.Field(ge=1)
     author: str = ""
-    register: register.Register
-    rules: rules.Rules = pydantic.Field(default_factory=rules.Rules)
+    register: _Register
+    rules: _Rules = pydantic.Field(default_factory=_Rules)
 
     @functools.cached_property
     def services(self) -> dict[ids.ServiceId, register.Service]:
--- /dev/null
+++ b/celeryspan/services/caller.py
@@ -0,0 +1,202 @@
+"""The kernel service ``caller``: the address at which callers are served."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+
+from celeryspan import errors, events, ids, kernel, states
+from celeryspan.services import (
+    addresses,
+    answers,
+    chat,
+    exchange,
+    httpserver,
+    plaincalls,
+    requests,
+)
+
+if TYPE_CHECKING:
+    from celeryspan import settings
+
+Handler = Callable[[exchange.Exchange], object]
+
+APPLICATION_CONFIG = {
+    "/": {
+        "error_page.default": answers.render_error_page,
+        "request.process_request_body": False,
+        "request.show_tracebacks": False,
+        "tools.trailing_slash.on": False,
+    }
+}
+
+
+@kernel.register("caller", needs=("configuration", "membership", "requests"))
+class Caller:
+    """Serves callers on an HTTP server of its own.
+
+    Attributes
+    ----------
+    in_progress : dict
+        The requests that are not yet answered to their end.
+    draining : bool
+        Whether this router is left out of the address answer.
+    """
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self.settings: settings.Settings = box.settings
+        self.requests: requests.Requests = box.find("requests")
+        self.configuration = box.find("configuration")
+        self.membership = box.find("membership")
+        self.draining = False
+        self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
+        self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
+        self._lock = threading.Lock()
+        self._server = self._make_server()
+
+    def start(self) -> None:
+        """Listen; raises OSError if the address is taken."""
+        self._server.open()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.shut()
+
+    @property
+    def address(self) -> ids.Address:
+        """Where callers are served."""
+        return self._server.address
+
+    def report(self) -> dict[str, object]:
+        """Return the state for the operator."""
+        return {
+            "address": str(self.address),
+            "draining": self.draining,
+            "in_progress": len(self.in_progress),
+        }
+
+    def serve(self, handler: Handler) -> object:
+        """Run a handler on the current request and return the body of its answer."""
+        found = exchange.Exchange(self.configuration.current())
+        self._enter(found)
+        try:
+            if found.overloaded:
+                raise make_overload()
+            return handler(found)
+        except errors.RequestError as error:
+            return answers.refuse(found.request, error)
+        except Exception as error:
+            events.log(
+                events.Event.TASK_FAILED, request=found.request, error=repr(error)
+            )
+            return answers.refuse(found.request, make_internal(error))
+
+    def get_addresses(self, found: exchange.Exchange) -> object:
+        """Answer which routers to use."""
+        near = self.settings.data_centre
+        listed = addresses.choose(self.membership.alive(), near, self._random)
+        if self.draining:
+            listed = [item for item in listed if item != str(self.address)]
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        return answers.write_json(
+            {"addresses": listed, "keep_seconds": self.settings.address_seconds}
+        )
+
+    def complete_chat(self, found: exchange.Exchange) -> object:
+        """Carry a chat request."""
+        call = chat.read_call(found)
+        found.watch_caller()
+        return chat.write_answer(call, self.requests.call_model(call))
+
+    def call_service(self, found: exchange.Exchange) -> object:
+        """Carry a call to a plain service."""
+        call = plaincalls.read_call(found)
+        found.watch_caller()
+        return plaincalls.write_answer(call, self.requests.call_plain(call))
+
+    def _enter(self, found: exchange.Exchange) -> None:
+        with self._lock:
+            self.in_progress[found.request] = found
+        found.finally_do(lambda: self._leave(found))
+
+    def _leave(self, found: exchange.Exchange) -> None:
+        with self._lock:
+            self.in_progress.pop(found.request, None)
+
+    def _make_server(self) -> httpserver.Server:
+        application = cherrypy.Application(Root(self), "", APPLICATION_CONFIG)
+        application.log.screen = False
+        return httpserver.Server(
+            ids.Address.parse(self.settings.caller_address),
+            application,
+            threads=self.settings.caller_threads,
+            body_bytes_max=self.settings.body_bytes_max,
+            log=lambda text: events.log(
+                events.Event.TASK_FAILED, task="caller", error=text
+            ),
+        )
+
+
+class Root:
+    """The tree of paths, as cherrypy walks it."""
+
+    def __init__(self, caller: Caller) -> None:
+        self.v1 = _Version(caller)
+
+
+class _Version:
+    """Everything below ``/v1``."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+        self.chat = _Chat(caller)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET"])
+    def addresses(self, **_: Any) -> object:
+        """Answer which routers to use."""
+        return self._caller.serve(self._caller.get_addresses)
+
+    @cherrypy.expose
+    def services(self, *_: Any, **__: Any) -> object:
+        """Pass a call on to a plain service."""
+        return self._caller.serve(self._caller.call_service)
+
+
+class _Chat:
+    """Everything below ``/v1/chat``."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def completions(self, **_: Any) -> object:
+        """Pass a chat on to a model engine."""
+        return self._caller.serve(self._caller.complete_chat)
+
+
+def make_overload() -> errors.NotRun:
+    """Return the refusal of a router that has no thread left."""
+    return errors.NotRun(
+        "this router has no thread left for the request",
+        code="router-full",
+        status=503,
+        retry_after=exchange.RETRY_SECONDS,
+        step="accept",
+    )
+
+
+def make_internal(error: Exception) -> errors.OutcomeUnknown:
+    """Return the answer for a fault of this program, which promises nothing."""
+    return errors.OutcomeUnknown(
+        f"internal error: {type(error).__name__}",
+        code="internal",
+        status=500,
+        step="serve",
+    )
--- /dev/null
+++ b/celeryspan/services/chat.py
@@ -0,0 +1,200 @@
+"""``POST /v1/chat/completions``: the usual chat format towards model engines."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Iterator
+
+import cherrypy
+
+from celeryspan import calls, errors, ids, register, states
+from celeryspan.adapters import backend
+from celeryspan.services import answers, attempts, exchange
+
+PATH = "/v1/chat/completions"
+
+# Tokens of an answer if the caller names no number; the usual servers' default.
+TOKENS_DEFAULT = 1024
+TOKENS_MAX = 65_536
+
+# Time in which a request must be answered, in seconds: 65,536 tokens are not reached
+# within it, but nobody at a desk or in a barn waits longer.
+CHAT_SECONDS = 300.0
+
+
+def read_call(found: exchange.Exchange) -> calls.ChatCall:
+    """Return the call that a request asks for; raises NotRun if it is malformed."""
+    account = found.find_account()
+    body = found.read_body()
+    asked = _parse(body)
+    service = _find_service(found, asked)
+    return calls.ChatCall(
+        request=found.request,
+        service=ids.ServiceId(service.name),
+        account=account,
+        idempotent=calls.is_idempotent("POST", PATH, service.idempotent_paths),
+        deadline=found.started + CHAT_SECONDS,
+        body=body,
+        target=PATH,
+        hint=_estimate(asked, service),
+        presence=found.presence,
+        model=service.name,
+        messages=_read_messages(asked),
+        tokens_max=_read_tokens_max(asked),
+        stream=asked.get("stream") is True,
+    )
+
+
+def write_answer(call: calls.ChatCall, answer: attempts.ModelAnswer) -> object:
+    """Make a stream of tokens the current answer, as one JSON value or as events."""
+    answers.set_outcome(call.request, states.Outcome.RAN)
+    if not call.stream:
+        return _write_whole(call, answer)
+    headers = cherrypy.response.headers
+    headers["Content-Type"] = "text/event-stream; charset=utf-8"
+    headers["Cache-Control"] = "no-store"
+    cherrypy.response.stream = True
+    return _write_events(call, answer)
+
+
+def _write_events(
+    call: calls.ChatCall, answer: attempts.ModelAnswer
+) -> Iterator[bytes]:
+    """Yield the events; ``[DONE]`` comes only after the engine's own last line."""
+    created = int(time.time())
+    try:
+        for piece in answer.read():
+            if isinstance(piece, backend.Tokens):
+                choice = {"delta": {"content": "".join(piece.texts)}}
+                reason = None
+            else:
+                choice, reason = {"delta": {}}, piece.reason
+            chunk = _make_chunk(call, created, choice, reason)
+            if isinstance(piece, backend.Finished):
+                chunk["usage"] = _make_usage(piece)
+            yield answers.write_event(chunk)
+        yield b"data: [DONE]\n\n"
+    except backend.AnswerLost as error:
+        lost = make_incomplete(error)
+        yield b"event: error\n" + answers.write_event(
+            {"error": answers.describe(lost) | {"outcome": states.Outcome.RAN.value}}
+        )
+    finally:
+        answer.close()
+
+
+def _write_whole(call: calls.ChatCall, answer: attempts.ModelAnswer) -> bytes:
+    texts: list[str] = []
+    try:
+        for piece in answer.read():
+            if isinstance(piece, backend.Tokens):
+                texts.extend(piece.texts)
+            else:
+                return answers.write_json(_make_completion(call, texts, piece))
+    except backend.AnswerLost as error:
+        raise make_incomplete(error) from error
+    finally:
+        answer.close()
+    raise AssertionError("a stream ends with its last line or an error")
+
+
+def make_incomplete(error: errors.CeleryspanError) -> errors.OutcomeUnknown:
+    """Return the error for an answer that was begun and can't be brought to its end."""
+    return errors.OutcomeUnknown(
+        f"the answer is not whole: {error.message}",
+        code="answer-incomplete",
+        status=502,
+        step=error.step,
+        peer=error.peer,
+    )
+
+
+def _make_chunk(
+    call: calls.ChatCall, created: int, choice: dict[str, object], reason: str | None
+) -> dict[str, object]:
+    return {
+        "id": f"chatcmpl-{call.request}",
+        "object": "chat.completion.chunk",
+        "created": created,
+        "model": call.model,
+        "choices": [{"index": 0, **choice, "finish_reason": reason}],
+    }
+
+
+def _make_completion(
+    call: calls.ChatCall, texts: list[str], end: backend.Finished
+) -> dict[str, object]:
+    message = {"role": "assistant", "content": "".join(texts)}
+    return {
+        "id": f"chatcmpl-{call.request}",
+        "object": "chat.completion",
+        "created": int(time.time()),
+        "model": call.model,
+        "choices": [{"index": 0, "message": message, "finish_reason": end.reason}],
+        "usage": _make_usage(end),
+    }
+
+
+def _make_usage(end: backend.Finished) -> dict[str, object]:
+    return {
+        "prompt_tokens": end.prompt_tokens,
+        "completion_tokens": end.tokens,
+        "total_tokens": end.prompt_tokens + end.tokens,
+        "prompt_tokens_details": {"cached_tokens": end.cached_tokens},
+    }
+
+
+def _parse(body: bytes) -> dict[str, object]:
+    try:
+        asked = json.loads(body)
+    except (ValueError, RecursionError) as error:
+        raise _reject(f"the body is not JSON: {error}") from error
+    if not isinstance(asked, dict):
+        raise _reject("the body is not a JSON object")
+    return asked
+
+
+def _find_service(
+    found: exchange.Exchange, asked: dict[str, object]
+) -> register.Service:
+    name = asked.get("model")
+    if not isinstance(name, str):
+        raise _reject("expected a text as model")
+    service = found.find_service(name)
+    if service.kind is not states.ServiceKind.MODEL:
+        raise exchange.refuse(
+            f"{name!r} is not a model", code="no-such-service", status=404
+        )
+    return service
+
+
+def _read_messages(asked: dict[str, object]) -> tuple[dict[str, object], ...]:
+    messages = asked.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise _reject("expected a list of messages")
+    for message in messages:
+        if not isinstance(message, dict) or not isinstance(message.get("role"), str):
+            raise _reject("expected messages with a role and content")
+    return tuple(messages)
+
+
+def _read_tokens_max(asked: dict[str, object]) -> int:
+    number = asked.get("max_completion_tokens", asked.get("max_tokens"))
+    if number is None:
+        return TOKENS_DEFAULT
+    if type(number) is not int or not 0 < number <= TOKENS_MAX:
+        raise _reject(f"expected max_tokens from 1 to {TOKENS_MAX}")
+    return number
+
+
+def _estimate(asked: dict[str, object], service: register.Service) -> float:
+    """Return a rough cost: the service's typical one, or the caller's lower limit."""
+    number = asked.get("max_completion_tokens", asked.get("max_tokens"))
+    if type(number) is int and 0 < number < service.cost_hint:
+        return float(number)
+    return service.cost_hint
+
+
+def _reject(message: str) -> errors.NotRun:
+    return exchange.refuse(message, code="malformed", status=400)
--- /dev/null
+++ b/celeryspan/services/httpserver.py
@@ -0,0 +1,333 @@
+"""An HTTP server on cheroot: one thread a request, strict about framing.
+
+cheroot reads requests leniently. Where two readers of one byte stream can disagree
+about where a request ends, a caller can hide a second request inside the first and
+have its answer given to someone else. Such requests are answered 400 and their
+connection is closed, so that nothing after them is read.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import socket
+import threading
+import uuid
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from cheroot import server as cheroot_server, wsgi
+
+from celeryspan import ids, states
+from celeryspan.services import sockets
+
+# Headers of one request; the usual servers allow 8 to 64 KiB.
+HEADER_BYTES_MAX = 32_768
+
+# A caller that neither sends nor takes a byte for so long is given up, in seconds.
+# Longer than any retransmission pause of a mobile network seen in practice (a few
+# seconds), short enough that a silent connection frees its thread soon.
+CALLER_PROGRESS_SECONDS = 10.0
+
+# Threads kept for answering "overloaded" while all others are busy.
+REFUSAL_THREADS = 32
+
+# Connections that wait for the next request of their caller.
+IDLE_CONNECTIONS_MAX = 1024
+
+# Time in which a whole request must have been sent, in seconds: 4 MiB at 140 KB/s.
+# Without it a caller that sends a byte now and then would hold a thread for good.
+READ_SECONDS = 30.0
+
+# What is read and dropped after an early answer: enough for what is in flight.
+DRAIN_SECONDS = 0.5
+DRAIN_READS = 64
+DRAIN_BYTES = 65_536
+
+LISTEN_BACKLOG = 512
+STOP_SECONDS = 2.0
+
+HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+DIGITS = re.compile(rb"[0-9]{1,18}")
+
+
+class _SingleHeaders(dict[bytes, bytes]):
+    """Refuses a second value for a header that is not a list."""
+
+    def __setitem__(self, name: bytes, value: bytes) -> None:
+        if name in self and name not in cheroot_server.comma_separated_headers:
+            raise ValueError(f"Header {name.decode('latin-1')} stands twice.")
+        super().__setitem__(name, value)
+
+
+class _StrictHeaderReader(cheroot_server.HeaderReader):
+    """Reads headers; raises ValueError for names and repeats that are ambiguous."""
+
+    def __call__(
+        self, rfile: Any, hdict: dict[bytes, bytes] | None = None
+    ) -> dict[bytes, bytes]:
+        headers = super().__call__(rfile, _SingleHeaders())
+        target = {} if hdict is None else hdict
+        target.update(headers)
+        return target
+
+    def _transform_key(self, key_name: bytes) -> bytes:
+        if not HEADER_NAME.fullmatch(key_name):
+            raise ValueError("Malformed header name.")
+        return key_name.title()
+
+
+class Request(cheroot_server.HTTPRequest):
+    """One request; refuses every shape whose end is in doubt."""
+
+    header_reader = _StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Read the headers and check the framing."""
+        if not super().read_request_headers():
+            return False
+        fault = self._find_framing_fault()
+        if fault:
+            self.simple_response("400 Bad Request", fault)
+            return False
+        if self.chunked_read:
+            # The chunk reader accepts sizes such as "-1"; closing afterwards keeps
+            # a remainder from being read as a request of its own.
+            self.close_connection = True
+        return True
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answer a request that never reached the application, and close."""
+        self.close_connection = True
+        self.conn.unread = True
+        self.sent_headers = True
+        code = "malformed" if str(status).startswith("400") else "refused"
+        outcome = states.Outcome.NOT_RUN.value
+        error = {"code": code, "message": msg or str(status), "outcome": outcome}
+        body = json.dumps({"error": {**error, "step": "read request", "peer": ""}})
+        lines = [
+            f"{self.server.protocol} {status}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+            f"Celeryspan-Request-Id: {uuid.uuid4().hex}",
+            f"Celeryspan-Outcome: {outcome}",
+        ]
+        self.conn.wfile.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
+
+    def _find_framing_fault(self) -> str:
+        length = self.inheaders.get(b"Content-Length")
+        coding = self.inheaders.get(b"Transfer-Encoding")
+        if length is not None and coding is not None:
+            return "Both Content-Length and Transfer-Encoding are given."
+        if length is not None and not DIGITS.fullmatch(length):
+            return "Malformed Content-Length."
+        if coding is not None and coding.lower() != b"chunked":
+            return "Only one Transfer-Encoding, chunked, is understood."
+        if coding is not None and self.response_protocol != "HTTP/1.1":
+            return "Transfer-Encoding needs HTTP/1.1."
+        return ""
+
+
+class Connection(cheroot_server.HTTPConnection):
+    """A caller's connection.
+
+    Attributes
+    ----------
+    overloaded : bool
+        All threads are busy; the application should refuse at once.
+    unread : bool
+        The caller may still be sending when the connection is closed.
+    """
+
+    RequestHandlerClass = Request
+    overloaded = False
+    unread = False
+
+    def communicate(self) -> bool:
+        """Serve one request; returns whether the connection stays open."""
+        self.server.watch.limit(self.socket, READ_SECONDS)
+        try:
+            return super().communicate()
+        finally:
+            self.server.watch.forget(self.socket)
+
+    def end_reading(self) -> None:
+        """Note that the request has been read to its end."""
+        self.server.watch.forget(self.socket)
+
+    def close(self) -> None:
+        """Close, but let the caller read its last answer first.
+
+        Closing a socket that holds unread bytes resets the connection, and the reset
+        destroys an answer that the caller has not read yet.
+        """
+        if self.unread:
+            self._drain()
+        super().close()
+
+    def _drain(self) -> None:
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+            self.socket.settimeout(DRAIN_SECONDS)
+            for _ in range(DRAIN_READS):
+                if not self.socket.recv(DRAIN_BYTES):
+                    return
+        except OSError:
+            pass  # The caller is gone or goes on sending nothing.
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Hands the request to the application beside the usual environment."""
+
+    def get_environ(self) -> dict[str, Any]:
+        environ = super().get_environ()
+        environ["celeryspan.request"] = self.req
+        environ["celeryspan.finally"] = []
+        return environ
+
+    def respond(self) -> None:
+        """Run the application, then the callbacks it left for the end."""
+        try:
+            super().respond()
+        finally:
+            for callback in self.env["celeryspan.finally"]:
+                callback()
+
+
+class _Threads:
+    """Gives each request a thread of its own, up to a limit.
+
+    cheroot's own pool lets requests wait unread when all threads are busy, so a
+    caller could not tell a full router from a dead one. Here those above the limit
+    reach the application marked as overloaded and are answered at once.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._busy = 0
+        self._lock = threading.Lock()
+        self._idle = threading.Condition(self._lock)
+
+    @property
+    def idle(self) -> int:
+        """Threads that may still be started."""
+        return max(self._limit - self._busy, 0)
+
+    def start(self) -> None:
+        """Do nothing: threads start with their requests."""
+
+    def put(self, connection: Connection) -> None:
+        """Serve the next request of a connection."""
+        with self._lock:
+            if self._busy >= self._limit + REFUSAL_THREADS:
+                connection.close()
+                return
+            connection.overloaded = self._busy >= self._limit
+            self._busy += 1
+        threading.Thread(
+            target=self._serve, args=(connection,), name="caller", daemon=True
+        ).start()
+
+    def stop(self, timeout: float | None = STOP_SECONDS) -> None:
+        """Wait for the requests in progress, up to a time in seconds."""
+        with self._idle:
+            self._idle.wait_for(lambda: self._busy == 0, timeout)
+
+    def _serve(self, connection: Connection) -> None:
+        keep = False
+        try:
+            keep = connection.communicate()
+        except OSError:
+            pass  # The caller is gone; there is nobody to tell.
+        finally:
+            with self._idle:
+                self._busy -= 1
+                self._idle.notify_all()
+            self._give_back(connection, keep)
+
+    def _give_back(self, connection: Connection, keep: bool) -> None:
+        try:
+            if keep:
+                connection.server.put_conn(connection)
+            else:
+                connection.close()
+        except (OSError, ValueError, KeyError):
+            pass  # The server has stopped and closed its selector.
+
+
+class Server(wsgi.Server):
+    """Serves one WSGI application on one address.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 lets the system choose.
+    application : callable
+        The WSGI application.
+    threads : int
+        Greatest number of requests in progress.
+    body_bytes_max : int
+        Greatest body of a request.
+    log : callable
+        Takes the text of an error that the server itself meets.
+    """
+
+    ConnectionClass = Connection
+    max_request_header_size = HEADER_BYTES_MAX
+    keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
+
+    def __init__(
+        self,
+        address: ids.Address,
+        application: Callable[..., Iterable[bytes]],
+        *,
+        threads: int,
+        body_bytes_max: int,
+        log: Callable[[str], None],
+    ) -> None:
+        super().__init__(
+            tuple(address),
+            application,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=CALLER_PROGRESS_SECONDS,
+            server_name="celeryspan",
+        )
+        self.gateway = _Gateway
+        self.max_request_body_size = body_bytes_max
+        self.requests = _Threads(threads)
+        self.watch = sockets.Watch()
+        self._log = log
+        self._thread: threading.Thread | None = None
+
+    @property
+    def address(self) -> ids.Address:
+        """Where the server listens."""
+        host, port = self.bind_addr[:2]
+        return ids.Address(host, port)
+
+    def open(self) -> None:
+        """Listen, and serve on a thread of its own.
+
+        Raises
+        ------
+        OSError
+            If the address can't be listened on.
+        """
+        self.watch.start()
+        self.prepare()
+        self._thread = threading.Thread(target=self.serve, name="accept", daemon=True)
+        self._thread.start()
+
+    def shut(self) -> None:
+        """Stop listening and wait a moment for requests in progress."""
+        self.stop()
+        if self._thread is not None:
+            self._thread.join(STOP_SECONDS)
+        self.watch.stop()
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Pass an error of cheroot on to the log."""
+        self._log(str(msg))
--- /dev/null
+++ b/celeryspan/services/plaincalls.py
@@ -0,0 +1,99 @@
+"""``/v1/services/{service}/{path}``: any call to a plain service."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+
+import cherrypy
+
+from celeryspan import calls, ids, states
+from celeryspan.adapters import backend, plain
+from celeryspan.services import answers, attempts, exchange
+
+PREFIX = "/v1/services/"
+
+# Time in which a call must be answered, in seconds. A stand confirmation that comes
+# later finds the bus crew gone.
+CALL_SECONDS = 60.0
+
+# Headers that are meant for the router itself.
+ROUTER_HEADERS = frozenset(
+    {"authorization", "content-length", "expect", "host"}
+    | {"celeryspan-request-id", "celeryspan-ticket", "celeryspan-forwarded"}
+)
+
+TARGET = re.compile(r"/v1/services/([^/?]+)(/[!-~]*)?")
+
+
+def read_call(found: exchange.Exchange) -> calls.Call:
+    """Return the call that a request asks for; raises NotRun if it is malformed."""
+    account = found.find_account()
+    name, target = _split(found.target)
+    service = found.find_service(name)
+    if service.kind is not states.ServiceKind.PLAIN:
+        raise exchange.refuse(
+            f"{name!r} is no plain service", code="no-such-service", status=404
+        )
+    path = target.partition("?")[0]
+    return calls.Call(
+        request=found.request,
+        service=ids.ServiceId(service.name),
+        account=account,
+        idempotent=calls.is_idempotent(found.method, path, service.idempotent_paths),
+        deadline=found.started + CALL_SECONDS,
+        method=found.method,
+        target=target,
+        headers=tuple(_select_headers(found)),
+        body=found.read_body(),
+        hint=service.cost_hint,
+        presence=found.presence,
+    )
+
+
+def write_answer(call: calls.Call, answer: attempts.PlainAnswer) -> object:
+    """Make the answer of a plain service the current answer."""
+    cherrypy.response.status = answer.head.status
+    headers = cherrypy.response.headers
+    headers.pop("Content-Type", None)
+    for name, value in answer.head.headers:
+        if name.lower() not in answers.OWN_HEADERS:
+            headers[name] = value
+    answers.set_outcome(call.request, states.Outcome.RAN)
+    if answer.whole:
+        return answer.first
+    cherrypy.response.stream = True
+    return _pass_on(answer)
+
+
+def _pass_on(answer: attempts.PlainAnswer) -> Iterator[bytes]:
+    """Yield a large body.
+
+    If it is cut, the last chunk is left out by closing the connection: the caller's
+    HTTP library reports an incomplete body instead of a short one.
+    """
+    request = cherrypy.request.wsgi_environ["celeryspan.request"]
+    try:
+        yield from answer.read()
+    except backend.AnswerLost:
+        request.chunked_write = False
+        request.close_connection = True
+    finally:
+        answer.close()
+
+
+def _split(target: str) -> tuple[str, str]:
+    match = TARGET.fullmatch(target)
+    if match is None:
+        raise exchange.refuse(
+            f"expected {PREFIX}SERVICE/PATH", code="malformed", status=400
+        )
+    return match[1], match[2] or "/"
+
+
+def _select_headers(found: exchange.Exchange) -> Iterator[tuple[str, str]]:
+    listed = found.headers.get("Connection", "").lower().split(",")
+    dropped = plain.HOP_HEADERS | ROUTER_HEADERS | {name.strip() for name in listed}
+    for name, value in found.headers.items():
+        if name.lower() not in dropped:
+            yield name, value
--- /dev/null
+++ b/celeryspan/services/requests.py
@@ -0,0 +1,189 @@
+"""The kernel service ``requests``: from an accepted call to its answer.
+
+Each call runs on the thread of its caller's connection: it waits for a slot, opens a
+link, sends, and reads the answer. What may be said or repeated is decided by
+:mod:`celeryspan.decisions.outcomes` and :mod:`celeryspan.decisions.retries`.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import TypeVar
+
+from celeryspan import calls, dispatch, errors, events, ids, kernel, states
+from celeryspan.adapters import backend, engine, plain
+from celeryspan.decisions import outcomes, retries
+from celeryspan.services import attempts, backends
+
+Answer = TypeVar("Answer")
+
+# Importing an adapter puts it into the registry.
+ADAPTERS = (engine, plain)
+
+
+@kernel.register("requests", needs=("configuration", "dispatch", "backends"))
+class Requests:
+    """Carries calls to backend servers."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._dispatch: dispatch.Dispatcher = box.find("dispatch")
+        self._backends: backends.Backends = box.find("backends")
+        self._retries = retries.Retries()
+        self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
+        self._plain = backend.REGISTRY[states.ServiceKind.PLAIN]()
+        self._model = backend.REGISTRY[states.ServiceKind.MODEL]()
+
+    def start(self) -> None:
+        """Do nothing: calls come on their callers' threads."""
+
+    def stop(self) -> None:
+        """Do nothing: calls end with their callers' threads."""
+
+    def call_plain(self, call: calls.Call) -> attempts.PlainAnswer:
+        """Carry a call to a plain service.
+
+        Raises
+        ------
+        errors.RequestError
+            NotRun or OutcomeUnknown, as far as is known.
+        """
+        return self._carry(
+            call, lambda run: attempts.PlainAnswer(run, call, self._plain)
+        )
+
+    def call_model(self, call: calls.ChatCall) -> attempts.ModelAnswer:
+        """Carry a call to a model engine; returns once its first tokens are here.
+
+        Raises
+        ------
+        errors.RequestError
+            NotRun or OutcomeUnknown, as far as is known.
+        """
+        return self._carry(
+            call, lambda run: attempts.ModelAnswer(run, call, self._model)
+        )
+
+    def _carry(
+        self, call: calls.Call, begin: Callable[[attempts.Run], Answer]
+    ) -> Answer:
+        progress = outcomes.Progress(idempotent=call.idempotent)
+        excluded: set[ids.ServerId] = set()
+        number = 0
+        while True:
+            number += 1
+            slot = self._acquire(call, progress, frozenset(excluded))
+            try:
+                answer = self._attempt(call, progress, slot, number, begin)
+            except attempts.Failure as failure:
+                excluded.add(slot.server)
+                self._pause(call, progress, failure, number)
+                continue
+            self._retries.succeed(call.service)
+            return answer
+
+    def _acquire(
+        self,
+        call: calls.Call,
+        progress: outcomes.Progress,
+        excluded: frozenset[ids.ServerId],
+    ) -> dispatch.Slot:
+        work = dispatch.Work(
+            request=call.request,
+            service=call.service,
+            account=call.account,
+            deadline=call.deadline,
+            hint=call.hint,
+            prefix=call.prefix,
+            excluded=excluded,
+        )
+        call.presence.watch(lambda: self._dispatch.cancel(call.request))
+        try:
+            slot = self._dispatch.acquire(work)
+        except errors.NotRun as error:
+            raise make_error(progress.settle(), error) from error
+        progress.grant()
+        return slot
+
+    def _attempt(
+        self,
+        call: calls.Call,
+        progress: outcomes.Progress,
+        slot: dispatch.Slot,
+        number: int,
+        begin: Callable[[attempts.Run], Answer],
+    ) -> Answer:
+        run = attempts.Run(self._backends, slot, progress, name_run(call, number))
+        try:
+            run.open(call)
+            run.send(call)
+            return begin(run)
+        except attempts.Failure:
+            raise
+        except errors.RequestError as error:
+            run.abandon(dispatch.Ending.CANCELLED)
+            raise make_error(progress.settle(), error) from error
+        except Exception as error:
+            # A fault of this program after the first byte must not turn into "not
+            # run", nor leave the slot taken: it is settled like a lost connection.
+            run.abandon(dispatch.Ending.FAILED)
+            raise make_error(
+                progress.settle(),
+                errors.CeleryspanError(
+                    f"internal error: {error!r}", step="send", peer=slot.server
+                ),
+                code="internal",
+            ) from error
+
+    def _pause(
+        self,
+        call: calls.Call,
+        progress: outcomes.Progress,
+        failure: attempts.Failure,
+        number: int,
+    ) -> None:
+        """Wait before the next attempt, or raise if there is none."""
+        if call.presence.left:
+            raise make_error(progress.settle(), failure, code="caller-left")
+        attempt = retries.Attempt(
+            service=call.service,
+            idempotent=call.idempotent,
+            sent=failure.sent,
+            number=number,
+            deadline=call.deadline,
+        )
+        now = time.monotonic()
+        verdict = self._retries.decide(attempt, now, self._random.random())
+        if isinstance(verdict, retries.GiveUp) or not progress.may_send:
+            code = getattr(verdict, "code", "outcome-unknown")
+            raise make_error(progress.settle(), failure, code=code)
+        time.sleep(verdict.delay)
+
+
+def name_run(call: calls.Call, number: int) -> ids.RequestId:
+    """Return the id under which an attempt is known to the backend server.
+
+    Each attempt has its own, so that the late answer of an earlier one is recognised.
+    """
+    return call.request if number == 1 else ids.RequestId(f"{call.request}-{number}")
+
+
+def make_error(
+    outcome: states.Outcome, cause: errors.CeleryspanError, *, code: str = ""
+) -> errors.RequestError:
+    """Return the error that tells a caller what is known."""
+    not_run = outcome is states.Outcome.NOT_RUN
+    kind = errors.NotRun if not_run else errors.OutcomeUnknown
+    status = getattr(cause, "status", 503 if not_run else 502)
+    found = kind(
+        cause.message,
+        code=code or getattr(cause, "code", "failed"),
+        status=status,
+        retry_after=getattr(cause, "retry_after", None),
+        step=cause.step,
+        peer=cause.peer,
+    )
+    event = events.Event.REQUEST_REFUSED if not_run else events.Event.REQUEST_SETTLED
+    events.log(event, outcome=outcome.value, code=found.code, step=found.step)
+    return found
--- /dev/null
+++ b/celeryspan/services/sockets.py
@@ -0,0 +1,84 @@
+"""Watches callers' sockets for their closing, while their threads do other work."""
+
+from __future__ import annotations
+
+import select
+import socket
+import threading
+import time
+from collections.abc import Callable
+
+# How often time limits are looked at, in seconds.
+TICK_SECONDS = 0.5
+
+CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
+
+
+class Watch:
+    """One thread that notices closed and dawdling callers.
+
+    A thread that waits for a slot or for tokens reads nothing from its caller and
+    would learn only by its next write that the caller has gone, while the engine
+    works for nobody. The system reports the closing at once.
+    """
+
+    def __init__(self) -> None:
+        self._poll = select.epoll()
+        self._lock = threading.Lock()
+        self._callbacks: dict[int, Callable[[], None]] = {}
+        self._limits: dict[int, tuple[float, socket.socket]] = {}
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """End watching."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._poll.close()
+
+    def add(self, sock: socket.socket, callback: Callable[[], None]) -> None:
+        """Call back once when the other end closes its side."""
+        descriptor = sock.fileno()
+        with self._lock:
+            known = descriptor in self._callbacks
+            self._callbacks[descriptor] = callback
+            if not known:
+                self._poll.register(descriptor, CLOSED | select.EPOLLONESHOT)
+
+    def limit(self, sock: socket.socket, seconds: float) -> None:
+        """End reading from a socket after a time."""
+        with self._lock:
+            self._limits[sock.fileno()] = (time.monotonic() + seconds, sock)
+
+    def forget(self, sock: socket.socket) -> None:
+        """Stop watching a socket; call before it is closed."""
+        descriptor = sock.fileno()
+        with self._lock:
+            self._limits.pop(descriptor, None)
+            if self._callbacks.pop(descriptor, None) is not None:
+                self._poll.unregister(descriptor)
+
+    def _run(self) -> None:
+        while not self._stopped.is_set():
+            for descriptor, _ in self._poll.poll(TICK_SECONDS):
+                with self._lock:
+                    callback = self._callbacks.get(descriptor)
+                if callback is not None:
+                    callback()
+            self._end_dawdlers()
+
+    def _end_dawdlers(self) -> None:
+        now = time.monotonic()
+        with self._lock:
+            late = [item for item in self._limits.items() if item[1][0] < now]
+            for descriptor, (_, sock) in late:
+                del self._limits[descriptor]
+                try:
+                    sock.shutdown(socket.SHUT_RD)
+                except OSError:
+                    pass  # The caller has gone meanwhile.
