--- /dev/null
+++ b/celeryspan/adapters/routers.py
@@ -0,0 +1,130 @@
+"""Client of the routers' own calls, for the commands of operators."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+
+import urllib3
+
+from celeryspan import errors
+
+ANSWER_SECONDS = 5.0
+"""Greatest wait for a router's answer; one that takes longer is shown as silent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddressAnswer:
+    """Which addresses callers should use, nearest first, and for how long."""
+
+    addresses: tuple[str, ...]
+    keep_seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What one router says of itself.
+
+    Attributes
+    ----------
+    fields : dict
+        The answer as it came; see the operators' calls in docs/protocols.md.
+    error : str
+        Why there is no answer; empty if there is one.
+    """
+
+    address: str
+    fields: dict[str, Any]
+    error: str = ""
+
+    def get_service(self, name: str) -> dict[str, Any]:
+        """Return what a service of the router says; nothing if it says nothing."""
+        found = self.fields.get("services", {}).get(name)
+        return found if isinstance(found, dict) else {}
+
+
+class RouterClient:
+    """Calls routers on behalf of an operator.
+
+    Parameters
+    ----------
+    key : str
+        The operator's key.
+    """
+
+    def __init__(self, key: str) -> None:
+        self._key = key
+        self._pool = urllib3.PoolManager(retries=False, timeout=ANSWER_SECONDS)
+
+    def get_addresses(self, address: str) -> AddressAnswer:
+        """Return the routers that a router tells callers to use.
+
+        Raises
+        ------
+        errors.CeleryspanError
+            If it does not answer.
+        """
+        fields = self._call("GET", address, "/v1/addresses")
+        return AddressAnswer(tuple(fields["addresses"]), float(fields["keep_seconds"]))
+
+    def get_report(self, address: str) -> Report:
+        """Return the status of one router; without an answer, the error in it."""
+        try:
+            return Report(address, self._call("GET", address, "/v1/status"))
+        except errors.CeleryspanError as error:
+            return Report(address, {"error": str(error)}, str(error))
+
+    def get_reports(self, address: str) -> list[Report]:
+        """Return the status of a router and of all others that it knows.
+
+        Raises
+        ------
+        errors.CeleryspanError
+            If the first router does not answer.
+        """
+        first = Report(address, self._call("GET", address, "/v1/status"))
+        members = first.get_service("membership").get("members", [])
+        others = {str(member["caller_address"]) for member in members} - {address}
+        return [first, *(self.get_report(other) for other in sorted(others))]
+
+    def drain(self, address: str) -> None:
+        """Ask a router to finish its requests and stop.
+
+        Raises
+        ------
+        errors.CeleryspanError
+            If it does not answer, or refuses.
+        """
+        self._call("POST", address, "/v1/drain")
+
+    def _call(self, method: str, address: str, path: str) -> dict[str, Any]:
+        headers = {"Authorization": f"Bearer {self._key}"} if self._key else {}
+        step = f"{method} {path}"
+        try:
+            answer = self._pool.request(
+                method, f"http://{address}{path}", headers=headers
+            )
+            fields = json.loads(answer.data) if answer.data else {}
+        except urllib3.exceptions.HTTPError as error:
+            raise errors.CeleryspanError(
+                f"expected an answer within {ANSWER_SECONDS:.0f} s, found: {error}; "
+                "is this a router's address for callers?",
+                step=step,
+                peer=address,
+            ) from error
+        except ValueError as error:
+            raise errors.CeleryspanError(
+                "expected JSON, found something else; is this a router?",
+                step=step,
+                peer=address,
+            ) from error
+        if answer.status >= 300:
+            found = fields.get("error", {}) if isinstance(fields, dict) else {}
+            message = found.get("message", "") if isinstance(found, dict) else found
+            raise errors.CeleryspanError(
+                f"expected success, found {answer.status}: {message}",
+                step=step,
+                peer=address,
+            )
+        return fields
--- a/celeryspan/configuration.py
+++ b/celeryspan/configuration.py
@@ -5,6 +5,7 @@
 import functools
 import hashlib
 import hmac
+import warnings
 
 import pydantic
 
@@ -12,6 +13,10 @@
 
 DEFAULT_WEIGHT = 1.0
 
+# The field of this name hides a method of pydantic's metaclass that nothing calls; the
+# warning would stand before the output of each command.
+warnings.filterwarnings("ignore", 'Field name "register"', UserWarning)
+
 # Inside the class the fields hide the modules of the same names.
 _Register = register.Register
 _Rules = rules.Rules
--- /dev/null
+++ b/celeryspan/daemons/router.py
@@ -0,0 +1,144 @@
+"""The router daemon: settings, log, kernel, signals."""
+
+from __future__ import annotations
+
+import importlib
+import pkgutil
+import signal
+import sys
+import threading
+from typing import IO, TYPE_CHECKING, Protocol
+
+from absl import flags
+
+from celeryspan import events, inputs, kernel, metrics, services
+from celeryspan.daemons import registry
+
+if TYPE_CHECKING:
+    from types import FrameType
+
+    from celeryspan import settings
+
+SERVICES = (
+    "metrics",
+    "store",
+    "configuration",
+    "links",
+    "membership",
+    "vmlist",
+    "dispatch",
+    "homes",
+    "loads",
+    "backends",
+    "claims",
+    "orders",
+    "caller",
+    "drain",
+)
+"""Services of a router; what else they need the kernel starts before them."""
+
+
+class Drain(Protocol):
+    """What the service ``drain`` offers to the daemon.
+
+    Attributes
+    ----------
+    finished : Event
+        Set once nothing is in progress any more and the process may end, whoever
+        began the stop: a signal, an operator, or a planned stop in the rules.
+    """
+
+    finished: threading.Event
+
+    def begin(self) -> None:
+        """Begin a graceful stop; a second call does nothing."""
+
+
+class Router:
+    """One router: the services of one kernel, and how they end.
+
+    Parameters
+    ----------
+    values : Settings
+        The validated settings.
+
+    Attributes
+    ----------
+    kernel : Kernel
+        Finds the services by name.
+    """
+
+    def __init__(self, values: settings.Settings) -> None:
+        import_services()
+        self.kernel = kernel.Kernel(values)
+
+    def start(self) -> None:
+        """Start all services.
+
+        Raises
+        ------
+        StartError
+            If one fails; the others have been stopped.
+        """
+        self.kernel.start(name for name in SERVICES if name in kernel.REGISTRY)
+
+    def stop(self) -> None:
+        """Stop all services at once; requests in progress are cut."""
+        self.kernel.stop()
+
+
+def import_services() -> None:
+    """Import all modules of services, so that they register."""
+    assert metrics
+    for module in pkgutil.iter_modules(services.__path__):
+        importlib.import_module(f"celeryspan.services.{module.name}")
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "settings", None, "File with the settings of this router.", flag_values=values
+    )
+
+
+@registry.command("router", define=_define)
+def run(arguments: list[str], values: flags.FlagValues) -> registry.Exit:
+    """Run the router of this VM until a signal stops it.
+
+    The first SIGTERM or SIGINT begins a graceful stop: the router leaves the answer of
+    'celeryspan addresses', finishes the requests it has accepted and exits with 0. A
+    second signal ends it at once; requests in progress are then cut, and listed in
+    the log.
+    """
+    found = inputs.read_settings(registry.require(values, "settings", "FILE"))
+    with open_log(found.log_file) as log:
+        events.open_log(log)
+        return serve(Router(found))
+
+
+def serve(found: Router) -> registry.Exit:
+    """Run a router until it has been stopped."""
+    found.start()
+    drain: Drain = found.kernel.find("drain")
+    signals = 0
+
+    def stop(number: int, _frame: FrameType | None) -> None:
+        nonlocal signals
+        signals += 1
+        events.log(events.Event.SIGNAL_RECEIVED, signal=number, count=signals)
+        if signals == 1:
+            threading.Thread(target=drain.begin, name="drain", daemon=True).start()
+        else:
+            drain.finished.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
+    drain.finished.wait()
+    found.stop()
+    return registry.Exit.DONE
+
+
+def open_log(path: str) -> IO[str]:
+    """Return the file that the log goes to; the standard error output by default."""
+    if path:
+        return open(path, "a", encoding="utf-8", buffering=1)
+    return open(sys.stderr.fileno(), "a", encoding="utf-8", closefd=False, buffering=1)
