--- a/tests/daemons/test_command.py
+++ b/tests/daemons/test_command.py
@@ -18,7 +18,7 @@
 
 @pytest.fixture
 def files(tmp_path: pathlib.Path) -> list[str]:
-    """A valid register and rules."""
+    """Write a valid register and rules."""
     paths = [tmp_path / "register.yaml", tmp_path / "rules.yaml"]
     for path, text in zip(paths, (test_inputs.REGISTER, "{}"), strict=True):
         path.write_text(text)
