Add the demo: a small fleet in one process, callers that check each answer

Cause: nothing showed the whole path to somebody who has just installed the project. Change: standins/fleet.py starts the stand-ins and three routers on loopback, standins/callers.py sends for six client accounts, one of which floods, and holds each answer against its own prompt; standins/fairness.py follows the gap of backlogged accounts and the use of the engines' slots; celeryspan demo prints a table and one JSON object, and fails on an incomplete answer, a clearance carried out twice, or one carried out after 'not run'.

--- a/celeryspan/daemons/router.py
+++ b/celeryspan/daemons/router.py
@@ -9,6 +9,7 @@
 import threading
 from typing import IO, TYPE_CHECKING, Protocol
 
+import cherrypy
 from absl import flags
 
 from celeryspan import events, inputs, kernel, metrics, services
@@ -69,6 +70,7 @@
     """
 
     def __init__(self, values: settings.Settings) -> None:
+        cherrypy.log.screen = False  # All logs are events.
         import_services()
         self.kernel = kernel.Kernel(values)
 
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,243 @@
+"""A whole small fleet in one process: stand-ins and routers on loopback."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+import socket
+import time
+
+import urllib3
+
+from celeryspan import (
+    configuration,
+    errors,
+    ids,
+    publishing,
+    register,
+    rules,
+    settings,
+    states,
+)
+from celeryspan.adapters import store as store_adapter
+from celeryspan.daemons import router
+from standins import engine, service, store, web
+
+FLEET_KEY = "fleet-key-of-the-demo"
+OPERATOR_KEY = "operator-key-of-the-demo"
+
+DATA_CENTRES = ("hala-a", "hala-b", "hala-c")
+MODEL = "planner-llm"
+GATE = "gate-desk"
+
+READY_SECONDS = 15.0
+"""Greatest time until all routers know each other and have a configuration."""
+
+POLL_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Sizes of a fleet.
+
+    Attributes
+    ----------
+    accounts : tuple of str
+        Names of the client accounts; each one's key is its name.
+    token_seconds : float
+        Time between two tokens of an engine, in seconds.
+    answer_tokens : float
+        Median length of an engine's answers; 0 makes each as long as asked for.
+    """
+
+    accounts: tuple[str, ...]
+    weights: dict[str, float] = dataclasses.field(default_factory=dict)
+    routers: int = 3
+    engines: int = 4
+    engine_slots: int = 4
+    gates: int = 2
+    gate_slots: int = 4
+    token_seconds: float = 0.02
+    answer_tokens: float = 30
+    work_seconds: float = 0.05
+
+
+class Fleet:
+    """Starts and stops all parts of a small fleet.
+
+    Attributes
+    ----------
+    store : Store
+        The platform's stand-in.
+    engines, gates : list
+        The backend servers' stand-ins.
+    routers : list of Router
+        Each with a kernel of its own.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.plan = plan
+        self.store = store.Store()
+        self.engines = [
+            engine.Engine(
+                model=MODEL,
+                slots=plan.engine_slots,
+                token_seconds=plan.token_seconds,
+                answer_tokens=plan.answer_tokens,
+            )
+            for _ in range(plan.engines)
+        ]
+        self.gates = [
+            service.Service(slots=plan.gate_slots, work_seconds=plan.work_seconds)
+            for _ in range(plan.gates)
+        ]
+        self._vms = [_make_vm(place) for place in range(plan.routers)]
+        self.routers = [router.Router(self._make_settings(vm)) for vm in self._vms]
+
+    @property
+    def addresses(self) -> list[ids.Address]:
+        """Where the routers serve callers."""
+        return [ids.Address.parse(vm.caller_address) for vm in self._vms]
+
+    def start(self) -> None:
+        """Start all parts and wait until every router serves.
+
+        Raises
+        ------
+        errors.StartError
+            If the routers don't find each other in time.
+        """
+        for part in self._parts():
+            part.start()
+        client = store_adapter.StoreClient(str(self.store.address))
+        self.store.set_vms(
+            [
+                {"name": vm.name, "address": vm.peer_address, "state": "live"}
+                for vm in self._vms
+            ]
+        )
+        standing = publishing.read_standing(client)
+        value = self.make_configuration()
+        publishing.publish(client, standing, value.register, value.rules, "demo")
+        for part in self.routers:
+            part.start()
+        self._wait_ready()
+
+    def stop(self) -> None:
+        """Stop all parts."""
+        for part in (*self.routers, *self._parts()):
+            part.stop()
+
+    def make_configuration(self) -> configuration.Configuration:
+        """Return the first generation."""
+        servers = [
+            *_make_servers(MODEL, self.engines, self.plan.engine_slots),
+            *_make_servers(GATE, self.gates, self.plan.gate_slots),
+        ]
+        return configuration.Configuration(
+            generation=1,
+            register=register.Register(
+                firm="vrbicky",
+                data_centres=tuple(
+                    register.DataCentre(name=name, region="bohemia")
+                    for name in DATA_CENTRES
+                ),
+                vms=tuple(self._vms),
+                services=(
+                    register.Service(
+                        name=MODEL,
+                        kind=states.ServiceKind.MODEL,
+                        cost_hint=max(1.0, self.plan.answer_tokens),
+                    ),
+                    register.Service(
+                        name=GATE,
+                        kind=states.ServiceKind.PLAIN,
+                        idempotent_paths=("/status",),
+                    ),
+                ),
+                servers=tuple(servers),
+                accounts=tuple(
+                    register.Account(name=name, key_hashes=(hash_key(name),))
+                    for name in self.plan.accounts
+                ),
+            ),
+            rules=rules.Rules(weights=self.plan.weights),
+        )
+
+    def _parts(self) -> list[web.StandIn]:
+        return [self.store, *self.engines, *self.gates]
+
+    def _make_settings(self, vm: register.VM) -> settings.Settings:
+        return settings.Settings(
+            router=vm.name,
+            data_centre=vm.data_centre,
+            caller_address=vm.caller_address,
+            peer_address=vm.peer_address,
+            store_address=str(self.store.address),
+            fleet_keys=(FLEET_KEY,),
+            operator_key_hashes=(hash_key(OPERATOR_KEY),),
+            peers=tuple(
+                other.peer_address for other in self._vms if other.name != vm.name
+            ),
+        )
+
+    def _wait_ready(self) -> None:
+        ends = time.monotonic() + READY_SECONDS
+        waiting = list(self.addresses)
+        while waiting:
+            if time.monotonic() > ends:
+                raise errors.StartError(
+                    f"expected {len(self._vms)} routers in each address answer within "
+                    f"{READY_SECONDS:.0f} s, found fewer at "
+                    f"{', '.join(str(address) for address in waiting)}",
+                    step="start",
+                )
+            waiting = [item for item in waiting if not self._is_ready(item)]
+            time.sleep(POLL_SECONDS)
+
+    def _is_ready(self, address: ids.Address) -> bool:
+        try:
+            answer = urllib3.request(
+                "GET", f"http://{address}/v1/addresses", retries=False, timeout=1.0
+            )
+            if answer.status != 200:
+                return False
+            return len(json.loads(answer.data)["addresses"]) == len(self._vms)
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+def hash_key(key: str) -> str:
+    """Return what the register holds of a key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def find_free_port() -> int:
+    """Return a port of loopback that nobody uses now."""
+    with socket.create_server(("127.0.0.1", 0)) as listening:
+        return listening.getsockname()[1]
+
+
+def _make_vm(place: int) -> register.VM:
+    return register.VM(
+        name=f"entry-{place + 1}",
+        data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
+        caller_address=f"127.0.0.1:{find_free_port()}",
+        peer_address=f"127.0.0.1:{find_free_port()}",
+    )
+
+
+def _make_servers(
+    name: str, parts: list[engine.Engine] | list[service.Service], slots: int
+) -> list[register.Server]:
+    return [
+        register.Server(
+            name=f"{name}-{place + 1}",
+            service=name,
+            data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
+            address=str(part.address),
+            slots=slots,
+        )
+        for place, part in enumerate(parts)
+    ]
--- /dev/null
+++ b/tests/daemons/test_demo.py
@@ -0,0 +1,58 @@
+"""What the demo counts as a broken promise."""
+
+from __future__ import annotations
+
+from celeryspan.daemons import demo
+from standins import callers, fairness, fleet
+
+
+def make_ask(mark: str, ending: callers.Ending) -> callers.Ask:
+    return callers.Ask(
+        "tower", fleet.GATE, mark, 1.0, first=1.5, ended=2.0, ending=ending
+    )
+
+
+def make_calls(*marks: str) -> list[dict]:
+    return [{"path": f"/clearances/{mark}"} for mark in marks]
+
+
+def test_whole_answers_break_nothing() -> None:
+    asks = [make_ask("ask-1", callers.Ending.ANSWERED)]
+    assert demo.list_faults(asks, make_calls("ask-1")) == []
+
+
+def test_broken_promises_are_listed() -> None:
+    asks = [
+        make_ask("ask-1", callers.Ending.ANSWERED),
+        make_ask("ask-2", callers.Ending.INCOMPLETE),
+        make_ask("ask-3", callers.Ending.NOT_RUN),
+        make_ask("ask-4", callers.Ending.UNKNOWN),
+    ]
+    faults = demo.list_faults(asks, make_calls("ask-1", "ask-1", "ask-3", "ask-4"))
+    assert [line.split(":")[0] for line in faults] == [
+        "incomplete",
+        "told not-run, but carried out",
+        "carried out more than once",
+    ]
+
+
+def test_gap_is_how_far_two_backlogged_accounts_move_apart() -> None:
+    gap = fairness.Gap()
+    both = {"a", "b"}
+    gap.note({"a": 100.0, "b": 0.0}, both)
+    gap.note({"a": 130.0, "b": 10.0}, both)
+    gap.note({"a": 130.0, "b": 40.0}, both)
+    assert gap.greatest == 30.0
+
+
+def test_gap_begins_anew_once_an_account_stops_waiting() -> None:
+    gap = fairness.Gap()
+    gap.note({"a": 0.0, "b": 0.0}, {"a", "b"})
+    gap.note({"a": 500.0, "b": 0.0}, {"a"})
+    gap.note({"a": 500.0, "b": 0.0}, {"a", "b"})
+    assert gap.greatest == 0.0
+
+
+def test_table_has_a_line_for_each_account() -> None:
+    table = demo.make_table([make_ask("ask-1", callers.Ending.ANSWERED)])
+    assert table.row_count == 1
