Stop all parts of the small fleet when one does not start

Cause: a service that did not start left the stand-ins' threads running, and the demo hung after its error line. Change: the fleet stops what it has started, whatever ends the start or the run. Conclusion: a failed demo ends by itself.

--- a/celeryspan/daemons/demo.py
+++ b/celeryspan/daemons/demo.py
@@ -106,17 +106,12 @@
     def run(self, send_seconds: float) -> None:
         """Start everything, send for some seconds, wait for the answers, stop."""
         self._fleet.start()
-        passed = time.monotonic() - self._began
-        self._console.print(f"{PLAN.routers} routers serve after {passed:.1f} s")
-        asking = callers.Callers(LOADS, self._fleet.addresses)
-        self._sampler = fairness.Sampler(asking, self._fleet.engines, PLAN.weights)
-        self.asks = asking.asks
-        asking.start()
-        self._sampler.start()
-        self._show_progress(send_seconds)
-        self._sampler.stop()
-        asking.stop()
-        self._fleet.stop()
+        try:
+            passed = time.monotonic() - self._began
+            self._console.print(f"{PLAN.routers} routers serve after {passed:.1f} s")
+            self._send(send_seconds)
+        finally:
+            self._fleet.stop()
         self.calls = [call for gate in self._fleet.gates for call in gate.journal]
 
     def judge(self) -> Verdict:
@@ -134,6 +129,16 @@
             seconds=round(time.monotonic() - self._began, 1),
         )
 
+    def _send(self, seconds: float) -> None:
+        asking = callers.Callers(LOADS, self._fleet.addresses)
+        self._sampler = fairness.Sampler(asking, self._fleet.engines, PLAN.weights)
+        self.asks = asking.asks
+        asking.start()
+        self._sampler.start()
+        self._show_progress(seconds)
+        self._sampler.stop()
+        asking.stop()
+
     def _show_progress(self, seconds: float) -> None:
         began = time.monotonic()
         live = rich.live.Live(console=self._console, auto_refresh=False, transient=True)
--- a/standins/batch.py
+++ b/standins/batch.py
@@ -110,7 +110,8 @@
         with self._changed:
             self._stopping = True
             self._changed.notify_all()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def add(self, request: str, messages: list[dict], length: int) -> Run:
         """Queue one run."""
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -108,21 +108,11 @@
         errors.StartError
             If the routers don't find each other in time.
         """
-        for part in self._parts():
-            part.start()
-        client = store_adapter.StoreClient(str(self.store.address))
-        self.store.set_vms(
-            [
-                {"name": vm.name, "address": vm.peer_address, "state": "live"}
-                for vm in self._vms
-            ]
-        )
-        standing = publishing.read_standing(client)
-        value = self.make_configuration()
-        publishing.publish(client, standing, value.register, value.rules, "demo")
-        for part in self.routers:
-            part.start()
-        self._wait_ready()
+        try:
+            self._start()
+        except BaseException:
+            self.stop()
+            raise
 
     def stop(self) -> None:
         """Stop all parts."""
@@ -165,6 +155,23 @@
             rules=rules.Rules(weights=self.plan.weights),
         )
 
+    def _start(self) -> None:
+        for part in self._parts():
+            part.start()
+        client = store_adapter.StoreClient(str(self.store.address))
+        self.store.set_vms(
+            [
+                {"name": vm.name, "address": vm.peer_address, "state": "live"}
+                for vm in self._vms
+            ]
+        )
+        standing = publishing.read_standing(client)
+        value = self.make_configuration()
+        publishing.publish(client, standing, value.register, value.rules, "demo")
+        for part in self.routers:
+            part.start()
+        self._wait_ready()
+
     def _parts(self) -> list[web.StandIn]:
         return [self.store, *self.engines, *self.gates]
 
--- a/standins/web.py
+++ b/standins/web.py
@@ -113,7 +113,8 @@
         """Stop serving and close all connections."""
         self.stopping.set()
         self._server.stop()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
 
     def silence_open_connections(self) -> None:
         """Let all open connections go silent for good, while new ones work."""
