Link routers over TCP: proven, batched, bounded, replaced when silent

Cause: homes, counters and configuration need messages between routers that a slow peer, a stranger or a forgotten connection can't turn into harm. Conclusion: sending never waits for a peer, and nothing grows with its silence.

--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -122,9 +122,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask a member whether it is alive."""
+    """Ask a member whether it is alive.
+
+    Attributes
+    ----------
+    digest : int
+        Of all that the sender believes about members; 0 if it does not say.
+    """
 
     sequence: int
+    digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -100,6 +100,7 @@
 
 struct Probe {
   sequence @0 :UInt64;
+  digest @1 :UInt64;
 }
 
 struct ProbeRequest {
--- /dev/null
+++ b/tests/services/support.py
@@ -0,0 +1,48 @@
+"""A small kernel for tests of single services."""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+
+from celeryspan import ids, kernel, settings
+
+
+def find_port() -> int:
+    """Return a port of 127.0.0.1 that is free for TCP and UDP now."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return listener.getsockname()[1]
+
+
+def make_settings(router: str, **fields: object) -> settings.Settings:
+    """Return settings of a router on free ports."""
+    values = {
+        "router": router,
+        "data_centre": "hala-a",
+        "caller_address": f"127.0.0.1:{find_port()}",
+        "peer_address": f"127.0.0.1:{find_port()}",
+        "store_address": "127.0.0.1:1",
+        "fleet_keys": ("secret",),
+    }
+    return settings.Settings(**{**values, **fields})
+
+
+def start_kernel(names: list[str], router: str, **fields: object) -> kernel.Kernel:
+    """Start services under a kernel of their own."""
+    box = kernel.Kernel(make_settings(router, **fields))
+    box.start(names)
+    return box
+
+
+def peer_address(box: kernel.Kernel) -> ids.Address:
+    """Return where the router of a kernel listens for peers."""
+    return ids.Address.parse(box.settings.peer_address)
+
+
+def wait_until(condition: Callable[[], bool], seconds: float = 10.0) -> None:
+    """Wait until a condition holds; fail if it never does."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < deadline, "the condition never held"
+        time.sleep(0.005)
--- /dev/null
+++ b/tests/services/test_links.py
@@ -0,0 +1,165 @@
+"""Links between routers on loopback: proof, loss, garbage, silence."""
+
+from __future__ import annotations
+
+import random
+import socket
+
+import pytest
+
+from celeryspan import ids, kernel
+from celeryspan.services import (
+    connections,
+    links,  # noqa: F401  (registers the service)
+)
+from celeryspan.wire import messages
+from tests.services import support
+
+
+class Pair:
+    """Two routers that know each other's address, and what the second received."""
+
+    def __init__(self, keys: tuple[tuple[str, ...], tuple[str, ...]]) -> None:
+        self.boxes: list[kernel.Kernel] = []
+        self.received: list[messages.Message] = []
+        for name, fleet_keys in zip(("a", "b"), keys, strict=True):
+            box = support.start_kernel(["links"], name, fleet_keys=fleet_keys)
+            self.boxes.append(box)
+        self.first, self.second = (box.find("links") for box in self.boxes)
+        self.first.learn("b", support.peer_address(self.boxes[1]))
+        self.second.learn("a", support.peer_address(self.boxes[0]))
+        for kind in (messages.Demand, messages.Grant, messages.Probe):
+            self.second.subscribe(kind, self._note)
+
+    def _note(self, peer: str, incarnation: int, message: messages.Message) -> None:
+        assert peer == "a"
+        assert incarnation == self.boxes[0].find("identity").incarnation
+        self.received.append(message)
+
+    def stop(self) -> None:
+        for box in self.boxes:
+            box.stop()
+
+
+@pytest.fixture
+def make_pair():
+    pairs: list[Pair] = []
+
+    def make(*keys: tuple[str, ...]) -> Pair:
+        pairs.append(Pair(keys or (("secret",), ("secret",))))
+        return pairs[-1]
+
+    yield make
+    for pair in pairs:
+        pair.stop()
+
+
+def make_demand(waiting: int) -> messages.Demand:
+    return messages.Demand("planner-llm", "desk", waiting, 0.0, waiting, 1.0)
+
+
+def test_messages_arrive_and_are_counted_by_kind(make_pair) -> None:
+    pair = make_pair()
+    grants = [messages.Grant(n, "gpu-1", "planner-llm", "desk", 1.0) for n in range(9)]
+    for grant in grants:
+        pair.first.send("b", grant)
+    support.wait_until(lambda: len(pair.received) == 9)
+    assert pair.received == grants
+    sent = pair.first.report()["sent"]["grant"]
+    assert sent["messages"] == 9
+    assert sent["bytes"] > 0
+
+
+def test_keys_may_differ_while_one_is_shared(make_pair) -> None:
+    """Operators rotate the fleet key router by router; no link may be refused."""
+    pair = make_pair(("old", "new"), ("new", "old"))
+    pair.first.send("b", make_demand(1))
+    support.wait_until(lambda: pair.received == [make_demand(1)])
+
+
+def test_stranger_is_refused_and_counted(make_pair) -> None:
+    pair = make_pair(("guess",), ("secret",))
+    pair.first.send("b", make_demand(1))
+    support.wait_until(lambda: pair.first.report()["refused"] > 0)
+    assert pair.received == []
+    assert pair.first.report()["links"] == []
+
+
+def test_garbage_at_the_peer_port_does_no_harm(make_pair) -> None:
+    """A scanner or a damaged sender writes anything to the peer port."""
+    pair = make_pair()
+    generator = random.Random(6)
+    address = support.peer_address(pair.boxes[1])
+    for size in (0, 1, 4, 5, 200, 5_000):
+        with socket.create_connection(address) as channel:
+            channel.sendall(generator.randbytes(size))
+    pair.first.send("b", make_demand(1))
+    support.wait_until(lambda: pair.received == [make_demand(1)])
+
+
+class Relay:
+    """Forwards a connection until told to swallow what it carries."""
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.swallows = False
+        self.accepted = 0
+        self._target = target
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = self._listener.getsockname()
+        self._run(self._accept)
+
+    def _run(self, task, *arguments: object) -> None:
+        connections.threading.Thread(target=task, args=arguments, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self._listener.accept()
+            far = socket.create_connection(self._target)
+            self.accepted += 1
+            silent = {"swallows": False, "first": self.accepted == 1}
+            self._run(self._copy, near, far, silent)
+            self._run(self._copy, far, near, silent)
+
+    def _copy(self, source, sink, silent: dict[str, bool]) -> None:
+        try:
+            while data := source.recv(65_536):
+                if not (self.swallows and silent["first"]):
+                    sink.sendall(data)
+        except OSError:
+            pass
+
+
+def test_silent_link_is_replaced_and_its_state_sent_again(
+    make_pair, monkeypatch
+) -> None:
+    """A client account's demand is withdrawn, yet its home goes on sending grants.
+
+    A device between two routers forgets their connection: what is written into it is
+    lost without an error, while new connections work. Heartbeats find the silence,
+    the link is replaced, and the states that may be lost are sent again.
+    """
+    monkeypatch.setattr(connections, "HEARTBEAT_SECONDS", 0.1)
+    monkeypatch.setattr(connections, "SILENT_SECONDS", 0.35)
+    pair = make_pair()
+    relay = Relay(support.peer_address(pair.boxes[1]))
+    pair.first.learn("b", ids.Address(*relay.address))
+    pair.first.send("b", make_demand(3))
+    support.wait_until(lambda: make_demand(3) in pair.received)
+    relay.swallows = True
+    pair.first.send("b", make_demand(0))
+    support.wait_until(lambda: make_demand(0) in pair.received)
+    assert relay.accepted >= 2
+
+
+def test_restarted_peer_is_found_again(make_pair) -> None:
+    pair = make_pair()
+    pair.first.send("b", make_demand(1))
+    support.wait_until(lambda: len(pair.received) == 1)
+    settings = pair.boxes[1].settings
+    pair.boxes[1].stop()
+    again = kernel.Kernel(settings)
+    again.start(["links"])
+    pair.boxes[1] = again
+    again.find("links").subscribe(messages.Demand, pair._note)
+    pair.first.send("b", make_demand(2))
+    support.wait_until(lambda: make_demand(2) in pair.received)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -22,7 +22,7 @@
     messages.Member(
         "r-1", 5, states.MemberState.SUSPECT, "hala-a", ADDRESS, ADDRESS, 4, 1
     ),
-    messages.Probe(1),
+    messages.Probe(1, 2**63),
     messages.ProbeRequest(1, "r-2"),
     messages.Ack(1, "r-2"),
     messages.ServerFact("gpu-1", states.ServerState.LEAVING, 12),
