--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -117,7 +117,8 @@
         self._counters = counters
         self._owed_costs = owed_costs
         self._cap_fraction = cap_fraction
-        self._next_grant = xxhash.xxh32_intdigest(f"{router}/{incarnation}") << 32
+        name = f"{router}/{incarnation}".encode()
+        self._next_grant = xxhash.xxh32_intdigest(name) << 32
         self._servers: dict[ids.ServerId, _Server] = {}
         self._demand: dict[sharing.Key, dict[ids.RouterId, _Waiting]] = {}
         self._progress: dict[sharing.Key, float] = {}
--- a/celeryspan/decisions/homes.py
+++ b/celeryspan/decisions/homes.py
@@ -46,7 +46,7 @@
 
 def score(router: ids.RouterId, name: str) -> int:
     """Return the rendezvous weight of a router for a name."""
-    return xxhash.xxh3_64_intdigest(f"{router}/{name}")
+    return xxhash.xxh3_64_intdigest(f"{router}/{name}".encode())
 
 
 def find_home(
--- a/celeryspan/decisions/sharing.py
+++ b/celeryspan/decisions/sharing.py
@@ -32,39 +32,8 @@
 Key = tuple[ids.ServiceId, ids.AccountId]
 Source = tuple[ids.RouterId, ids.Incarnation]
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lift:
-    """The start that an account was given when it became backlogged.
-
-    Attributes
-    ----------
-    level : float
-        Added to what the account has received, in cost units per weight. It only
-        grows and merges by maximum.
-    """
-
-    service: ids.ServiceId
-    account: ids.AccountId
-    level: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
-    """Estimates of the requests in progress under the grants of one home.
-
-    Attributes
-    ----------
-    units : float
-        Sum of the full estimates, in cost units; 0 once nothing is in progress.
-    sequence : int
-        Grows with each message of the home's incarnation; the newest wins.
-    """
-
-    service: ids.ServiceId
-    account: ids.AccountId
-    units: float
-    sequence: int
+Lift = messages.Lift
+Pending = messages.Pending
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,6 +128,10 @@
         for key, pending in self._pending.pop(home, {}).items():
             self._pending_totals[key] -= pending.units
 
+    def keys(self) -> tuple[Key, ...]:
+        """Return the (service, account) pairs that have received service."""
+        return tuple(self._totals)
+
     def received(self, service: ids.ServiceId, account: ids.AccountId) -> float:
         """Return the service received since the fleet began, in cost units."""
         return self._totals.get((service, account), 0.0)
--- a/celeryspan/dispatch.py
+++ b/celeryspan/dispatch.py
@@ -38,6 +38,8 @@
         services.
     excluded : frozenset of ServerId
         Backend servers that have failed this request already.
+    size : int
+        Bytes of memory that the request takes while it waits.
     """
 
     request: ids.RequestId
@@ -47,6 +49,7 @@
     hint: float | None = None
     prefix: tuple[int, ...] = ()
     excluded: frozenset[ids.ServerId] = frozenset()
+    size: int = 0
 
 
 class Slot(Protocol):
--- /dev/null
+++ b/celeryspan/services/assignment.py
@@ -0,0 +1,99 @@
+"""The kernel service ``assignment``: which router is home of which backend server."""
+
+from __future__ import annotations
+
+import threading
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from celeryspan import ids, kernel, states
+from celeryspan.decisions import homes
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan import configuration
+    from celeryspan.services import configuration as configuration_service, membership
+
+Handler = Callable[[tuple[homes.Move, ...]], None]
+
+HOME_STATES = frozenset({states.MemberState.ALIVE, states.MemberState.SUSPECT})
+"""A router that leaves is no home any more; a suspected one still is, since most
+suspicions are refuted and each move costs a recovery."""
+
+
+@kernel.register("assignment", needs=("configuration", "membership"))
+class AssignmentService:
+    """Recomputes the homes when the membership or the configuration changes."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._configuration: configuration_service.ConfigurationService = box.find(
+            "configuration"
+        )
+        self._membership: membership.MembershipService = box.find("membership")
+        self._homes: dict[ids.ServerId, ids.RouterId] = {}
+        self._services: dict[ids.ServiceId, frozenset[ids.RouterId]] = {}
+        self._handlers: list[Handler] = []
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Follow membership and configuration."""
+        self._membership.subscribe(lambda *_: self.refresh())
+        self._configuration.subscribe(lambda *_: self.refresh())
+
+    def stop(self) -> None:
+        """Nothing to end: whoever calls has stopped before."""
+
+    def subscribe(self, handler: Handler) -> None:
+        """Call a handler with the servers whose home changed."""
+        with self._lock:
+            self._handlers.append(handler)
+            moves = homes.compare({}, self._homes)
+        if moves:
+            handler(moves)
+
+    def find_home(self, server: ids.ServerId) -> ids.RouterId | None:
+        """Return the home of a backend server, or None if it has none."""
+        return self._homes.get(server)
+
+    def find_homes(self, service: ids.ServiceId) -> frozenset[ids.RouterId]:
+        """Return the homes of all backend servers of a service."""
+        return self._services.get(service, frozenset())
+
+    def live(self) -> frozenset[ids.RouterId]:
+        """Return the routers that may be homes."""
+        members = self._membership.alive()
+        return frozenset(item.router for item in members if item.state in HOME_STATES)
+
+    def members(self) -> list[messages.Member]:
+        """Return the routers that may hold slots, leaving ones included."""
+        return self._membership.alive()
+
+    def refresh(self) -> None:
+        """Recompute the homes and tell the handlers what moved."""
+        current = self._configuration.current()
+        if current is None:
+            return
+        with self._lock:
+            found = homes.assign(current.servers, self.live())
+            moves = homes.compare(self._homes, found)
+            self._homes = found
+            self._services = group_by_service(current, found)
+            handlers = list(self._handlers)
+        for handler in handlers if moves else ():
+            handler(moves)
+
+    def report(self) -> dict[str, object]:
+        """Return the home of each backend server, for the operator."""
+        return {"homes": dict(sorted(self._homes.items()))}
+
+
+def group_by_service(
+    current: configuration.Configuration,
+    found: dict[ids.ServerId, ids.RouterId],
+) -> dict[ids.ServiceId, frozenset[ids.RouterId]]:
+    """Return the homes of each service."""
+    groups: dict[ids.ServiceId, set[ids.RouterId]] = {}
+    for server, home in found.items():
+        service = ids.ServiceId(current.servers[server].service)
+        groups.setdefault(service, set()).add(home)
+    return {service: frozenset(group) for service, group in groups.items()}
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -106,6 +106,40 @@
     units: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lift:
+    """The start that an account was given when it became backlogged.
+
+    Attributes
+    ----------
+    level : float
+        Added to what the account has received, in cost units per weight. It only
+        grows and merges by maximum.
+    """
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    level: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """Estimates of the requests in progress under the grants of one home.
+
+    Attributes
+    ----------
+    units : float
+        Sum of the full estimates, in cost units; 0 once nothing is in progress.
+    sequence : int
+        Grows with each message of the home's incarnation; the newest wins.
+    """
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    units: float
+    sequence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """What the sender believes about one router; rides on probes."""
@@ -221,6 +255,8 @@
     | GrantEnded
     | SlotsHeld
     | Counter
+    | Lift
+    | Pending
     | Member
     | Probe
     | ProbeRequest
--- a/celeryspan/wire/outbox.py
+++ b/celeryspan/wire/outbox.py
@@ -122,6 +122,8 @@
 
 
 @register_key(messages.Demand)
+@register_key(messages.Lift)
+@register_key(messages.Pending)
 def _name_demand(message: messages.Demand) -> Key:
     return (message.service, message.account)
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -35,6 +35,8 @@
     proof @15 :Proof;
     heartbeat @16 :Heartbeat;
     membersRequest @17 :MembersRequest;
+    lift @18 :Lift;
+    pending @19 :Pending;
   }
 }
 
@@ -87,6 +89,19 @@
   units @4 :Float64;
 }
 
+struct Lift {
+  service @0 :Text;
+  account @1 :Text;
+  level @2 :Float64;
+}
+
+struct Pending {
+  service @0 :Text;
+  account @1 :Text;
+  units @2 :Float64;
+  sequence @3 :UInt64;
+}
+
 struct Member {
   router @0 :Text;
   incarnation @1 :UInt64;
