--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -44,6 +44,9 @@
 DRAIN_READS = 64
 DRAIN_BYTES = 65_536
 
+# How often idle connections are looked at, in seconds; a stop waits for it twice.
+TICK_SECONDS = 0.2
+
 LISTEN_BACKLOG = 512
 STOP_SECONDS = 2.0
 
@@ -276,6 +279,7 @@
     ConnectionClass = Connection
     max_request_header_size = HEADER_BYTES_MAX
     keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
+    expiration_interval = TICK_SECONDS
 
     def __init__(
         self,
--- a/celeryspan/services/requests.py
+++ b/celeryspan/services/requests.py
@@ -30,6 +30,7 @@
     def __init__(self, box: kernel.Kernel) -> None:
         self._dispatch: dispatch.Dispatcher = box.find("dispatch")
         self._backends: backends.Backends = box.find("backends")
+        self.sleep = time.sleep
         self._retries = retries.Retries()
         self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
         self._plain = backend.REGISTRY[states.ServiceKind.PLAIN]()
@@ -158,7 +159,7 @@
         if isinstance(verdict, retries.GiveUp) or not progress.may_send:
             code = getattr(verdict, "code", "outcome-unknown")
             raise make_error(progress.settle(), failure, code=code)
-        time.sleep(verdict.delay)
+        self.sleep(verdict.delay)
 
 
 def name_run(call: calls.Call, number: int) -> ids.RequestId:
