Bring every stream to its end, or say that it is not whole

Cause: a stream cut or gone silent ended the answer; a caller that left or read slowly kept a slot of an engine. A thread for each stream reads ahead into a bounded buffer. Callers' sockets are watched for closing; a caller that leaves has its run cancelled and its slot given back. cherrypy's encode tool wrapped streams and swallowed their closing; it is off. Conclusion: whole, or told that it is not; memory per stream is at most 256 KiB of text.

--- a/celeryspan/services/attempts.py
+++ b/celeryspan/services/attempts.py
@@ -8,7 +8,7 @@
 from celeryspan import calls, dispatch, errors, events, ids
 from celeryspan.adapters import backend
 from celeryspan.decisions import outcomes, retries
-from celeryspan.services import backends
+from celeryspan.services import backends, buffers
 
 # Connections tried in a row, without a token between them, before a stream is given
 # up. With PROGRESS_SECONDS each, an engine has 20 s to go on.
@@ -45,6 +45,8 @@
     ----------
     name : RequestId
         The id under which the backend server knows this attempt.
+    ended : bool
+        Whether the slot has been given back.
     """
 
     def __init__(
@@ -60,7 +62,7 @@
         self.name = name
         self.link: backend.Link | None = None
         self._started = time.monotonic()
-        self._ended = False
+        self.ended = False
 
     def open(self, call: calls.Call) -> None:
         """Open a link; nothing is sent yet. Raises Failure."""
@@ -134,8 +136,8 @@
 
     def end(self, ending: dispatch.Ending, cost: float) -> None:
         """Give the slot back, once."""
-        if not self._ended:
-            self._ended = True
+        if not self.ended:
+            self.ended = True
             self.slot.end(ending, cost)
 
     @property
@@ -219,36 +221,48 @@
         self._call = call
         self._adapter = adapter
         self._offset = 0
+        self._closed = False
+        self._lost = False
         self._pieces = self._follow()
         try:
             adapter.send(run.link, call, run.name)
             first = next(self._pieces)
         except backends.LINK_ERRORS as error:
             raise run.fail(error) from error
-        except (backend.Declined, backend.AnswerLost, backend.UnknownStream) as error:
-            if call.presence.left:
-                self._cancel()
+        except (backend.Declined, backend.UnknownStream) as error:
             raise run.fail(error) from error
+        except backend.AnswerLost as error:
+            failure = run.fail(error)
+            self._cancel()
+            raise failure from error
         run.progress.answer()
         run.progress.confirm()
         self._first = first
+        self._buffer: buffers.StreamBuffer | None = None
 
     def read(self) -> Iterator[backend.Tokens | backend.Finished]:
         """Yield the stream; raises AnswerLost if it can't be brought to its end."""
         yield self._first
         if isinstance(self._first, backend.Finished):
             return
+        self._buffer = buffers.StreamBuffer(self._pieces)
         try:
-            yield from self._pieces
-        except backend.UnknownStream as error:
+            yield from self._buffer.read()
+        except (backend.AnswerLost, backend.UnknownStream) as error:
+            self._lost = not self._call.presence.left
             raise backend.AnswerLost(
-                "the engine no longer knows the stream", step="resume", peer=error.peer
+                error.message, step=error.step, peer=error.peer
             ) from error
 
     def close(self) -> None:
         """Stop the engine and give the slot back, unless the stream is whole."""
-        if not self._run._ended:
-            self._run.abandon(dispatch.Ending.CANCELLED, float(self._offset))
+        self._closed = True
+        if self._buffer is not None and not self._run.ended:
+            self._run.wake()
+            self._buffer.close()
+        if not self._run.ended:
+            ending = dispatch.Ending.FAILED if self._lost else dispatch.Ending.CANCELLED
+            self._run.abandon(ending, float(self._offset))
             self._cancel()
 
     def _follow(self) -> Iterator[backend.Tokens | backend.Finished]:
@@ -286,7 +300,7 @@
         server = self._run.slot.server
         while True:
             self._run.link.close()
-            if self._call.presence.left or failures >= RESUMES_MAX:
+            if self._is_unwanted() or failures >= RESUMES_MAX:
                 raise backend.AnswerLost(
                     f"stream lost: {error!r}", step="read answer", peer=server
                 ) from error
@@ -294,6 +308,8 @@
                 time.sleep(RESUME_PAUSE_SECONDS)
             try:
                 self._run.link = self._run.pool.connect(server, fresh=True)
+                if self._is_unwanted():
+                    continue
                 self._adapter.resume(self._run.link, self._run.name, self._offset)
             except (errors.NotRun, *backends.LINK_ERRORS) as again:
                 error, failures = again, failures + 1
@@ -306,10 +322,13 @@
             )
             return
 
+    def _is_unwanted(self) -> bool:
+        return self._closed or self._call.presence.left
+
     def _cancel(self) -> None:
         """Tell the engine to stop; if it can't be told, its own end frees the slot."""
         try:
-            link = self._run.pool.connect(self._run.slot.server, fresh=False)
+            link = self._run.pool.connect(self._run.slot.server, fresh=True)
         except errors.NotRun:
             return
         try:
--- /dev/null
+++ b/celeryspan/services/buffers.py
@@ -0,0 +1,106 @@
+"""A bounded buffer between the link of an engine and the connection of a caller."""
+
+from __future__ import annotations
+
+import collections
+import threading
+from collections.abc import Iterator
+
+from celeryspan.adapters import backend
+
+# Text held for one caller, in bytes. A token is about five bytes, so nearly every
+# answer fits whole, and a caller that reads slowly does not keep the engine's slot
+# for longer than the engine writes. 256 streams hold at most 64 MiB.
+BUFFER_BYTES = 262_144
+
+Piece = backend.Tokens | backend.Finished
+
+
+class StreamBuffer:
+    """Reads a stream on a thread of its own and hands it out as it is asked for.
+
+    Without it a caller with poor signal stops the reading of its stream; the engine's
+    slot stays taken while nothing is written, and others wait for it.
+
+    Parameters
+    ----------
+    pieces : iterator
+        The stream; whatever it raises is raised to the reader.
+    limit : int
+        Bytes of text that are held before reading pauses.
+    """
+
+    def __init__(self, pieces: Iterator[Piece], limit: int = BUFFER_BYTES) -> None:
+        self._pieces = pieces
+        self._limit = limit
+        self._changed = threading.Condition()
+        self._held: collections.deque[Piece] = collections.deque()
+        self._bytes = 0
+        self._ended = False
+        self._closed = False
+        self._error: Exception | None = None
+        self._thread = threading.Thread(target=self._fill, name="stream", daemon=True)
+        self._thread.start()
+
+    def read(self) -> Iterator[Piece]:
+        """Yield the stream; tokens that came meanwhile are handed out together."""
+        while (piece := self._take()) is not None:
+            yield piece
+
+    def close(self) -> None:
+        """Give up what has not been read, and wait for the thread.
+
+        The link must have been ended before, so that the thread does not wait on it.
+        """
+        with self._changed:
+            self._closed = True
+            self._changed.notify_all()
+        self._thread.join()
+
+    def _take(self) -> Piece | None:
+        with self._changed:
+            self._changed.wait_for(lambda: self._held or self._ended)
+            if not self._held:
+                if self._error is not None:
+                    raise self._error
+                return None
+            pieces = list(self._held)
+            if isinstance(pieces[0], backend.Finished):
+                self._held.clear()
+                return pieces[0]
+            return self._merge(pieces)
+
+    def _merge(self, pieces: list[Piece]) -> backend.Tokens:
+        texts: list[str] = []
+        for piece in pieces:
+            if isinstance(piece, backend.Finished):
+                break
+            texts.extend(piece.texts)
+            self._held.popleft()
+        self._bytes = 0
+        self._changed.notify_all()
+        return backend.Tokens(pieces[0].offset, tuple(texts))
+
+    def _fill(self) -> None:
+        try:
+            for piece in self._pieces:
+                if not self._put(piece):
+                    return
+        except Exception as error:
+            self._error = error
+        finally:
+            with self._changed:
+                self._ended = True
+                self._changed.notify_all()
+
+    def _put(self, piece: Piece) -> bool:
+        """Hold a piece once there is room; returns False if nobody reads any more."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._bytes < self._limit or self._closed)
+            if self._closed:
+                return False
+            self._held.append(piece)
+            if isinstance(piece, backend.Tokens):
+                self._bytes += sum(len(text.encode()) for text in piece.texts)
+            self._changed.notify_all()
+            return True
--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -33,6 +33,8 @@
         "error_page.default": answers.render_error_page,
         "request.process_request_body": False,
         "request.show_tracebacks": False,
+        # Answers pass through as they are, whatever their type.
+        "tools.encode.on": False,
         "tools.trailing_slash.on": False,
     }
 }
@@ -91,7 +93,10 @@
             if found.overloaded:
                 raise make_overload()
             found.accept_forwarded(self.settings.fleet_keys)
-            return handler(found)
+            body = handler(found)
+            if isinstance(body, answers.Stream):
+                found.finally_do(body.close)
+            return body
         except errors.RequestError as error:
             return answers.refuse(found.request, error)
         except Exception as error:
@@ -146,7 +151,8 @@
 
     def _make_server(self) -> httpserver.Server:
         application = cherrypy.Application(Root(self), "", APPLICATION_CONFIG)
-        application.log.screen = False
+        # Requests are logged as numbered events.
+        application.log.access_log.disabled = True
         return httpserver.Server(
             ids.Address.parse(self.settings.caller_address),
             application,
--- a/celeryspan/services/chat.py
+++ b/celeryspan/services/chat.py
@@ -9,7 +9,7 @@
 import cherrypy
 
 from celeryspan import calls, errors, ids, register, states
-from celeryspan.adapters import backend
+from celeryspan.adapters import backend, prefix
 from celeryspan.services import answers, attempts, exchange
 
 PATH = "/v1/chat/completions"
@@ -29,6 +29,7 @@
     body = found.read_body()
     asked = _parse(body)
     service = _find_service(found, asked)
+    messages = _read_messages(asked)
     return calls.ChatCall(
         request=found.request,
         service=ids.ServiceId(service.name),
@@ -37,10 +38,11 @@
         deadline=found.started + CHAT_SECONDS,
         body=body,
         target=PATH,
+        prefix=prefix.hash_blocks(messages),
         hint=_estimate(asked, service),
         presence=found.presence,
         model=service.name,
-        messages=_read_messages(asked),
+        messages=messages,
         tokens_max=_read_tokens_max(asked),
         stream=asked.get("stream") is True,
     )
--- a/celeryspan/services/exchange.py
+++ b/celeryspan/services/exchange.py
@@ -90,7 +90,7 @@
 
     def finally_do(self, callback: Any) -> None:
         """Call back when the answer has been written or given up."""
-        self._environ["celeryspan.finally"].append(callback)
+        self._environ["celeryspan.finally"].callback(callback)
 
     def read_key(self) -> str:
         """Return the bearer key; raises NotRun with status 401."""
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
 import socket
@@ -195,16 +196,13 @@
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ["celeryspan.request"] = self.req
-        environ["celeryspan.finally"] = []
         return environ
 
     def respond(self) -> None:
-        """Run the application, then the callbacks it left for the end."""
-        try:
+        """Run the application, then the callbacks it left for the end, last first."""
+        with contextlib.ExitStack() as stack:
+            self.env["celeryspan.finally"] = stack
             super().respond()
-        finally:
-            for callback in self.env["celeryspan.finally"]:
-                callback()
 
 
 class _Threads:
