--- a/celeryspan/services/answers.py
+++ b/celeryspan/services/answers.py
@@ -4,6 +4,7 @@
 
 import json
 import math
+import uuid
 from collections.abc import Callable, Generator
 from typing import TYPE_CHECKING, Any
 
@@ -102,7 +103,8 @@
 
 def render_error_page(status: str, message: str, **_: Any) -> str:
     """Return the body for an error that cherrypy itself raises."""
-    request = getattr(cherrypy.request, "celeryspan_id", "")
+    made = ids.RequestId(uuid.uuid4().hex)
+    request = getattr(cherrypy.request, "celeryspan_id", made)
     set_outcome(request, states.Outcome.NOT_RUN)
     cherrypy.response.headers["Content-Type"] = "application/json"
     found = errors.NotRun(
--- a/celeryspan/services/sockets.py
+++ b/celeryspan/services/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 import threading
@@ -28,6 +29,8 @@
         self._callbacks: dict[int, Callable[[], None]] = {}
         self._limits: dict[int, tuple[float, socket.socket]] = {}
         self._stopped = threading.Event()
+        self._wake = os.eventfd(0)
+        self._poll.register(self._wake, select.EPOLLIN)
         self._thread = threading.Thread(target=self._run, name="watch", daemon=True)
 
     def start(self) -> None:
@@ -37,9 +40,11 @@
     def stop(self) -> None:
         """End watching."""
         self._stopped.set()
+        os.eventfd_write(self._wake, 1)
         if self._thread.is_alive():
             self._thread.join()
         self._poll.close()
+        os.close(self._wake)
 
     def add(self, sock: socket.socket, callback: Callable[[], None]) -> None:
         """Call back once when the other end closes its side."""
