--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
 import socket
@@ -44,6 +45,9 @@
 DRAIN_READS = 64
 DRAIN_BYTES = 65_536
 
+# How often idle connections are looked at, in seconds; a stop waits for it twice.
+TICK_SECONDS = 0.2
+
 LISTEN_BACKLOG = 512
 STOP_SECONDS = 2.0
 
@@ -115,6 +119,15 @@
         ]
         self.conn.wfile.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
 
+    def cut_short(self) -> None:
+        """End the answer without its last chunk.
+
+        The caller's HTTP library then reports an incomplete body, where a proper end
+        would let half an answer pass for a whole one.
+        """
+        self.chunked_write = False
+        self.close_connection = True
+
     def _find_framing_fault(self) -> str:
         length = self.inheaders.get(b"Content-Length")
         coding = self.inheaders.get(b"Transfer-Encoding")
@@ -183,16 +196,13 @@
     def get_environ(self) -> dict[str, Any]:
         environ = super().get_environ()
         environ["celeryspan.request"] = self.req
-        environ["celeryspan.finally"] = []
         return environ
 
     def respond(self) -> None:
-        """Run the application, then the callbacks it left for the end."""
-        try:
+        """Run the application, then the callbacks it left for the end, last first."""
+        with contextlib.ExitStack() as stack:
+            self.env["celeryspan.finally"] = stack
             super().respond()
-        finally:
-            for callback in self.env["celeryspan.finally"]:
-                callback()
 
 
 class _Threads:
@@ -276,6 +286,7 @@
     ConnectionClass = Connection
     max_request_header_size = HEADER_BYTES_MAX
     keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
+    expiration_interval = TICK_SECONDS
 
     def __init__(
         self,
