Cover the new kinds of messages in the codec's tests

Cause: the test of newer kinds counted on the number 18 being free; two kinds were added, and the schema parser aborts the process on a doubled number. Change: samples of both kinds; the unknown kind takes the number after the last. Conclusion: adding a kind needs a sample only.

--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import capnp
 import hypothesis
 import pytest
@@ -33,6 +35,8 @@
     messages.Proof(b"d" * 32),
     messages.Heartbeat(),
     messages.MembersRequest(),
+    messages.Lift("planner-llm", "desk", 812.5),
+    messages.Pending("planner-llm", "desk", 420.0, 3),
 )
 
 
@@ -61,9 +65,9 @@
     """
     source = codec.importlib.resources.files("celeryspan.wire") / "peer.capnp"
     newer = source.read_text().replace("0xd5c0a5be1f3a7c21", "0xd5c0a5be1f3a7c22")
+    last = max(int(number) for number in re.findall(r"^    \w+ @(\d+) :", newer, re.M))
     newer = newer.replace(
-        "membersRequest @17 :MembersRequest;",
-        "membersRequest @17 :MembersRequest; later @18 :Probe;",
+        "    demand @0 :Demand;", f"    demand @0 :Demand; later @{last + 1} :Probe;"
     )
     (tmp_path / "newer.capnp").write_text(newer)
     schema = capnp.load(str(tmp_path / "newer.capnp"))
