Find out which routers take part by random probes and gossip

Cause: homes and addresses need the live routers, at a cost that does not grow. Change: beliefs ordered by incarnation, refutations and state; probes sent again and through others; suspicion, refutation, farewell; a pause or a healed cut is told to those it concerns; digests on probes find what gossip lost. A router whose clock went back outdoes its old life; one whose name another VM took gives way.

--- /dev/null
+++ b/celeryspan/services/membership.py
@@ -0,0 +1,208 @@
+"""The kernel service ``membership``: which routers take part now."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Callable, Hashable, Iterable
+
+from celeryspan import events, ids, kernel, states
+from celeryspan.decisions import membership
+from celeryspan.services import datagrams, identity, links
+from celeryspan.wire import messages
+
+TICK_SECONDS = 0.1
+
+FAREWELLS = 3
+"""Times that a router which stops says so: one datagram in a hundred is lost."""
+
+Handler = Callable[[list[messages.Member]], None]
+
+EVENTS = {
+    membership.Change.JOINED: events.Event.MEMBER_JOINED,
+    membership.Change.SUSPECTED: events.Event.MEMBER_SUSPECTED,
+    membership.Change.LEAVING: events.Event.MEMBER_LEAVING,
+    membership.Change.DEAD: events.Event.MEMBER_DEAD,
+    membership.Change.REFUTED: events.Event.SELF_REFUTED,
+    membership.Change.OUTDONE: events.Event.SELF_REFUTED,
+}
+
+
+@kernel.register("membership", needs=("identity", "datagrams", "links"))
+class MembershipService:
+    """Runs the membership decision over datagrams, and exchanges over links."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._identity: identity.IdentityService = box.find("identity")
+        self._datagrams: datagrams.DatagramsService = box.find("datagrams")
+        self._links: links.LinksService = box.find("links")
+        self._settings_seeds = [ids.Address.parse(peer) for peer in box.settings.peers]
+        self._decision = membership.Membership(
+            self._make_own(box.settings), random.Random(self._identity.incarnation)
+        )
+        self._decision.set_seeds(self._settings_seeds)
+        self._lock = threading.Lock()
+        self._alive = self._decision.alive()
+        self._changed = False
+        self._handlers: list[Handler] = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._tick, name="membership", daemon=True
+        )
+
+    def start(self) -> None:
+        """Begin to probe; the first peers are the seeds."""
+        self._datagrams.subscribe(self._take_frame)
+        self._links.subscribe(messages.Member, self._take_statement)
+        self._links.subscribe(messages.MembersRequest, self._answer_request)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Say that this router is gone, and stop."""
+        self._stopped.set()
+        self._thread.join()
+        for _ in range(FAREWELLS):
+            with self._lock:
+                actions = self._decision.leave(states.MemberState.DEAD)
+            self._carry_out(actions)
+
+    @property
+    def incarnation(self) -> ids.Incarnation:
+        """The incarnation of this router."""
+        return self._identity.incarnation
+
+    def alive(self) -> list[messages.Member]:
+        """Return the routers that take part, this one among them unless it leaves."""
+        return self._alive
+
+    def find(self, router: ids.RouterId) -> messages.Member | None:
+        """Return what is believed about a router in whatever state, or None."""
+        with self._lock:
+            if router == self._identity.router:
+                return self._decision.own
+            belief = self._decision.beliefs.find(router)
+            return belief.member if belief is not None else None
+
+    def members(self) -> list[messages.Member]:
+        """Return all beliefs, also about routers that are leaving or dead."""
+        with self._lock:
+            return self._decision.statements()
+
+    def subscribe(self, handler: Handler) -> None:
+        """Call a handler with the routers that take part whenever they change.
+
+        All calls come from one task, in the order of the changes.
+        """
+        self._handlers.append(handler)
+
+    def leave(self) -> None:
+        """Say that this router begins a planned stop and takes no new part."""
+        with self._lock:
+            actions = self._decision.leave(states.MemberState.LEAVING)
+            self._alive = self._decision.alive()
+            self._changed = True
+        self._carry_out(actions)
+
+    def set_seeds(self, seeds: Iterable[ids.Address]) -> None:
+        """Set where the register says that routers should be."""
+        with self._lock:
+            self._decision.set_seeds([*self._settings_seeds, *seeds])
+
+    def set_generation(self, generation: ids.Generation) -> None:
+        """Set the generation in force, which rides on each datagram."""
+        with self._lock:
+            self._decision.set_generation(generation)
+
+    def spread(self, key: Hashable, fact: messages.Message) -> None:
+        """Pass on a fact on datagrams, the first few of them at once."""
+        with self._lock:
+            self._decision.gossip.put(key, fact)
+            actions = self._decision.spread_now()
+        self._carry_out(actions)
+
+    def _make_own(self, settings: object) -> messages.Member:
+        return messages.Member(
+            router=self._identity.router,
+            incarnation=self._identity.incarnation,
+            state=states.MemberState.ALIVE,
+            data_centre=ids.DataCentreId(settings.data_centre),
+            caller_address=ids.Address.parse(settings.caller_address),
+            peer_address=ids.Address.parse(settings.peer_address),
+            generation=ids.Generation(0),
+            refutations=0,
+        )
+
+    def _tick(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            with self._lock:
+                actions = self._decision.tick(time.monotonic())
+                self._refresh()
+            self._carry_out(actions)
+            self._notify()
+
+    def _take_frame(self, frame: messages.Frame, source: ids.Address) -> None:
+        with self._lock:
+            actions = self._decision.receive(
+                time.monotonic(), frame.sender, source, frame.messages
+            )
+            self._refresh()
+        self._carry_out(actions)
+
+    def _take_statement(
+        self, peer: ids.RouterId, _: ids.Incarnation, message: messages.Member
+    ) -> None:
+        with self._lock:
+            actions = self._decision.learn(
+                message, time.monotonic(), peer, spread=False
+            )
+            self._refresh()
+        self._carry_out(actions)
+
+    def _answer_request(
+        self, peer: ids.RouterId, _: ids.Incarnation, __: messages.MembersRequest
+    ) -> None:
+        for member in self.members():
+            self._links.send(peer, member)
+
+    def _carry_out(self, actions: list[membership.Action]) -> None:
+        for action in actions:
+            if isinstance(action, membership.Send):
+                self._datagrams.send(action.address, action.batch)
+                continue
+            self._links.send(action.peer, messages.MembersRequest())
+            for member in self.members():
+                self._links.send(action.peer, member)
+
+    def _refresh(self) -> None:
+        """Take out what has changed; the caller holds the lock."""
+        if not self._decision.changes:
+            return
+        for change, member in self._decision.changes:
+            self._note(change, member)
+        self._decision.changes.clear()
+        self._alive = self._decision.alive()
+        self._changed = True
+
+    def _note(self, change: membership.Change, member: messages.Member) -> None:
+        if change is membership.Change.OUTDONE:
+            self._identity.outdo(ids.Incarnation(member.incarnation - 1))
+        elif change is membership.Change.JOINED:
+            self._links.learn(member.router, member.peer_address)
+        elif change is membership.Change.DEAD:
+            self._links.forget(member.router)
+        events.log(EVENTS[change], router=member.router, incarnation=member.incarnation)
+
+    def _notify(self) -> None:
+        if not self._changed:
+            return
+        self._changed = False
+        for handler in self._handlers:
+            try:
+                handler(self._alive)
+            except Exception as error:
+                events.log(
+                    events.Event.TASK_FAILED,
+                    task="membership handler",
+                    error=repr(error),
+                )
