Keep slots reported to a router that does not yet know that it is home

Cause: routers learn of a home's death at different times; a SlotsHeld that came before the new home knew its duty was dropped, and the home granted the whole window again. Ruled out: a lost message (the fake network loses none). Change: early reports are kept for 10 s and taken in on taking over. Conclusion: a handover counts what runs whatever the order of news.

--- a/celeryspan/services/assignment.py
+++ b/celeryspan/services/assignment.py
@@ -66,7 +66,8 @@
 
     def members(self) -> list[messages.Member]:
         """Return the routers that may hold slots, leaving ones included."""
-        return self._membership.alive()
+        members = self._membership.members()
+        return [item for item in members if item.state is not states.MemberState.DEAD]
 
     def refresh(self) -> None:
         """Recompute the homes and tell the handlers what moved."""
--- a/celeryspan/services/homes.py
+++ b/celeryspan/services/homes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -33,6 +34,17 @@
 validity of a grant."""
 
 
+EARLY_SECONDS = 10.0
+"""How long a report of slots held is kept for a server whose home is elsewhere, in
+seconds: longer than the routers take to agree about a death."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Early:
+    held: messages.SlotsHeld
+    at: float
+
+
 @kernel.register(
     "homes",
     needs=(
@@ -65,6 +77,7 @@
         self._windows = windows.Windows()
         self._votes = votes.Votes()
         self._sizes: dict[ids.ServerId, int] = {}
+        self._early: dict[tuple[ids.ServerId, ids.RouterId], _Early] = {}
         self._known: frozenset[ids.RouterId] = frozenset()
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._changed = threading.Event()
@@ -77,7 +90,7 @@
             messages.Demand: self._ledger.report,
             messages.GrantUsed: self._ledger.used,
             messages.GrantEnded: self._ledger.ended,
-            messages.SlotsHeld: self._ledger.hold,
+            messages.SlotsHeld: self._hold,
         }
         for kind, change in handlers.items():
             self._delivery.subscribe(kind, self._make_handler(change))
@@ -174,9 +187,26 @@
                         now,
                         awaited,
                     )
+                    self._replay_early(move.server, now)
                     events.log(events.Event.HOME_TAKEN, server=move.server)
         self._changed.set()
 
+    def _hold(self, router: ids.RouterId, held: messages.SlotsHeld, now: float) -> None:
+        """Note the slots that a router holds, also before this one knows it is home.
+
+        Routers learn of a death at different times. Without keeping what comes early,
+        the new home would take the server for empty and grant all its slots again,
+        so that the server gets up to twice its window.
+        """
+        if held.server in self._ledger.servers():
+            self._ledger.hold(router, held, now)
+        else:
+            self._early[held.server, router] = _Early(held, now)
+
+    def _replay_early(self, server: ids.ServerId, now: float) -> None:
+        for key in [key for key in self._early if key[0] == server]:
+            self._ledger.hold(key[1], self._early.pop(key).held, now)
+
     def _drop(self, server: ids.ServerId) -> None:
         self._ledger.drop_server(server)
         self._windows.forget(server)
@@ -212,6 +242,11 @@
     def _tick(self, now: float) -> None:
         self._forget_dead()
         with self._lock:
+            self._early = {
+                key: early
+                for key, early in self._early.items()
+                if now - early.at < EARLY_SECONDS
+            }
             for grant in self._ledger.expire(now):
                 events.log(events.Event.GRANT_EXPIRED, grant=grant)
             for server in self._ledger.servers():
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -58,11 +58,14 @@
         self.routers: dict[str, Router] = {}
         self.cut: set[str] = set()
 
-    def change(self) -> None:
-        """Let all routers see who is alive."""
-        for router in self.routers.values():
-            for handler in router.membership_handlers:
+    def change(self, *order: str) -> None:
+        """Let all routers see who is alive, some before the others."""
+        rest = [name for name in self.routers if name not in order]
+        for name in (*order, *rest):
+            for handler in self.routers[name].membership_handlers:
                 handler()
+            for router in self.routers.values():
+                router.inbox.join()
 
 
 class Router:
@@ -73,7 +76,7 @@
         self.membership_handlers: list = []
         self._network = network
         self._handlers = collections.defaultdict(list)
-        self._inbox: queue.SimpleQueue = queue.SimpleQueue()
+        self.inbox: queue.Queue = queue.Queue()
         self._leaving: set[ids.ServerId] = set()
         network.routers[name] = self
         threading.Thread(target=self._read, daemon=True).start()
@@ -102,13 +105,14 @@
 
     def receive(self, sender: Router, message: messages.Message) -> None:
         """Take a message of a peer."""
-        self._inbox.put((sender.name, message))
+        self.inbox.put((sender.name, message))
 
     def _read(self) -> None:
         while True:
-            sender, message = self._inbox.get()
+            sender, message = self.inbox.get()
             for handler in self._handlers[type(message)]:
                 handler(sender, ids.Incarnation(1), message)
+            self.inbox.task_done()
 
     def _send(self, peer: str, message: messages.Message) -> None:
         if peer not in self._network.cut and self.name not in self._network.cut:
@@ -144,6 +148,7 @@
             ),
             "membership": types.SimpleNamespace(
                 alive=self._alive,
+                members=self._alive,
                 subscribe=self.membership_handlers.append,
                 **nothing,
             ),
--- a/tests/services/test_scheduling.py
+++ b/tests/services/test_scheduling.py
@@ -90,14 +90,15 @@
 
     Callers at the other routers must go on to be served on all servers, and the
     requests in progress still count at the new home: no server gets more than its
-    slots.
+    slots. The asker learns of the death first, so that what it tells the new home
+    comes before that one knows of its duty.
     """
     network, routers = make_fleet(3, {f"s{i}": 2 for i in range(6)}, ["a"])
     victim = find_home(routers, "s0")
     asker = next(router for router in routers if router is not victim)
     held = [asker.acquire("a", f"q{i}") for i in range(6)]
     network.cut.add(victim.name)
-    network.change()
+    network.change(asker.name)
     held += [asker.acquire("a", f"p{i}") for i in range(6)]
     assert set(collections.Counter(slot.server for slot in held).values()) == {2}
     with pytest.raises(errors.NotRun):
