Stop a router without cutting a request; show status and metrics

Cause: a stop ended the process with requests in progress; operators saw nothing. Change: a drain leaves the address answer, accepts for as long as callers keep it and the fleet needs to hear, takes what the system has accepted, then stops listening and waits. A second signal or the greatest time cuts, tells the callers and lists what was cut (event 105). Status collects the reports of all services. Requests are measured and logged to their end. Answers of plain services and streams of engines have modules of their own. Conclusion: nothing accepted is refused or cut unless the stop is forced.

--- a/celeryspan/calls.py
+++ b/celeryspan/calls.py
@@ -14,29 +14,58 @@
 
 
 class Presence:
-    """Whether the caller of one request is still there.
+    """Whether somebody waits for the answer of one request.
 
-    ``leave`` runs the callback that fits the step in progress: it takes the request
-    out of its queue, or wakes the thread that reads from the backend server.
+    Each step of the request leaves a callback that ends it: it takes the request out
+    of its queue, or wakes the thread that reads from the backend server.
+
+    Attributes
+    ----------
+    left : bool
+        Whether the caller has closed its connection.
+    cut : bool
+        Whether a stop has reached its greatest time.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._callback: Callable[[], None] | None = None
+        self._must_end = False
         self.left = False
+        self.cut = False
+
+    @property
+    def gone(self) -> bool:
+        """Whether nobody waits any more."""
+        return self.left or self.cut
+
+    def watch(self, callback: Callable[[], None], *, must_end: bool = False) -> None:
+        """Call back when nobody waits any more; at once if that is so already.
 
-    def watch(self, callback: Callable[[], None]) -> None:
-        """Call back when the caller leaves; at once if it has left already."""
+        Parameters
+        ----------
+        must_end : bool
+            The step goes on if the caller leaves, and ends only by a cut.
+        """
         with self._lock:
             self._callback = callback
-            left = self.left
-        if left:
+            self._must_end = must_end
+            ends = self.cut or (self.left and not must_end)
+        if ends:
             callback()
 
     def leave(self) -> None:
         """Say that the caller has left."""
         with self._lock:
             self.left = True
+            callback = None if self._must_end else self._callback
+        if callback is not None:
+            callback()
+
+    def end(self) -> None:
+        """Say that the process stops."""
+        with self._lock:
+            self.cut = True
             callback = self._callback
         if callback is not None:
             callback()
--- a/celeryspan/kernel.py
+++ b/celeryspan/kernel.py
@@ -85,6 +85,15 @@
         except KeyError:
             raise LookupError(f"no service named {name!r}") from None
 
+    def collect_reports(self) -> dict[str, dict[str, object]]:
+        """Return what each service that has a ``report`` says of itself."""
+        reports: dict[str, dict[str, object]] = {}
+        for name, service in list(self._services.items()):
+            report = getattr(service, "report", None)
+            if report is not None:
+                reports[name] = report()
+        return reports
+
     def start(self, names: Iterable[str]) -> None:
         """Start the named services and all that they need, in order.
 
--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -6,11 +6,11 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import cherrypy
 
-from celeryspan import errors, events, ids, kernel, states
+from celeryspan import errors, events, ids, kernel, metrics, states
 from celeryspan.decisions import tickets
 from celeryspan.services import (
     addresses,
@@ -19,6 +19,8 @@
     claims,
     exchange,
     httpserver,
+    operators,
+    paths,
     plaincalls,
     requests,
 )
@@ -59,6 +61,7 @@
         self.configuration = box.find("configuration")
         self.membership = box.find("membership")
         self.draining = False
+        self._box = box
         self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
@@ -85,6 +88,18 @@
             "in_progress": len(self.in_progress),
         }
 
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        self._server.stop_listening()
+
+    def cut(self) -> list[str]:
+        """End what is in progress and return the ids of the requests."""
+        with self._lock:
+            found = list(self.in_progress.values())
+        for item in found:
+            item.presence.end()
+        return [item.request for item in found]
+
     def serve(self, handler: Handler) -> object:
         """Run a handler on the current request and return the body of its answer."""
         found = exchange.Exchange(self.configuration.current())
@@ -92,6 +107,8 @@
         try:
             if found.overloaded:
                 raise make_overload()
+            if self.draining:
+                found.close_after()
             found.accept_forwarded(self.settings.fleet_keys)
             body = handler(found)
             if isinstance(body, answers.Stream):
@@ -140,6 +157,32 @@
             lambda: plaincalls.write_answer(call, self.requests.call_plain(call)),
         )
 
+    def show_status(self, found: exchange.Exchange) -> object:
+        """Answer what each service of this router says of itself."""
+        operators.check_key(found, self.settings)
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        return answers.write_json(
+            {
+                "router": self.settings.router,
+                "data_centre": self.settings.data_centre,
+                "services": self._box.collect_reports(),
+            }
+        )
+
+    def begin_drain(self, found: exchange.Exchange) -> object:
+        """Begin a graceful stop."""
+        operators.check_key(found, self.settings)
+        threading.Thread(target=self._box.find("drain").begin, name="drain").start()
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        cherrypy.response.status = 202
+        return answers.write_json({"draining": True})
+
+    def show_metrics(self, found: exchange.Exchange) -> object:
+        """Answer the metrics in the text format."""
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        cherrypy.response.headers["Content-Type"] = metrics.CONTENT_TYPE
+        return self._box.find("metrics").render()
+
     def _enter(self, found: exchange.Exchange) -> None:
         with self._lock:
             self.in_progress[found.request] = found
@@ -150,7 +193,7 @@
             self.in_progress.pop(found.request, None)
 
     def _make_server(self) -> httpserver.Server:
-        application = cherrypy.Application(Root(self), "", APPLICATION_CONFIG)
+        application = cherrypy.Application(paths.Root(self), "", APPLICATION_CONFIG)
         # Requests are logged as numbered events.
         application.log.access_log.disabled = True
         return httpserver.Server(
@@ -164,45 +207,6 @@
         )
 
 
-class Root:
-    """The tree of paths, as cherrypy walks it."""
-
-    def __init__(self, caller: Caller) -> None:
-        self.v1 = _Version(caller)
-
-
-class _Version:
-    """Everything below ``/v1``."""
-
-    def __init__(self, caller: Caller) -> None:
-        self._caller = caller
-        self.chat = _Chat(caller)
-
-    @cherrypy.expose
-    @cherrypy.tools.allow(methods=["GET"])
-    def addresses(self, **_: Any) -> object:
-        """Answer which routers to use."""
-        return self._caller.serve(self._caller.get_addresses)
-
-    @cherrypy.expose
-    def services(self, *_: Any, **__: Any) -> object:
-        """Pass a call on to a plain service."""
-        return self._caller.serve(self._caller.call_service)
-
-
-class _Chat:
-    """Everything below ``/v1/chat``."""
-
-    def __init__(self, caller: Caller) -> None:
-        self._caller = caller
-
-    @cherrypy.expose
-    @cherrypy.tools.allow(methods=["POST"])
-    def completions(self, **_: Any) -> object:
-        """Pass a chat on to a model engine."""
-        return self._caller.serve(self._caller.complete_chat)
-
-
 def read_count() -> int:
     """Return how many tickets the caller asks for by ``?tickets=N``."""
     text = cherrypy.request.params.get("tickets", str(tickets.BATCH))
--- a/celeryspan/services/chat.py
+++ b/celeryspan/services/chat.py
@@ -10,7 +10,7 @@
 
 from celeryspan import calls, errors, ids, register, states
 from celeryspan.adapters import backend, prefix
-from celeryspan.services import answers, attempts, exchange
+from celeryspan.services import answers, exchange, modelanswers
 
 PATH = "/v1/chat/completions"
 
@@ -48,7 +48,7 @@
     )
 
 
-def write_answer(call: calls.ChatCall, answer: attempts.ModelAnswer) -> object:
+def write_answer(call: calls.ChatCall, answer: modelanswers.ModelAnswer) -> object:
     """Make a stream of tokens the current answer, as one JSON value or as events."""
     answers.set_outcome(call.request, states.Outcome.RAN)
     if not call.stream:
@@ -63,7 +63,7 @@
 
 
 def _write_events(
-    call: calls.ChatCall, answer: attempts.ModelAnswer, stream: answers.Stream
+    call: calls.ChatCall, answer: modelanswers.ModelAnswer, stream: answers.Stream
 ) -> Iterator[bytes]:
     """Yield the events; ``[DONE]`` comes only after the engine's own last line."""
     created = int(time.time())
@@ -85,7 +85,7 @@
         yield b"event: error\n" + answers.write_event({"error": lost})
 
 
-def _write_whole(call: calls.ChatCall, answer: attempts.ModelAnswer) -> bytes:
+def _write_whole(call: calls.ChatCall, answer: modelanswers.ModelAnswer) -> bytes:
     texts: list[str] = []
     try:
         for piece in answer.read():
--- a/celeryspan/services/exchange.py
+++ b/celeryspan/services/exchange.py
@@ -134,6 +134,10 @@
         self._http.conn.end_reading()
         return bytes(collected)
 
+    def close_after(self) -> None:
+        """Close the connection after this answer."""
+        self._http.close_connection = True
+
     def watch_caller(self) -> None:
         """Notice from now on when the caller leaves."""
         connection = self._http.conn
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -330,6 +330,19 @@
         self._thread = threading.Thread(target=self.serve, name="accept", daemon=True)
         self._thread.start()
 
+    def stop_listening(self) -> None:
+        """Take no new connections; those that are open are served on.
+
+        Connections that the system has accepted and this process has not are taken
+        first: their callers may have sent a request already.
+        """
+        manager = self._connections
+        manager._selector.unregister(self.socket.fileno())
+        self.socket.setblocking(False)
+        while (connection := manager._from_server_socket(self.socket)) is not None:
+            self.process_conn(connection)
+        self.socket.close()
+
     def shut(self) -> None:
         """Stop listening and wait a moment for requests in progress."""
         self.stop()
--- /dev/null
+++ b/celeryspan/services/modelanswers.py
@@ -0,0 +1,153 @@
+"""The stream of a model engine."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+
+from celeryspan import calls, dispatch, errors, events, states
+from celeryspan.adapters import backend
+from celeryspan.services import backends, buffers, runs
+
+# Connections tried in a row, without a token between them, before a stream is given
+# up. With PROGRESS_SECONDS each, an engine has 20 s to go on.
+RESUMES_MAX = 4
+RESUME_PAUSE_SECONDS = 0.2
+
+# Cost of a prompt token that the engine had to read, against one that it writes:
+# engines read prompts at least ten times as fast.
+PROMPT_TOKEN_COST = 0.1
+
+
+class ModelAnswer:
+    """The stream of a model engine, followed over as many links as it takes."""
+
+    def __init__(
+        self, run: runs.Run, call: calls.ChatCall, adapter: backend.ModelAdapter
+    ) -> None:
+        self._run = run
+        self._call = call
+        self._adapter = adapter
+        self._offset = 0
+        self._closed = False
+        self._lost = False
+        self._pieces = self._follow()
+        try:
+            adapter.send(run.link, call, run.name)
+            first = next(self._pieces)
+        except backends.LINK_ERRORS as error:
+            raise run.fail(error) from error
+        except (backend.Declined, backend.UnknownStream) as error:
+            raise run.fail(error) from error
+        except backend.AnswerLost as error:
+            failure = run.fail(error)
+            self._cancel()
+            raise failure from error
+        self._confirm()
+        self._first = first
+        self._buffer: buffers.StreamBuffer | None = None
+
+    def read(self) -> Iterator[backend.Tokens | backend.Finished]:
+        """Yield the stream; raises AnswerLost if it can't be brought to its end."""
+        yield self._first
+        if isinstance(self._first, backend.Finished):
+            return
+        self._buffer = buffers.StreamBuffer(self._pieces)
+        try:
+            yield from self._buffer.read()
+        except (backend.AnswerLost, backend.UnknownStream) as error:
+            self._lost = not self._call.presence.left
+            raise backend.AnswerLost(
+                error.message, step=error.step, peer=error.peer
+            ) from error
+
+    def close(self) -> None:
+        """Stop the engine and give the slot back, unless the stream is whole."""
+        self._closed = True
+        if self._buffer is not None and not self._run.ended:
+            self._run.wake()
+            self._buffer.close()
+        if not self._run.ended:
+            ending = dispatch.Ending.FAILED if self._lost else dispatch.Ending.CANCELLED
+            self._run.abandon(ending, float(self._offset))
+            self._cancel()
+
+    def _follow(self) -> Iterator[backend.Tokens | backend.Finished]:
+        failures = 0
+        while True:
+            try:
+                for piece in self._adapter.receive(
+                    self._run.link, self._run.name, self._offset
+                ):
+                    failures = 0
+                    self._count(piece)
+                    yield piece
+                    if isinstance(piece, backend.Finished):
+                        return
+                raise backend.AnswerLost("ended early", step="read answer")
+            except (backend.AnswerLost, *backends.LINK_ERRORS) as error:
+                failures += 1
+                self._resume(error, failures)
+
+    def _count(self, piece: backend.Tokens | backend.Finished) -> None:
+        if isinstance(piece, backend.Tokens):
+            self._offset += len(piece.texts)
+            self._run.slot.progress(len(piece.texts))
+            self._run.observation.take_tokens()
+            return
+        self._confirm()
+        read = max(piece.prompt_tokens - piece.cached_tokens, 0)
+        self._run.finish(piece.tokens + PROMPT_TOKEN_COST * read)
+
+    def _resume(self, error: Exception, failures: int) -> None:
+        """Open a new link and ask for the rest of the stream.
+
+        A device between router and engine may forget a connection: it falls silent
+        for good while new ones work. The engine still runs the request, so that its
+        stream is asked for from the last offset on, and nothing runs twice.
+        """
+        server = self._run.slot.server
+        while True:
+            self._run.link.close()
+            if self._is_unwanted() or failures >= RESUMES_MAX:
+                raise backend.AnswerLost(
+                    f"stream lost: {error!r}", step="read answer", peer=server
+                ) from error
+            if failures > 1:
+                time.sleep(RESUME_PAUSE_SECONDS)
+            try:
+                self._run.link = self._run.pool.connect(server, fresh=True)
+                if self._is_unwanted():
+                    continue
+                self._adapter.resume(self._run.link, self._run.name, self._offset)
+            except (errors.NotRun, *backends.LINK_ERRORS) as again:
+                error, failures = again, failures + 1
+                continue
+            events.log(
+                events.Event.STREAM_RESUMED,
+                run=self._run.name,
+                server=server,
+                offset=self._offset,
+            )
+            return
+
+    def _confirm(self) -> None:
+        progress = self._run.progress
+        if progress.outcome is not states.Outcome.RAN:
+            progress.answer()
+            progress.confirm()
+
+    def _is_unwanted(self) -> bool:
+        return self._closed or self._call.presence.gone
+
+    def _cancel(self) -> None:
+        """Tell the engine to stop; if it can't be told, its own end frees the slot."""
+        try:
+            link = self._run.pool.connect(self._run.slot.server, fresh=True)
+        except errors.NotRun:
+            return
+        try:
+            self._adapter.cancel(link, self._run.name)
+            self._run.pool.keep(link)
+        except backends.LINK_ERRORS:
+            link.close()
--- /dev/null
+++ b/celeryspan/services/paths.py
@@ -0,0 +1,68 @@
+"""The tree of paths at the caller address, as cherrypy walks it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import cherrypy
+
+if TYPE_CHECKING:
+    from celeryspan.services import caller as caller_module
+
+
+class Root:
+    """The tree of paths, as cherrypy walks it."""
+
+    def __init__(self, caller: caller_module.Caller) -> None:
+        self._caller = caller
+        self.v1 = _Version(caller)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET"])
+    def metrics(self, **_: Any) -> object:
+        """Answer the metrics of this router."""
+        return self._caller.serve(self._caller.show_metrics)
+
+
+class _Version:
+    """Everything below ``/v1``."""
+
+    def __init__(self, caller: caller_module.Caller) -> None:
+        self._caller = caller
+        self.chat = _Chat(caller)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET"])
+    def addresses(self, **_: Any) -> object:
+        """Answer which routers to use."""
+        return self._caller.serve(self._caller.get_addresses)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["GET"])
+    def status(self, **_: Any) -> object:
+        """Answer what this router says of itself."""
+        return self._caller.serve(self._caller.show_status)
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def drain(self, **_: Any) -> object:
+        """Begin a graceful stop."""
+        return self._caller.serve(self._caller.begin_drain)
+
+    @cherrypy.expose
+    def services(self, *_: Any, **__: Any) -> object:
+        """Pass a call on to a plain service."""
+        return self._caller.serve(self._caller.call_service)
+
+
+class _Chat:
+    """Everything below ``/v1/chat``."""
+
+    def __init__(self, caller: caller_module.Caller) -> None:
+        self._caller = caller
+
+    @cherrypy.expose
+    @cherrypy.tools.allow(methods=["POST"])
+    def completions(self, **_: Any) -> object:
+        """Pass a chat on to a model engine."""
+        return self._caller.serve(self._caller.complete_chat)
--- a/celeryspan/services/plaincalls.py
+++ b/celeryspan/services/plaincalls.py
@@ -10,7 +10,7 @@
 
 from celeryspan import calls, ids, states
 from celeryspan.adapters import backend, plain
-from celeryspan.services import answers, attempts, exchange
+from celeryspan.services import answers, exchange, plainanswers
 
 if TYPE_CHECKING:
     from celeryspan.services import httpserver
@@ -56,7 +56,7 @@
     )
 
 
-def write_answer(call: calls.Call, answer: attempts.PlainAnswer) -> object:
+def write_answer(call: calls.Call, answer: plainanswers.PlainAnswer) -> object:
     """Make the answer of a plain service the current answer."""
     cherrypy.response.status = answer.head.status
     headers = cherrypy.response.headers
@@ -74,7 +74,9 @@
 
 
 def _pass_on(
-    answer: attempts.PlainAnswer, stream: answers.Stream, request: httpserver.Request
+    answer: plainanswers.PlainAnswer,
+    stream: answers.Stream,
+    request: httpserver.Request,
 ) -> Iterator[bytes]:
     """Yield a large body; if it is cut, so is the caller's."""
     try:
--- a/celeryspan/services/requests.py
+++ b/celeryspan/services/requests.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable
 from typing import TypeVar
 
-from celeryspan import calls, dispatch, errors, events, ids, kernel, states
+from celeryspan import calls, dispatch, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend, engine, plain
 from celeryspan.decisions import outcomes, retries
-from celeryspan.services import attempts, backends
+from celeryspan.services import backends, modelanswers, observations, plainanswers, runs
 
 Answer = TypeVar("Answer")
 
@@ -23,13 +23,14 @@
 ADAPTERS = (engine, plain)
 
 
-@kernel.register("requests", needs=("configuration", "dispatch", "backends"))
+@kernel.register("requests", needs=("backends", "dispatch", "metrics"))
 class Requests:
     """Carries calls to backend servers."""
 
     def __init__(self, box: kernel.Kernel) -> None:
         self._dispatch: dispatch.Dispatcher = box.find("dispatch")
         self._backends: backends.Backends = box.find("backends")
+        self._meters: metrics.Metrics = box.find("metrics")
         self.sleep = time.sleep
         self._retries = retries.Retries()
         self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
@@ -42,7 +43,7 @@
     def stop(self) -> None:
         """Do nothing: calls end with their callers' threads."""
 
-    def call_plain(self, call: calls.Call) -> attempts.PlainAnswer:
+    def call_plain(self, call: calls.Call) -> plainanswers.PlainAnswer:
         """Carry a call to a plain service.
 
         Raises
@@ -51,10 +52,10 @@
             NotRun or OutcomeUnknown, as far as is known.
         """
         return self._carry(
-            call, lambda run: attempts.PlainAnswer(run, call, self._plain)
+            call, lambda run: plainanswers.PlainAnswer(run, call, self._plain)
         )
 
-    def call_model(self, call: calls.ChatCall) -> attempts.ModelAnswer:
+    def call_model(self, call: calls.ChatCall) -> modelanswers.ModelAnswer:
         """Carry a call to a model engine; returns once its first tokens are here.
 
         Raises
@@ -63,11 +64,22 @@
             NotRun or OutcomeUnknown, as far as is known.
         """
         return self._carry(
-            call, lambda run: attempts.ModelAnswer(run, call, self._model)
+            call, lambda run: modelanswers.ModelAnswer(run, call, self._model)
         )
 
-    def _carry(
-        self, call: calls.Call, begin: Callable[[attempts.Run], Answer]
+    def _carry(self, call: calls.Call, begin: Callable[[runs.Run], Answer]) -> Answer:
+        observation = observations.Observation(self._meters, call)
+        try:
+            return self._try_servers(call, observation, begin)
+        except errors.RequestError as error:
+            observation.fail(error)
+            raise
+
+    def _try_servers(
+        self,
+        call: calls.Call,
+        observation: observations.Observation,
+        begin: Callable[[runs.Run], Answer],
     ) -> Answer:
         progress = outcomes.Progress(idempotent=call.idempotent)
         excluded: set[ids.ServerId] = set()
@@ -75,9 +87,12 @@
         while True:
             number += 1
             slot = self._acquire(call, progress, frozenset(excluded))
+            observation.grant()
+            name = name_run(call, number)
+            run = runs.Run(self._backends, slot, progress, observation, name)
             try:
-                answer = self._attempt(call, progress, slot, number, begin)
-            except attempts.Failure as failure:
+                answer = self._attempt(call, run, begin)
+            except runs.Failure as failure:
                 excluded.add(slot.server)
                 self._pause(call, progress, failure, number)
                 continue
@@ -110,42 +125,36 @@
     def _attempt(
         self,
         call: calls.Call,
-        progress: outcomes.Progress,
-        slot: dispatch.Slot,
-        number: int,
-        begin: Callable[[attempts.Run], Answer],
+        run: runs.Run,
+        begin: Callable[[runs.Run], Answer],
     ) -> Answer:
-        run = attempts.Run(self._backends, slot, progress, name_run(call, number))
         try:
             run.open(call)
             run.send(call)
             return begin(run)
-        except attempts.Failure:
+        except runs.Failure:
             raise
         except errors.RequestError as error:
             run.abandon(dispatch.Ending.CANCELLED)
-            raise make_error(progress.settle(), error) from error
+            raise make_error(run.progress.settle(), error) from error
         except Exception as error:
             # A fault of this program after the first byte must not turn into "not
             # run", nor leave the slot taken: it is settled like a lost connection.
             run.abandon(dispatch.Ending.FAILED)
-            raise make_error(
-                progress.settle(),
-                errors.CeleryspanError(
-                    f"internal error: {error!r}", step="send", peer=slot.server
-                ),
-                code="internal",
-            ) from error
+            cause = errors.CeleryspanError(
+                f"internal error: {error!r}", step="send", peer=run.slot.server
+            )
+            raise make_error(run.progress.settle(), cause, code="internal") from error
 
     def _pause(
         self,
         call: calls.Call,
         progress: outcomes.Progress,
-        failure: attempts.Failure,
+        failure: runs.Failure,
         number: int,
     ) -> None:
         """Wait before the next attempt, or raise if there is none."""
-        if call.presence.left:
+        if call.presence.gone:
             raise make_error(progress.settle(), failure, code="caller-left")
         attempt = retries.Attempt(
             service=call.service,
@@ -177,7 +186,7 @@
     not_run = outcome is states.Outcome.NOT_RUN
     kind = errors.NotRun if not_run else errors.OutcomeUnknown
     status = getattr(cause, "status", 503 if not_run else 502)
-    found = kind(
+    return kind(
         cause.message,
         code=code or getattr(cause, "code", "failed"),
         status=status,
@@ -185,6 +194,3 @@
         step=cause.step,
         peer=cause.peer,
     )
-    event = events.Event.REQUEST_REFUSED if not_run else events.Event.REQUEST_SETTLED
-    events.log(event, outcome=outcome.value, code=found.code, step=found.step)
-    return found
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -12,11 +12,12 @@
 from collections.abc import Callable, Iterator
 
 from celeryspan import configuration, dispatch, errors, ids, kernel, settings, states
-from celeryspan.services import caller
+from celeryspan.services import caller, drain
 from celeryspan.wire import messages
 
 KEY = "gate-desk-key"
 OTHER_KEY = "airline-key"
+OPERATOR_KEY = "operator-key"
 
 
 @dataclasses.dataclass
@@ -162,7 +163,7 @@
             event.wait(10)
             raise errors.NotRun("taken out", code="cancelled", status=503)
         for server in self.servers:
-            if server not in work.excluded:
+            if server.startswith(work.service) and server not in work.excluded:
                 slot = Slot(server)
                 self.slots.append(slot)
                 return slot
@@ -187,12 +188,16 @@
     def current(self) -> configuration.Configuration | None:
         return self.value
 
+    def subscribe(self, handler: Callable[[configuration.Configuration], None]) -> None:
+        self.handler = handler
+
 
 class Membership:
     """Knows the members that a test names."""
 
     def __init__(self) -> None:
         self.incarnation = ids.Incarnation(7)
+        self.left = False
         self.members: list[messages.Member] = []
 
     def start(self) -> None: ...
@@ -202,6 +207,9 @@
     def alive(self) -> list[messages.Member]:
         return self.members
 
+    def leave(self) -> None:
+        self.left = True
+
 
 class Store:
     """An object API in memory; a test may take it down or lose its answers."""
@@ -313,6 +321,8 @@
         "peer_address": "127.0.0.1:0",
         "store_address": "127.0.0.1:1",
         "fleet_keys": ["fleet-key"],
+        "operator_key_hashes": [hash_key(OPERATOR_KEY)],
+        "address_seconds": 0.1,
     }
     return settings.Settings.model_validate(values | changes)
 
@@ -340,8 +350,9 @@
         self.membership = Membership()
         self.store = store or Store()
         self.box = kernel.Kernel(make_settings(**changes), self._make_registry())
-        self.box.start(["caller"])
+        self.box.start(["drain"])
         self.caller: caller.Caller = self.box.find("caller")
+        self.drain: drain.Drain = self.box.find("drain")
         self.address = self.caller.address
 
     def close(self) -> None:
--- a/tests/services/test_caller.py
+++ b/tests/services/test_caller.py
@@ -77,4 +77,18 @@
         router.membership.members = [far, scripted.make_member("me", router.address)]
         answer = ask(router, "GET", "/v1/addresses", headers={})
     assert answer.json()["addresses"][0] == str(router.address)
-    assert answer.json()["keep_seconds"] == 5.0
+    assert answer.json()["keep_seconds"] == 0.1
+
+
+def test_status_and_metrics_show_what_was_done():
+    operator = {"Authorization": f"Bearer {scripted.OPERATOR_KEY}"}
+    with scripted.run_router(gates=[echo]) as router:
+        ask(router, "POST", "/v1/services/gate-desk/x")
+        status = ask(router, "GET", "/v1/status", headers=operator)
+        metrics = ask(router, "GET", "/metrics", headers={})
+        refused = ask(router, "GET", "/v1/status")
+    assert status.json()["router"] == "entry-1"
+    assert status.json()["services"]["backends"]["opened"] == 1
+    labels = 'account="gates",outcome="ran",service="gate-desk"'
+    assert f"celeryspan_requests_total{{{labels}}} 1.0" in metrics.data.decode()
+    assert refused.status == 401
--- /dev/null
+++ b/tests/services/test_drain.py
@@ -0,0 +1,126 @@
+"""A stop that cuts nothing, and one that has to."""
+
+from __future__ import annotations
+
+import json
+import threading
+
+import pytest
+import urllib3
+
+from celeryspan.services import drain
+from tests import scripted
+from tests.services import test_caller, test_streams
+
+
+class Gate:
+    """An engine that holds its stream until a test lets it end."""
+
+    def __init__(self) -> None:
+        self.begun = threading.Event()
+        self.may_end = threading.Event()
+
+    def serve(self, connection, received):
+        if not received.line.startswith("POST"):
+            return False
+        test_streams.begin(connection, received)
+        self.begun.set()
+        self.may_end.wait(10)
+        scripted.write_tokens(connection, received.run, 2, "three")
+        scripted.write_done(connection, received.run, 3)
+        return True
+
+
+@pytest.fixture(autouse=True)
+def shorten(monkeypatch):
+    monkeypatch.setattr(drain, "SPREAD_SECONDS", 0.2)
+
+
+def start_stream(router, answers):
+    def ask():
+        answer = test_streams.ask(router)
+        answers.append(test_streams.read_text(answer))
+
+    thread = threading.Thread(target=ask)
+    thread.start()
+    return thread
+
+
+def test_a_stream_in_progress_is_ended_and_late_callers_are_served():
+    """A router is stopped for an upgrade while a planner reads a draft.
+
+    Others still hold an address answer that names the router; refusing them would
+    show as errors at each upgrade.
+    """
+    engine = Gate()
+    answers = []
+    gates = [test_caller.echo]
+    with scripted.run_router(gates=gates, engines=[engine.serve]) as router:
+        stream = start_stream(router, answers)
+        assert engine.begun.wait(10)
+        stop = threading.Thread(target=router.drain.begin)
+        stop.start()
+        while not router.caller.draining:
+            pass
+        listed = test_caller.ask(router, "GET", "/v1/addresses", headers={})
+        assert str(router.address) not in listed.json()["addresses"]
+        late = test_caller.ask(router, "POST", "/v1/services/gate-desk/x", body="x")
+        assert (late.status, late.headers["Connection"]) == (200, "close")
+        assert not router.drain.finished.wait(1)
+        with pytest.raises(urllib3.exceptions.HTTPError):
+            test_caller.ask(router, "GET", "/v1/addresses", headers={})
+        engine.may_end.set()
+        assert router.drain.finished.wait(10)
+        stream.join()
+        stop.join()
+        assert router.membership.left
+    assert answers == [("one two three", "[DONE]")]
+
+
+def test_a_second_signal_cuts_and_callers_are_told():
+    engine = Gate()
+    answers = []
+    with scripted.run_router(engines=[engine.serve]) as router:
+        stream = start_stream(router, answers)
+        assert engine.begun.wait(10)
+        stop = threading.Thread(target=router.drain.begin)
+        stop.start()
+        router.drain.finished.set()
+        router.drain.stop()
+        stream.join(10)
+        stop.join(10)
+        engine.may_end.set()
+    ((text, last),) = answers
+    assert text == "one two "
+    assert json.loads(last)["error"]["code"] == "answer-incomplete"
+
+
+def test_the_greatest_time_of_a_stop_is_kept():
+    engine = Gate()
+    with scripted.run_router(engines=[engine.serve], drain_seconds=0.3) as router:
+        stream = start_stream(router, [])
+        assert engine.begun.wait(10)
+        router.drain.begin()
+        assert router.drain.finished.is_set()
+        assert router.caller.in_progress
+        router.drain.stop()
+        stream.join(10)
+        engine.may_end.set()
+
+
+def test_a_planned_stop_in_the_rules_drains_the_router():
+    with scripted.run_router() as router:
+        value = router.configuration.value
+        rules = value.rules.model_copy(update={"planned_stops": ("entry-1",)})
+        router.configuration.handler(value.model_copy(update={"rules": rules}))
+        assert router.drain.finished.wait(10)
+
+
+def test_an_operator_drains_by_a_call():
+    operator = {"Authorization": f"Bearer {scripted.OPERATOR_KEY}"}
+    with scripted.run_router() as router:
+        refused = test_caller.ask(router, "POST", "/v1/drain")
+        assert (refused.status, router.caller.draining) == (401, False)
+        begun = test_caller.ask(router, "POST", "/v1/drain", headers=operator)
+        assert begun.status == 202
+        assert router.drain.finished.wait(10)
--- a/tests/services/test_requests.py
+++ b/tests/services/test_requests.py
@@ -7,13 +7,15 @@
 import hypothesis
 from hypothesis import strategies
 
-from celeryspan import calls, errors, ids, kernel, states
+from celeryspan import calls, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.services import requests
 from tests import scripted
 
 SERVERS = [ids.ServerId(f"gate-desk-{number}") for number in range(3)]
 
+METERS = metrics.Metrics()
+
 STEPS = strategies.sampled_from(
     [
         "refuse connection",
@@ -114,7 +116,8 @@
 
 def make_service(world: World, dispatch: Dispatch) -> requests.Requests:
     box = kernel.Kernel(scripted.make_settings(), {})
-    box._services = {"dispatch": dispatch, "backends": world}
+    services = {"dispatch": dispatch, "backends": world, "metrics": METERS}
+    box._services = services
     service = requests.Requests(box)
     service.sleep = lambda seconds: None
     service._plain = world
