--- a/celeryspan/services/answers.py
+++ b/celeryspan/services/answers.py
@@ -18,6 +18,9 @@
 REQUEST_HEADER = "Celeryspan-Request-Id"
 OUTCOME_HEADER = "Celeryspan-Outcome"
 
+# Tells a router's own error from one that a backend server answered.
+ERROR_HEADER = "Celeryspan-Error"
+
 # Headers that belong to one connection or are set by the HTTP server.
 FRAMING_HEADERS = frozenset(
     {"connection", "content-length", "date", "keep-alive", "server"}
@@ -25,7 +28,12 @@
 )
 
 # Headers of a backend server's answer that the router sets itself.
-OWN_HEADERS = FRAMING_HEADERS | {REQUEST_HEADER.lower(), OUTCOME_HEADER.lower()}
+OWN_HEADERS = FRAMING_HEADERS | {
+    REQUEST_HEADER.lower(),
+    OUTCOME_HEADER.lower(),
+    ERROR_HEADER.lower(),
+    "celeryspan-repeat",
+}
 
 
 class Stream:
@@ -74,6 +82,7 @@
     """Make an error the current answer and return its body."""
     cherrypy.response.status = error.status
     set_outcome(request, error.outcome)
+    cherrypy.response.headers[ERROR_HEADER] = error.code
     if error.retry_after is not None:
         cherrypy.response.headers["Retry-After"] = str(math.ceil(error.retry_after))
     return write_json({"error": describe(error)})
@@ -106,10 +115,10 @@
     made = ids.RequestId(uuid.uuid4().hex)
     request = getattr(cherrypy.request, "celeryspan_id", made)
     set_outcome(request, states.Outcome.NOT_RUN)
+    code = name_status(int(status.split()[0]))
     cherrypy.response.headers["Content-Type"] = "application/json"
-    found = errors.NotRun(
-        message, code=name_status(int(status.split()[0])), step="read request"
-    )
+    cherrypy.response.headers[ERROR_HEADER] = code
+    found = errors.NotRun(message, code=code, step="read request")
     return json.dumps({"error": describe(found)})
 
 
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -116,6 +116,7 @@
             "Connection: close",
             f"Celeryspan-Request-Id: {uuid.uuid4().hex}",
             f"Celeryspan-Outcome: {outcome}",
+            f"Celeryspan-Error: {code}",
         ]
         self.conn.wfile.write(("\r\n".join(lines) + "\r\n\r\n" + body).encode())
 
