Tell dispatch the size of a waiting request

Cause: admission bounds memory by the size of what waits, which nobody told it; waits were measured twice. Change: Work carries the size of the body; dispatch alone measures the wait. Conclusion: the bound on waiting bytes counts bodies.

--- a/celeryspan/services/observations.py
+++ b/celeryspan/services/observations.py
@@ -18,7 +18,6 @@
         self._meters = meters
         self._call = call
         self._began = self._last = time.monotonic()
-        self._granted = False
         self._answering = False
         self._ended = False
         events.log(
@@ -28,13 +27,6 @@
             account=call.account,
         )
 
-    def grant(self) -> None:
-        """Note the first slot."""
-        if not self._granted:
-            self._granted = True
-            waited = time.monotonic() - self._began
-            self._meters.observe_wait(self._call.service, self._call.account, waited)
-
     def take_tokens(self) -> None:
         """Note a part of a stream."""
         now = time.monotonic()
--- a/celeryspan/services/requests.py
+++ b/celeryspan/services/requests.py
@@ -87,7 +87,6 @@
         while True:
             number += 1
             slot = self._acquire(call, progress, frozenset(excluded))
-            observation.grant()
             name = name_run(call, number)
             run = runs.Run(self._backends, slot, progress, observation, name)
             try:
@@ -113,6 +112,7 @@
             hint=call.hint,
             prefix=call.prefix,
             excluded=excluded,
+            size=len(call.body),
         )
         call.presence.watch(lambda: self._dispatch.cancel(call.request))
         try:
