--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -6,17 +6,21 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import cherrypy
 
-from celeryspan import errors, events, ids, kernel, states
+from celeryspan import errors, events, ids, kernel, metrics, states
+from celeryspan.decisions import tickets
 from celeryspan.services import (
     addresses,
     answers,
     chat,
+    claims,
     exchange,
     httpserver,
+    operators,
+    paths,
     plaincalls,
     requests,
 )
@@ -31,12 +35,14 @@
         "error_page.default": answers.render_error_page,
         "request.process_request_body": False,
         "request.show_tracebacks": False,
+        # Answers pass through as they are, whatever their type.
+        "tools.encode.on": False,
         "tools.trailing_slash.on": False,
     }
 }
 
 
-@kernel.register("caller", needs=("configuration", "membership", "requests"))
+@kernel.register("caller", needs=("claims", "configuration", "membership", "requests"))
 class Caller:
     """Serves callers on an HTTP server of its own.
 
@@ -50,10 +56,12 @@
 
     def __init__(self, box: kernel.Kernel) -> None:
         self.settings: settings.Settings = box.settings
+        self.claims: claims.Claims = box.find("claims")
         self.requests: requests.Requests = box.find("requests")
         self.configuration = box.find("configuration")
         self.membership = box.find("membership")
         self.draining = False
+        self._box = box
         self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
@@ -80,6 +88,18 @@
             "in_progress": len(self.in_progress),
         }
 
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        self._server.stop_listening()
+
+    def cut(self) -> list[str]:
+        """End what is in progress and return the ids of the requests."""
+        with self._lock:
+            found = list(self.in_progress.values())
+        for item in found:
+            item.presence.end()
+        return [item.request for item in found]
+
     def serve(self, handler: Handler) -> object:
         """Run a handler on the current request and return the body of its answer."""
         found = exchange.Exchange(self.configuration.current())
@@ -87,7 +107,13 @@
         try:
             if found.overloaded:
                 raise make_overload()
-            return handler(found)
+            if self.draining:
+                found.close_after()
+            found.accept_forwarded(self.settings.fleet_keys)
+            body = handler(found)
+            if isinstance(body, answers.Stream):
+                found.finally_do(body.close)
+            return body
         except errors.RequestError as error:
             return answers.refuse(found.request, error)
         except Exception as error:
@@ -104,20 +130,58 @@
             listed = [item for item in listed if item != str(self.address)]
         answers.set_outcome(found.request, states.Outcome.RAN)
         return answers.write_json(
-            {"addresses": listed, "keep_seconds": self.settings.address_seconds}
+            {
+                "addresses": listed,
+                "keep_seconds": self.settings.address_seconds,
+                "tickets": self.claims.issue(read_count()),
+            }
         )
 
     def complete_chat(self, found: exchange.Exchange) -> object:
         """Carry a chat request."""
         call = chat.read_call(found)
         found.watch_caller()
-        return chat.write_answer(call, self.requests.call_model(call))
+        return self.claims.carry(
+            found,
+            call,
+            lambda: chat.write_answer(call, self.requests.call_model(call)),
+        )
 
     def call_service(self, found: exchange.Exchange) -> object:
         """Carry a call to a plain service."""
         call = plaincalls.read_call(found)
         found.watch_caller()
-        return plaincalls.write_answer(call, self.requests.call_plain(call))
+        return self.claims.carry(
+            found,
+            call,
+            lambda: plaincalls.write_answer(call, self.requests.call_plain(call)),
+        )
+
+    def show_status(self, found: exchange.Exchange) -> object:
+        """Answer what each service of this router says of itself."""
+        operators.check_key(found, self.settings)
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        return answers.write_json(
+            {
+                "router": self.settings.router,
+                "data_centre": self.settings.data_centre,
+                "services": self._box.collect_reports(),
+            }
+        )
+
+    def begin_drain(self, found: exchange.Exchange) -> object:
+        """Begin a graceful stop."""
+        operators.check_key(found, self.settings)
+        threading.Thread(target=self._box.find("drain").begin, name="drain").start()
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        cherrypy.response.status = 202
+        return answers.write_json({"draining": True})
+
+    def show_metrics(self, found: exchange.Exchange) -> object:
+        """Answer the metrics in the text format."""
+        answers.set_outcome(found.request, states.Outcome.RAN)
+        cherrypy.response.headers["Content-Type"] = metrics.CONTENT_TYPE
+        return self._box.find("metrics").render()
 
     def _enter(self, found: exchange.Exchange) -> None:
         with self._lock:
@@ -129,8 +193,9 @@
             self.in_progress.pop(found.request, None)
 
     def _make_server(self) -> httpserver.Server:
-        application = cherrypy.Application(Root(self), "", APPLICATION_CONFIG)
-        application.log.screen = False
+        application = cherrypy.Application(paths.Root(self), "", APPLICATION_CONFIG)
+        # Requests are logged as numbered events.
+        application.log.access_log.disabled = True
         return httpserver.Server(
             ids.Address.parse(self.settings.caller_address),
             application,
@@ -142,43 +207,14 @@
         )
 
 
-class Root:
-    """The tree of paths, as cherrypy walks it."""
-
-    def __init__(self, caller: Caller) -> None:
-        self.v1 = _Version(caller)
-
-
-class _Version:
-    """Everything below ``/v1``."""
-
-    def __init__(self, caller: Caller) -> None:
-        self._caller = caller
-        self.chat = _Chat(caller)
-
-    @cherrypy.expose
-    @cherrypy.tools.allow(methods=["GET"])
-    def addresses(self, **_: Any) -> object:
-        """Answer which routers to use."""
-        return self._caller.serve(self._caller.get_addresses)
-
-    @cherrypy.expose
-    def services(self, *_: Any, **__: Any) -> object:
-        """Pass a call on to a plain service."""
-        return self._caller.serve(self._caller.call_service)
-
-
-class _Chat:
-    """Everything below ``/v1/chat``."""
-
-    def __init__(self, caller: Caller) -> None:
-        self._caller = caller
-
-    @cherrypy.expose
-    @cherrypy.tools.allow(methods=["POST"])
-    def completions(self, **_: Any) -> object:
-        """Pass a chat on to a model engine."""
-        return self._caller.serve(self._caller.complete_chat)
+def read_count() -> int:
+    """Return how many tickets the caller asks for by ``?tickets=N``."""
+    text = cherrypy.request.params.get("tickets", str(tickets.BATCH))
+    if not isinstance(text, str) or not text.isdecimal() or len(text) > 3:
+        raise exchange.refuse(
+            "expected a number of tickets", code="malformed", status=400
+        )
+    return min(int(text), tickets.BATCH_MAX)
 
 
 def make_overload() -> errors.NotRun:
--- a/celeryspan/services/exchange.py
+++ b/celeryspan/services/exchange.py
@@ -4,16 +4,20 @@
 
 import time
 import uuid
+from collections.abc import Sequence
 from typing import TYPE_CHECKING, Any
 
 import cherrypy
 from cheroot import errors as cheroot_errors
 
 from celeryspan import calls, configuration, errors, events, ids, register
+from celeryspan.decisions import tickets
 
 if TYPE_CHECKING:
     from celeryspan.services import httpserver
 
+FORWARDED_HEADER = "Celeryspan-Forwarded"
+
 BODY_PIECE_BYTES = 65_536
 
 # After which a caller should come back when a router has no configuration yet or is
@@ -30,6 +34,8 @@
         Made here, unique in the fleet.
     presence : Presence
         Whether the caller is still there.
+    forwarded : bool
+        Whether another router of the fleet passed the request on.
     """
 
     def __init__(self, current: configuration.Configuration | None) -> None:
@@ -41,6 +47,22 @@
         self._environ: dict[str, Any] = cherrypy.request.wsgi_environ
         self._http: httpserver.Request = self._environ["celeryspan.request"]
         self._configuration = current
+        self.forwarded = False
+        cherrypy.request.celeryspan_id = self.request
+
+    def accept_forwarded(self, keys: Sequence[str]) -> None:
+        """Take over the id of a request that another router passed on.
+
+        Raises
+        ------
+        errors.NotRun
+            If the request claims to come from a router and can't prove it.
+        """
+        text = self.headers.get(FORWARDED_HEADER)
+        if text is None:
+            return
+        self.request = tickets.read_forwarded(keys, text).request
+        self.forwarded = True
         cherrypy.request.celeryspan_id = self.request
 
     @property
@@ -68,7 +90,7 @@
 
     def finally_do(self, callback: Any) -> None:
         """Call back when the answer has been written or given up."""
-        self._environ["celeryspan.finally"].append(callback)
+        self._environ["celeryspan.finally"].callback(callback)
 
     def read_key(self) -> str:
         """Return the bearer key; raises NotRun with status 401."""
@@ -112,6 +134,10 @@
         self._http.conn.end_reading()
         return bytes(collected)
 
+    def close_after(self) -> None:
+        """Close the connection after this answer."""
+        self._http.close_connection = True
+
     def watch_caller(self) -> None:
         """Notice from now on when the caller leaves."""
         connection = self._http.conn
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -12,11 +12,12 @@
 from collections.abc import Callable, Iterator
 
 from celeryspan import configuration, dispatch, errors, ids, kernel, settings, states
-from celeryspan.services import caller
+from celeryspan.services import caller, drain
 from celeryspan.wire import messages
 
 KEY = "gate-desk-key"
 OTHER_KEY = "airline-key"
+OPERATOR_KEY = "operator-key"
 
 
 @dataclasses.dataclass
@@ -162,7 +163,7 @@
             event.wait(10)
             raise errors.NotRun("taken out", code="cancelled", status=503)
         for server in self.servers:
-            if server not in work.excluded:
+            if server.startswith(work.service) and server not in work.excluded:
                 slot = Slot(server)
                 self.slots.append(slot)
                 return slot
@@ -187,12 +188,16 @@
     def current(self) -> configuration.Configuration | None:
         return self.value
 
+    def subscribe(self, handler: Callable[[configuration.Configuration], None]) -> None:
+        self.handler = handler
+
 
 class Membership:
     """Knows the members that a test names."""
 
     def __init__(self) -> None:
         self.incarnation = ids.Incarnation(7)
+        self.left = False
         self.members: list[messages.Member] = []
 
     def start(self) -> None: ...
@@ -202,6 +207,56 @@
     def alive(self) -> list[messages.Member]:
         return self.members
 
+    def leave(self) -> None:
+        self.left = True
+
+
+class Store:
+    """An object API in memory; a test may take it down or lose its answers."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.down = False
+        self.answers_lost = 0
+        self._lock = threading.Lock()
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+    def get(self, key: str, *, background: bool = False) -> tuple[bytes, int]:
+        self._check()
+        if key not in self.values:
+            raise errors.NotFound("no such key", step="read", peer="store")
+        return self.values[key]
+
+    def create(self, key: str, value: bytes, *, background: bool = False) -> int:
+        self._check()
+        with self._lock:
+            if key in self.values:
+                raise errors.Conflict("it exists", step="create", peer="store")
+            self.values[key] = (value, 1)
+        self._lose()
+        return 1
+
+    def update(
+        self, key: str, value: bytes, version: int, *, background: bool = False
+    ) -> int:
+        self._check()
+        if self.values[key][1] != version:
+            raise errors.Conflict("another version", step="update", peer="store")
+        self.values[key] = (value, version + 1)
+        return version + 1
+
+    def _check(self) -> None:
+        if self.down:
+            raise errors.StoreNotAsked("the store is down", peer="store")
+
+    def _lose(self) -> None:
+        if self.answers_lost:
+            self.answers_lost -= 1
+            raise errors.StoreUnavailable("no answer", step="create", peer="store")
+
 
 def make_member(
     router: str, address: ids.Address, incarnation: int = 7, data_centre: str = "hala-a"
@@ -266,6 +321,8 @@
         "peer_address": "127.0.0.1:0",
         "store_address": "127.0.0.1:1",
         "fleet_keys": ["fleet-key"],
+        "operator_key_hashes": [hash_key(OPERATOR_KEY)],
+        "address_seconds": 0.1,
     }
     return settings.Settings.model_validate(values | changes)
 
@@ -277,6 +334,7 @@
         self,
         gates: list[Script] = (),
         engines: list[Script] = (),
+        store: Store | None = None,
         **changes: object,
     ) -> None:
         self.gates = [Server(script) for script in gates]
@@ -290,9 +348,11 @@
         self.configuration = Configuration(value)
         self.dispatch = Dispatch([ids.ServerId(name) for name in names])
         self.membership = Membership()
+        self.store = store or Store()
         self.box = kernel.Kernel(make_settings(**changes), self._make_registry())
-        self.box.start(["caller"])
+        self.box.start(["drain"])
         self.caller: caller.Caller = self.box.find("caller")
+        self.drain: drain.Drain = self.box.find("drain")
         self.address = self.caller.address
 
     def close(self) -> None:
@@ -305,6 +365,7 @@
             "configuration": self.configuration,
             "dispatch": self.dispatch,
             "membership": self.membership,
+            "store": self.store,
         }
         registry = dict(kernel.REGISTRY)
         for name, fake in fakes.items():
