Read the routers' reports as they now are, and start every service by name

Cause: homes, counters and dispatch report under names of their own, and the command status expected others. Change: the adapter for routers turns reports into typed values; status takes homes from assignment and service received from counters, the greatest count of all routers, as each counts the whole fleet. The router starts all services it names or none. Conclusion: status works as far as the routers report; members and generation follow with the reports of membership and configuration.

--- a/celeryspan/adapters/routers.py
+++ b/celeryspan/adapters/routers.py
@@ -22,6 +22,21 @@
     keep_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """What one router believes about another.
+
+    Attributes
+    ----------
+    address : str
+        Where it serves callers; empty if the report does not say.
+    """
+
+    state: str
+    generation: int
+    address: str = ""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """What one router says of itself.
@@ -38,9 +53,60 @@
     fields: dict[str, Any]
     error: str = ""
 
-    def get_service(self, name: str) -> dict[str, Any]:
-        """Return what a service of the router says; nothing if it says nothing."""
-        found = self.fields.get("services", {}).get(name)
+    @property
+    def router(self) -> str:
+        """Name of the router, empty without an answer."""
+        return str(self.fields.get("router", ""))
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of the router, empty without an answer."""
+        return str(self.fields.get("data_centre", ""))
+
+    @property
+    def generation(self) -> int:
+        """Generation of the configuration in force, 0 for none."""
+        return int(self._get("configuration").get("generation", 0))
+
+    @property
+    def in_progress(self) -> int:
+        """Calls that are not answered to their end, the one for this report too."""
+        return int(self._get("caller").get("in_progress", 0))
+
+    @property
+    def draining(self) -> bool:
+        """Whether the router is stopping."""
+        return bool(self._get("caller").get("draining", False))
+
+    @property
+    def members(self) -> dict[str, Member]:
+        """What the router believes about all routers, by name."""
+        return {
+            name: Member(
+                str(found.get("state", "?")),
+                int(found.get("generation", 0)),
+                str(found.get("caller_address", "")),
+            )
+            for name, found in self._get("membership").get("members", {}).items()
+        }
+
+    @property
+    def homes(self) -> dict[str, str]:
+        """The home router's name by backend server, as this router sees it."""
+        return dict(self._get("assignment").get("homes", {}))
+
+    @property
+    def waiting(self) -> dict[str, int]:
+        """Requests that wait at this router, by ``SERVICE/ACCOUNT``."""
+        return dict(self._get("dispatch").get("waiting", {}))
+
+    @property
+    def received(self) -> dict[str, float]:
+        """Service received in the fleet, as far as this router has heard."""
+        return dict(self._get("counters").get("received", {}))
+
+    def _get(self, service: str) -> dict[str, Any]:
+        found = self.fields.get("services", {}).get(service)
         return found if isinstance(found, dict) else {}
 
 
@@ -76,7 +142,7 @@
             return Report(address, {"error": str(error)}, str(error))
 
     def get_reports(self, address: str) -> list[Report]:
-        """Return the status of a router and of all others that it knows.
+        """Return the status of a router and of the others that it knows.
 
         Raises
         ------
@@ -84,8 +150,9 @@
             If the first router does not answer.
         """
         first = Report(address, self._call("GET", address, "/v1/status"))
-        members = first.get_service("membership").get("members", [])
-        others = {str(member["caller_address"]) for member in members} - {address}
+        others = set(self.get_addresses(address).addresses)
+        others.update(member.address for member in first.members.values())
+        others -= {address, ""}
         return [first, *(self.get_report(other) for other in sorted(others))]
 
     def drain(self, address: str) -> None:
--- a/celeryspan/daemons/operations.py
+++ b/celeryspan/daemons/operations.py
@@ -122,9 +122,7 @@
     while True:
         reports = client.get_reports(address)
         behind = [
-            report.address
-            for report in reports
-            if report.get_service("configuration").get("generation", 0) < generation
+            report.address for report in reports if report.generation < generation
         ]
         waited = time.monotonic() - began
         if not behind:
--- a/celeryspan/daemons/router.py
+++ b/celeryspan/daemons/router.py
@@ -32,7 +32,6 @@
     "loads",
     "backends",
     "claims",
-    "orders",
     "caller",
     "drain",
 )
@@ -82,7 +81,7 @@
         StartError
             If one fails; the others have been stopped.
         """
-        self.kernel.start(name for name in SERVICES if name in kernel.REGISTRY)
+        self.kernel.start(SERVICES)
 
     def stop(self) -> None:
         """Stop all services at once; requests in progress are cut."""
--- a/celeryspan/daemons/tables.py
+++ b/celeryspan/daemons/tables.py
@@ -25,23 +25,19 @@
     table = _make_table(
         "routers",
         ("router", "data centre", "address", "generation", "members", "in progress"),
-        right=("generation", "members", "in progress"),
+        right=("generation", "in progress"),
     )
     for report in reports:
         if report.error:
-            table.add_row("-", "-", report.address, "-", "-", "does not answer")
+            table.add_row("-", "-", report.address, "-", "does not answer", "-")
             continue
-        caller = report.get_service("caller")
-        progress = str(caller.get("in_progress", "-"))
-        if caller.get("draining"):
-            progress += ", draining"
         table.add_row(
-            str(report.fields.get("router", "-")),
-            str(report.fields.get("data_centre", "-")),
+            report.router,
+            report.data_centre,
             report.address,
-            str(report.get_service("configuration").get("generation", "none")),
-            _count_members(report),
-            progress,
+            str(report.generation or "none"),
+            _count_members(report) + (", draining" if report.draining else ""),
+            str(report.in_progress),
         )
     return table
 
@@ -54,8 +50,8 @@
     """
     homes: dict[str, set[str]] = collections.defaultdict(set)
     for report in reports:
-        for server, home in report.get_service("homes").get("homes", {}).items():
-            homes[server].add(str(home))
+        for server, home in report.homes.items():
+            homes[server].add(home)
     table = _make_table("homes", ("backend server", "home"))
     for server, found in sorted(homes.items()):
         table.add_row(server, ", ".join(sorted(found)))
@@ -63,21 +59,26 @@
 
 
 def make_account_table(reports: list[routers.Report]) -> rich.table.Table:
-    """Return a table with one line for each service and client account."""
-    waiting: collections.Counter[tuple[str, str]] = collections.Counter()
-    received: collections.Counter[tuple[str, str]] = collections.Counter()
+    """Return a table with one line for each service and client account.
+
+    What waits is added up over the routers. Service received is counted for the whole
+    fleet by each router, as far as it has heard, so that the greatest count is shown.
+    """
+    waiting: collections.Counter[str] = collections.Counter()
+    received: dict[str, float] = {}
     for report in reports:
-        for row in report.get_service("dispatch").get("accounts", []):
-            key = (str(row["service"]), str(row["account"]))
-            waiting[key] += row.get("waiting", 0)
-            received[key] += row.get("received", 0.0)
+        waiting.update(report.waiting)
+        for key, units in report.received.items():
+            received[key] = max(received.get(key, 0.0), units)
     table = _make_table(
         "client accounts",
         ("service", "client account", "backlog", "service received"),
         right=("backlog", "service received"),
     )
     for key in sorted(waiting.keys() | received.keys()):
-        table.add_row(*key, str(waiting[key]), f"{received[key]:.0f}")
+        service, _, account = key.partition("/")
+        units = received.get(key, 0.0)
+        table.add_row(service, account, str(waiting[key]), f"{units:.0f}")
     return table
 
 
@@ -91,6 +92,5 @@
 
 
 def _count_members(report: routers.Report) -> str:
-    members = report.get_service("membership").get("members", [])
-    states = collections.Counter(str(member.get("state", "?")) for member in members)
+    states = collections.Counter(member.state for member in report.members.values())
     return ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
