--- a/celeryspan/changes.py
+++ b/celeryspan/changes.py
@@ -17,6 +17,9 @@
 }
 """The word for an entry of each table of the register."""
 
+SHOWN_CHARACTERS = 45
+"""Longer texts, such as hashes of keys, are cut; an IPv6 address fits whole."""
+
 
 def describe_changes(
     old: configuration.Configuration | None,
@@ -76,4 +79,5 @@
 def _show(value: object) -> str:
     if isinstance(value, tuple):
         return f"[{', '.join(_show(item) for item in value)}]"
-    return str(getattr(value, "value", value))
+    text = str(getattr(value, "value", value))
+    return text if len(text) <= SHOWN_CHARACTERS else text[:SHOWN_CHARACTERS] + "..."
