Report a new demand at once, later ones together

Cause: each request waited for the 2 ms batch of demand reports though nothing else was to be reported. Change: the first reports of a queue leave at once, as its pace allows; only bursts are batched.

--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import dispatch, errors, events, ids, kernel
-from celeryspan.decisions import admission, homes, queueing, routing, sharing
+from celeryspan.decisions import admission, homes, pacing, queueing, routing, sharing
 from celeryspan.services import slots
 from celeryspan.wire import messages
 
@@ -24,8 +24,8 @@
     )
 
 REPORT_SECONDS = 0.002
-"""Changes of demand within this time are reported together, in seconds: a batch of a
-link. It adds at most 2 ms to the wait for a slot."""
+"""Changes of demand that may not be reported at once are reported together after this
+time, in seconds: a batch of a link."""
 
 REFRESH_SECONDS = 1.0
 """Demand that stands is reported again, in seconds: covers a report lost with a link,
@@ -91,6 +91,7 @@
         self._routing = routing.Routing(self.cache)
         self._waiters: dict[ids.RequestId, _Waiter] = {}
         self._held = slots.HeldSlots()
+        self._pacer = pacing.Pacer(pacing.Loop.DEMAND.value)
         self._sequence = 0
         self._attempts: dict[ids.ServiceId, int] = {}
         self._dirty: set[sharing.Key] = set()
@@ -124,7 +125,6 @@
         """Wait for a slot; raises errors.NotRun if the request is refused."""
         began = time.monotonic()
         waiter = self._admit(work, began)
-        self._changed.set()
         waiter.ready.wait()
         if waiter.error is not None:
             raise waiter.error
@@ -167,7 +167,7 @@
             for refused in verdict.shed:
                 self._refuse(refused.request, refused.make_error())
             self._waiters[work.request] = waiter
-            self._dirty.add((work.service, work.account))
+            self._tell_soon((work.service, work.account), now)
         return waiter
 
     def _widen(self, work: dispatch.Work) -> dispatch.Work:
@@ -272,6 +272,14 @@
         for home in self._choose_homes(service):
             self._delivery.send(home, demand)
 
+    def _tell_soon(self, key: sharing.Key, now: float) -> None:
+        """Report a demand at once, or with the next batch if one was just reported."""
+        if self._pacer.allow(key, now):
+            self._tell_demand(key, now)
+        else:
+            self._dirty.add(key)
+            self._changed.set()
+
     def _choose_homes(self, service: ids.ServiceId) -> tuple[ids.RouterId, ...]:
         found = self._assignment.find_homes(service)
         attempt = self._attempts.get(service, 0)
