Test the codec against kinds that others add

Cause: the test of a newer schema named the next number of a kind itself, so that a kind added elsewhere made its schema invalid, which ends the process. Change: the next number is counted; the two kinds added since are in the samples. Conclusion: adding a kind needs only its sample.

--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -33,6 +33,8 @@
     messages.Proof(b"d" * 32),
     messages.Heartbeat(),
     messages.MembersRequest(),
+    messages.Lift("planner-llm", "desk", 12.5),
+    messages.Pending("planner-llm", "desk", 420.0, 3),
 )
 
 
@@ -61,10 +63,8 @@
     """
     source = codec.importlib.resources.files("celeryspan.wire") / "peer.capnp"
     newer = source.read_text().replace("0xd5c0a5be1f3a7c21", "0xd5c0a5be1f3a7c22")
-    newer = newer.replace(
-        "membersRequest @17 :MembersRequest;",
-        "membersRequest @17 :MembersRequest; later @18 :Probe;",
-    )
+    kinds = len(codec._layouts())
+    newer = newer.replace("union {", f"union {{ later @{kinds} :Probe;")
     (tmp_path / "newer.capnp").write_text(newer)
     schema = capnp.load(str(tmp_path / "newer.capnp"))
     frame = schema.Frame.new_message(texts=b"r-1\0gpu-1\0resting")
