Spread generations and departures by the routers themselves

Cause: a watch of every router is a paid call each, and a VM list lags. Change: three routers, worked out alike by all, watch the index; the others see a higher generation on any datagram and ask that peer for it; a router that has none asks the store after a random time. Departures of backend servers merge by version, come from their own words or from the list, and spread by gossip at once. Routers that are leaving stay among those alive, with their state, as the callers of the service expect. Conclusion: watches and polls do not grow with the fleet.

--- a/celeryspan/decisions/beliefs.py
+++ b/celeryspan/decisions/beliefs.py
@@ -27,6 +27,9 @@
 PRESENT = (states.MemberState.ALIVE, states.MemberState.SUSPECT)
 """States in which a router takes part: one that is only suspected mostly is well."""
 
+REACHABLE = (*PRESENT, states.MemberState.LEAVING)
+"""States in which a router answers: one that is leaving still finishes its work."""
+
 
 @dataclasses.dataclass(slots=True)
 class Belief:
--- a/celeryspan/decisions/membership.py
+++ b/celeryspan/decisions/membership.py
@@ -43,8 +43,8 @@
 """Time between two probes of routers that are dead or were never heard."""
 
 FORGET_SECONDS = 3_600.0
-"""A router that is dead or leaving is forgotten after this long; regions lose each
-other for minutes, and the register still names it."""
+"""A dead router is forgotten after this long; regions lose each other for minutes, and
+the register still names it."""
 
 EXCHANGE_SECONDS = 1.25
 """Least time between two exchanges that this router asks for: 1,300 members are about
@@ -131,9 +131,8 @@
         self.own = dataclasses.replace(self.own, generation=generation)
 
     def alive(self) -> list[messages.Member]:
-        """Return the routers that take part, this one among them unless it leaves."""
-        own = [self.own] if self.own.state is states.MemberState.ALIVE else []
-        return own + self._present()
+        """Return the routers that run, this one first; some may be leaving."""
+        return [self.own, *self.beliefs.select(*beliefs.REACHABLE)]
 
     def statements(self) -> list[messages.Member]:
         """Return all beliefs, for an exchange."""
@@ -231,6 +230,9 @@
     def _present(self) -> list[messages.Member]:
         return self.beliefs.select(*beliefs.PRESENT)
 
+    def _list_reachable(self) -> list[messages.Member]:
+        return self.beliefs.select(*beliefs.REACHABLE)
+
     def _doubt(
         self,
         before: messages.Member | None,
@@ -352,15 +354,20 @@
         return actions + [self._send(helper, request) for helper in helpers]
 
     def _suspect(self, target: messages.Member, now: float) -> list[Action]:
-        """Suspect a member, unless something newer is known of it, and tell it so."""
+        """Suspect a member, unless something newer is known of it, and tell it so.
+
+        One that was leaving is held dead at once: nobody waits for its return.
+        """
         known = self.beliefs.find(target.router)
         if known is None or beliefs.rank(known.member) != beliefs.rank(target):
             return []
-        if target.state is not states.MemberState.ALIVE:
+        if target.state is states.MemberState.SUSPECT:
             return []
-        suspected = dataclasses.replace(target, state=states.MemberState.SUSPECT)
-        self.learn(suspected, now, self.own.router)
-        return [self._send(suspected)]
+        leaving = target.state is states.MemberState.LEAVING
+        state = states.MemberState.DEAD if leaving else states.MemberState.SUSPECT
+        doubted = dataclasses.replace(target, state=state)
+        self.learn(doubted, now, self.own.router)
+        return [self._send(doubted)]
 
     def _end_suspicions(self, now: float) -> None:
         """Declare dead whom nobody has heard; forget those gone for long."""
@@ -369,24 +376,22 @@
             if now - self.beliefs.find(member.router).since >= limit:
                 dead = dataclasses.replace(member, state=states.MemberState.DEAD)
                 self.learn(dead, now, self.own.router)
-        for member in self.beliefs.select(
-            states.MemberState.DEAD, states.MemberState.LEAVING
-        ):
+        for member in self.beliefs.select(states.MemberState.DEAD):
             if now - self.beliefs.find(member.router).since >= FORGET_SECONDS:
                 self.beliefs.forget(member.router)
 
     def _probe_next(self, now: float) -> list[Action]:
         for _ in range(len(self.beliefs)):
-            router = self._probing.choose(self._present)
+            router = self._probing.choose(self._list_reachable)
             belief = self.beliefs.find(router) if router is not None else None
-            if belief is not None and belief.member.state in beliefs.PRESENT:
+            if belief is not None and belief.member.state in beliefs.REACHABLE:
                 sequence = self._probing.begin(belief.member, now)
                 return [self._send(belief.member, self._make_probe(sequence))]
         return []
 
     def _recontact(self, now: float) -> list[Action]:
         """Probe one router that is dead, or an address where none is known."""
-        known = {member.peer_address for member in self._present()}
+        known = {member.peer_address for member in self._list_reachable()}
         lost = [
             member.peer_address
             for member in self.beliefs.select(states.MemberState.DEAD)
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -46,6 +46,7 @@
         self._alive = self._decision.alive()
         self._changed = False
         self._handlers: list[Handler] = []
+        self._ahead_handlers: list[Callable[[messages.Member], None]] = []
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._tick, name="membership", daemon=True
@@ -73,7 +74,7 @@
         return self._identity.incarnation
 
     def alive(self) -> list[messages.Member]:
-        """Return the routers that take part, this one among them unless it leaves."""
+        """Return the routers that run, this one first; some may be leaving."""
         return self._alive
 
     def find(self, router: ids.RouterId) -> messages.Member | None:
@@ -114,6 +115,30 @@
         with self._lock:
             self._decision.set_generation(generation)
 
+    def announce(self) -> None:
+        """Show this router's generation to a few random routers at once."""
+        with self._lock:
+            actions = self._decision.spread_now()
+        self._carry_out(actions)
+
+    def on_ahead(self, handler: Callable[[messages.Member], None]) -> None:
+        """Call a handler with each router that shows a higher generation."""
+        self._ahead_handlers.append(handler)
+
+    def report(self) -> dict[str, object]:
+        """Return each router's state, incarnation and generation, for ``status``."""
+        return {
+            "incarnation": self._identity.incarnation,
+            "members": {
+                member.router: {
+                    "state": member.state.value,
+                    "incarnation": member.incarnation,
+                    "generation": member.generation,
+                }
+                for member in self.members()
+            },
+        }
+
     def spread(self, key: Hashable, fact: messages.Message) -> None:
         """Pass on a fact on datagrams, the first few of them at once."""
         with self._lock:
@@ -147,7 +172,13 @@
                 time.monotonic(), frame.sender, source, frame.messages
             )
             self._refresh()
+            generation = self._decision.own.generation
         self._carry_out(actions)
+        for message in frame.messages:
+            if isinstance(message, messages.Member) and message.router == frame.sender:
+                if message.generation > generation:
+                    for handler in self._ahead_handlers:
+                        handler(message)
 
     def _take_statement(
         self, peer: ids.RouterId, _: ids.Incarnation, message: messages.Member
--- /dev/null
+++ b/celeryspan/services/vmlist.py
@@ -0,0 +1,172 @@
+"""The kernel service ``vmlist``: which backend servers are leaving.
+
+Two routers poll the platform's list for all; what they find, and what backend servers
+say themselves, goes to every router by gossip within seconds.
+"""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable, Collection
+from typing import TYPE_CHECKING
+
+from celeryspan import errors, events, ids, kernel, states
+from celeryspan.adapters import vmlist
+from celeryspan.decisions import beliefs, departures, watchers
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan.services import (
+        configuration,
+        datagrams,
+        identity,
+        links,
+        membership,
+    )
+
+DUTY = "vmlist"
+
+POLL_SECONDS = 5.0
+"""The list lags for longer than this anyway; two pollers make 0.4 calls a second."""
+
+POLLERS = 2
+
+TICK_SECONDS = 0.5
+
+Handler = Callable[[messages.ServerFact], None]
+
+
+@kernel.register(
+    DUTY, needs=("identity", "datagrams", "links", "membership", "configuration")
+)
+class VMListService:
+    """Holds the departures that this router knows of, and spreads them."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._identity: identity.IdentityService = box.find("identity")
+        self._datagrams: datagrams.DatagramsService = box.find("datagrams")
+        self._links: links.LinksService = box.find("links")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._configuration: configuration.ConfigurationService = box.find(
+            "configuration"
+        )
+        self._client = vmlist.VMListClient(box.settings.store_address)
+        self._departures = departures.Departures()
+        self._leaving: frozenset[ids.ServerId] = frozenset()
+        self._handlers: list[Handler] = []
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=DUTY, daemon=True)
+
+    def start(self) -> None:
+        """Begin to listen, and to poll if that falls to this router."""
+        self._datagrams.subscribe(self._take_frame)
+        self._links.subscribe(messages.ServerFact, self._take_fact)
+        self._links.subscribe(messages.MembersRequest, self._answer_request)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop polling; a poll under way ends by itself."""
+        self._stopped.set()
+
+    def leaving(self) -> frozenset[ids.ServerId]:
+        """Return the backend servers that get no new work."""
+        return self._leaving
+
+    def subscribe(self, handler: Handler) -> None:
+        """Call a handler with each new fact."""
+        self._handlers.append(handler)
+
+    def mark_leaving(self, server: ids.ServerId) -> None:
+        """Take a server's own word that it is leaving, and spread it at once."""
+        self._mark(server, states.ServerState.LEAVING)
+
+    def mark_live(self, server: ids.ServerId) -> None:
+        """Take a server's own word that it is back."""
+        self._mark(server, states.ServerState.LIVE)
+
+    def report(self) -> dict[str, object]:
+        """Return the leaving servers, for ``status``."""
+        return {"leaving": sorted(self._leaving), "polls": self._polls()}
+
+    def _mark(self, server: ids.ServerId, state: states.ServerState) -> None:
+        with self._lock:
+            fact = self._departures.mark(server, state, _read_clock())
+        if fact is not None:
+            self._publish(fact)
+
+    def _take_frame(self, frame: messages.Frame, _: ids.Address) -> None:
+        for message in frame.messages:
+            if isinstance(message, messages.ServerFact):
+                self._merge(message)
+
+    def _take_fact(
+        self, _: ids.RouterId, __: ids.Incarnation, fact: messages.ServerFact
+    ) -> None:
+        if fact.version > 0:
+            self._merge(fact)
+
+    def _answer_request(
+        self, peer: ids.RouterId, _: ids.Incarnation, __: messages.MembersRequest
+    ) -> None:
+        """Tell a router that joins, or comes back from a cut, what it has missed."""
+        with self._lock:
+            facts = self._departures.facts()
+        for fact in facts:
+            self._links.send(peer, fact)
+
+    def _merge(self, fact: messages.ServerFact) -> None:
+        with self._lock:
+            news = self._departures.merge(fact)
+        if news:
+            self._publish(fact)
+
+    def _publish(self, fact: messages.ServerFact) -> None:
+        """Put a new fact in force here and pass it on."""
+        with self._lock:
+            self._leaving = self._departures.leaving()
+        if fact.state is states.ServerState.LEAVING:
+            events.log(events.Event.SERVER_LEAVING, server=fact.server)
+        else:
+            events.log(events.Event.SERVER_RETURNED, server=fact.server)
+        self._membership.spread(("server", fact.server), fact)
+        for handler in self._handlers:
+            handler(fact)
+
+    def _run(self) -> None:
+        poll_at = 0.0
+        while not self._stopped.wait(TICK_SECONDS):
+            current = self._configuration.current()
+            if current is None or time.monotonic() < poll_at or not self._polls():
+                continue
+            poll_at = time.monotonic() + POLL_SECONDS
+            try:
+                self._poll(current.servers)
+            except errors.StoreUnavailable:
+                continue  # The list proposes only; the servers' own words go on.
+
+    def _polls(self) -> bool:
+        present = [
+            member.router
+            for member in self._membership.alive()
+            if member.state in beliefs.PRESENT
+        ]
+        return self._identity.router in watchers.choose(DUTY, present, POLLERS)
+
+    def _poll(self, servers: Collection[ids.ServerId]) -> None:
+        listed = [
+            (ids.ServerId(vm.name), vm.state)
+            for vm in self._client.read()
+            if vm.name in servers
+        ]
+        with self._lock:
+            self._departures.keep(servers)
+            facts = self._departures.take_list(listed, _read_clock())
+            self._leaving = self._departures.leaving()
+        for fact in facts:
+            self._publish(fact)
+
+
+def _read_clock() -> int:
+    return time.time_ns() // 1000
--- a/tests/services/support.py
+++ b/tests/services/support.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from celeryspan import ids, kernel, settings
+from celeryspan.daemons import router as daemon
 
 
 def find_port() -> int:
@@ -30,6 +31,7 @@
 
 def start_kernel(names: list[str], router: str, **fields: object) -> kernel.Kernel:
     """Start services under a kernel of their own."""
+    daemon.import_services()
     box = kernel.Kernel(make_settings(router, **fields))
     box.start(names)
     return box
--- /dev/null
+++ b/tests/services/test_configuration.py
@@ -0,0 +1,144 @@
+"""A generation spreads over few watches and many links, and never reverts."""
+
+from __future__ import annotations
+
+import time
+
+import pytest
+
+from celeryspan import configuration, documents, kernel, publishing
+from celeryspan.adapters import store as store_adapter
+from celeryspan.decisions import watchers
+from celeryspan.services import (
+    configuration as configuration_service,
+)
+from standins import store
+from tests.services import fleet as scheduling, support
+
+NAMES = ("a", "b", "c", "d", "e")
+
+
+class Fleet:
+    """Routers on loopback around one stand-in of the object API."""
+
+    def __init__(self) -> None:
+        self.store = store.Store()
+        self.store.start()
+        self.client = store_adapter.StoreClient(str(self.store.address))
+        self.boxes: list[kernel.Kernel] = []
+
+    def start(self, name: str) -> kernel.Kernel:
+        peers = tuple(box.settings.peer_address for box in self.boxes[:1])
+        box = support.start_kernel(
+            ["vmlist"], name, peers=peers, store_address=str(self.store.address)
+        )
+        self.boxes.append(box)
+        return box
+
+    def publish(self, weight: float = 1.0) -> int:
+        made = scheduling.make_configuration(
+            {"server-1": 1}, ["desk"], weights={"desk": weight}
+        )
+        standing = publishing.read_standing(self.client)
+        written = publishing.publish(
+            self.client, standing, made.register, made.rules, "test"
+        )
+        return written.generation
+
+    def generations(self) -> set[int]:
+        values = [box.find("configuration").current() for box in self.boxes]
+        return {value.generation if value else 0 for value in values}
+
+    def stop(self) -> None:
+        for box in self.boxes:
+            box.stop()
+        self.store.stop()
+
+
+@pytest.fixture
+def fleet():
+    made = Fleet()
+    yield made
+    made.stop()
+
+
+def test_generation_reaches_all_while_few_watch(fleet) -> None:
+    fleet.publish()
+    for name in NAMES:
+        fleet.start(name)
+    support.wait_until(lambda: fleet.generations() == {1})
+    support.wait_until(
+        lambda: (
+            sum(box.find("configuration").report()["watches"] for box in fleet.boxes)
+            == watchers.WATCHERS
+        )
+    )
+    fleet.publish(weight=2.0)
+    support.wait_until(lambda: fleet.generations() == {2})
+
+
+def test_router_without_state_hears_from_a_peer_while_the_store_is_down(fleet) -> None:
+    """A VM is replaced during an outage of the store; callers need it at once."""
+    fleet.publish()
+    fleet.start("a")
+    support.wait_until(lambda: fleet.generations() == {1})
+    fleet.store.control(down=True)
+    fleet.start("b")
+    support.wait_until(lambda: fleet.generations() == {1})
+
+
+def test_router_that_hears_of_none_serves_nothing(fleet) -> None:
+    box = fleet.start("a")
+    time.sleep(0.3)
+    assert box.find("configuration").current() is None
+    assert box.find("configuration").report()["generation"] == 0
+
+
+def test_old_data_from_the_store_reverts_nothing(fleet) -> None:
+    """An operator halves a weight; a minute later it is the old one again.
+
+    The store answers a read with the value before the last, as a replica that lags
+    does after a failover.
+    """
+    fleet.publish()
+    fleet.publish()
+    box = fleet.start("a")
+    support.wait_until(lambda: fleet.generations() == {2})
+    service: configuration_service.ConfigurationService = box.find("configuration")
+    fleet.store.control(stale_reads=5)
+    service._read_store(0.0)
+    assert service.current().generation == 2
+    old: configuration.Configuration = service.current().model_copy(
+        update={"generation": 1}
+    )
+    assert not service.offer(old, documents.pack(old))
+    assert service.current().generation == 2
+
+
+def test_damaged_index_is_refused_and_the_one_in_force_stays(fleet) -> None:
+    fleet.publish()
+    fleet.start("a")
+    support.wait_until(lambda: fleet.generations() == {1})
+    version = fleet.client.get(documents.INDEX_KEY)[1]
+    fleet.client.update(documents.INDEX_KEY, b"not an index", version)
+    time.sleep(0.7)
+    assert fleet.generations() == {1}
+
+
+def test_leaving_server_is_known_to_all_by_its_own_word(fleet) -> None:
+    fleet.publish()
+    boxes = [fleet.start(name) for name in NAMES]
+    support.wait_until(lambda: len(boxes[0].find("membership").alive()) == len(NAMES))
+    boxes[3].find("vmlist").mark_leaving("server-1")
+    support.wait_until(
+        lambda: all(box.find("vmlist").leaving() == {"server-1"} for box in boxes)
+    )
+
+
+def test_list_of_vms_proposes_a_leaving_server(fleet) -> None:
+    fleet.publish()
+    fleet.store.set_vms(
+        [{"name": "server-1", "address": "127.0.0.1:1", "state": "leaving"}]
+    )
+    box = fleet.start("a")
+    support.wait_until(lambda: box.find("vmlist").leaving() == {"server-1"})
