--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import capnp
 import hypothesis
 import pytest
@@ -33,7 +35,7 @@
     messages.Proof(b"d" * 32),
     messages.Heartbeat(),
     messages.MembersRequest(),
-    messages.Lift("planner-llm", "desk", 12.5),
+    messages.Lift("planner-llm", "desk", 812.5),
     messages.Pending("planner-llm", "desk", 420.0, 3),
 )
 
@@ -63,8 +65,10 @@
     """
     source = codec.importlib.resources.files("celeryspan.wire") / "peer.capnp"
     newer = source.read_text().replace("0xd5c0a5be1f3a7c21", "0xd5c0a5be1f3a7c22")
-    kinds = len(codec._layouts())
-    newer = newer.replace("union {", f"union {{ later @{kinds} :Probe;")
+    last = max(int(number) for number in re.findall(r"^    \w+ @(\d+) :", newer, re.M))
+    newer = newer.replace(
+        "    demand @0 :Demand;", f"    demand @0 :Demand; later @{last + 1} :Probe;"
+    )
     (tmp_path / "newer.capnp").write_text(newer)
     schema = capnp.load(str(tmp_path / "newer.capnp"))
     frame = schema.Frame.new_message(texts=b"r-1\0gpu-1\0resting")
