--- a/celeryspan/services/forwarding.py
+++ b/celeryspan/services/forwarding.py
@@ -9,7 +9,7 @@
 import cherrypy
 import urllib3
 
-from celeryspan import calls, errors, events, ids
+from celeryspan import calls, errors, events, ids, states
 from celeryspan.adapters import backend, plain
 from celeryspan.decisions import tickets
 from celeryspan.services import answers, backends, exchange
@@ -62,10 +62,15 @@
         return _pass_back(link, response)
 
     def _connect(self, owner: claimstore.Owner) -> backend.Link:
-        for member in self._membership.alive():
-            if (member.router, member.incarnation) == owner:
-                return self._open(owner, member.caller_address)
-        raise make_gone(owner, "is gone or was restarted")
+        member = self._membership.find(owner.router)
+        if (
+            member is None
+            or member.incarnation != owner.incarnation
+            or member.state is states.MemberState.DEAD
+        ):
+            raise make_gone(owner, "is gone or was restarted")
+        # One that is suspected or leaving is asked: it still answers for its names.
+        return self._open(owner, member.caller_address)
 
     def _open(self, owner: claimstore.Owner, address: ids.Address) -> backend.Link:
         link = backend.Link(
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -207,6 +207,9 @@
     def alive(self) -> list[messages.Member]:
         return self.members
 
+    def find(self, router: ids.RouterId) -> messages.Member | None:
+        return next((item for item in self.members if item.router == router), None)
+
     def leave(self) -> None:
         self.left = True
 
