Wait for a configuration before the small fleet serves; show members' addresses

Cause: routers list each other before they have a configuration, and a caller who came at once was refused with 'starting'; status did not know the routers beyond the 16 of an address answer.

--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -134,6 +134,7 @@
                     "state": member.state.value,
                     "incarnation": member.incarnation,
                     "generation": member.generation,
+                    "caller_address": str(member.caller_address),
                 }
                 for member in self.members()
             },
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,12 +4,9 @@
 
 import dataclasses
 import hashlib
-import json
 import socket
 import time
 
-import urllib3
-
 from celeryspan import (
     configuration,
     errors,
@@ -20,7 +17,7 @@
     settings,
     states,
 )
-from celeryspan.adapters import store as store_adapter
+from celeryspan.adapters import routers, store as store_adapter
 from celeryspan.daemons import router
 from standins import engine, service, store, web
 
@@ -195,8 +192,8 @@
         while waiting:
             if time.monotonic() > ends:
                 raise errors.StartError(
-                    f"expected {len(self._vms)} routers in each address answer within "
-                    f"{READY_SECONDS:.0f} s, found fewer at "
+                    f"expected {len(self._vms)} routers with a configuration within "
+                    f"{READY_SECONDS:.0f} s, found fewer or none at "
                     f"{', '.join(str(address) for address in waiting)}",
                     step="start",
                 )
@@ -204,15 +201,14 @@
             time.sleep(POLL_SECONDS)
 
     def _is_ready(self, address: ids.Address) -> bool:
+        client = routers.RouterClient(OPERATOR_KEY)
         try:
-            answer = urllib3.request(
-                "GET", f"http://{address}/v1/addresses", retries=False, timeout=1.0
-            )
-            if answer.status != 200:
-                return False
-            return len(json.loads(answer.data)["addresses"]) == len(self._vms)
-        except urllib3.exceptions.HTTPError:
+            listed = client.get_addresses(str(address)).addresses
+        except errors.CeleryspanError:
             return False
+        return len(listed) == len(self._vms) and bool(
+            client.get_report(str(address)).generation
+        )
 
 
 def hash_key(key: str) -> str:
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -162,7 +162,7 @@
     enter("check", *files)
     enter("apply", *files, *store, "--dry_run")
     enter("addresses", *router)
-    enter("apply", *files, *store)
+    enter("apply", *files, *store, "--wait", "10", *router)
     enter("apply", *files, *store)
     enter("status", *router)
     monkeypatch.setenv("CELERYSPAN_OPERATOR_KEY", "wrong")
