Test the router daemon as a process: graceful stop, second signal, failed start

Cause: no test ran the daemon itself. Change: tests/daemons/test_router.py starts it against the stand-ins' object API.

--- /dev/null
+++ b/tests/daemons/test_router.py
@@ -0,0 +1,111 @@
+"""The router daemon as a process: start, failed start, stop by signal."""
+
+from __future__ import annotations
+
+import contextlib
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import pytest
+import yaml
+
+from bench import processes
+from celeryspan import publishing, rules
+from celeryspan.adapters import store as store_adapter
+from standins import fleet
+
+EXIT_SECONDS = 30
+
+
+@pytest.fixture
+def small() -> Iterator[fleet.Fleet]:
+    """Start a store with a configuration; its router's process is the test's."""
+    found = fleet.Fleet(fleet.Plan(accounts=("tower",), routers=1, engines=1, gates=1))
+    found.store.start()
+    client = store_adapter.StoreClient(str(found.store.address))
+    entries = found.make_configuration().register
+    publishing.publish(
+        client, publishing.read_standing(client), entries, rules.Rules(), "test"
+    )
+    yield found
+    found.stop()
+
+
+def write_settings(
+    small: fleet.Fleet, folder: pathlib.Path, *, address_seconds: float = 5.0
+) -> pathlib.Path:
+    values = small.routers[0].kernel.settings.model_dump(mode="json")
+    values |= {"address_seconds": address_seconds, "log_file": str(folder / "log")}
+    path = folder / "settings.yaml"
+    path.write_text(yaml.safe_dump(values))
+    return path
+
+
+@contextlib.contextmanager
+def start_router(path: pathlib.Path) -> Iterator[subprocess.Popen]:
+    command = [sys.executable, "-m", "celeryspan.daemons.command", "router"]
+    process = subprocess.Popen(
+        [*command, f"--settings={path}"], stderr=subprocess.PIPE, text=True
+    )
+    try:
+        yield process
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_signal_stops_the_router_gracefully(
+    small: fleet.Fleet, tmp_path: pathlib.Path
+) -> None:
+    path = write_settings(small, tmp_path, address_seconds=0.1)
+    with start_router(path) as process:
+        processes.wait_for(str(small.addresses[0]), "/v1/addresses")
+        process.terminate()
+        assert process.wait(EXIT_SECONDS) == 0
+        assert process.stderr.read() == ""
+    assert "service_stopped" in (tmp_path / "log").read_text()
+
+
+def test_second_signal_ends_a_stop_that_waits(
+    small: fleet.Fleet, tmp_path: pathlib.Path
+) -> None:
+    """An operator can't wait until callers have forgotten the address.
+
+    The first signal begins a stop of ten minutes; the second must end it at once, or
+    the VM is switched off with the router still in the address answers.
+    """
+    path = write_settings(small, tmp_path, address_seconds=600.0)
+    with start_router(path) as process:
+        processes.wait_for(str(small.addresses[0]), "/v1/addresses")
+        process.terminate()
+        wait_for_log(tmp_path, "signal_received")
+        process.terminate()
+        assert process.wait(EXIT_SECONDS) == 0
+
+
+def wait_for_log(folder: pathlib.Path, text: str) -> None:
+    ends = time.monotonic() + EXIT_SECONDS
+    while text not in (folder / "log").read_text():
+        assert time.monotonic() < ends, f"no {text} in the log"
+        time.sleep(0.05)
+
+
+def test_address_in_use_is_one_line_and_exit_1(
+    small: fleet.Fleet, tmp_path: pathlib.Path
+) -> None:
+    """Another process listens where the router should.
+
+    Without the service and the reason in the line, an operator sees only that the
+    process is gone; and a service left running would keep the process alive.
+    """
+    path = write_settings(small, tmp_path)
+    with socket.create_server(small.addresses[0]), start_router(path) as process:
+        assert process.wait(EXIT_SECONDS) == 1
+        printed = process.stderr.read()
+    assert "service 'caller' did not start" in printed
+    assert "Address already in use" in printed
+    assert printed.count("\n") == 1
