--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -6,11 +6,12 @@
 
 from __future__ import annotations
 
-import enum
+import collections
 import threading
+from collections.abc import Iterator
 
 import prometheus_client
-from prometheus_client import exposition
+from prometheus_client import core, exposition, registry
 
 from celeryspan import ids, kernel, states
 
@@ -47,11 +48,52 @@
 """Bounds of costs: 1 is a plain call, the rest are tokens of answers."""
 
 
-class Direction(enum.Enum):
-    """Which way control traffic went."""
+CONTROL_SERVICES = ("links", "datagrams")
+"""Services of the kernel that report bytes and messages between routers."""
 
-    IN = "in"
-    OUT = "out"
+DIRECTIONS = {"sent": "out", "received": "in"}
+"""Label value of each direction in their reports."""
+
+
+class ControlTraffic(registry.Collector):
+    """Reads at each scrape what the links and datagrams have counted.
+
+    Counting twice, there and here, would cost a lock for each message.
+
+    Parameters
+    ----------
+    box : Kernel or None
+        Finds the services; without it nothing is collected.
+    """
+
+    def __init__(self, box: kernel.Kernel | None) -> None:
+        self._box = box
+
+    def collect(self) -> Iterator[core.Metric]:
+        """Yield bytes and messages by direction and kind."""
+        totals: collections.Counter[tuple[str, str, str]] = collections.Counter()
+        for report in self._find_reports():
+            for name, direction in DIRECTIONS.items():
+                for kind, counts in report.get(name, {}).items():
+                    for unit in ("bytes", "messages"):
+                        totals[unit, direction, kind] += counts[unit]
+        for unit in ("bytes", "messages"):
+            family = core.CounterMetricFamily(
+                f"celeryspan_control_{unit}",
+                f"{unit.capitalize()} between routers, by kind of message.",
+                labels=["direction", "kind"],
+            )
+            for (counted, direction, kind), value in sorted(totals.items()):
+                if counted == unit:
+                    family.add_metric([direction, kind], value)
+            yield family
+
+    def _find_reports(self) -> Iterator[dict]:
+        for name in CONTROL_SERVICES if self._box else ():
+            try:
+                yield self._box.find(name).report()
+            except LookupError:
+                continue  # The service has not been made yet, or is stopped.
 
 
 @kernel.register("metrics")
@@ -61,7 +103,7 @@
     Parameters
     ----------
     box : Kernel, optional
-        The kernel that starts this service; not read.
+        The kernel that starts this service; finds what counts control traffic.
     """
 
     def __init__(self, box: kernel.Kernel | None = None) -> None:
@@ -99,12 +141,7 @@
         self._grants = self._make_gauge(
             "grants", "Grants of a backend server that are in use.", ["server"]
         )
-        self._control = prometheus_client.Counter(
-            "celeryspan_control_bytes",
-            "Bytes between routers, by kind of message.",
-            ["direction", "kind"],
-            registry=self.registry,
-        )
+        self.registry.register(ControlTraffic(box))
 
     def start(self) -> None:
         """Do nothing: metrics are ready once made."""
@@ -168,10 +205,6 @@
         self._window.remove_by_labels({"server": server})
         self._grants.remove_by_labels({"server": server})
 
-    def count_control(self, direction: Direction, kind: str, size: int) -> None:
-        """Count bytes of one kind of message to or from other routers."""
-        self._control.labels(direction.value, kind).inc(size)
-
     def render(self) -> bytes:
         """Return all metrics in the text format, of type :data:`CONTENT_TYPE`."""
         return prometheus_client.generate_latest(self.registry)
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from celeryspan import ids, metrics, states
+from celeryspan import ids, kernel, metrics, states
 
 GATE = ids.ServiceId("gate-desk")
 ACCOUNT = ids.AccountId("tower")
@@ -28,22 +28,50 @@
     assert cost == 300
 
 
-def test_gauges_and_control_bytes() -> None:
+def test_gauges_of_servers_go_with_their_home() -> None:
     counts = metrics.Metrics()
     server = ids.ServerId("gate-1")
     counts.set_backlog(GATE, ACCOUNT, 7)
     counts.set_window(server, 8)
     counts.set_grants(server, 3)
-    counts.count_control(metrics.Direction.OUT, "Grant", 38)
-    counts.count_control(metrics.Direction.OUT, "Grant", 2)
     text = counts.render().decode()
     assert 'celeryspan_backlog{account="tower",service="gate-desk"} 7.0' in text
     assert 'celeryspan_window_slots{server="gate-1"} 8.0' in text
-    assert 'celeryspan_control_bytes_total{direction="out",kind="Grant"} 40.0' in text
+    assert 'celeryspan_grants{server="gate-1"} 3.0' in text
     counts.forget_server(server)
     assert 'server="gate-1"' not in counts.render().decode()
 
 
+class Counting:
+    """A service that reports bytes and messages as links and datagrams do."""
+
+    def __init__(self, _box: kernel.Kernel) -> None:
+        pass
+
+    def start(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+    def report(self) -> dict[str, object]:
+        grant = {"messages": 2, "bytes": 40}
+        return {"refused": 0, "sent": {"grant": grant}, "received": {"probe": grant}}
+
+
+def test_control_traffic_of_links_and_datagrams_adds_up() -> None:
+    names = ("links", "datagrams")
+    made = {name: kernel.Registration(Counting, ()) for name in names}
+    made["metrics"] = kernel.Registration(metrics.Metrics, ())
+    box = kernel.Kernel(None, made)
+    box.start(["metrics"])
+    assert b"celeryspan_control_bytes_total{" not in box.find("metrics").render()
+    box.start(["links", "datagrams"])
+    text = box.find("metrics").render().decode()
+    assert 'celeryspan_control_bytes_total{direction="out",kind="grant"} 80.0' in text
+    assert 'celeryspan_control_messages_total{direction="in",kind="probe"} 4.0' in text
+
+
 def test_accounts_beyond_the_bound_share_a_label() -> None:
     """Thousands of client accounts use one router over its life.
 
