Refuse to list addresses before the first configuration

Ruled out: leaving out members that show generation 0, since at 1,300 routers a generation shown by random probes is seen minutes later by some. Change: a router without a configuration answers the address call with 503, not run, code starting. Conclusion: whoever asks for addresses gets a router that serves.

--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -124,6 +124,9 @@
 
     def get_addresses(self, found: exchange.Exchange) -> object:
         """Answer which routers to use."""
+        count = read_count()
+        if self.configuration.current() is None:
+            raise make_starting()
         near = self.settings.data_centre
         listed = addresses.choose(self.membership.alive(), near, self._random)
         if self.draining:
@@ -133,7 +136,7 @@
             {
                 "addresses": listed,
                 "keep_seconds": self.settings.address_seconds,
-                "tickets": self.claims.issue(read_count()),
+                "tickets": self.claims.issue(count),
             }
         )
 
@@ -217,6 +220,17 @@
     return min(int(text), tickets.BATCH_MAX)
 
 
+def make_starting() -> errors.NotRun:
+    """Return the answer of a fleet in which no router can serve yet."""
+    return errors.NotRun(
+        "no router has a configuration yet",
+        code="starting",
+        status=503,
+        retry_after=exchange.RETRY_SECONDS,
+        step="list addresses",
+    )
+
+
 def make_overload() -> errors.NotRun:
     """Return the refusal of a router that has no thread left."""
     return errors.NotRun(
