Order model engines from one router at a time, and move servers to work

Cause: engines must follow the register, two routers must not order them at once, and capacity must not idle for one model while work waits for another. Change: a lease by conditional update whose holder counts from before its write and whose successor from after its read; a fencing number in each order; loads one after the other over the fleet; engines that ignore the number are read again and again and wait for one greatest order time after a change of holder. Placement moves a server only on pressure that lasts, at most 60 an hour over the fleet and six for one server; the move drains the server and is a generation of the configuration. Conclusion: nothing is ordered unless the register names a model for the service.

--- a/celeryspan/configuration.py
+++ b/celeryspan/configuration.py
@@ -31,12 +31,16 @@
         Number of the configuration; a router applies only a higher one.
     author : str
         Who applied it, for the loser of a race to read.
+    placements : dict
+        Service of each model server that the routers have moved away from the
+        service that the register gives it.
     """
 
     generation: int = pydantic.Field(ge=1)
     author: str = ""
     register: _Register
     rules: _Rules = pydantic.Field(default_factory=_Rules)
+    placements: dict[str, str] = pydantic.Field(default_factory=dict)
 
     @functools.cached_property
     def services(self) -> dict[ids.ServiceId, register.Service]:
@@ -45,14 +49,20 @@
 
     @functools.cached_property
     def servers(self) -> dict[ids.ServerId, register.Server]:
-        """Backend servers by name, without the retired ones."""
+        """Backend servers by name, without the retired ones, where they are placed."""
         retired = set(self.rules.retirements)
         return {
-            ids.ServerId(item.name): item
+            ids.ServerId(item.name): self._place(item)
             for item in self.register.servers
             if item.name not in retired
         }
 
+    def _place(self, server: register.Server) -> register.Server:
+        service = self.placements.get(server.name, server.service)
+        if service == server.service or service not in self.services:
+            return server
+        return server.model_copy(update={"service": service})
+
     @functools.cached_property
     def _accounts_by_hash(self) -> dict[str, ids.AccountId]:
         return {
--- a/celeryspan/publishing.py
+++ b/celeryspan/publishing.py
@@ -83,9 +83,16 @@
     entries: register.Register,
     added: rules.Rules,
     author: str,
+    placements: dict[str, str] | None = None,
 ) -> configuration.Configuration:
     """Write the generation after the one that stands.
 
+    Parameters
+    ----------
+    placements : dict, optional
+        Services of servers moved by the routers; those that stand by default, but
+        for the servers whose service the register changes.
+
     Raises
     ------
     NotPublished
@@ -93,8 +100,14 @@
     PublicationUnknown
         If no answer came and the state could not be read back.
     """
+    if placements is None:
+        placements = keep_placements(standing.value, entries)
     value = configuration.Configuration(
-        generation=standing.generation + 1, author=author, register=entries, rules=added
+        generation=standing.generation + 1,
+        author=author,
+        register=entries,
+        rules=added,
+        placements=placements,
     )
     chunks = documents.split(documents.pack(value))
     index = documents.Index(
@@ -113,6 +126,26 @@
     return value
 
 
+def keep_placements(
+    old: configuration.Configuration | None, entries: register.Register
+) -> dict[str, str]:
+    """Return the placements that still hold under a new register.
+
+    An operator who gives a server another service means that one; without this an
+    old move would win over the new register, silently and for good.
+    """
+    if old is None:
+        return {}
+    before = {server.name: server.service for server in old.register.servers}
+    after = {server.name: server.service for server in entries.servers}
+    services = {service.name for service in entries.services}
+    return {
+        name: service
+        for name, service in old.placements.items()
+        if service in services and name in after and after[name] == before.get(name)
+    }
+
+
 def _write_chunks(client: Client, chunks: dict[str, bytes]) -> None:
     for key, piece in chunks.items():
         try:
--- a/celeryspan/register.py
+++ b/celeryspan/register.py
@@ -50,12 +50,21 @@
         Prefixes of paths whose calls may be repeated whatever their method.
     cost_hint : float
         Typical cost of a request in cost units (tokens for a model).
+    model, version, role : str
+        What its model engines are ordered to have loaded and to be; the empty text
+        leaves them as they are.
+    adapters : tuple of str
+        Adapters that go with the model.
     """
 
     name: Name
     kind: states.ServiceKind
     idempotent_paths: tuple[str, ...] = ()
     cost_hint: float = pydantic.Field(default=1.0, gt=0)
+    model: str = ""
+    adapters: tuple[str, ...] = ()
+    version: str = ""
+    role: str = ""
 
 
 class Server(Model):
--- /dev/null
+++ b/celeryspan/services/leasing.py
@@ -0,0 +1,81 @@
+"""Keeps one lease in the object API for as long as this router is wanted for it."""
+
+from __future__ import annotations
+
+import secrets
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import errors, events
+from celeryspan.decisions import leases
+
+if TYPE_CHECKING:
+    from celeryspan.services import store
+
+PREFIX = "leases/"
+
+
+class LeaseKeeper:
+    """Makes the store calls that a lease asks for.
+
+    Parameters
+    ----------
+    duty : str
+        Name of the duty; the key of the object.
+    holder : str
+        Name of this router and incarnation.
+    """
+
+    def __init__(self, service: store.StoreService, duty: str, holder: str) -> None:
+        self.lease = leases.Lease(holder)
+        self._store = service
+        self._duty = duty
+        self._held = False
+
+    def holds(self) -> bool:
+        """Whether this router holds the duty now."""
+        return self.lease.holds(time.monotonic())
+
+    def step(self, *, wanted: bool) -> None:
+        """Make the next call of the store, if one is due."""
+        call = self.lease.choose(time.monotonic(), secrets.token_hex(8), wanted=wanted)
+        try:
+            self._make(call)
+        except errors.Conflict:
+            self.lease.take_conflict()
+        except errors.InputError as error:
+            events.log(events.Event.TASK_FAILED, task=self._duty, error=str(error))
+        except errors.StoreNotAsked:
+            self.lease.take_not_sent()
+        except errors.StoreError:
+            pass  # The service ``store`` logs it; a write is read back before another.
+        self._note_change()
+
+    def _make(self, call: leases.Call) -> None:
+        key = PREFIX + self._duty
+        match call.step:
+            case leases.Step.READ:
+                self._read(key)
+            case leases.Step.CREATE:
+                version = self._store.create(key, call.record.encode())
+                self.lease.take_written(version)
+            case leases.Step.UPDATE:
+                value = call.record.encode()
+                version = self._store.update(key, value, call.version)
+                self.lease.take_written(version)
+
+    def _read(self, key: str) -> None:
+        try:
+            value, version = self._store.get(key)
+        except errors.NotFound:
+            self.lease.take_read(None, 0, time.monotonic())
+            return
+        record = leases.Record.decode(value)
+        self.lease.take_read(record, version, time.monotonic())
+
+    def _note_change(self) -> None:
+        holds = self.holds()
+        if holds != self._held:
+            self._held = holds
+            event = events.Event.LEASE_TAKEN if holds else events.Event.LEASE_LOST
+            events.log(event, duty=self._duty, fence=self.lease.fence)
--- /dev/null
+++ b/celeryspan/services/moves.py
@@ -0,0 +1,161 @@
+"""Moves one model server at a time from one service to another.
+
+The server first gets no new work, by the same facts as one that is leaving; when its
+last request has ended its new service is written as a generation of the configuration,
+which every router puts in force; the order to load follows from that, and the server
+gets work again once it has loaded. No request is cut. If the holder dies in between,
+the server comes back by the VM list, with whichever service the configuration names.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import configuration, errors, events, ids, publishing, register
+from celeryspan.adapters import load, store
+from celeryspan.decisions import placement
+
+if TYPE_CHECKING:
+    from celeryspan.services import vmlist
+
+DRAIN_SECONDS = 600.0
+"""A server that has not finished its requests by then stays where it is."""
+
+QUIET_SECONDS = 3.0
+"""How long a server must have had no request: a grant that was on its way when the
+fact spread is used within a second."""
+
+LOADED_SECONDS = 600.0
+"""A server that has not loaded by then is left to operators."""
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far the move under way has come."""
+
+    move: placement.Move
+    began_at: float
+    quiet_since: float | None = None
+    written: bool = False
+
+
+class Mover:
+    """Carries out what :class:`placement.Placement` decides."""
+
+    def __init__(
+        self, client: store.StoreClient, departures: vmlist.VMListService, author: str
+    ) -> None:
+        self._client = client
+        self._departures = departures
+        self._author = author
+        self._loads = load.LoadClient()
+        self._placement = placement.Placement()
+        self._progress: Progress | None = None
+
+    def describe(self) -> str:
+        """Return the move under way as text for ``status``."""
+        if self._progress is None:
+            return ""
+        move = self._progress.move
+        return f"{move.server}: {move.giver} -> {move.taker}"
+
+    def work(
+        self,
+        current: configuration.Configuration,
+        managed: dict[ids.ServerId, register.Server],
+        pressures: dict[ids.ServiceId, placement.Pressure],
+        now: float,
+    ) -> None:
+        """Begin a move if one is due, or bring the one under way a step further."""
+        if self._progress is None:
+            self._begin(managed, pressures, now)
+            return
+        # The list of VMs calls the server live, and would give it work meanwhile.
+        self._departures.mark_leaving(self._progress.move.server)
+        if not self._progress.written:
+            self._drain(current, managed, now)
+        elif now - self._progress.began_at > LOADED_SECONDS:
+            self._progress = None
+
+    def note_loaded(self, server: ids.ServerId) -> None:
+        """Note that a server has what its service wants; it gets work again."""
+        progress = self._progress
+        if progress is None or not progress.written or progress.move.server != server:
+            return
+        self._progress = None
+        self._departures.mark_live(server)
+        events.log(
+            events.Event.SERVER_MOVED, server=server, service=progress.move.taker
+        )
+
+    def give_up(self) -> None:
+        """End the move under way: the duty is lost."""
+        if self._progress is not None and not self._progress.written:
+            self._departures.mark_live(self._progress.move.server)
+        self._progress = None
+
+    def _begin(
+        self,
+        managed: dict[ids.ServerId, register.Server],
+        pressures: dict[ids.ServiceId, placement.Pressure],
+        now: float,
+    ) -> None:
+        leaving = self._departures.leaving()
+        placed = {
+            name: placement.Placed(ids.ServiceId(server.service), server.slots)
+            for name, server in managed.items()
+            if name not in leaving
+        }
+        move = self._placement.choose(pressures, placed, now)
+        if move is None:
+            return
+        self._placement.note_move(move.server, now)
+        self._progress = Progress(move, now)
+        self._departures.mark_leaving(move.server)
+
+    def _drain(
+        self,
+        current: configuration.Configuration,
+        managed: dict[ids.ServerId, register.Server],
+        now: float,
+    ) -> None:
+        progress = self._progress
+        server = managed.get(progress.move.server)
+        if server is None or now - progress.began_at > DRAIN_SECONDS:
+            self.give_up()
+            return
+        address = ids.Address.parse(server.address)
+        try:
+            report = self._loads.read(progress.move.server, address, now)
+        except errors.CeleryspanError:
+            return
+        if report.running or report.waiting:
+            progress.quiet_since = None
+            return
+        if progress.quiet_since is None:
+            progress.quiet_since = now
+        if now - progress.quiet_since >= QUIET_SECONDS:
+            self._write(current, progress)
+
+    def _write(self, current: configuration.Configuration, progress: Progress) -> None:
+        """Write the new service as a generation; an operator's change wins."""
+        standing = publishing.read_standing(self._client)
+        if standing.generation != current.generation:
+            return  # A newer one is on its way here; look again with it in force.
+        placements = dict(current.placements)
+        placements[progress.move.server] = progress.move.taker
+        try:
+            publishing.publish(
+                self._client,
+                standing,
+                current.register,
+                current.rules,
+                f"placement by {self._author}",
+                placements,
+            )
+        except publishing.NotPublished:
+            return
+        progress.written = True
+        progress.began_at = time.monotonic()
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -248,6 +248,24 @@
     """Ask for a :class:`Member` of each router that the receiver knows."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pressure:
+    """What one router sees of one service, for the placement of model servers.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests that wait at the sender.
+    busy, slots : int
+        Slots in use and in all of the servers whose home the sender is.
+    """
+
+    service: ids.ServiceId
+    waiting: int
+    busy: int
+    slots: int
+
+
 Message = (
     Demand
     | Grant
@@ -269,6 +287,7 @@
     | Proof
     | Heartbeat
     | MembersRequest
+    | Pressure
 )
 
 
--- a/celeryspan/wire/outbox.py
+++ b/celeryspan/wire/outbox.py
@@ -148,6 +148,11 @@
     return (message.server,)
 
 
+@register_key(messages.Pressure)
+def _name_service(message: messages.Pressure) -> Key:
+    return (message.service,)
+
+
 @register_key(messages.ConfigurationOffer)
 @register_key(messages.ConfigurationRequest)
 @register_key(messages.ConfigurationValue)
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -37,6 +37,7 @@
     membersRequest @17 :MembersRequest;
     lift @18 :Lift;
     pending @19 :Pending;
+    pressure @20 :Pressure;
   }
 }
 
@@ -161,3 +162,10 @@
 
 struct MembersRequest {
 }
+
+struct Pressure {
+  service @0 :Text;
+  waiting @1 :UInt32;
+  busy @2 :UInt32;
+  slots @3 :UInt32;
+}
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -36,6 +36,7 @@
     messages.Heartbeat(),
     messages.MembersRequest(),
     messages.Lift("planner-llm", "desk", 812.5),
+    messages.Pressure("planner-llm", 3, 7, 16),
     messages.Pending("planner-llm", "desk", 420.0, 3),
 )
 
