--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -11,7 +11,7 @@
 
 from bench import policies, world
 from celeryspan import ids
-from celeryspan.decisions import charges, exchange, fallback, grants, homes, sharing
+from celeryspan.decisions import exchange, fallback, grants, homes, sharing
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -52,7 +52,7 @@
         )
         self.exchange = exchange.Exchange(fleet.make_rule())
         self.demands = exchange.Demands()
-        self.estimator = charges.Estimator()
+        self.estimator = sharing.Estimator()
         self.queues: dict[Key, collections.deque[world.Job]] = {}
         self.running: dict[world.Job, messages.Grant] = {}
         self.units: dict[Key, float] = {}
@@ -237,7 +237,7 @@
         for item in frame:
             if isinstance(item, messages.Counter):
                 self.counters.merge(item)
-            elif isinstance(item, sharing.Lift):
+            elif isinstance(item, messages.Lift):
                 self.counters.merge_lift(item)
             else:
                 self.counters.merge_pending(self.fleet.names[sender], item)
@@ -347,7 +347,7 @@
         return self.fleet.nodes[self.index] is self and self.world.alive[self.index]
 
 
-Shared = messages.Counter | sharing.Lift | sharing.Pending
+Shared = messages.Counter | messages.Lift | messages.Pending
 
 
 @policies.register("celeryspan")
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from bench import world
-from celeryspan.decisions import charges
+from celeryspan.decisions import charges, sharing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,7 +46,7 @@
     def __init__(self, owner: world.World, charge: str = "slots") -> None:
         self._world = owner
         self._charge = charge
-        self._estimator = charges.Estimator()
+        self._estimator = sharing.Estimator()
         self._slot_charge = charges.Charge()
         self._queues: dict[Key, collections.deque[world.Job]] = {}
         self._running: dict[Key, dict[world.Job, float]] = {}
--- a/celeryspan/decisions/charges.py
+++ b/celeryspan/decisions/charges.py
@@ -15,11 +15,6 @@
 
 if TYPE_CHECKING:
     from celeryspan import ids
-    from celeryspan.decisions import sharing
-
-# A tenth of each new cost enters the learned mean: about the last ten requests count,
-# few enough to follow an account that changes its work within a minute.
-LEARNING_RATE = 0.1
 
 # The charge for a slot in use, in mean costs of the service. A slot seen at any moment
 # has (1 + cv**2) / 2 mean costs before it, 2.1 for the costs of language models.
@@ -60,35 +55,3 @@
     def greatest(self, service: ids.ServiceId) -> float:
         """Return the greatest cost settled so far, in cost units; 0 if none."""
         return self._greatest.get(service, 0.0)
-
-
-class Estimator:
-    """Learns what requests of an account cost, because hints are off by threefold.
-
-    Without a settled request of the account the hint counts, and without a hint the
-    service's typical cost. Only waiting times are foretold with it, see the module.
-    """
-
-    def __init__(self) -> None:
-        self._means: dict[sharing.Key, float] = {}
-
-    def settle(
-        self, service: ids.ServiceId, account: ids.AccountId, cost: float
-    ) -> None:
-        """Learn from the true cost of a request that ended, in cost units."""
-        key = (service, account)
-        mean = self._means.get(key, cost)
-        self._means[key] = mean + LEARNING_RATE * (cost - mean)
-
-    def estimate(
-        self,
-        service: ids.ServiceId,
-        account: ids.AccountId,
-        hint: float | None,
-        typical: float,
-    ) -> float:
-        """Return the cost to expect, in cost units."""
-        mean = self._means.get((service, account))
-        if mean is not None:
-            return mean
-        return typical if hint is None else hint
--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -83,7 +83,7 @@
         self._demands = demands.Demands()
         self._charge = charges.Charge()
         self._floors: dict[ids.ServiceId, float] = {}
-        self._lifts: list[sharing.Lift] = []
+        self._lifts: list[messages.Lift] = []
         self._sequence = 0
 
     def add_server(
@@ -233,16 +233,16 @@
             issued += self._issue_service(service, now)
         return issued
 
-    def take_lifts(self) -> list[sharing.Lift]:
+    def take_lifts(self) -> list[messages.Lift]:
         """Return the lifts decided since the last call, to be told to other homes."""
         lifts, self._lifts = self._lifts, []
         return lifts
 
-    def take_pending(self) -> list[sharing.Pending]:
+    def take_pending(self) -> list[messages.Pending]:
         """Return the slots held where they changed since the last call."""
         return self._make_pending(self._slots.take_changed())
 
-    def list_pending(self) -> list[sharing.Pending]:
+    def list_pending(self) -> list[messages.Pending]:
         """Return all slots held: for a home that is new or has lost its state."""
         return self._make_pending(self._slots.list_held())
 
@@ -300,14 +300,16 @@
         return min(accounts, key=lambda item: (self._standing(service, item), item))
 
     def _standing(self, service: ids.ServiceId, account: ids.AccountId) -> float:
-        held = self._slots.count(service, account)
-        charge = self._charge.per_slot(service)
-        return self._counters.standing(service, account, held, charge)
+        charged = self._charge_slots(service, account)
+        return self._counters.standing(service, account, charged)
 
-    def _make_pending(self, keys: list[sharing.Key]) -> list[sharing.Pending]:
+    def _charge_slots(self, service: ids.ServiceId, account: ids.AccountId) -> float:
+        return self._charge.per_slot(service) * self._slots.count(service, account)
+
+    def _make_pending(self, keys: list[sharing.Key]) -> list[messages.Pending]:
         self._sequence += 1
         return [
-            sharing.Pending(*key, self._slots.count(*key), self._sequence)
+            messages.Pending(*key, self._charge_slots(*key), self._sequence)
             for key in keys
         ]
 
--- a/celeryspan/decisions/sharing.py
+++ b/celeryspan/decisions/sharing.py
@@ -27,42 +27,16 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-Key = tuple[ids.ServiceId, ids.AccountId]
-Source = tuple[ids.RouterId, ids.Incarnation]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lift:
-    """The start that an account was given when it became backlogged.
-
-    Attributes
-    ----------
-    level : float
-        Added to what the account has received, in cost units per weight. It only
-        grows and merges by maximum.
-    """
+# A tenth of each new cost enters the learned mean: about the last ten requests count,
+# few enough to follow an account that changes its work within a minute.
+LEARNING_RATE = 0.1
 
-    service: ids.ServiceId
-    account: ids.AccountId
-    level: float
 
+Key = tuple[ids.ServiceId, ids.AccountId]
+Source = tuple[ids.RouterId, ids.Incarnation]
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
-    """Slots that an account holds under the grants of one home.
-
-    Attributes
-    ----------
-    slots : int
-        Granted or in use; 0 once nothing is in progress.
-    sequence : int
-        Grows with each message of the home's incarnation; the newest wins.
-    """
-
-    service: ids.ServiceId
-    account: ids.AccountId
-    slots: int
-    sequence: int
+Lift = messages.Lift
+Pending = messages.Pending
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +82,7 @@
         self._totals: dict[Key, float] = {}
         self._lifts: dict[Key, float] = {}
         self._pending: dict[ids.RouterId, dict[Key, Pending]] = {}
-        self._pending_totals: dict[Key, int] = {}
+        self._pending_totals: dict[Key, float] = {}
 
     def give(
         self, service: ids.ServiceId, account: ids.AccountId, units: float
@@ -148,14 +122,18 @@
         if old is not None and old.sequence >= pending.sequence:
             return False
         known[key] = pending
-        change = pending.slots - (old.slots if old else 0)
-        self._pending_totals[key] = self._pending_totals.get(key, 0) + change
+        change = pending.units - (old.units if old else 0.0)
+        self._pending_totals[key] = self._pending_totals.get(key, 0.0) + change
         return True
 
     def forget_pending(self, home: ids.RouterId) -> None:
         """Drop what a home had in progress: it left, died or was cut off."""
         for key, pending in self._pending.pop(home, {}).items():
-            self._pending_totals[key] -= pending.slots
+            self._pending_totals[key] -= pending.units
+
+    def keys(self) -> tuple[Key, ...]:
+        """Return the (service, account) pairs that have received service."""
+        return tuple(self._totals)
 
     def received(self, service: ids.ServiceId, account: ids.AccountId) -> float:
         """Return the service received since the fleet began, in cost units."""
@@ -168,19 +146,20 @@
         return units / self._weigh(account) + self._lifts.get(key, 0.0)
 
     def standing(
-        self, service: ids.ServiceId, account: ids.AccountId, slots: int, charge: float
+        self,
+        service: ids.ServiceId,
+        account: ids.AccountId,
+        in_progress: float = 0.0,
     ) -> float:
         """Return the key by which a home chooses: the least is served next.
 
         Parameters
         ----------
-        slots : int
-            Slots that the account holds under the caller's own grants.
-        charge : float
-            For each slot in use, in cost units.
+        in_progress : float
+            Charge for the slots under the caller's own grants, in cost units.
         """
-        held = self._pending_totals.get((service, account), 0) + slots
-        return self.level(service, account) + charge * held / self._weigh(account)
+        pending = self._pending_totals.get((service, account), 0.0) + in_progress
+        return self.level(service, account) + pending / self._weigh(account)
 
     def lift(
         self,
@@ -297,3 +276,35 @@
         for counters in self._units.values():
             for key, units in counters.items():
                 self._totals[key] = self._totals.get(key, 0.0) + units
+
+
+class Estimator:
+    """Learns what requests of an account cost, because hints are off by threefold.
+
+    Without a settled request of the account the hint counts, and without a hint the
+    service's typical cost. Only waiting times are foretold with it, see the module.
+    """
+
+    def __init__(self) -> None:
+        self._means: dict[Key, float] = {}
+
+    def settle(
+        self, service: ids.ServiceId, account: ids.AccountId, cost: float
+    ) -> None:
+        """Learn from the true cost of a request that ended, in cost units."""
+        key = (service, account)
+        mean = self._means.get(key, cost)
+        self._means[key] = mean + LEARNING_RATE * (cost - mean)
+
+    def estimate(
+        self,
+        service: ids.ServiceId,
+        account: ids.AccountId,
+        hint: float | None,
+        typical: float,
+    ) -> float:
+        """Return the cost to expect, in cost units."""
+        mean = self._means.get((service, account))
+        if mean is not None:
+            return mean
+        return typical if hint is None else hint
