Refuse by expected run time, eject outliers, judge by what callers receive

Cause: the first admission rule looked at waiting time alone; requests were started with too little time left to finish. Departures in the moment of arrival made the drain rate far too high. Outliers had no body. Change: run time per cost unit is learned and counted at entry and in the queue; a hint alone never refuses a request for which a slot is about to be free; drain rate ignores requests that did not wait. Outliers are whole: failures in a row, share of failures, seconds per cost unit against the median of the others, floor of one half, trials. Queues.end takes the time and whether the request was answered; expire() also returns requests that can no longer be answered in time.

--- /dev/null
+++ b/bench/admission.py
@@ -0,0 +1,143 @@
+"""What callers receive with and without admission: burst, overload, hot caller.
+
+``python -m bench admission`` prints one table for each load pattern.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import statistics
+
+from bench import one_router
+from celeryspan.decisions import admission
+
+SEEDS = (1, 2, 3)
+CAPACITY = 36.0
+"""Requests a second of `make_servers` at the mean cost."""
+
+MEAN_COST = 100.0
+RATE = 25.0
+PATIENCE = 30.0
+"""Seconds that a caller waits for one attempt; the longest run takes 20."""
+
+PERSISTENCE = 15.0
+SECONDS = 40.0
+
+
+def make_servers(count: int = 9) -> list[one_router.Server]:
+    """Return servers of 16 slots at 25 units a second."""
+    return [one_router.Server(f"s{index}", 16, RATE) for index in range(count)]
+
+
+def make_calls(
+    rates: dict[str, float], seconds: float, seed: int, start: float = 0.0
+) -> list[one_router.Call]:
+    """Return calls of accounts at given rates, with heavy-tailed costs."""
+    rng = random.Random(seed)
+    calls = []
+    for account, rate in rates.items():
+        at = start
+        while (at := at + rng.expovariate(rate)) < start + seconds:
+            cost = min(5 * MEAN_COST, rng.lognormvariate(4.1, 1.0))
+            hint = cost * 3 ** rng.uniform(-1, 1)
+            calls.append(
+                one_router.Call(at, account, cost, PATIENCE, PERSISTENCE, hint=hint)
+            )
+    return calls
+
+
+def make_overload(factor: float, seed: int) -> list[one_router.Call]:
+    """Return four equal accounts at a multiple of the capacity."""
+    rates = {name: CAPACITY * factor / 4 for name in ("a", "b", "c", "d")}
+    return make_calls(rates, SECONDS, seed)
+
+
+def make_burst(seed: int) -> list[one_router.Call]:
+    """Return a steady half load with 600 calls of one account within a second."""
+    calls = make_calls({name: CAPACITY / 8 for name in "abcd"}, SECONDS, seed)
+    return calls + make_calls({"a": 600.0}, 1.0, seed + 100, start=20.0)
+
+
+def make_hot_caller(seed: int) -> list[one_router.Call]:
+    """Return one account at nine times the capacity among three at a tenth."""
+    rates = {"hot": CAPACITY * 9, "b": 3.6, "c": 3.6, "d": 3.6}
+    return make_calls(rates, SECONDS, seed)
+
+
+PATTERNS = {
+    "burst": make_burst,
+    "hot caller": make_hot_caller,
+    "overload x2": lambda seed: make_overload(2.0, seed),
+    "overload x10": lambda seed: make_overload(10.0, seed),
+}
+
+
+def summarise(
+    records: list[one_router.Record], router: one_router.Router
+) -> dict[str, float]:
+    """Return what callers received, and what it cost."""
+    answered = [one for one in records if one.answered_at is not None]
+    polite = [one for one in records if one.call.account not in ("hot", "a")]
+    polite_answered = [one for one in polite if one.answered_at is not None]
+    waits = sorted(one.wait for one in polite_answered) or [0.0]
+    busy = sum(server.busy_seconds for server in router.servers.values())
+    late = sum(
+        one.call.cost / RATE for one in records if one.runs and one.answered_at is None
+    )
+    codes = {reason.value for reason in admission.Reason}
+    refused = [
+        one.ended_at - one.attempt_at
+        for one in records
+        if one.code in codes and one.ended_at is not None
+    ] or [0.0]
+    return {
+        "callers": len(records),
+        "answered": len(answered),
+        "others_answered_share": len(polite_answered) / len(polite),
+        "others_wait_p99": waits[int(0.99 * (len(waits) - 1))],
+        "wasted_share": late / busy,
+        "attempts_per_answer": sum(one.attempts for one in records) / len(answered),
+        "refused_after": statistics.fmean(refused),
+    }
+
+
+CASES = {
+    "one queue, open": one_router.Mechanisms(admission="open", account_queues=False),
+    "one queue, bounded": one_router.Mechanisms(
+        admission="bounded", account_queues=False
+    ),
+    "account queues, open": one_router.Mechanisms(admission="open"),
+    "account queues, bounded": one_router.Mechanisms(admission="bounded"),
+    "celeryspan": one_router.Mechanisms(),
+}
+
+
+def measure(pattern: str, case: str, seeds: tuple[int, ...] = SEEDS) -> dict:
+    """Return means over seeds of one pattern under one set of mechanisms."""
+    results = []
+    for seed in seeds:
+        router = one_router.Router(make_servers(), CASES[case], seed)
+        records = router.run(PATTERNS[pattern](seed))
+        results.append(summarise(records, router))
+    return {
+        name: round(statistics.fmean(one[name] for one in results), 3)
+        for name in results[0]
+    }
+
+
+def run(arguments: list[str]) -> int:
+    """Print a table for each load pattern and the JSON of all."""
+    del arguments
+    table: dict[str, dict[str, dict]] = {}
+    for pattern in PATTERNS:
+        print(f"\n{pattern}")
+        for case in CASES:
+            result = measure(pattern, case)
+            if case == next(iter(CASES)):
+                print(f"{'':26}" + "".join(f"{name:>23}" for name in result))
+            print(f"{case:26}" + "".join(f"{value:23}" for value in result.values()))
+            table.setdefault(pattern, {})[case] = result
+    bounds = {"max_waiting": admission.MAX_WAITING}
+    print(json.dumps({"bench": "admission", **bounds, "patterns": table}))
+    return 0
--- a/celeryspan/decisions/admission.py
+++ b/celeryspan/decisions/admission.py
@@ -153,7 +153,7 @@
         jitter : float
             Random number from 0 to 1, for the `Retry-After` of a refusal.
         """
-        reason = self._find_reason(work, size, now)
+        reason = self._find_reason(work, size, estimate, now)
         if reason is not None:
             return self.refuse(work, reason, now, jitter)
         shed = self._make_room(work, size, now, jitter)
@@ -184,7 +184,9 @@
         seconds = max(MIN_RETRY_SECONDS, seconds) * (1.0 + JITTER_SHARE * jitter)
         return Refused(work.request, reason, seconds)
 
-    def _find_reason(self, work: dispatch.Work, size: int, now: float) -> Reason | None:
+    def _find_reason(
+        self, work: dispatch.Work, size: int, estimate: float, now: float
+    ) -> Reason | None:
         if work.deadline <= now:
             return Reason.EXPIRED
         waiting = self._queues.waiting(work.service, work.account)
@@ -192,7 +194,8 @@
         if waiting >= self._bounds.waiting or held + size > self._bounds.account_bytes:
             return Reason.QUEUE_FULL
         rate = self._queues.drain_rate(work.service, work.account, now)
-        if rate is not None and waiting > rate * (work.deadline - now):
+        limit = self._queues.wait_limit(work, estimate, now)
+        if rate is not None and waiting > rate * limit:
             return Reason.DEADLINE_UNREACHABLE
         return None
 
--- a/celeryspan/decisions/outliers.py
+++ b/celeryspan/decisions/outliers.py
@@ -16,8 +16,39 @@
 
 import dataclasses
 import enum
+import statistics
 
 from celeryspan import ids
+from celeryspan.decisions import pacing
+
+FAILURES_IN_ROW = 5
+"""Failures that eject a server: with one in ten requests failing by chance, five in a
+row come once in 100,000 requests."""
+
+FAILURE_SHARE = 0.5
+"""Share of recent requests that failed, above which a server is ejected."""
+
+SLOW_FACTOR = 3.0
+"""Seconds per cost unit over the median of the service that eject a server."""
+
+MIN_SAMPLES = 10
+"""Ended requests before a server is judged by its mean."""
+
+MEMORY = 0.9
+"""Weight kept by earlier requests at each new one: about ten requests count."""
+
+KEPT_SHARE = 0.5
+"""Share of a service's servers that is never ejected: one half carries the load at
+twice the wait, a third would be overloaded and look slow in turn."""
+
+EJECT_SECONDS = 10.0
+"""First ejection; doubles with each that follows."""
+
+MAX_EJECT_SECONDS = 300.0
+"""Longest ejection: a repaired server is back within five minutes."""
+
+TRIAL_ANSWERS = 3
+"""Answers in a row, one at a time, that end a trial."""
 
 
 class Standing(enum.Enum):
@@ -37,19 +68,55 @@
     reason: str
 
 
+@dataclasses.dataclass(slots=True)
+class _Server:
+    standing: Standing = Standing.GOOD
+    samples: float = 0.0
+    failures: float = 0.0
+    in_row: int = 0
+    seconds: float = 0.0
+    units: float = 0.0
+    until: float = 0.0
+    ejections: int = 0
+    trial_answers: int = 0
+
+    def learn(self, failed: bool, seconds: float, cost: float) -> None:
+        self.samples = self.samples * MEMORY + 1.0
+        self.failures = self.failures * MEMORY + failed
+        self.in_row = self.in_row + 1 if failed else 0
+        if not failed:
+            self.seconds = self.seconds * MEMORY + seconds
+            self.units = self.units * MEMORY + cost
+
+    def forget_samples(self) -> None:
+        self.samples = self.failures = self.seconds = self.units = 0.0
+        self.in_row = self.trial_answers = 0
+
+    @property
+    def known(self) -> bool:
+        """Enough samples: the decayed count tends to ``1 / (1 - MEMORY)``."""
+        return self.samples >= (1.0 - MEMORY**MIN_SAMPLES) / (1.0 - MEMORY) * 0.99
+
+    @property
+    def unit_seconds(self) -> float | None:
+        return self.seconds / self.units if self.units > 0.0 else None
+
+
 class Outliers:
     """Judges the servers of one service by their answers."""
 
     def __init__(self) -> None:
-        self._standings: dict[ids.ServerId, Standing] = {}
+        self._servers: dict[ids.ServerId, _Server] = {}
+        self._pacer = pacing.Pacer(pacing.Loop.EJECTION.value)
+        self._trials = pacing.Pacer(pacing.Loop.READMISSION.value)
 
     def add(self, server: ids.ServerId, now: float) -> None:
         """Begin to judge a server."""
-        self._standings.setdefault(server, Standing.GOOD)
+        self._servers.setdefault(server, _Server())
 
     def remove(self, server: ids.ServerId) -> None:
         """Forget a server that is gone."""
-        self._standings.pop(server, None)
+        self._servers.pop(server, None)
 
     def record(
         self,
@@ -71,15 +138,32 @@
             True cost in cost units: slowness is seconds per unit, so that a server is
             not blamed for long jobs.
         """
-        return []
+        one = self._servers.setdefault(server, _Server())
+        one.learn(failed, seconds, cost)
+        if one.standing is Standing.TRIAL:
+            return self._judge_trial(server, one, failed, now)
+        reason = self._find_fault(server, one)
+        if one.standing is Standing.EJECTED or reason is None:
+            return []
+        if not self._may_eject(now):
+            return []
+        return [self._eject(server, one, reason, now)]
 
     def evaluate(self, now: float) -> list[Change]:
         """Return changes that are due by time: trials after an ejection."""
-        return []
+        changes = []
+        for server, one in self._servers.items():
+            due = one.standing is Standing.EJECTED and now >= one.until
+            if due and self._trials.allow("service", now):
+                one.standing = Standing.TRIAL
+                one.forget_samples()
+                changes.append(Change(server, Standing.TRIAL, "time is over"))
+        return changes
 
     def standing(self, server: ids.ServerId) -> Standing:
         """Return the standing of a server; one never seen is good."""
-        return self._standings.get(server, Standing.GOOD)
+        one = self._servers.get(server)
+        return one.standing if one else Standing.GOOD
 
     def slots(self, server: ids.ServerId, window: int) -> int:
         """Return how many slots of a window may be used: one during a trial."""
@@ -87,3 +171,58 @@
         if standing is Standing.EJECTED:
             return 0
         return min(window, 1) if standing is Standing.TRIAL else window
+
+    def _find_fault(self, server: ids.ServerId, one: _Server) -> str | None:
+        if one.in_row >= FAILURES_IN_ROW:
+            return f"{one.in_row} failures in a row"
+        if not one.known:
+            return None
+        if one.failures > FAILURE_SHARE * one.samples:
+            return "more than half of its requests failed"
+        if self._is_slow(server, one):
+            return "far slower than its peers"
+        return None
+
+    def _is_slow(self, server: ids.ServerId, one: _Server) -> bool:
+        """Compare with the median of the others, which one slow server cannot move."""
+        mine = one.unit_seconds
+        others = [
+            peer.unit_seconds
+            for name, peer in self._servers.items()
+            if name != server and peer.known and peer.unit_seconds is not None
+        ]
+        if mine is None or not others:
+            return False
+        return mine > SLOW_FACTOR * statistics.median(others)
+
+    def _may_eject(self, now: float) -> bool:
+        """Keep half of a service whatever its servers answer.
+
+        If all fail, the cause is the path or the requests; ejecting all would turn a
+        partial failure into a whole one.
+        """
+        out = sum(one.standing is not Standing.GOOD for one in self._servers.values())
+        if len(self._servers) - out - 1 < KEPT_SHARE * len(self._servers):
+            return False
+        return self._pacer.allow("service", now)
+
+    def _eject(
+        self, server: ids.ServerId, one: _Server, reason: str, now: float
+    ) -> Change:
+        seconds = min(MAX_EJECT_SECONDS, EJECT_SECONDS * 2.0**one.ejections)
+        one.ejections += 1
+        one.standing = Standing.EJECTED
+        one.until = now + seconds
+        return Change(server, Standing.EJECTED, reason)
+
+    def _judge_trial(
+        self, server: ids.ServerId, one: _Server, failed: bool, now: float
+    ) -> list[Change]:
+        if failed or self._is_slow(server, one):
+            return [self._eject(server, one, "failed its trial", now)]
+        one.trial_answers += 1
+        if one.trial_answers < TRIAL_ANSWERS:
+            return []
+        one.standing = Standing.GOOD
+        one.ejections = max(0, one.ejections - 1)
+        return [Change(server, Standing.GOOD, "passed its trial")]
--- a/celeryspan/decisions/queueing.py
+++ b/celeryspan/decisions/queueing.py
@@ -43,6 +43,18 @@
 DRAIN_COUNT = 3.0
 """Departures needed before a drain rate is believed."""
 
+RUN_SHARE = 1.0
+"""Share of the expected run time without which a request is not started. Measured from
+0.5 to 1.5 with hints off by three: below 1 slots are spent on late answers, above 1
+accounts within their share are refused what could be done."""
+
+MIN_WAIT_SHARE = 0.1
+"""Share of its time that a request may wait whatever its hint says: a hint far too high
+must not refuse a request for which a slot is about to be free."""
+
+RUN_MEMORY = 0.98
+"""Weight kept by earlier runs at each end of a run: about fifty runs."""
+
 Fit = Callable[[dispatch.Work], float]
 """Cost units saved if a request ran on the granted server rather than elsewhere."""
 
@@ -59,6 +71,8 @@
         Expected cost in cost units.
     enqueued_at : float
         Time of admission, in seconds.
+    start_by : float
+        Time after which the answer would come too late.
     passes : int
         How often a younger request of the account was served before it.
     picked_at : float or None
@@ -69,6 +83,7 @@
     size: int
     cost_estimate: float
     enqueued_at: float
+    start_by: float
     passes: int = 0
     picked_at: float | None = None
 
@@ -79,21 +94,27 @@
     Idle time does not count, so that an account that asks rarely is not believed slow.
     """
 
-    __slots__ = ("_busy", "_departures", "_since")
+    __slots__ = ("_began", "_busy", "_departures", "_since")
 
     def __init__(self) -> None:
         self._departures = 0.0
         self._busy = 0.0
+        self._began = 0.0
         self._since: float | None = None
 
     def begin(self, now: float) -> None:
         """Say that the queue has become backlogged."""
-        self._since = now
+        self._since = self._began = now
 
     def depart(self, now: float, count: int = 1) -> None:
-        """Count requests that were given a grant."""
+        """Count requests that were given a grant.
+
+        One served in the moment of its arrival found a free slot and says nothing of
+        the rate under load; counted, it would make the rate far too high.
+        """
         self._advance(now)
-        self._departures += count
+        if now > self._began:
+            self._departures += count
 
     def stop(self, now: float) -> None:
         """Say that the queue is empty."""
@@ -101,12 +122,16 @@
         self._since = None
 
     def read(self, now: float) -> float | None:
-        """Return requests a second, or None as long as too few have left."""
+        """Return requests a second, or None as long as too few have left.
+
+        At least one is counted: at a standstill the rate falls with time but never to
+        zero, so that a queue is not refused for good.
+        """
         self._advance(now)
         known = self._departures >= DRAIN_COUNT or self._busy >= DRAIN_SECONDS / 2
         if not known or self._busy <= 0.0:
             return None
-        return self._departures / self._busy
+        return max(1.0, self._departures) / self._busy
 
     def _advance(self, now: float) -> None:
         if self._since is None or now <= self._since:
@@ -138,6 +163,29 @@
         return entry.cost_estimate > LONG_FACTOR * self.mean_cost
 
 
+class RunTime:
+    """Seconds that a cost unit takes in a service, learned from ended runs.
+
+    The sums are divided, not the ratios averaged: a hint far too low would otherwise
+    outweigh many that are right.
+    """
+
+    __slots__ = ("_seconds", "_units")
+
+    def __init__(self) -> None:
+        self._seconds = 0.0
+        self._units = 0.0
+
+    def learn(self, seconds: float, estimate: float) -> None:
+        """Take in a run that ended with an answer."""
+        self._seconds = self._seconds * RUN_MEMORY + seconds
+        self._units = self._units * RUN_MEMORY + estimate
+
+    def expect(self, estimate: float) -> float:
+        """Return the expected seconds of a run; 0 as long as none has ended."""
+        return estimate * self._seconds / self._units if self._units else 0.0
+
+
 class Queues:
     """All queues of one router."""
 
@@ -147,11 +195,13 @@
         self._running: dict[ids.RequestId, tuple[Entry, bool]] = {}
         self._deadlines: list[tuple[float, ids.RequestId]] = []
         self._bytes: dict[ids.AccountId, int] = {}
+        self._run_times: dict[ids.ServiceId, RunTime] = {}
         self.total_bytes = 0
 
     def add(self, work: dispatch.Work, size: int, estimate: float, now: float) -> Entry:
         """Append a request that admission has let in."""
-        entry = Entry(work, size, estimate, now)
+        start_by = now + self.wait_limit(work, estimate, now)
+        entry = Entry(work, size, estimate, now, start_by)
         queue = self._find(work)
         self._insert(queue, entry, now)
         queue.mean_cost += (estimate - queue.mean_cost) * (
@@ -198,12 +248,15 @@
         self._insert(queue, entry, now)
         queue.entries.move_to_end(request, last=False)
 
-    def end(self, request: ids.RequestId) -> None:
+    def end(self, request: ids.RequestId, now: float, answered: bool = True) -> None:
         """Forget a picked request: it has its answer or its error."""
         found = self._running.pop(request, None)
         if found is None:
             return
         entry, was_long = found
+        if answered and entry.picked_at is not None:
+            run_time = self._run_times.setdefault(entry.work.service, RunTime())
+            run_time.learn(now - entry.picked_at, entry.cost_estimate)
         queue = self._find(entry.work)
         queue.running -= 1
         queue.long_running -= was_long
@@ -217,12 +270,15 @@
         return entry
 
     def expire(self, now: float) -> list[Entry]:
-        """Take out the requests whose deadline has passed, to be answered at once."""
+        """Take out requests that can no longer be answered in time.
+
+        Their callers are to be told at once; run, they would take slots for nothing.
+        """
         expired = []
         while self._deadlines and self._deadlines[0][0] <= now:
-            deadline, request = heapq.heappop(self._deadlines)
+            _, request = heapq.heappop(self._deadlines)
             entry = self._waiting.get(request)
-            if entry is not None and entry.work.deadline == deadline:
+            if entry is not None:
                 self._remove(entry, now)
                 expired.append(entry)
         return expired
@@ -279,6 +335,17 @@
         queue = self._queues.get((service, account))
         return queue.drain.read(now) if queue else None
 
+    def expect_run(self, service: ids.ServiceId, estimate: float) -> float:
+        """Return the expected seconds from sending to the end of the answer."""
+        run_time = self._run_times.get(service)
+        return run_time.expect(estimate) if run_time else 0.0
+
+    def wait_limit(self, work: dispatch.Work, estimate: float, now: float) -> float:
+        """Return the seconds that a request may wait and still be answered in time."""
+        left = work.deadline - now
+        run = RUN_SHARE * self.expect_run(work.service, estimate)
+        return max(left - run, MIN_WAIT_SHARE * left)
+
     def account_bytes(self, account: ids.AccountId) -> int:
         """Return the bytes that an account's waiting requests take."""
         return self._bytes.get(account, 0)
@@ -294,7 +361,7 @@
     ) -> Iterator[Entry]:
         scanned = 0
         for entry in queue.entries.values():
-            if entry.work.deadline <= now or server in entry.work.excluded:
+            if entry.start_by <= now or server in entry.work.excluded:
                 continue
             yield entry
             scanned += 1
@@ -340,7 +407,7 @@
         self._waiting[work.request] = entry
         self._bytes[work.account] = self._bytes.get(work.account, 0) + entry.size
         self.total_bytes += entry.size
-        heapq.heappush(self._deadlines, (work.deadline, work.request))
+        heapq.heappush(self._deadlines, (entry.start_by, work.request))
 
     def _remove(self, entry: Entry, now: float, keep: bool = False) -> None:
         work = entry.work
