Forget requests that another router passed on once they end

Cause: a stop waited its greatest time and then listed 168 requests as cut that had ended long before: the id of a request passed on changes after it was noted as in progress, so that it was never found again. Change: requests in progress are kept by themselves, not by their id. Conclusion: a stop ends once its requests have.

--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -48,7 +48,7 @@
 
     Attributes
     ----------
-    in_progress : dict
+    in_progress : set of Exchange
         The requests that are not yet answered to their end.
     draining : bool
         Whether this router is left out of the address answer.
@@ -62,7 +62,7 @@
         self.membership = box.find("membership")
         self.draining = False
         self._box = box
-        self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
+        self.in_progress: set[exchange.Exchange] = set()
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._server = self._make_server()
@@ -95,7 +95,7 @@
     def cut(self) -> list[str]:
         """End what is in progress and return the ids of the requests."""
         with self._lock:
-            found = list(self.in_progress.values())
+            found = list(self.in_progress)
         for item in found:
             item.presence.end()
         return [item.request for item in found]
@@ -185,12 +185,12 @@
 
     def _enter(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress[found.request] = found
+            self.in_progress.add(found)
         found.finally_do(lambda: self._leave(found))
 
     def _leave(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress.pop(found.request, None)
+            self.in_progress.discard(found)
 
     def _make_server(self) -> httpserver.Server:
         application = cherrypy.Application(paths.Root(self), "", APPLICATION_CONFIG)
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -69,6 +69,18 @@
     assert count_runs(fleet) == 1
 
 
+def test_a_request_passed_on_does_not_stay_in_progress(fleet):
+    """A router that is stopped for an upgrade waits for requests that ended long ago.
+
+    One that another router passed on takes over that router's id after it was noted
+    as in progress under its own.
+    """
+    ask(fleet.second, Celeryspan_Ticket=take_ticket(fleet))
+    for router in (fleet, fleet.second):
+        router.drain.begin()
+        assert not router.caller.in_progress
+
+
 def test_a_ticket_of_a_restarted_router_is_unknown(fleet):
     """A booking was sent to a router that is then replaced; nobody else knows."""
     ticket = take_ticket(fleet)
