--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -48,7 +48,7 @@
 
     Attributes
     ----------
-    in_progress : dict
+    in_progress : set of Exchange
         The requests that are not yet answered to their end.
     draining : bool
         Whether this router is left out of the address answer.
@@ -62,7 +62,7 @@
         self.membership = box.find("membership")
         self.draining = False
         self._box = box
-        self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
+        self.in_progress: set[exchange.Exchange] = set()
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._server = self._make_server()
@@ -95,7 +95,7 @@
     def cut(self) -> list[str]:
         """End what is in progress and return the ids of the requests."""
         with self._lock:
-            found = list(self.in_progress.values())
+            found = list(self.in_progress)
         for item in found:
             item.presence.end()
         return [item.request for item in found]
@@ -124,6 +124,9 @@
 
     def get_addresses(self, found: exchange.Exchange) -> object:
         """Answer which routers to use."""
+        count = read_count()
+        if self.configuration.current() is None:
+            raise make_starting()
         near = self.settings.data_centre
         listed = addresses.choose(self.membership.alive(), near, self._random)
         if self.draining:
@@ -133,7 +136,7 @@
             {
                 "addresses": listed,
                 "keep_seconds": self.settings.address_seconds,
-                "tickets": self.claims.issue(read_count()),
+                "tickets": self.claims.issue(count),
             }
         )
 
@@ -185,12 +188,12 @@
 
     def _enter(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress[found.request] = found
+            self.in_progress.add(found)
         found.finally_do(lambda: self._leave(found))
 
     def _leave(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress.pop(found.request, None)
+            self.in_progress.discard(found)
 
     def _make_server(self) -> httpserver.Server:
         application = cherrypy.Application(paths.Root(self), "", APPLICATION_CONFIG)
@@ -217,6 +220,17 @@
     return min(int(text), tickets.BATCH_MAX)
 
 
+def make_starting() -> errors.NotRun:
+    """Return the answer of a fleet in which no router can serve yet."""
+    return errors.NotRun(
+        "no router has a configuration yet",
+        code="starting",
+        status=503,
+        retry_after=exchange.RETRY_SECONDS,
+        step="list addresses",
+    )
+
+
 def make_overload() -> errors.NotRun:
     """Return the refusal of a router that has no thread left."""
     return errors.NotRun(
