--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -47,10 +47,15 @@
     if any(argument in HELP_NAMES[1:] for argument in arguments[1:]):
         print(render_command_help(found))
         return registry.Exit.DONE
+    return read_flags(found, arguments[1:])
+
+
+def read_flags(found: registry.Command, arguments: list[str]) -> registry.Exit:
+    """Read the flags and arguments of a command, and run it."""
     values = flags.FlagValues()
     found.define(values)
     try:
-        rest = values([PROGRAM, *arguments[1:]])[1:]
+        rest = values([PROGRAM, *arguments])[1:]
     except flags.Error as error:
         return refuse(f"{found.name}: {' '.join(str(error).split())}")
     if len(rest) != len(found.arguments):
--- a/celeryspan/publishing.py
+++ b/celeryspan/publishing.py
@@ -114,15 +114,7 @@
         ids.Generation(value.generation), author, secrets.token_hex(8), tuple(chunks)
     )
     _write_chunks(client, chunks)
-    try:
-        _write_index(client, index, standing.version)
-    except errors.Conflict as error:
-        # An answer lost below this client, and the write repeated by something in
-        # between, shows as a conflict with our own write; the name of the writing
-        # tells it from another's.
-        _judge_index(client, index, error)
-    except errors.StoreUnavailable as error:
-        _read_back(client, index, standing.version, error)
+    _replace_index(client, index, standing.version)
     return value
 
 
@@ -146,6 +138,18 @@
     }
 
 
+def _replace_index(client: Client, index: documents.Index, version: int) -> None:
+    try:
+        _write_index(client, index, version)
+    except errors.Conflict as error:
+        # An answer lost below this client, and the write repeated by something in
+        # between, shows as a conflict with our own write; the name of the writing
+        # tells it from another's.
+        _judge_index(client, index, error)
+    except errors.StoreUnavailable as error:
+        _read_back(client, index, version, error)
+
+
 def _write_chunks(client: Client, chunks: dict[str, bytes]) -> None:
     for key, piece in chunks.items():
         try:
