Split framing from the HTTP server, and fakes from scripted servers

Change: the strict reading of requests and the services that tests fake have modules of their own; nothing else changed. Conclusion: one job a file.

--- a/celeryspan/services/answers.py
+++ b/celeryspan/services/answers.py
@@ -13,7 +13,7 @@
 from celeryspan import errors, ids, states
 
 if TYPE_CHECKING:
-    from celeryspan.services import httpserver
+    from celeryspan.services import framing
 
 REQUEST_HEADER = "Celeryspan-Request-Id"
 OUTCOME_HEADER = "Celeryspan-Outcome"
@@ -66,7 +66,7 @@
         self._release()
 
 
-def find_request() -> httpserver.Request:
+def find_request() -> framing.Request:
     """Return the current request as the HTTP server knows it."""
     return cherrypy.request.wsgi_environ["celeryspan.request"]
 
--- a/celeryspan/services/exchange.py
+++ b/celeryspan/services/exchange.py
@@ -14,7 +14,7 @@
 from celeryspan.decisions import tickets
 
 if TYPE_CHECKING:
-    from celeryspan.services import httpserver
+    from celeryspan.services import framing
 
 FORWARDED_HEADER = "Celeryspan-Forwarded"
 
@@ -45,7 +45,7 @@
         self.headers: dict[str, str] = cherrypy.request.headers
         self.method: str = cherrypy.request.method
         self._environ: dict[str, Any] = cherrypy.request.wsgi_environ
-        self._http: httpserver.Request = self._environ["celeryspan.request"]
+        self._http: framing.Request = self._environ["celeryspan.request"]
         self._configuration = current
         self.forwarded = False
         cherrypy.request.celeryspan_id = self.request
--- a/celeryspan/services/forwarding.py
+++ b/celeryspan/services/forwarding.py
@@ -16,7 +16,7 @@
 
 if TYPE_CHECKING:
     from celeryspan import settings
-    from celeryspan.services import claimstore, httpserver
+    from celeryspan.services import claimstore, framing
 
 # How long the owner may take to begin its answer, in seconds. It may be queueing the
 # request, so this is longer than a silent connection would need; its caller then
@@ -126,7 +126,7 @@
 def _read(
     response: urllib3.BaseHTTPResponse,
     stream: answers.Stream,
-    request: httpserver.Request,
+    request: framing.Request,
 ) -> Iterator[bytes]:
     """Yield the owner's answer; if it is cut, so is the caller's."""
     try:
--- a/celeryspan/services/plaincalls.py
+++ b/celeryspan/services/plaincalls.py
@@ -13,7 +13,7 @@
 from celeryspan.services import answers, exchange, plainanswers
 
 if TYPE_CHECKING:
-    from celeryspan.services import httpserver
+    from celeryspan.services import framing
 
 PREFIX = "/v1/services/"
 
@@ -76,7 +76,7 @@
 def _pass_on(
     answer: plainanswers.PlainAnswer,
     stream: answers.Stream,
-    request: httpserver.Request,
+    request: framing.Request,
 ) -> Iterator[bytes]:
     """Yield a large body; if it is cut, so is the caller's."""
     try:
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -8,7 +8,7 @@
 import pytest
 
 from celeryspan import ids
-from tests import scripted
+from tests import fakes, scripted
 from tests.services import test_caller
 
 PATH = "/v1/services/gate-desk/confirm"
@@ -23,7 +23,7 @@
 def fleet():
     """Two routers that know each other, one gate desk and one object API."""
     with contextlib.ExitStack() as stack:
-        store = scripted.Store()
+        store = fakes.Store()
         first = stack.enter_context(scripted.run_router([confirm], store=store))
         second = stack.enter_context(scripted.run_router(store=store, router="entry-2"))
         second.configuration.value = first.configuration.value
--- a/tests/services/test_requests.py
+++ b/tests/services/test_requests.py
@@ -10,7 +10,7 @@
 from celeryspan import calls, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.services import requests
-from tests import scripted
+from tests import fakes, scripted
 
 SERVERS = [ids.ServerId(f"gate-desk-{number}") for number in range(3)]
 
@@ -97,7 +97,7 @@
         yield b" and half"
 
 
-class Dispatch(scripted.Dispatch):
+class Dispatch(fakes.Dispatch):
     """Gives slots that expire when the world says so."""
 
     def __init__(self, world: World) -> None:
