Take signals in a task of their own, also those that come during the start

Cause: handlers were set after the start, so that a SIGTERM that came while services started ended the process with -15 and without a drain; seen once as a failed test of the second signal, with the router already in the address answer. A handler could also meet the lock that the waiting main thread holds. Change: both signals are blocked before any thread starts and taken by sigwait.

--- a/celeryspan/daemons/router.py
+++ b/celeryspan/daemons/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import importlib
+import itertools
 import pkgutil
 import signal
 import sys
@@ -16,10 +17,10 @@
 from celeryspan.daemons import registry
 
 if TYPE_CHECKING:
-    from types import FrameType
-
     from celeryspan import settings
 
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 SERVICES = (
     "metrics",
     "store",
@@ -117,26 +118,34 @@
 
 
 def serve(found: Router) -> registry.Exit:
-    """Run a router until it has been stopped."""
+    """Run a router until it has been stopped.
+
+    Signals are blocked before any thread starts and taken by a task of their own. A
+    handler could interrupt the main thread while it holds the lock that the handler
+    needs, and a signal during the start would end the process without a drain: seen
+    as a router that ignores SIGTERM, or that exits with -15.
+    """
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
     found.start()
     drain: Drain = found.kernel.find("drain")
-    signals = 0
+    threading.Thread(
+        target=follow_signals, args=(drain,), name="signals", daemon=True
+    ).start()
+    drain.finished.wait()
+    found.stop()
+    return registry.Exit.DONE
+
 
-    def stop(number: int, _frame: FrameType | None) -> None:
-        nonlocal signals
-        signals += 1
-        events.log(events.Event.SIGNAL_RECEIVED, signal=number, count=signals)
-        if signals == 1:
+def follow_signals(drain: Drain) -> None:
+    """Begin a graceful stop at the first signal, and end it at the next."""
+    for count in itertools.count(1):
+        number = signal.sigwait(STOP_SIGNALS)
+        events.log(events.Event.SIGNAL_RECEIVED, signal=int(number), count=count)
+        if count == 1:
             threading.Thread(target=drain.begin, name="drain", daemon=True).start()
         else:
             drain.finished.set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, stop)
-    drain.finished.wait()
-    found.stop()
-    return registry.Exit.DONE
-
 
 def open_log(path: str) -> IO[str]:
     """Return the file that the log goes to; the standard error output by default."""
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -70,6 +70,49 @@
     assert "service_stopped" in (tmp_path / "log").read_text()
 
 
+SIGNAL_IN_START = """
+import os, signal, sys, threading
+from celeryspan.daemons import router
+
+class Drain:
+    finished = threading.Event()
+    def begin(self):
+        print("drain begins")
+        self.finished.set()
+
+class Kernel:
+    def find(self, name):
+        return Drain()
+
+class Router:
+    kernel = Kernel()
+    def start(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        print("started")
+    def stop(self):
+        print("stopped")
+
+sys.exit(int(router.serve(Router())))
+"""
+
+
+def test_signal_during_the_start_begins_a_drain() -> None:
+    """An operator stops a router that has only just been started.
+
+    The signal comes while services start. Taken by nobody, it would end the process
+    at once with -15 and cut what had been accepted already.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", SIGNAL_IN_START],
+        capture_output=True,
+        text=True,
+        timeout=EXIT_SECONDS,
+        check=False,
+    )
+    assert done.stdout.split("\n") == ["started", "drain begins", "stopped", ""]
+    assert done.returncode == 0
+
+
 def test_second_signal_ends_a_stop_that_waits(
     small: fleet.Fleet, tmp_path: pathlib.Path
 ) -> None:
@@ -89,7 +132,8 @@
 
 def wait_for_log(folder: pathlib.Path, text: str) -> None:
     ends = time.monotonic() + EXIT_SECONDS
-    while text not in (folder / "log").read_text():
+    path = folder / "log"
+    while not path.exists() or text not in path.read_text():
         assert time.monotonic() < ends, f"no {text} in the log"
         time.sleep(0.05)
 
