Start the services orders and pressures in every router

Cause: both were registered and no router started them, so that no server was ever moved; the list of services had lost 'orders' while it did not exist yet. Change: both are in the list, and a test holds the list and the registry together. Conclusion: a service that nobody starts is found by a test.

--- a/celeryspan/daemons/router.py
+++ b/celeryspan/daemons/router.py
@@ -33,6 +33,8 @@
     "loads",
     "backends",
     "claims",
+    "pressures",
+    "orders",
     "caller",
     "drain",
 )
--- a/tests/daemons/test_router.py
+++ b/tests/daemons/test_router.py
@@ -14,8 +14,9 @@
 import yaml
 
 from bench import processes
-from celeryspan import publishing, rules
+from celeryspan import kernel, publishing, rules
 from celeryspan.adapters import store as store_adapter
+from celeryspan.daemons import router
 from standins import fleet
 
 EXIT_SECONDS = 30
@@ -70,6 +71,21 @@
     assert "service_stopped" in (tmp_path / "log").read_text()
 
 
+def test_router_starts_every_service_that_is_registered() -> None:
+    """A service is written and registered, and no router starts it.
+
+    Nothing fails: the fleet only never does what the service is for.
+    """
+    router.import_services()
+    started: set[str] = set()
+    pending = list(router.SERVICES)
+    while pending:
+        name = pending.pop()
+        started.add(name)
+        pending += set(kernel.REGISTRY[name].needs) - started
+    assert started == set(kernel.REGISTRY)
+
+
 SIGNAL_IN_START = """
 import os, signal, sys, threading
 from celeryspan.daemons import router
