Tell one home of a new demand first, and all only when it grants nothing

Cause: each request was reported to every home; with free slots each granted one and all but one came back. The replay's rules for demand were not yet in the daemon. Change: the dispatch service follows exchange.Demands as the replay does; slots held are told each 20 ms instead of after each grant.

--- a/celeryspan/services/assignment.py
+++ b/celeryspan/services/assignment.py
@@ -32,6 +32,7 @@
         self._membership: membership.MembershipService = box.find("membership")
         self._homes: dict[ids.ServerId, ids.RouterId] = {}
         self._services: dict[ids.ServiceId, frozenset[ids.RouterId]] = {}
+        self._maps: dict[ids.ServiceId, dict[ids.ServerId, ids.RouterId]] = {}
         self._handlers: list[Handler] = []
         self._lock = threading.Lock()
 
@@ -59,6 +60,10 @@
         """Return the homes of all backend servers of a service."""
         return self._services.get(service, frozenset())
 
+    def map_servers(self, service: ids.ServiceId) -> dict[ids.ServerId, ids.RouterId]:
+        """Return the home of each backend server of a service."""
+        return self._maps.get(service, {})
+
     def live(self) -> frozenset[ids.RouterId]:
         """Return the routers that may be homes."""
         members = self._membership.alive()
@@ -78,7 +83,11 @@
             found = homes.assign(current.servers, self.live())
             moves = homes.compare(self._homes, found)
             self._homes = found
-            self._services = group_by_service(current, found)
+            self._maps = group_by_service(current, found)
+            self._services = {
+                service: frozenset(group.values())
+                for service, group in self._maps.items()
+            }
             handlers = list(self._handlers)
         for handler in handlers if moves else ():
             handler(moves)
@@ -91,10 +100,10 @@
 def group_by_service(
     current: configuration.Configuration,
     found: dict[ids.ServerId, ids.RouterId],
-) -> dict[ids.ServiceId, frozenset[ids.RouterId]]:
-    """Return the homes of each service."""
-    groups: dict[ids.ServiceId, set[ids.RouterId]] = {}
+) -> dict[ids.ServiceId, dict[ids.ServerId, ids.RouterId]]:
+    """Return the home of each backend server, by service."""
+    groups: dict[ids.ServiceId, dict[ids.ServerId, ids.RouterId]] = {}
     for server, home in found.items():
         service = ids.ServiceId(current.servers[server].service)
-        groups.setdefault(service, set()).add(home)
-    return {service: frozenset(group) for service, group in groups.items()}
+        groups.setdefault(service, {})[server] = home
+    return groups
--- a/celeryspan/services/counters.py
+++ b/celeryspan/services/counters.py
@@ -19,9 +19,10 @@
         identity,
     )
 
-TICK_SECONDS = 0.1
-"""How often unreported service is held against the bound, in seconds. Within a tick
-one server of 16 slots gives about 40 units, a tenth of the bound."""
+TICK_SECONDS = 0.02
+"""How often unreported service is held against the bound, in seconds. At 100 ms the
+homes of a service of short requests grant several slots before they hear of each
+other."""
 
 
 @kernel.register(
@@ -115,7 +116,7 @@
         with self.lock:
             own = {(item.service, item.account): item for item in self.counters.own()}
             units = {key: item.units for key, item in own.items()}
-            due = self._exchange.find_due(units, self.backlogged, time.monotonic())
+            due = self._exchange.find_due(units, None, time.monotonic())
         for key in due:
             self._send(key[0], own[key])
 
--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -3,17 +3,27 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import threading
 import time
 from typing import TYPE_CHECKING
 
 from celeryspan import dispatch, errors, events, ids, kernel
-from celeryspan.decisions import admission, homes, pacing, queueing, routing, sharing
+from celeryspan.decisions import (
+    admission,
+    exchange,
+    homes,
+    queueing,
+    routing,
+    sharing,
+)
 from celeryspan.services import slots
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from celeryspan import metrics
     from celeryspan.services import (
         assignment,
@@ -23,10 +33,6 @@
         identity,
     )
 
-REPORT_SECONDS = 0.002
-"""Changes of demand that may not be reported at once are reported together after this
-time, in seconds: a batch of a link."""
-
 REFRESH_SECONDS = 1.0
 """Demand that stands is reported again, in seconds: covers a report lost with a link,
 and lets the age at the homes follow."""
@@ -91,10 +97,10 @@
         self._routing = routing.Routing(self.cache)
         self._waiters: dict[ids.RequestId, _Waiter] = {}
         self._held = slots.HeldSlots()
-        self._pacer = pacing.Pacer(pacing.Loop.DEMAND.value)
+        self._demands = exchange.Demands()
         self._sequence = 0
-        self._attempts: dict[ids.ServiceId, int] = {}
-        self._dirty: set[sharing.Key] = set()
+        self._turn = 0
+        self._due: dict[sharing.Key, float] = {}
         self._changed = threading.Event()
         self._stopped = False
         self._threads = [
@@ -140,8 +146,7 @@
             if entry is None:
                 return
             self._refuse(request, make_cancelled())
-            self._dirty.add((entry.work.service, entry.work.account))
-        self._changed.set()
+            self._plan((entry.work.service, entry.work.account), time.monotonic())
 
     def report(self) -> dict[str, object]:
         """Return what waits and what is in progress, for the operator."""
@@ -167,7 +172,11 @@
             for refused in verdict.shed:
                 self._refuse(refused.request, refused.make_error())
             self._waiters[work.request] = waiter
-            self._tell_soon((work.service, work.account), now)
+            key = (work.service, work.account)
+            if not self._demands.believers(key):
+                self._tell_demand(key, now, again=False)
+            else:
+                self._plan(key, now)
         return waiter
 
     def _widen(self, work: dispatch.Work) -> dispatch.Work:
@@ -214,13 +223,16 @@
                 unused = messages.GrantEnded(
                     grant.grant, grant.server, grant.account, 0.0
                 )
+                self._demands.tell(key, home, 0)
                 self._delivery.send(home, unused)
+                self._plan(key, now)
                 return
             waiter = self._waiters.pop(entry.work.request)
             slot = slots.HeldSlot(grant, entry, now, self)
             self._held.add(slot)
             self.cache.sent(grant.server, entry.work.prefix, now)
-            self._tell_demand(key, now)
+            self._demands.use(key, home, now)
+            self._plan(key, now)
         used = messages.GrantUsed(
             grant.grant, grant.server, grant.account, entry.cost_estimate
         )
@@ -254,11 +266,14 @@
 
     def _move(self, moves: tuple[homes.Move, ...]) -> None:
         """Tell the new homes which slots are in use here, and what waits."""
+        now = time.monotonic()
         with self._lock:
             for move in moves:
                 self._tell_held(move.server)
-            self._dirty.update(self._queues.backlogged())
-        self._changed.set()
+            for home in {move.new for move in moves if move.new is not None}:
+                self._demands.forget(home)
+            for key in self._queues.backlogged():
+                self._tell_demand(key, now, again=False)
 
     def _tell_held(self, server: ids.ServerId) -> None:
         home = self._assignment.find_home(server)
@@ -266,41 +281,82 @@
             grants = self._held.list_grants(server)
             self._delivery.send(home, messages.SlotsHeld(server, grants))
 
-    def _tell_demand(self, key: sharing.Key, now: float) -> None:
-        service, _ = key
+    def _plan(self, key: sharing.Key, now: float) -> None:
+        """Tell homes soon if one believes something false, else with the next batch."""
+        believers = self._demands.believers(key)
+        is_urgent = bool(believers) != bool(self._queues.waiting(*key))
+        seconds = 0.0 if is_urgent else exchange.DEMAND_SECONDS
+        due = min(self._due.get(key, math.inf), now + seconds)
+        self._due[key] = due
+        if is_urgent:
+            self._changed.set()
+
+    def _tell_demand(self, key: sharing.Key, now: float, *, again: bool) -> None:
+        """Tell homes how much of an account waits here.
+
+        Parameters
+        ----------
+        again : bool
+            Also tell the homes that have been told the same before.
+        """
+        waiting = self._queues.waiting(*key)
+        stage = self._demands.find_stage(key, waiting, now)
+        targets = dict.fromkeys(self._demands.believers(key))
+        targets.update(dict.fromkeys(self._choose_homes(key, stage, now)))
         self._sequence += 1
         demand = self._queues.demand(*key, self._sequence, now)
-        for home in self._choose_homes(service):
-            self._delivery.send(home, demand)
-
-    def _tell_soon(self, key: sharing.Key, now: float) -> None:
-        """Report a demand at once, or with the next batch if one was just reported."""
-        if self._pacer.allow(key, now):
-            self._tell_demand(key, now)
-        else:
-            self._dirty.add(key)
+        for home in targets:
+            if again or self._demands.belief(key, home) != waiting:
+                self._demands.tell(key, home, waiting)
+                self._delivery.send(home, demand)
+        if stage is exchange.Stage.ONE:
+            self._due[key] = now + exchange.ESCALATE_SECONDS
             self._changed.set()
+        elif stage is exchange.Stage.ALL:
+            self._due[key] = now + exchange.RESAMPLE_SECONDS
 
-    def _choose_homes(self, service: ids.ServiceId) -> tuple[ids.RouterId, ...]:
-        found = self._assignment.find_homes(service)
-        attempt = self._attempts.get(service, 0)
-        return homes.sample(found, self._identity.router, service, attempt)
+    def _choose_homes(
+        self, key: sharing.Key, stage: exchange.Stage, now: float
+    ) -> Iterable[ids.RouterId]:
+        service, _ = key
+        me = self._identity.router
+        if stage is exchange.Stage.NONE:
+            return ()
+        if stage is exchange.Stage.ALL:
+            found = self._assignment.find_homes(service)
+            return homes.sample(
+                found, me, service, self._demands.find_attempt(key, now)
+            )
+        if self._demands.believers(key):
+            return ()
+        self._turn += 1
+        by_server = self._assignment.map_servers(service)
+        first = homes.pick_first(by_server, me, service, self._turn)
+        return () if first is None else (first,)
 
     def _report_loop(self) -> None:
         refreshed = time.monotonic()
         while not self._stopped:
-            self._changed.wait(REFRESH_SECONDS)
+            self._changed.wait(self._find_pause())
             self._changed.clear()
-            time.sleep(REPORT_SECONDS)
             now = time.monotonic()
             with self._lock:
+                self._tell_due(now)
                 if now - refreshed >= REFRESH_SECONDS:
                     refreshed = now
-                    self._dirty.update(self._queues.backlogged())
-                dirty, self._dirty = self._dirty, set()
-                for key in dirty:
-                    self._tell_demand(key, now)
-                    self._metrics.set_backlog(*key, self._queues.waiting(*key))
+                    for key in self._queues.backlogged():
+                        self._tell_demand(key, now, again=True)
+
+    def _find_pause(self) -> float:
+        with self._lock:
+            soonest = min(self._due.values(), default=math.inf)
+        return max(0.0, min(REFRESH_SECONDS, soonest - time.monotonic()))
+
+    def _tell_due(self, now: float) -> None:
+        for key in [key for key, due in self._due.items() if due <= now]:
+            del self._due[key]
+            self._tell_demand(key, now, again=False)
+            self._metrics.set_backlog(*key, self._queues.waiting(*key))
 
     def _tick_loop(self) -> None:
         held_at = time.monotonic()
@@ -322,7 +378,7 @@
                 work, admission.Reason.EXPIRED, now, self._random.random()
             )
             self._refuse(work.request, refused.make_error())
-            self._dirty.add((work.service, work.account))
+            self._plan((work.service, work.account), now)
 
 
 def make_stopped() -> errors.NotRun:
--- a/celeryspan/services/homes.py
+++ b/celeryspan/services/homes.py
@@ -29,6 +29,10 @@
 """Messages of one frame are handled one by one; grants are decided after the batch,
 so that a demand and the grants used that belong to it count together."""
 
+TELL_SECONDS = 0.02
+"""How often the other homes of a service hear of slots held, in seconds; the replay's
+figures in ``docs/design/exchange.md`` stand for this period."""
+
 TICK_SECONDS = 0.1
 """How often grants expire and windows are set again, in seconds: a tenth of the
 validity of a grant."""
@@ -78,6 +82,7 @@
         self._votes = votes.Votes()
         self._sizes: dict[ids.ServerId, int] = {}
         self._early: dict[tuple[ids.ServerId, ids.RouterId], _Early] = {}
+        self._told_at = 0.0
         self._known: frozenset[ids.RouterId] = frozenset()
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._changed = threading.Event()
@@ -217,7 +222,7 @@
     def _run(self) -> None:
         ticked = 0.0
         while not self._stopped:
-            self._changed.wait(TICK_SECONDS)
+            self._changed.wait(TELL_SECONDS)
             self._changed.clear()
             time.sleep(BATCH_SECONDS)
             now = time.monotonic()
@@ -234,7 +239,11 @@
     def _issue(self, now: float) -> None:
         with self._lock:
             issued = self._ledger.issue(now)
-            decided = [*self._ledger.take_lifts(), *self._ledger.take_pending()]
+            decided: list[messages.Lift | messages.Pending] = []
+            if now - self._told_at >= TELL_SECONDS:
+                self._told_at = now
+                decided += self._ledger.take_lifts()
+                decided += self._ledger.take_pending()
         for each in issued:
             self._delivery.send(each.router, each.grant)
         self._counters.tell(decided)
