Teach a new home before it lifts anyone

Cause: a router that becomes home of a service hears of its accounts and their service one message after the other; lifts decided meanwhile can never be taken back.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -59,11 +59,19 @@
         self.view: tuple[int, ...] = ()
         self.homes: dict[str, dict[str, int]] = {}
         self.leaving: set[str] = set()
+        self.started = False
         self.sequence = 0
         self.turn = 0
         self.planned: set[Key] = set()
         self.in_use: dict[str, int] = {}
 
+    def start(self) -> None:
+        """Begin to look for what must be told, each router at its own moment."""
+        if not self.started:
+            self.started = True
+            routers = self.world.trace.routers
+            self.world.after(TICK_SECONDS * self.index / routers, self.tick)
+
     def arrive(self, job: world.Job) -> None:
         """Queue a request and tell a home."""
         self.queues.setdefault(job.key, collections.deque()).append(job)
@@ -251,12 +259,9 @@
         routers = range(self.world.trace.routers)
         view = tuple(item for item in routers if self.world.sees(self.index, item))
         gone = [item for item in self.view if item not in view]
-        new = [item for item in view if item not in self.view]
         self.view = view
         for router in gone:
             self.forget(router)
-        for router in new:
-            self.welcome(router)
         self.move_homes()
         self.set_windows()
         for key in self.queues:
@@ -270,16 +275,15 @@
         self.counters.forget_pending(name)
         self.demands.forget(name)
 
-    def welcome(self, router: int) -> None:
-        """Tell a router that is new or back all that is known."""
-        if router == self.index:
+    def teach(self, router: int, service: str) -> None:
+        """Tell a new home of a service what this one knows."""
+        self.exchange.forget(service)
+        mates = set(self.homes[service].values()) - {router}
+        if self.index != min(mates, default=None):
             return
-        self.exchange.forget()
         snapshot = self.counters.snapshot()
         count = len(snapshot.counters) + len(snapshot.lifts) + len(snapshot.folded)
         self.send(router, Node.take_snapshot, snapshot, count=count)
-        for pending in self.ledger.list_pending():
-            self.send(router, Node.take_shared, [pending])
 
     def move_homes(self) -> None:
         """Find the homes anew; take over and hand on."""
@@ -288,10 +292,14 @@
         for service in self.world.services:
             servers = self.fleet.servers[service]
             found = homes.assign(servers, names)
+            before = set(self.homes.get(service, {}).values())
             self.homes[service] = {key: int(home[7:]) for key, home in found.items()}
             for server, home in self.homes[service].items():
                 if old.get(server) != home:
                     self.move(server, service, old.get(server), home)
+            for home in sorted(set(self.homes[service].values()) - before):
+                self.teach(home, service)
+        self.tell(self.ledger.list_pending())
 
     def move(self, server: str, service: str, old: int | None, new: int) -> None:
         """Follow the move of one server's home."""
@@ -371,8 +379,6 @@
         }
         self.nodes = [Node(self, index) for index in routers]
         self.change()
-        for index, node in enumerate(self.nodes):
-            owner.schedule(TICK_SECONDS * index / len(self.nodes), node.tick)
         owner.schedule(world.LOAD_SECONDS, self.note_load)
 
     def make_rule(self) -> exchange.Rule:
@@ -396,21 +402,15 @@
         for node in self.nodes:
             if self.world.alive[node.index]:
                 node.change_view()
+                node.start()
 
     def lose(self, router: int) -> None:
         """Start a router anew, without state."""
         old = self.nodes[router]
         node = Node(self, router)
         self.nodes[router] = node
-        seconds = world.RESTART_SECONDS
-        self.world.after(seconds, self.begin, node)
         self.world.after(FOLD_SECONDS, self.fold, old)
 
-    def begin(self, node: Node) -> None:
-        """Begin the ticks of a router that has started."""
-        if node.is_current():
-            node.tick()
-
     def fold(self, old: Node) -> None:
         """Fold the counters of an incarnation that is gone."""
         for node in self.nodes:
--- a/celeryspan/decisions/exchange.py
+++ b/celeryspan/decisions/exchange.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
@@ -138,16 +139,24 @@
         """
         due = []
         for key, value in units.items():
-            old, when = self._told.get(key, (0.0, 0.0))
+            old, when = self._told.get(key, (0.0, -math.inf))
             collides = backlogged is None or key in backlogged
             if self._rule.is_due(value - old, now - when, collides):
                 due.append(key)
                 self._told[key] = (value, now)
         return tuple(due)
 
-    def forget(self) -> None:
-        """Tell everything again: a home is new or has lost its state."""
-        self._told.clear()
+    def forget(self, service: ids.ServiceId | None = None) -> None:
+        """Tell everything again: a home is new or has lost its state.
+
+        Parameters
+        ----------
+        service : ServiceId or None
+            Only the accounts of one service, or of all.
+        """
+        for key in list(self._told):
+            if service is None or key[0] == service:
+                del self._told[key]
 
 
 class Demands:
--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -39,6 +39,12 @@
 # router that is alive answers within one round trip; one that died never will.
 RECOVERY_SECONDS = 0.5
 
+# Seconds for which a new home of a service lifts nobody. It hears of accounts that have
+# waited elsewhere all along, and of their service one message after the other: lifting
+# by half of that moved accounts by all they had ever received (gap of 107,452 units
+# after one restart), and lifts cannot be taken back.
+LEARN_SECONDS = 1.0
+
 # Greatest part of a home's slots of one service for one account while others wait.
 CAP_FRACTION = 0.5
 
@@ -83,6 +89,7 @@
         self._demands = demands.Demands()
         self._charge = charges.Charge()
         self._floors: dict[ids.ServiceId, float] = {}
+        self._since: dict[ids.ServiceId, float] = {}
         self._lifts: list[messages.Lift] = []
         self._sequence = 0
 
@@ -102,6 +109,8 @@
             Routers that may hold slots under the previous home. Nothing is granted
             before each has sent ``SlotsHeld`` or ``RECOVERY_SECONDS`` have passed.
         """
+        if service not in self._slots.services():
+            self._since[service] = now
         self._slots.entries[server] = slots.Entry(
             service, window, set(awaited), now + RECOVERY_SECONDS
         )
@@ -143,7 +152,8 @@
         if not self._demands.put(router, demand, now):
             return
         self._charge.expect(demand.service, demand.cost_estimate)
-        if demand.waiting > 0 and is_new:
+        knows = now >= self._since.get(demand.service, now) + LEARN_SECONDS
+        if demand.waiting > 0 and is_new and knows:
             self._lift(key, others)
 
     def forget_router(self, router: ids.RouterId) -> None:
@@ -258,7 +268,7 @@
         ]
         issued: list[Issued] = []
         server = self._slots.pick_server(service, now) if waiting else None
-        if server is not None:
+        if server is not None and now >= self._since[service] + LEARN_SECONDS:
             self._forgive(service)
         while waiting and server is not None:
             account = self._pick_account(service, waiting)
