Weigh taking slots back, and compare rules of counter exchange

Cause: the gap that remains is that of jobs in progress, which no choice of the next request can change; and the bound k of the exchange was chosen from trials.

--- /dev/null
+++ b/bench/exchange_bench.py
@@ -0,0 +1,111 @@
+"""Counter exchange by fixed period against by unreported units, gap against traffic.
+
+``make bench NAME=exchange_bench`` prints the table and writes the plot into
+``docs/img``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import dataclasses
+import pathlib
+
+import matplotlib
+import numpy as np
+
+from bench import fleet, traces, world
+from celeryspan.decisions import exchange
+
+matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "celeryspan"
+
+IMAGES = pathlib.Path(__file__).parent.parent / "docs" / "img"
+PROCESSES = 3
+SEEDS = 5
+
+CASES = {
+    "uneven": traces.Case(seconds=90.0),
+    "even": traces.Case(seconds=90.0, even=True),
+}
+
+VALUES = {
+    "units": (50.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0),
+    "period": (0.05, 0.1, 0.2, 0.5, 1.0, 2.0),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Trial:
+    """One replay of the comparison."""
+
+    rule: str
+    value: float
+    firm: str
+    case: str
+    seed: int
+
+
+def measure(trial: Trial) -> tuple[float, float]:
+    """Return the gap, and control bytes per router and second."""
+    firm, case = traces.FIRMS[trial.firm], CASES[trial.case]
+    owner = world.World(traces.generate(firm, case, trial.seed), trial.seed)
+
+    class Policy(fleet.Celeryspan):
+        """The fleet under the rule of this trial."""
+
+        def make_rule(self) -> exchange.Rule:
+            return exchange.RULES[trial.rule](trial.value)
+
+    owner.run(Policy(owner))
+    found = owner.measures.report()
+    return found["gap_max"], found["control_bytes_per_router_second"]
+
+
+def run(arguments: list[str]) -> int:
+    """Print the table and write the plot."""
+    parser = argparse.ArgumentParser(prog="bench exchange_bench", description=__doc__)
+    parser.add_argument("--seeds", type=int, default=SEEDS)
+    options = parser.parse_args(arguments)
+    trials = [
+        Trial(rule, value, firm, case, seed)
+        for rule, values in VALUES.items()
+        for value in values
+        for firm in traces.FIRMS
+        for case in CASES
+        for seed in range(1, options.seeds + 1)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(PROCESSES) as pool:
+        found = dict(zip(trials, pool.map(measure, trials), strict=True))
+    print("| rule | value | gap | bytes per router and second |\n|---|---|---|---|")
+    curves: dict[str, list[tuple[float, float]]] = {}
+    for rule, values in VALUES.items():
+        for value in values:
+            rows = [
+                row
+                for trial, row in found.items()
+                if (trial.rule, trial.value) == (rule, value)
+            ]
+            gap, size = np.mean(rows, axis=0)
+            curves.setdefault(rule, []).append((float(size), float(gap)))
+            print(f"| {rule} | {value:g} | {gap:,.0f} | {size:,.0f} |")
+    _plot(curves)
+    return 0
+
+
+def _plot(curves: dict[str, list[tuple[float, float]]]) -> None:
+    import matplotlib.pyplot as plt
+
+    figure, axis = plt.subplots(figsize=(6, 4))
+    for rule, points in curves.items():
+        sizes, gaps = zip(*points, strict=True)
+        axis.plot(sizes, gaps, marker="o", label=rule)
+        for value, size, gap in zip(VALUES[rule], sizes, gaps, strict=True):
+            axis.annotate(f"{value:g}", (size, gap), fontsize=7)
+    axis.set_xscale("log")
+    axis.set_xlabel("control bytes per router and second")
+    axis.set_ylabel("greatest gap, cost units per weight")
+    axis.legend()
+    figure.tight_layout()
+    IMAGES.mkdir(parents=True, exist_ok=True)
+    figure.savefig(IMAGES / "exchange.svg", metadata={"Date": None})
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -22,6 +22,7 @@
         self._world = owner
         self.control_bytes = 0
         self.open = 0
+        self.recomputed = 0.0
         self.gap = 0.0
         self.gaps: list[tuple[float, float]] = []
         self._waiting: dict[Key, int] = {}
@@ -46,14 +47,17 @@
     def start(self, job: world.Job) -> None:
         """Count a request that stops waiting for a slot."""
         self._wait(job.key, -1)
-        self._note_wait(job)
+        if job.runs == 1:
+            self._note_wait(job)
         self.held[job.key] = self.held.get(job.key, 0) + 1
         most = self.most_held.get(job.key, 0)
         self.most_held[job.key] = max(most, self.held[job.key])
 
     def stop(self, job: world.Job, given: float) -> None:
         """Count what a request has received at its end."""
-        self._settled[job.key] = self._settled.get(job.key, 0.0) + given
+        units = given - job.counted
+        job.counted = given
+        self._settled[job.key] = self._settled.get(job.key, 0.0) + units
         self.held[job.key] -= 1
 
     def settle(self, job: world.Job) -> None:
@@ -63,6 +67,10 @@
             self._wait(job.key, -1)
             self._note_wait(job)
 
+    def wait_again(self, job: world.Job) -> None:
+        """Count a request whose stream was cancelled, to be resumed."""
+        self._wait(job.key, 1)
+
     def account(self) -> None:
         """Add up busy and idle slot time since the last change."""
         elapsed, self._at = self._world.now - self._at, self._world.now
@@ -153,7 +161,7 @@
             if entry.spec.service == service:
                 entry.advance(self._world.now)
                 for job in entry.running:
-                    units[job.key] += entry.given(job)
+                    units[job.key] += entry.given(job) - job.counted
         return {key: value / weights[key[1]] for key, value in units.items()}
 
     def _compare(self, one: Key, other: Key, difference: float) -> None:
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING
 
 from bench import world
-from celeryspan.decisions import charges, sharing
+from celeryspan import ids
+from celeryspan.decisions import charges, preemption, sharing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +20,9 @@
 # Seconds between two rebalancings of leased shares.
 LEASE_SECONDS = 1.0
 
+# Services whose streams can be cancelled and resumed.
+MODEL_SERVICES = ("lm-pool", "planner-llm")
+
 Key = tuple[str, str]
 
 
@@ -51,6 +55,7 @@
         self._queues: dict[Key, collections.deque[world.Job]] = {}
         self._running: dict[Key, dict[world.Job, float]] = {}
         self._settled: dict[Key, float] = {}
+        self._suspended: dict[Key, float] = {}
         self._lifts: dict[Key, float] = {}
         self._floors: dict[str, float] = {}
 
@@ -77,6 +82,8 @@
         self._floors[service] = max(level, self._floors.get(service, 0.0))
         job = self._queues[key].popleft()
         request = job.request
+        if job.done:
+            self._suspended[key] -= job.done
         estimate = self._estimator.estimate(*key, request.hint, TYPICAL_COST)
         self._slot_charge.expect(service, estimate)
         self._running.setdefault(key, {})[job] = estimate
@@ -90,6 +97,22 @@
         self._estimator.settle(*job.key, cost)
         self._slot_charge.settle(job.key[0], cost)
 
+    def put_back(self, job: world.Job) -> None:
+        """Queue a request again whose stream was cancelled, before all others."""
+        self._running[job.key].pop(job)
+        self._suspended[job.key] = self._suspended.get(job.key, 0.0) + job.done
+        self._queues.setdefault(job.key, collections.deque()).appendleft(job)
+
+    def describe(
+        self, service: str
+    ) -> tuple[dict[str, float], list[str], list[world.Job]]:
+        """Return the levels of all accounts, who waits, and what runs."""
+        keys = [key for key in self._queues if key[0] == service]
+        levels = {key[1]: self._level(key) for key in keys}
+        waiting = [key[1] for key in keys if self._queues[key]]
+        running = [job for key in keys for job in self._running.get(key, ())]
+        return levels, waiting, running
+
     def forget(self, job: world.Job) -> None:
         """Drop a request whose router lost its state."""
         self._running.get(job.key, {}).pop(job, None)
@@ -105,7 +128,7 @@
 
     def _level(self, key: Key) -> float:
         weight = self._world.trace.accounts[key[1]]
-        units = self._settled.get(key, 0.0)
+        units = self._settled.get(key, 0.0) + self._suspended.get(key, 0.0)
         if self._charge != "dispatch":
             for job in self._running.get(key, ()):
                 units += self._world.given(job)
@@ -206,6 +229,47 @@
     register(f"oracle-{_rule}")(type("Oracle", (Central,), {"charge": _rule}))
 
 
+class Preempting(Central):
+    """The oracle that takes slots back from an account that is far ahead.
+
+    Only idempotent requests of the services whose name tells of a model are cancelled.
+    """
+
+    ahead = 2000.0
+
+    def __init__(self, owner: world.World) -> None:
+        super().__init__(owner)
+        owner.after(preemption.PACE_SECONDS, self._preempt)
+
+    def _preempt(self) -> None:
+        for service in self._world.services:
+            if service in MODEL_SERVICES:
+                self._preempt_service(service)
+        self._world.after(preemption.PACE_SECONDS, self._preempt)
+
+    def _preempt_service(self, service: str) -> None:
+        levels, waiting, running = self._queue.describe(service)
+        streams = {
+            preemption.Stream(
+                ids.RequestId(str(job.number)), job.key[1], self._world.given(job)
+            ): job
+            for job in running
+            if job.request.idempotent
+        }
+        victim = preemption.pick_victim(levels, waiting, streams, self.ahead)
+        if victim is not None:
+            job = streams[victim]
+            self._world.suspend(job, preemption.RECOMPUTED)
+            self._queue.put_back(job)
+            self._fill(service)
+
+
+for _ahead in (1000, 2000, 4000):
+    register(f"oracle-preempt-{_ahead}")(
+        type("Preempting", (Preempting,), {"ahead": float(_ahead)})
+    )
+
+
 class FifoQueue(FairQueue):
     """All accounts in one line."""
 
--- a/bench/world.py
+++ b/bench/world.py
@@ -52,6 +52,9 @@
     mark: float = 0.0
     told: float = 0.0
     runs: int = 0
+    done: float = 0.0
+    counted: float = 0.0
+    again: float = 0.0
     key: tuple[str, str] = ("", "")
 
 
@@ -80,13 +83,13 @@
         self._at = now
 
     def add(self, job: Job) -> None:
-        """Begin a request."""
-        job.mark = self._progress
+        """Begin a request, or go on with one after computing a part again."""
+        job.mark = self._progress - job.done + job.again
         self.running[job] = None
 
     def given(self, job: Job) -> float:
         """Return what a running request has received, in cost units."""
-        return min(self._progress - job.mark, job.request.cost)
+        return max(job.done, min(self._progress - job.mark, job.request.cost))
 
     def find_next(self) -> tuple[float, Job] | None:
         """Return the seconds until the next request ends, and the request."""
@@ -214,6 +217,20 @@
         self._plan(entry)
         return True
 
+    def suspend(self, job: Job, recomputed: float) -> None:
+        """Cancel a stream, to be resumed; a part of it will be computed again."""
+        self.measures.account()
+        entry = self.servers[job.server]
+        self._reach(entry)
+        job.done = entry.given(job)
+        job.again = recomputed * job.done
+        self.measures.recomputed += job.again
+        self.measures.stop(job, job.done)
+        del entry.running[job]
+        self._plan(entry)
+        job.state = states.RequestState.QUEUED
+        self.measures.wait_again(job)
+
     def settle(self, job: Job, outcome: states.Outcome) -> None:
         """Give a request its final answer."""
         self.measures.account()
