Learn windows from late reports, route by cached prefix, pace feedback loops

Cause: limits and routing had no body; a gap in cache events made a server's map worthless; at half load no choice of server followed the prefix. Change: a window changes only on a report taken after its last change, is cut by the excess that the report shows and grows by doubling steps until the engine holds a small reserve. The cache map keeps holders by block, finds depths by bisection, takes trust from what answers show as cached; Routing.choose takes `now`, follows the rendezvous of the prefix where nothing is known; Queues.oldest names the request to choose for. Requests that compete for a grant: 32, before 64.

--- a/celeryspan/decisions/limits.py
+++ b/celeryspan/decisions/limits.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 
 from celeryspan import ids
 from celeryspan.decisions import pacing
@@ -21,6 +22,30 @@
 FLOOR = 1
 """Least window: one request at a time keeps the server observed."""
 
+INSIDE_SHARE = 0.1
+"""Requests that may wait inside the engine, as a share of its batch: one is there when
+another ends, and a report that shows them says that the batch is full."""
+
+GROWTH_SHARE = 0.25
+"""First growth, as a share of the window; it doubles with each growth that follows
+without waiting inside the engine. Growing too far costs one lag of waiting there,
+since the next report says by how much; growing too slowly idles the server for many."""
+
+MAX_GROWTH_SHARE = 1.0
+"""Greatest growth for one change."""
+
+SLOW_SHARE = 0.1
+"""Cut for one change when streams are slower than promised."""
+
+FAILURE_FACTOR = 0.7
+"""Window kept when the server refuses or times out: no report says by how much."""
+
+TOKEN_SECONDS = 0.046
+"""Seconds between two tokens that streams are promised."""
+
+MEMORY = 0.9
+"""Weight kept by earlier streams in the mean time between tokens."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadReport:
@@ -45,12 +70,37 @@
 
 
 class Window:
-    """Window of one server."""
+    """Window of one server.
+
+    A change is made only by a report of a time after the last change has shown, so that
+    the same overload is answered once. The step is the overload itself, not a guess:
+    what waits inside the engine beyond a small reserve.
+
+    Parameters
+    ----------
+    ceiling : int
+        Slots that the register states; never exceeded.
+    """
+
+    __slots__ = (
+        "_ceiling",
+        "_changed_at",
+        "_floor",
+        "_growth",
+        "_limited_at",
+        "_slow_at",
+        "_token_seconds",
+        "size",
+    )
 
     def __init__(self, ceiling: int, now: float, floor: int = FLOOR) -> None:
         self._ceiling = ceiling
         self._floor = floor
-        self._changed_at = now
+        self._changed_at = -math.inf
+        self._growth = GROWTH_SHARE
+        self._limited_at = now
+        self._slow_at = -math.inf
+        self._token_seconds = 0.0
         self.size = ceiling
 
     def report(self, load: LoadReport, in_use: int, now: float) -> None:
@@ -61,14 +111,19 @@
         in_use : int
             Slots of the window in use now.
         """
-        lag = max(0.0, now - load.as_of)
-        if load.as_of < self._changed_at + pacing.Loop.WINDOW.value.interval:
+        if in_use >= self.size:
+            self._limited_at = now
+        settled = self._changed_at + pacing.Loop.WINDOW.value.interval
+        if load.as_of < settled:
             return
-        del lag
-        if load.waiting > 0:
-            self._resize(self.size - load.waiting, now)
-        elif in_use >= self.size:
-            self._resize(self.size + 1, now)
+        reserve = max(1, math.ceil(INSIDE_SHARE * load.running))
+        excess = load.waiting - reserve
+        if excess > 0:
+            self._growth = GROWTH_SHARE
+            self._resize(min(self.size, load.running + load.waiting) - excess, now)
+        elif self._may_grow(load, now):
+            self._resize(self.size + max(1, int(self._growth * self.size)), now)
+            self._growth = min(MAX_GROWTH_SHARE, 2.0 * self._growth)
 
     def answer(self, failed: bool, token_seconds: float | None, now: float) -> None:
         """Learn from the end of a request.
@@ -80,6 +135,34 @@
         token_seconds : float or None
             Mean seconds between two tokens of its stream.
         """
+        paced = now - self._changed_at >= pacing.Loop.WINDOW.value.interval
+        if failed:
+            if paced:
+                self._resize(int(self.size * FAILURE_FACTOR), now)
+            return
+        if token_seconds is None:
+            return
+        if not self._token_seconds:
+            self._token_seconds = token_seconds
+        self._token_seconds += (token_seconds - self._token_seconds) * (1.0 - MEMORY)
+        if self._token_seconds > TOKEN_SECONDS:
+            self._slow_at = now
+            if paced and now - self._changed_at >= self._stream_pace():
+                self._resize(self.size - max(1, int(SLOW_SHARE * self.size)), now)
+
+    def _stream_pace(self) -> float:
+        """Seconds after which the mean shows a change: the streams must be new ones."""
+        return 5.0 * pacing.Loop.WINDOW.value.interval
+
+    def _may_grow(self, load: LoadReport, now: float) -> bool:
+        """Grow only a window that is in use, at a server whose streams keep up.
+
+        A window that is not in use has shown nothing; grown, it would let a burst in
+        that the engine has never been seen to bear.
+        """
+        limited = now - self._limited_at <= now - load.as_of + 1.0
+        slow = now - self._slow_at <= 4.0 * self._stream_pace()
+        return limited and not slow and load.waiting == 0
 
     def _resize(self, size: int, now: float) -> None:
         size = max(self._floor, min(self._ceiling, size))
--- a/celeryspan/decisions/queueing.py
+++ b/celeryspan/decisions/queueing.py
@@ -28,7 +28,7 @@
 PASS_LIMIT = 16
 """Times that younger requests may be served before an older one of the account."""
 
-SCAN_LIMIT = 64
+SCAN_LIMIT = 32
 """Requests at the head of a queue that compete for a grant; bounds time per pick."""
 
 LONG_FACTOR = 4.0
@@ -323,6 +323,11 @@
         """Return the queues in which something waits."""
         return [key for key, queue in self._queues.items() if queue.entries]
 
+    def oldest(self, service: ids.ServiceId, account: ids.AccountId) -> Entry | None:
+        """Return the first request in line, for which a server may be asked first."""
+        queue = self._queues.get((service, account))
+        return next(iter(queue.entries.values()), None) if queue else None
+
     def waiting(self, service: ids.ServiceId, account: ids.AccountId) -> int:
         """Return how many requests wait in one queue."""
         queue = self._queues.get((service, account))
--- a/celeryspan/decisions/routing.py
+++ b/celeryspan/decisions/routing.py
@@ -7,6 +7,10 @@
 hot prefix wait for the one server that has it while others idle; or routers that have
 just started send everything to the same server.
 
+A slot that falls free is never left idle for the sake of a prefix: among the waiting
+requests of the granted account the one goes that loses most if it runs elsewhere, and
+any request goes before none. So a hot prefix spreads to as many servers as it fills.
+
 Grounds of the figures: stated beside each constant; `docs/design/routing.md` has the
 measurements.
 """
@@ -16,12 +20,29 @@
 import collections
 import dataclasses
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+
+import xxhash
 
 from celeryspan import dispatch, ids
+from celeryspan.decisions import pacing
+
+MAX_BLOCKS = 100_000
+"""Blocks remembered over all servers; `docs/CAPACITY.md` has the bytes of one."""
+
+GAP_TRUST = 0.7
+"""Trust kept after a gap: what it hid is a small part of what a server has stored."""
+
+MIN_TRUST = 0.2
+"""Least trust: a prefix that may be cached still goes before one that is not."""
 
-MAX_BLOCKS = 200_000
-"""Blocks remembered over all servers: about 20 MB."""
+ANSWER_WEIGHT = 0.2
+"""Weight of one answer in the trust: answers show what was cached, and five of them
+outweigh the gaps between."""
+
+BUSY_BLOCKS = 8.0
+"""Blocks that a server must save to be preferred over one that is idle, when its own
+window is full: about the time in which the next slot falls free."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,14 +72,26 @@
 
 
 class CacheMap:
-    """What the servers of this router's services have cached, as far as is known."""
+    """What the servers of this router's services have cached, as far as is known.
+
+    Each block maps to the servers that are believed to have it, so that the best one
+    elsewhere is found without asking all. A gap in a server's events lowers the trust
+    in all that it stored before; an answer that shows a block cached restores it.
+
+    Parameters
+    ----------
+    max_blocks : int
+        Pairs of block and server that are remembered; the oldest go first.
+    """
 
     def __init__(self, max_blocks: int = MAX_BLOCKS) -> None:
         self._max_blocks = max_blocks
-        self._blocks: collections.OrderedDict[tuple[ids.ServerId, int], None] = (
+        self._holders: collections.OrderedDict[int, set[ids.ServerId]] = (
             collections.OrderedDict()
         )
+        self._pairs = 0
         self._last: dict[ids.ServerId, int] = {}
+        self._trust: dict[ids.ServerId, float] = {}
 
     def apply(
         self,
@@ -67,12 +100,28 @@
         last: int,
         now: float,
     ) -> None:
-        """Take in cache events of one server; ``last`` is the newest it has."""
+        """Take in cache events of one server; ``last`` is the newest it has.
+
+        A number that is missed, or one lower than the last (the server has started
+        again), is a gap.
+        """
+        del now
+        known = self._last.get(server, 0)
+        if last < known:
+            self.forget(server)
+            known = 0
+        missed = False
         for event in events:
+            if event.sequence <= known:
+                continue
+            missed = missed or event.sequence > known + 1
+            known = event.sequence
             if event.stored:
-                self._blocks[server, event.block] = None
+                self._add(server, event.block)
             else:
-                self._blocks.pop((server, event.block), None)
+                self._discard(server, event.block)
+        if missed or known < last:
+            self._distrust(server)
         self._last[server] = last
 
     def last_sequence(self, server: ids.ServerId) -> int:
@@ -80,26 +129,99 @@
         return self._last.get(server, 0)
 
     def sent(self, server: ids.ServerId, prefix: Sequence[int], now: float) -> None:
-        """Expect a prompt's blocks at the server that it was sent to."""
+        """Expect a prompt's blocks at the server that it was sent to.
+
+        Its own event comes seconds later; until then further prompts of the same prefix
+        would be spread over all servers.
+        """
+        del now
         for block in prefix:
-            self._blocks[server, block] = None
+            self._add(server, block)
 
     def observe(
         self, server: ids.ServerId, prefix: Sequence[int], cached: int, now: float
     ) -> None:
         """Learn from an answer how many blocks of a prompt were cached."""
+        del now
+        expected = self._count(server, prefix)
+        if not expected:
+            return
+        shown = min(1.0, cached / expected)
+        trust = self._trust.get(server, 1.0)
+        trust += (shown - trust) * ANSWER_WEIGHT
+        self._trust[server] = max(MIN_TRUST, trust)
 
     def forget(self, server: ids.ServerId) -> None:
         """Drop what is known of a server that is gone or has restarted."""
+        for block in [one for one, held in self._holders.items() if server in held]:
+            self._discard(server, block)
+        self._last.pop(server, None)
+        self._trust.pop(server, None)
 
     def cached(self, server: ids.ServerId, prefix: Sequence[int]) -> float:
         """Return the expected number of a prompt's blocks that a server has."""
-        count = 0
-        for block in prefix:
-            if (server, block) not in self._blocks:
-                break
-            count += 1
-        return float(count)
+        return self._count(server, prefix) * self._trust.get(server, 1.0)
+
+    def best_elsewhere(self, server: ids.ServerId, prefix: Sequence[int]) -> float:
+        """Return the greatest expected number of blocks at any other server."""
+
+        def is_held(index: int) -> bool:
+            holders = self._holders.get(prefix[index], ())
+            return len(holders) > 1 or (bool(holders) and server not in holders)
+
+        depth = _find_depth(len(prefix), is_held)
+        if not depth:
+            return 0.0
+        others = (one for one in self._holders[prefix[depth - 1]] if one != server)
+        return depth * max(self._trust.get(one, 1.0) for one in others)
+
+    def count_pairs(self) -> int:
+        """Return how many pairs of block and server are remembered."""
+        return self._pairs
+
+    def _count(self, server: ids.ServerId, prefix: Sequence[int]) -> int:
+        return _find_depth(
+            len(prefix), lambda index: server in self._holders.get(prefix[index], ())
+        )
+
+    def _add(self, server: ids.ServerId, block: int) -> None:
+        holders = self._holders.setdefault(block, set())
+        self._pairs += server not in holders
+        holders.add(server)
+        self._holders.move_to_end(block)
+        while self._pairs > self._max_blocks:
+            _, dropped = self._holders.popitem(last=False)
+            self._pairs -= len(dropped)
+
+    def _discard(self, server: ids.ServerId, block: int) -> None:
+        holders = self._holders.get(block)
+        if not holders or server not in holders:
+            return
+        holders.discard(server)
+        self._pairs -= 1
+        if not holders:
+            del self._holders[block]
+
+    def _distrust(self, server: ids.ServerId) -> None:
+        trust = self._trust.get(server, 1.0) * GAP_TRUST
+        self._trust[server] = max(MIN_TRUST, trust)
+
+
+def _find_depth(length: int, is_held: Callable[[int], bool]) -> int:
+    """Return how many leading blocks are held, by bisection.
+
+    A block is stored after the blocks before it and evicted before them, so that the
+    held ones are a prefix; where a gap has hidden an eviction, the count is a guess, as
+    is all that is known of that server.
+    """
+    low, high = 0, length
+    while low < high:
+        middle = (low + high) // 2
+        if is_held(middle):
+            low = middle + 1
+        else:
+            high = middle
+    return low
 
 
 class Routing:
@@ -107,18 +229,33 @@
 
     def __init__(self, cache: CacheMap) -> None:
         self._cache = cache
+        self._pacer = pacing.Pacer(pacing.Loop.AFFINITY.value)
 
     def fit(self, server: ids.ServerId, work: dispatch.Work) -> float:
-        """Return how well a request suits a granted server, in blocks saved."""
-        return self._cache.cached(server, work.prefix) if work.prefix else 0.0
+        """Return the blocks lost if a request ran elsewhere than on a granted server.
+
+        Counting only what this server has would let it take prompts that another has
+        cached as well, and leave it those that nobody has.
+        """
+        if not work.prefix:
+            return 0.0
+        here = self._cache.cached(server, work.prefix)
+        return here - self._cache.best_elsewhere(server, work.prefix)
 
     def choose(
         self,
         work: dispatch.Work,
         candidates: Sequence[Candidate],
+        now: float,
         rng: random.Random,
     ) -> ids.ServerId | None:
-        """Choose one of several servers with room; None if there is none."""
+        """Choose one of several servers with room; None if there is none.
+
+        Used where several servers have room: to ask the home of the best one first, and
+        where no home grants slots. Saved blocks count against the load; without
+        any knowledge the choice follows the prefix over the servers, so that routers
+        that have just started agree, and different prefixes spread.
+        """
         free = [
             item
             for item in candidates
@@ -126,12 +263,28 @@
         ]
         if not free:
             return None
-        best = max(
-            free,
-            key=lambda item: (
-                self.fit(item.server, work),
-                -item.in_use / item.window,
-                rng.random(),
-            ),
-        )
+        best = max(free, key=lambda item: self._score(item, work, rng))
+        if self._cache.cached(best.server, work.prefix):
+            return best.server
+        if work.prefix and not self._pacer.allow(work.prefix[0], now):
+            held = [one for one in free if self._cache.cached(one.server, work.prefix)]
+            best = max(held or [best], key=lambda item: self._score(item, work, rng))
         return best.server
+
+    def _score(
+        self, item: Candidate, work: dispatch.Work, rng: random.Random
+    ) -> tuple[float, float]:
+        load = BUSY_BLOCKS * item.in_use / item.window
+        saved = self._cache.cached(item.server, work.prefix)
+        if not work.prefix:
+            return -load, rng.random()
+        return saved - load, rank(item.server, work.prefix[0])
+
+
+def rank(server: ids.ServerId, block: int) -> float:
+    """Return a number from 0 to 1 that orders servers for a prefix, alike everywhere.
+
+    The server of the highest number is the rendezvous of the prefix: one server more or
+    less moves only the prefixes that it gains or held.
+    """
+    return xxhash.xxh64_intdigest(f"{server}/{block}".encode()) / 2.0**64
