Measure ejection and the retry budget while servers fail

Cause: neither had a figure. Change: make bench NAME=admission plays one and all of nine servers failing for 20 s.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -126,6 +126,43 @@
     }
 
 
+FAULT_CASES = {
+    "neither": one_router.Mechanisms(ejection=False, budget=False),
+    "budget": one_router.Mechanisms(ejection=False),
+    "ejection": one_router.Mechanisms(budget=False),
+    "both": one_router.Mechanisms(),
+}
+
+
+def measure_fault(failing: int, case: str, seed: int = 1) -> dict:
+    """Return what callers get while some of nine servers fail from 5 s to 25 s."""
+    servers = make_servers()
+    router = one_router.Router(servers, FAULT_CASES[case], seed)
+    for server in servers[:failing]:
+        router.at(5.0, lambda server=server: setattr(server, "fails", True))
+        router.at(25.0, lambda server=server: setattr(server, "fails", False))
+    rates = {name: CAPACITY / 6 for name in "abcd"}
+    records = router.run(make_calls(rates, SECONDS, seed))
+    answered = sum(one.answered_at is not None for one in records)
+    runs = sum(one.runs for one in records)
+    return {
+        "answered_share": round(answered / len(records), 4),
+        "sends_per_call": round(runs / len(records), 3),
+    }
+
+
+def print_faults() -> dict[str, dict[str, dict]]:
+    """Print what ejection and the retry budget do while servers fail."""
+    table: dict[str, dict[str, dict]] = {}
+    for failing in (1, 9):
+        print(f"\n{failing} of 9 servers fail for 20 s")
+        for case in FAULT_CASES:
+            result = measure_fault(failing, case)
+            print(f"{case:26}" + "".join(f"{k:>18} {v}" for k, v in result.items()))
+            table.setdefault(str(failing), {})[case] = result
+    return table
+
+
 def run(arguments: list[str]) -> int:
     """Print a table for each load pattern and the JSON of all."""
     del arguments
@@ -138,6 +175,6 @@
                 print(f"{'':26}" + "".join(f"{name:>23}" for name in result))
             print(f"{case:26}" + "".join(f"{value:23}" for value in result.values()))
             table.setdefault(pattern, {})[case] = result
-    bounds = {"max_waiting": admission.MAX_WAITING}
-    print(json.dumps({"bench": "admission", **bounds, "patterns": table}))
+    faults = print_faults()
+    print(json.dumps({"bench": "admission", "patterns": table, "faults": faults}))
     return 0
