--- /dev/null
+++ b/celeryspan/decisions/grants.py
@@ -0,0 +1,332 @@
+"""The ledger of a home: who holds which slot, and who gets the next one.
+
+Load pattern: more requests wait than slots exist, spread unevenly over routers; slots
+fall free one at a time, in an order that nobody knows beforehand.
+
+Without it a router would bind a request to a server early, and the request would wait
+there while other servers idle; and a large account would take every slot.
+
+The home binds late: when a slot is free, it goes to the account with the least
+standing, and within the account to the router that has waited longest. An account
+holds at most ``CAP_FRACTION`` of the home's slots of a service while others wait, so
+that a newcomer waits for the end of one request in the other part at most.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from typing import TYPE_CHECKING
+
+import xxhash
+
+from celeryspan import ids
+from celeryspan.decisions import charges, demand as demands, sharing, slots
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+# Seconds in which a grant must be used. Longer than any round trip between data
+# centres with one retransmission, shorter than a tenth of a mean request.
+VALID_SECONDS = 1.0
+
+# Seconds that the home waits beyond the validity before it gives the slot away: the
+# router counts from receipt, and its message that the grant is used travels as long.
+GRACE_SECONDS = 0.5
+
+# Seconds in which a new home waits for the routers to say which slots they hold. A
+# router that is alive answers within one round trip; one that died never will.
+RECOVERY_SECONDS = 0.5
+
+# Greatest part of a home's slots of one service for one account while others wait.
+CAP_FRACTION = 0.5
+
+# What an account may be owed, in greatest settled costs per weight.
+OWED_COSTS = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Issued:
+    """A grant and the router that it must be sent to."""
+
+    router: ids.RouterId
+    grant: messages.Grant
+
+
+class Ledger:
+    """Slots of the backend servers whose home this router is.
+
+    Parameters
+    ----------
+    router, incarnation
+        Whose ledger this is; makes the numbers of its grants unique.
+    counters : Counters
+        Service received by each account, as this router knows it.
+    """
+
+    def __init__(
+        self,
+        router: ids.RouterId,
+        incarnation: ids.Incarnation,
+        counters: sharing.Counters,
+        *,
+        owed_costs: float = OWED_COSTS,
+        cap_fraction: float = CAP_FRACTION,
+    ) -> None:
+        self._counters = counters
+        self._owed_costs = owed_costs
+        self._cap_fraction = cap_fraction
+        name = f"{router}/{incarnation}".encode()
+        self._next_grant = xxhash.xxh32_intdigest(name) << 32
+        self._slots = slots.Slots()
+        self._demands = demands.Demands()
+        self._charge = charges.Charge()
+        self._floors: dict[ids.ServiceId, float] = {}
+        self._lifts: list[messages.Lift] = []
+        self._sequence = 0
+
+    def add_server(
+        self,
+        server: ids.ServerId,
+        service: ids.ServiceId,
+        window: int,
+        now: float,
+        awaited: Collection[ids.RouterId] = (),
+    ) -> None:
+        """Become home of a server.
+
+        Parameters
+        ----------
+        awaited : collection of RouterId
+            Routers that may hold slots under the previous home. Nothing is granted
+            before each has sent ``SlotsHeld`` or ``RECOVERY_SECONDS`` have passed.
+        """
+        self._slots.entries[server] = slots.Entry(
+            service, window, set(awaited), now + RECOVERY_SECONDS
+        )
+
+    def set_window(self, server: ids.ServerId, window: int) -> None:
+        """Change how many slots of a server may be in use; 0 grants nothing more."""
+        self._slots.entries[server].window = window
+
+    def drop_server(self, server: ids.ServerId) -> None:
+        """Stop being home; the next home learns from the routers what they hold."""
+        entry = self._slots.entries.get(server)
+        if entry is None:
+            return
+        for held in list(entry.held):
+            self._free(entry, held)
+        del self._slots.entries[server]
+
+    def servers(self) -> tuple[ids.ServerId, ...]:
+        """Return the servers in this ledger."""
+        return tuple(self._slots.entries)
+
+    def in_use(self, server: ids.ServerId) -> int:
+        """Return the slots of a server that are granted or used."""
+        return len(self._slots.entries[server].held)
+
+    def backlogged(self) -> frozenset[sharing.Key]:
+        """Return the (service, account) pairs that wait anywhere, as known here."""
+        return self._demands.list_backlogged()
+
+    def report(self, router: ids.RouterId, demand: messages.Demand, now: float) -> None:
+        """Take in what waits at a router; an older report than the last is ignored.
+
+        Sequences are those of one incarnation: call :meth:`forget_router` before the
+        first report of the next one.
+        """
+        key = (demand.service, demand.account)
+        others = self._demands.backlogged(demand.service)
+        is_new = not self._demands.is_backlogged(key)
+        if not self._demands.put(router, demand, now):
+            return
+        self._charge.expect(demand.service, demand.cost_estimate)
+        if demand.waiting > 0 and is_new:
+            self._lift(key, others)
+
+    def forget_router(self, router: ids.RouterId) -> None:
+        """Free what a router held and waited for: it died, left or was cut off."""
+        self._demands.drop_router(router)
+        for entry in self._slots.entries.values():
+            entry.awaited.discard(router)
+            for held in [item for item in entry.held if item.router == router]:
+                self._free(entry, held)
+
+    def hold(self, router: ids.RouterId, held: messages.SlotsHeld, now: float) -> None:
+        """Replace what is known of the slots that a router uses of one server.
+
+        Grants that the router has not yet used stay as they are: its message may have
+        left before they arrived.
+        """
+        entry = self._slots.entries.get(held.server)
+        if entry is None:
+            return
+        entry.awaited.discard(router)
+        for item in list(entry.held):
+            if item.router == router and item.is_used:
+                self._slots.free(entry, item)
+        for account, _ in held.grants:
+            self._slots.take(entry, slots.Held(None, router, account, math.inf))
+
+    def used(
+        self, router: ids.RouterId, message: messages.GrantUsed, now: float
+    ) -> None:
+        """Note that a request was sent.
+
+        A grant that is not known here was issued by the previous home of the server,
+        or has expired: the slot is in use all the same, so it is counted.
+        """
+        entry = self._slots.entries.get(message.server)
+        if entry is None:
+            return
+        key = (entry.service, message.account)
+        held = entry.find_grant(router, message.grant)
+        if held is None:
+            held = slots.Held(message.grant, router, message.account, math.inf)
+            self._slots.take(entry, held)
+            self._demands.count_sent(key, router)
+        elif not held.is_used:
+            held.expires = math.inf
+            self._demands.count_unused(key, router, -1)
+            self._demands.count_sent(key, router)
+
+    def ended(
+        self, router: ids.RouterId, message: messages.GrantEnded, now: float
+    ) -> None:
+        """Free a slot; a doubled message changes nothing.
+
+        After a take-over the ledger knows slots by router and account only, so any
+        of these is freed for a grant that it does not know. A grant that comes back
+        unused says that nothing waits; a router that knows better reports again.
+        """
+        entry = self._slots.entries.get(message.server)
+        if entry is None:
+            return
+        held = entry.find_grant(router, message.grant) or entry.find_unnamed(
+            router, message.account
+        )
+        if held is None:
+            return
+        if message.cost > 0.0:
+            self._charge.settle(entry.service, message.cost)
+        if not held.is_used:
+            self._demands.count_none((entry.service, held.account), router)
+        self._free(entry, held)
+
+    def expire(self, now: float) -> tuple[ids.GrantId, ...]:
+        """Free the slots of grants that were not used in time; return the grants."""
+        expired = []
+        for entry in self._slots.entries.values():
+            for held in [item for item in entry.held if item.expires <= now]:
+                self._free(entry, held)
+                if held.grant is not None:
+                    expired.append(held.grant)
+        self._demands.forget_withdrawn(now)
+        return tuple(expired)
+
+    def issue(self, now: float) -> list[Issued]:
+        """Grant the free slots to whoever is served next."""
+        issued = []
+        for service in self._slots.services():
+            issued += self._issue_service(service, now)
+        return issued
+
+    def take_lifts(self) -> list[messages.Lift]:
+        """Return the lifts decided since the last call, to be told to other homes."""
+        lifts, self._lifts = self._lifts, []
+        return lifts
+
+    def take_pending(self) -> list[messages.Pending]:
+        """Return the slots held where they changed since the last call."""
+        return self._make_pending(self._slots.take_changed())
+
+    def list_pending(self) -> list[messages.Pending]:
+        """Return all slots held: for a home that is new or has lost its state."""
+        return self._make_pending(self._slots.list_held())
+
+    def held(self, service: ids.ServiceId, account: ids.AccountId) -> int:
+        """Return the slots that an account holds under this ledger's grants."""
+        return self._slots.count(service, account)
+
+    def _issue_service(self, service: ids.ServiceId, now: float) -> list[Issued]:
+        waiting = [
+            account
+            for account in self._demands.backlogged(service)
+            if self._demands.count((service, account))
+        ]
+        issued: list[Issued] = []
+        server = self._slots.pick_server(service, now) if waiting else None
+        if server is not None:
+            self._forgive(service)
+        while waiting and server is not None:
+            account = self._pick_account(service, waiting)
+            issued.append(self._grant(server, service, account, now))
+            if not self._demands.count((service, account)):
+                waiting.remove(account)
+            server = self._slots.pick_server(service, now)
+        return issued
+
+    def _grant(
+        self,
+        server: ids.ServerId,
+        service: ids.ServiceId,
+        account: ids.AccountId,
+        now: float,
+    ) -> Issued:
+        key = (service, account)
+        router = self._demands.pick_router(key, now)
+        level = self._counters.level(service, account)
+        self._floors[service] = max(level, self._floors.get(service, 0.0))
+        self._next_grant += 1
+        grant = ids.GrantId(self._next_grant)
+        expires = now + VALID_SECONDS + GRACE_SECONDS
+        held = slots.Held(grant, router, account, expires)
+        self._slots.take(self._slots.entries[server], held)
+        self._demands.count_unused(key, router, 1)
+        message = messages.Grant(grant, server, service, account, VALID_SECONDS)
+        return Issued(router, message)
+
+    def _pick_account(
+        self, service: ids.ServiceId, waiting: list[ids.AccountId]
+    ) -> ids.AccountId:
+        accounts = waiting
+        if len(accounts) > 1:
+            window = self._slots.windows(service)
+            cap = max(1, math.ceil(window * self._cap_fraction))
+            below = [item for item in accounts if self.held(service, item) < cap]
+            accounts = below or accounts
+        return min(accounts, key=lambda item: (self._standing(service, item), item))
+
+    def _standing(self, service: ids.ServiceId, account: ids.AccountId) -> float:
+        charged = self._charge_slots(service, account)
+        return self._counters.standing(service, account, charged)
+
+    def _charge_slots(self, service: ids.ServiceId, account: ids.AccountId) -> float:
+        return self._charge.per_slot(service) * self._slots.count(service, account)
+
+    def _make_pending(self, keys: list[sharing.Key]) -> list[messages.Pending]:
+        self._sequence += 1
+        return [
+            messages.Pending(*key, self._charge_slots(*key), self._sequence)
+            for key in keys
+        ]
+
+    def _lift(self, key: sharing.Key, others: list[ids.AccountId]) -> None:
+        floor = self._floors.get(key[0], 0.0)
+        lift = self._counters.lift(*key, others, floor)
+        if lift is not None:
+            self._lifts.append(lift)
+
+    def _forgive(self, service: ids.ServiceId) -> None:
+        greatest = self._charge.greatest(service)
+        if greatest:
+            owed = self._owed_costs * greatest
+            backlogged = self._demands.backlogged(service)
+            self._lifts += self._counters.forgive(service, backlogged, owed)
+
+    def _free(self, entry: slots.Entry, held: slots.Held) -> None:
+        self._slots.free(entry, held)
+        if not held.is_used:
+            self._demands.count_unused((entry.service, held.account), held.router, -1)
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -106,6 +106,40 @@
     units: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lift:
+    """The start that an account was given when it became backlogged.
+
+    Attributes
+    ----------
+    level : float
+        Added to what the account has received, in cost units per weight. It only
+        grows and merges by maximum.
+    """
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    level: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """Estimates of the requests in progress under the grants of one home.
+
+    Attributes
+    ----------
+    units : float
+        Sum of the full estimates, in cost units; 0 once nothing is in progress.
+    sequence : int
+        Grows with each message of the home's incarnation; the newest wins.
+    """
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    units: float
+    sequence: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """What the sender believes about one router; rides on probes."""
@@ -122,9 +156,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Probe:
-    """Ask a member whether it is alive."""
+    """Ask a member whether it is alive.
+
+    Attributes
+    ----------
+    digest : int
+        Of all that the sender believes about members; 0 if it does not say.
+    """
 
     sequence: int
+    digest: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,6 +215,57 @@
     body: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """First message of each side of a link.
+
+    Attributes
+    ----------
+    version : int
+        Version of the protocol that the sender speaks.
+    nonce : bytes
+        Random, never used before; the other side's proof covers it.
+    """
+
+    version: int
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Keyed hash over both nonces: the sender knows a fleet key."""
+
+    digest: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Nothing to say; the link works."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersRequest:
+    """Ask for a :class:`Member` of each router that the receiver knows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pressure:
+    """What one router sees of one service, for the placement of model servers.
+
+    Attributes
+    ----------
+    waiting : int
+        Requests that wait at the sender.
+    busy, slots : int
+        Slots in use and in all of the servers whose home the sender is.
+    """
+
+    service: ids.ServiceId
+    waiting: int
+    busy: int
+    slots: int
+
+
 Message = (
     Demand
     | Grant
@@ -181,6 +273,8 @@
     | GrantEnded
     | SlotsHeld
     | Counter
+    | Lift
+    | Pending
     | Member
     | Probe
     | ProbeRequest
@@ -189,6 +283,11 @@
     | ConfigurationOffer
     | ConfigurationRequest
     | ConfigurationValue
+    | Hello
+    | Proof
+    | Heartbeat
+    | MembersRequest
+    | Pressure
 )
 
 
