Tell queues when a request ended and whether it was answered

Change: dispatch passes the time and whether the server answered. Conclusion: run times are learned from answered requests only.

--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -241,8 +241,9 @@
         work = slot.entry.work
         with self._lock:
             self._held.remove(slot)
-            self._queues.end(work.request)
-            if ending is dispatch.Ending.ANSWERED:
+            answered = ending is dispatch.Ending.ANSWERED
+            self._queues.end(work.request, time.monotonic(), answered)
+            if answered:
                 self._estimator.settle(work.service, work.account, cost)
         home = self._assignment.find_home(slot.server)
         if home is not None:
