--- /dev/null
+++ b/bench/costs.py
@@ -0,0 +1,348 @@
+"""Processor time and bytes of each kind of control work, at several sizes."""
+
+from __future__ import annotations
+
+import io
+import itertools
+import random
+from collections.abc import Callable
+
+from bench import fits
+from celeryspan import (
+    configuration,
+    dispatch,
+    documents,
+    events,
+    ids,
+    metrics,
+    register,
+    states,
+)
+from celeryspan.decisions import (
+    admission,
+    exchange,
+    grants,
+    membership,
+    queueing,
+    sharing,
+)
+from celeryspan.wire import codec, messages, proofs
+
+SIZES = (100, 300, 1000)
+FLEET_SIZES = (100, 400, 1300)
+SERVER_SIZES = (100, 1000, 10_000)
+PAIR_SIZES = (50, 150, 400)
+ACCOUNTS = 76
+"""Backlogged accounts: a tenth of 760."""
+
+HOME_SERVERS = 8
+WINDOW = 160
+"""Streams of one server at the letter's size: 35,000,000 x 0.046 / 10,000."""
+
+SERVICE = ids.ServiceId("planner-llm")
+OWN = ids.RouterId("router-0001")
+INCARNATION = ids.Incarnation(1)
+KEY = "fleet-key-of-the-measurement"
+LINK_BYTES = 44
+"""Length prefix and headers of TCP and IP for a frame that travels alone."""
+
+DATAGRAM_BYTES = 28
+"""Headers of UDP and IP."""
+
+
+def name_account(index: int) -> ids.AccountId:
+    """Return an account id of usual length."""
+    return ids.AccountId(f"account-{index:03}")
+
+
+def encode(*batch: messages.Message) -> bytes:
+    """Return a frame of this router."""
+    return codec.encode(messages.Frame(OWN, INCARNATION, 1, batch))
+
+
+def measure() -> list[fits.Slope]:
+    """Return the slopes of time and bytes of all control work."""
+    measures = (
+        measure_grants,
+        measure_counters,
+        measure_probes,
+        measure_configurations,
+        measure_logs,
+        measure_samples,
+    )
+    return list(itertools.chain.from_iterable(one() for one in measures))
+
+
+def measure_grants() -> list[fits.Slope]:
+    """Measure one request's way through queue, home and four messages on the wire."""
+    times = [fits.time_call(prepare_grants, size) for size in SIZES]
+    sizes = [
+        float(
+            sum(
+                len(encode(one)) + LINK_BYTES
+                for index in range(size)
+                for one in make_grant_messages(index)
+            )
+        )
+        for size in SIZES
+    ]
+    return [
+        fits.fit("grant", "us", SIZES, times),
+        fits.fit("grant", "bytes", SIZES, sizes),
+    ]
+
+
+def make_grant_messages(index: int) -> tuple[messages.Message, ...]:
+    """Return what travels for one request whose home is another router."""
+    account, server = name_account(index % ACCOUNTS), ids.ServerId("server-0001")
+    grant = ids.GrantId((1 << 32) + index)
+    return (
+        messages.Demand(SERVICE, account, 1, 0.0, index + 1, 250.0),
+        messages.Grant(grant, server, SERVICE, account, 1.0),
+        messages.GrantUsed(grant, server, account, 250.0),
+        messages.GrantEnded(grant, server, account, 251.0),
+    )
+
+
+def prepare_grants(size: int) -> Callable[[], object]:
+    """Return a call that takes requests through queue, ledger and codec."""
+    counters = sharing.Counters(OWN, INCARNATION, lambda _: 1.0)
+    ledger = grants.Ledger(OWN, INCARNATION, counters)
+    for index in range(HOME_SERVERS):
+        server = ids.ServerId(f"server-{index:04}")
+        ledger.add_server(server, SERVICE, WINDOW, 0.0)
+    queues = queueing.Queues()
+    control = admission.Admission(queues)
+
+    def play() -> None:
+        for index in range(size):
+            play_request(ledger, queues, control, index)
+
+    return play
+
+
+def play_request(
+    ledger: grants.Ledger,
+    queues: queueing.Queues,
+    control: admission.Admission,
+    index: int,
+) -> None:
+    """Take one request from its admission to the end of its slot."""
+    now = index * 0.01
+    account = name_account(index % ACCOUNTS)
+    request = ids.RequestId(f"request-{index}")
+    work = dispatch.Work(request, SERVICE, account, now + 30.0)
+    control.admit(work, 1000, 250.0, now, 0.5)
+    demand = pass_on(queues.demand(SERVICE, account, index + 1, now))
+    ledger.report(OWN, demand, now)
+    for issued in ledger.issue(now):
+        grant = pass_on(issued.grant)
+        entry = queues.pick(SERVICE, grant.account, grant.server, now)
+        if entry is None:
+            continue
+        used = (grant.grant, grant.server, grant.account)
+        ledger.used(OWN, pass_on(messages.GrantUsed(*used, 250.0)), now)
+        queues.end(entry.work.request, now + 1.0)
+        ledger.ended(OWN, pass_on(messages.GrantEnded(*used, 251.0)), now)
+
+
+def pass_on(message: messages.Message) -> messages.Message:
+    """Encode and decode a message in a frame of its own."""
+    return codec.decode(encode(message)).messages[0]
+
+
+def make_counters(size: int) -> list[messages.Counter]:
+    """Return counters of one router for as many accounts."""
+    return [
+        messages.Counter(OWN, INCARNATION, SERVICE, name_account(index), 1e6 + index)
+        for index in range(size)
+    ]
+
+
+def measure_counters() -> list[fits.Slope]:
+    """Measure counters that are due, encoded, decoded and merged, one a frame."""
+    times = [fits.time_call(prepare_counters, size) for size in SIZES]
+    alone = [
+        float(sum(len(encode(one)) + LINK_BYTES for one in make_counters(size)))
+        for size in SIZES
+    ]
+    together = [float(len(encode(*make_counters(size)))) for size in SIZES]
+    return [
+        fits.fit("counter alone in a frame", "us", SIZES, times),
+        fits.fit("counter alone in a frame", "bytes", SIZES, alone),
+        fits.fit("counter in a batch", "bytes", SIZES, together),
+    ]
+
+
+def prepare_counters(size: int) -> Callable[[], object]:
+    """Return a call that exchanges counters between two routers."""
+    other = sharing.Counters(ids.RouterId("router-0002"), INCARNATION, lambda _: 1.0)
+    rule = exchange.Exchange(exchange.Units())
+    counters = make_counters(size)
+    units = {(one.service, one.account): one.units for one in counters}
+
+    def play() -> None:
+        rule.find_due(units, None, 1.0)
+        for counter in counters:
+            other.merge(pass_on(counter))
+
+    return play
+
+
+def make_member(index: int) -> messages.Member:
+    """Return a living router."""
+    return messages.Member(
+        ids.RouterId(f"router-{index:04}"),
+        INCARNATION,
+        states.MemberState.ALIVE,
+        ids.DataCentreId(f"hala-{index % 40}"),
+        ids.Address(f"10.0.{index // 250}.{index % 250}", 8000),
+        ids.Address(f"10.0.{index // 250}.{index % 250}", 8001),
+        ids.Generation(1),
+        0,
+    )
+
+
+def make_membership(members: int) -> membership.Membership:
+    """Return the membership of one router that knows all others."""
+    view = membership.Membership(make_member(1), random.Random(1))
+    for index in range(2, members + 1):
+        member = make_member(index)
+        view.learn(member, 0.0, member.router, spread=False)
+    return view
+
+
+def prepare_probes(members: int) -> Callable[[], object]:
+    """Return a call of 100 probes sent, sealed, answered and read."""
+    view, peer = make_membership(members), make_membership(members)
+
+    def play() -> None:
+        for index in range(100):
+            probe_once(view, peer, 1.0 + 0.5 * index)
+
+    return play
+
+
+def probe_once(
+    view: membership.Membership, peer: membership.Membership, now: float
+) -> int:
+    """Send the probe that is due, answer it, and return the bytes of both ways."""
+    size = 0
+    for action in view.tick(now):
+        if isinstance(action, membership.Send):
+            asked, count = pass_datagram(action)
+            size += count
+            for answer in peer.receive(now, OWN, view.own.peer_address, asked):
+                if isinstance(answer, membership.Send):
+                    told, count = pass_datagram(answer)
+                    size += count
+                    router = ids.RouterId("router-0002")
+                    view.receive(now, router, action.address, told)
+    return size
+
+
+def pass_datagram(action: membership.Send) -> tuple[tuple[messages.Message, ...], int]:
+    """Seal and read a datagram; return what it says and its bytes with headers."""
+    data = proofs.seal(KEY, encode(*action.batch))
+    frame = codec.decode(proofs.unseal([KEY], data))
+    return frame.messages, len(data) + DATAGRAM_BYTES
+
+
+def measure_probes() -> list[fits.Slope]:
+    """Measure probes over the size of the fleet; a probe costs the same in any."""
+    times = [fits.time_call(prepare_probes, size) / 100 for size in FLEET_SIZES]
+    sizes = []
+    for members in FLEET_SIZES:
+        view, peer = make_membership(members), make_membership(members)
+        sizes.append(float(probe_once(view, peer, 1.0)))
+    return [
+        fits.fit("probe, by members", "us", FLEET_SIZES, times),
+        fits.fit("probe, by members", "bytes", FLEET_SIZES, sizes),
+    ]
+
+
+def make_configuration(servers: int) -> configuration.Configuration:
+    """Return a configuration of 19 services and 760 accounts."""
+    entries = register.Register(
+        firm="letter",
+        data_centres=(register.DataCentre(name="hala-a", region="bohemia"),),
+        vms=(),
+        services=tuple(
+            register.Service(name=f"model-{index}", kind=states.ServiceKind.MODEL)
+            for index in range(19)
+        ),
+        servers=tuple(
+            register.Server(
+                name=f"server-{index:05}",
+                service=f"model-{index % 19}",
+                data_centre="hala-a",
+                address=f"10.{index // 60000}.{index // 250 % 240}.{index % 250}:8000",
+            )
+            for index in range(servers)
+        ),
+        accounts=tuple(
+            register.Account(name=name_account(index), key_hashes=(f"{index:064x}",))
+            for index in range(760)
+        ),
+    )
+    return configuration.Configuration(generation=1, register=entries)
+
+
+def measure_configurations() -> list[fits.Slope]:
+    """Measure reading one new configuration, and its bytes, by servers."""
+    bodies = {size: documents.pack(make_configuration(size)) for size in SERVER_SIZES}
+
+    def prepare(size: int) -> Callable[[], object]:
+        return lambda: documents.unpack(bodies[size])
+
+    times = [fits.time_call(prepare, size) for size in SERVER_SIZES]
+    sizes = [float(len(bodies[size])) for size in SERVER_SIZES]
+    return [
+        fits.fit("configuration change, by servers", "us", SERVER_SIZES, times),
+        fits.fit("configuration change, by servers", "bytes", SERVER_SIZES, sizes),
+    ]
+
+
+def measure_logs() -> list[fits.Slope]:
+    """Measure events written to a file."""
+    file = io.StringIO()
+    events.open_log(file)
+    event = next(iter(events.Event))
+
+    def prepare(size: int) -> Callable[[], object]:
+        def play() -> None:
+            for index in range(size):
+                events.log(event, router=OWN, request=f"request-{index}")
+
+        return play
+
+    times, sizes = [], []
+    for size in SIZES:
+        times.append(fits.time_call(prepare, size))
+        file.seek(0)
+        file.truncate()
+        prepare(size)()
+        sizes.append(float(len(file.getvalue())))
+    return [
+        fits.fit("log event", "us", SIZES, times),
+        fits.fit("log event", "bytes", SIZES, sizes),
+    ]
+
+
+def measure_samples() -> list[fits.Slope]:
+    """Measure histogram samples spread over the pairs that have series."""
+
+    def prepare(size: int) -> Callable[[], object]:
+        service = metrics.Metrics()
+        names = [name_account(index) for index in range(PAIR_SIZES[-1])]
+        for name in names:
+            service.observe_wait(SERVICE, name, 0.1)
+
+        def play() -> None:
+            for index in range(size):
+                service.observe_wait(SERVICE, names[index % len(names)], 0.1)
+
+        return play
+
+    times = [fits.time_call(prepare, size) for size in SIZES]
+    return [fits.fit("histogram sample", "us", SIZES, times)]
