--- a/bench/costs.py
+++ b/bench/costs.py
@@ -64,8 +64,10 @@
     """Return the slopes of time and bytes of all control work."""
     measures = (
         measure_grants,
+        measure_demands,
         measure_counters,
         measure_probes,
+        measure_facts,
         measure_configurations,
         measure_logs,
         measure_samples,
@@ -92,6 +94,38 @@
     ]
 
 
+def measure_demands() -> list[fits.Slope]:
+    """Measure demands of which each is told to one more home."""
+    times = [fits.time_call(prepare_demands, size) for size in SIZES]
+    sizes = [
+        float(
+            sum(
+                len(encode(make_grant_messages(index)[0])) + LINK_BYTES
+                for index in range(size)
+            )
+        )
+        for size in SIZES
+    ]
+    return [
+        fits.fit("demand alone in a frame", "us", SIZES, times),
+        fits.fit("demand alone in a frame", "bytes", SIZES, sizes),
+    ]
+
+
+def prepare_demands(size: int) -> Callable[[], object]:
+    """Return a call that takes demands to a ledger without free slots."""
+    counters = sharing.Counters(OWN, INCARNATION, lambda _: 1.0)
+    ledger = grants.Ledger(OWN, INCARNATION, counters)
+
+    def play() -> None:
+        for index in range(size):
+            demand = pass_on(make_grant_messages(index)[0])
+            ledger.report(OWN, demand, index * 0.01)
+            ledger.issue(index * 0.01)
+
+    return play
+
+
 def make_grant_messages(index: int) -> tuple[messages.Message, ...]:
     """Return what travels for one request whose home is another router."""
     account, server = name_account(index % ACCOUNTS), ids.ServerId("server-0001")
@@ -261,6 +295,32 @@
     ]
 
 
+def measure_facts() -> list[fits.Slope]:
+    """Measure facts about members that ride on a probe."""
+    counts = (1, 4, 12)
+
+    def prepare(size: int) -> Callable[[], object]:
+        facts = [make_member(index) for index in range(size)]
+        view = make_membership(100)
+
+        def play() -> None:
+            for _ in range(100):
+                frame = codec.decode(encode(*facts))
+                view.receive(1.0, OWN, facts[0].peer_address, frame.messages)
+
+        return play
+
+    times = [fits.time_call(prepare, size) / 100 for size in counts]
+    sizes = [
+        float(len(encode(*(make_member(index) for index in range(size)))))
+        for size in counts
+    ]
+    return [
+        fits.fit("fact on a probe", "us", counts, times),
+        fits.fit("fact on a probe", "bytes", counts, sizes),
+    ]
+
+
 def make_configuration(servers: int) -> configuration.Configuration:
     """Return a configuration of 19 services and 760 accounts."""
     entries = register.Register(
--- a/bench/passing.py
+++ b/bench/passing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import os
 import pathlib
 import threading
@@ -54,11 +55,12 @@
         url = f"http://{setup.router}/v1/services/{fleet.GATE}/status"
         overhead.time_calls(url, 1, 50)
         calls = [
-            spend(router, lambda: overhead.time_calls(url, 1, size))[0]
+            spend(router, functools.partial(overhead.time_calls, url, 1, size))[0]
             for size in CALLS
         ]
         streams = [
-            spend(router, lambda: read_streams(setup, size)) for size in STREAMS
+            spend(router, functools.partial(read_streams, setup, size))
+            for size in STREAMS
         ]
     tokens = [size * overhead.STREAM_TOKENS for size in STREAMS]
     return [
