Hold membership, leases, generations and placement against seeded disorder

Cause: these decisions are right only if no order of loss, doubling, delay, pause and restart breaks them. Each rule of a machine lets time pass itself: with a rule for waiting beside the others, most runs never waited.

--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -18,6 +18,7 @@
 TICK_SECONDS = 0.1
 DELAY_SECONDS = (0.0005, 0.004)
 EXCHANGE_DELAY_SECONDS = 0.02
+LATE_SECONDS = 3.0
 OVERHEAD_BYTES = 28 + proofs.TAG_BYTES
 """IP and UDP headers, and the tag."""
 
@@ -40,6 +41,8 @@
     ----------
     loss : float
         Part of the datagrams that are lost.
+    disorder : float
+        Part of the datagrams that come twice, the second time late.
 
     Attributes
     ----------
@@ -48,13 +51,20 @@
     """
 
     def __init__(
-        self, size: int, seed: int, *, loss: float = 0.01, joined: bool = True
+        self,
+        size: int,
+        seed: int,
+        *,
+        loss: float = 0.01,
+        disorder: float = 0.0,
+        joined: bool = True,
     ) -> None:
         self.now = 0.0
         self.bytes_sent = 0
         self.observe: Observer = lambda *_: None
         self.cut: Callable[[ids.RouterId, ids.RouterId], bool] = lambda *_: False
         self.loss = loss
+        self.disorder = disorder
         self.routers: dict[ids.RouterId, Router] = {}
         self._generator = random.Random(seed)
         self._names: dict[ids.Address, ids.RouterId] = {}
@@ -143,6 +153,9 @@
         source = router.decision.own.peer_address
         delay = self._generator.uniform(*DELAY_SECONDS)
         self._at(delay, lambda: self._deliver(name, source, target, action.batch))
+        if self._generator.random() < self.disorder:
+            late = self._generator.uniform(0, LATE_SECONDS)
+            self._at(late, lambda: self._deliver(name, source, target, action.batch))
 
     def _deliver(
         self,
--- /dev/null
+++ b/tests/decisions/test_departures.py
@@ -0,0 +1,74 @@
+"""Leaving servers: own word before the list, newest fact before older ones."""
+
+from __future__ import annotations
+
+import itertools
+
+from celeryspan import states
+from celeryspan.decisions import departures, loading
+from celeryspan.wire import messages
+
+LEAVING, LIVE = states.ServerState.LEAVING, states.ServerState.LIVE
+SECOND = 1_000_000
+
+
+def test_list_that_lags_does_not_take_back_a_servers_own_word() -> None:
+    """A server says that it leaves; the platform's list calls it live for a minute."""
+    found = departures.Departures()
+    assert found.mark("s", LEAVING, 10 * SECOND) is not None
+    assert found.take_list([("s", LIVE)], 20 * SECOND) == []
+    assert found.leaving() == {"s"}
+    later = 10 * SECOND + int(departures.LAG_SECONDS * SECOND)
+    assert len(found.take_list([("s", LIVE)], later)) == 1
+    assert found.leaving() == frozenset()
+
+
+def test_facts_in_any_order_and_doubled_come_to_the_same() -> None:
+    facts = [
+        messages.ServerFact("s", LEAVING, 1),
+        messages.ServerFact("s", LIVE, 2),
+        messages.ServerFact("s", LEAVING, 3),
+        messages.ServerFact("s", states.ServerState.EJECTED, 9),
+    ]
+    for order in itertools.permutations(facts + facts[:1]):
+        found = departures.Departures()
+        for fact in order:
+            found.merge(fact)
+        assert found.leaving() == {"s"}
+
+
+def test_clock_that_goes_back_still_raises_the_version() -> None:
+    found = departures.Departures()
+    first = found.mark("s", LEAVING, 100)
+    second = found.mark("s", LIVE, 50)
+    assert second.version > first.version
+    assert found.mark("s", LIVE, 60) is None
+
+
+def test_loads_begin_one_after_the_other() -> None:
+    """A new version for a hundred engines must not empty the weight store at once."""
+    limit = loading.LoadLimit(0.0)
+    began = []
+    for tenth in range(0, 3_000):
+        now = tenth / 10
+        for server in range(100):
+            if limit.take(f"server-{server}", now):
+                began.append(now)
+                limit.note(f"server-{server}", loading=tenth % 200 < 100)
+                limit.note(f"server-{server}", loading=False)
+    gaps = [late - early for early, late in itertools.pairwise(began)]
+    assert began[0] >= loading.LOAD_SECONDS
+    assert min(gaps) >= loading.LOAD_SECONDS - 1e-9
+
+
+def test_order_only_for_what_differs() -> None:
+    state = loading.EngineState("m", (), "1", "decode", 0, False)
+    assert loading.choose_order(loading.Wanted(""), state) is None
+    assert loading.choose_order(loading.Wanted("m"), state) is None
+    assert loading.choose_order(loading.Wanted("n"), state) is loading.Kind.LOAD
+    wanted = loading.Wanted("m", version="2")
+    assert loading.choose_order(wanted, state) is loading.Kind.LOAD
+    wanted = loading.Wanted("m", ("a",))
+    assert loading.choose_order(wanted, state) is loading.Kind.LOAD
+    wanted = loading.Wanted("m", role="prefill")
+    assert loading.choose_order(wanted, state) is loading.Kind.ROLE
--- /dev/null
+++ b/tests/decisions/test_leases.py
@@ -0,0 +1,213 @@
+"""At most one router holds a duty, whatever the store and the clocks do."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from celeryspan.decisions import leases
+
+RATES = (1.0, 1.05, 0.95)
+"""Each router's clock runs at its own rate, and starts anywhere."""
+
+EVENTS = (*["call"] * 4, "send", "arrive", "answer", "edge", "edge", "late", "restart")
+
+NUMBERS = strategies.integers(0, len(RATES) - 1)
+
+
+@dataclasses.dataclass
+class Flight:
+    """A call on its way, and what the store made of it once it arrived."""
+
+    call: leases.Call
+    arrived: bool = False
+    found: tuple[leases.Record | None, int] = (None, 0)
+    refused: bool = False
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Three routers, one lease; answers and writes are lost, late or out of date."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.leases = [leases.Lease(f"router-{number}") for number in range(3)]
+        self.values: list[leases.Record | None] = [None]
+        self.flights: list[Flight | None] = [None] * 3
+        self.late: list[Flight] = []
+        self.names = 0
+
+    def clock(self, number: int) -> float:
+        return 1_000.0 * number + self.now * RATES[number]
+
+    def name(self) -> str:
+        self.names += 1
+        return f"name-{self.names}"
+
+    def carry_out(self, flight: Flight, stale: bool = False) -> None:
+        """Let a call arrive; versions are places in the history."""
+        call, version = flight.call, len(self.values) - 1
+        flight.arrived = True
+        if call.step is leases.Step.READ:
+            version = max(0, version - stale)
+            flight.found = (self.values[version], version)
+            return
+        expected = 0 if call.step is leases.Step.CREATE else call.version
+        flight.refused = expected != version
+        if not flight.refused:
+            self.values.append(call.record)
+            flight.found = (call.record, version + 1)
+
+    @stateful.rule(
+        event=strategies.sampled_from(EVENTS),
+        number=NUMBERS,
+        other=NUMBERS,
+        seconds=strategies.sampled_from([0.0, 0.1, 5.5, 5.5, 19.0]),
+        stale=strategies.booleans(),
+    )
+    def happen(self, event, number, other, seconds, stale) -> None:
+        """Let time pass and one thing happen; a rule each would be left out by runs."""
+        self.now += seconds
+        match event:
+            case "call":
+                self.make_whole_call(number)
+            case "send":
+                self.send(number)
+            case "arrive":
+                self.arrive(number, stale)
+            case "answer":
+                self.answer(number)
+            case "edge":
+                self.try_at_the_edge(number, other)
+            case "late" if self.late:
+                self.carry_out(self.late.pop(0))
+            case "restart":
+                self.restart(number)
+
+    def send(self, number: int) -> None:
+        """Send the next call; one without an answer may still arrive later."""
+        self.give_up_flight(number)
+        call = self.leases[number].choose(self.clock(number), self.name(), wanted=True)
+        if call.step is not leases.Step.NONE:
+            self.flights[number] = Flight(call)
+
+    def arrive(self, number: int, stale: bool) -> None:
+        flight = self.flights[number]
+        if flight is not None and not flight.arrived:
+            self.carry_out(flight, stale)
+
+    def answer(self, number: int) -> None:
+        flight = self.flights[number]
+        if flight is None or not flight.arrived:
+            return
+        self.flights[number] = None
+        lease = self.leases[number]
+        if flight.refused:
+            lease.take_conflict()
+        elif flight.call.step is leases.Step.READ:
+            lease.take_read(*flight.found, self.clock(number))
+        else:
+            lease.take_written(flight.found[1])
+
+    def make_whole_call(self, number: int) -> None:
+        self.send(number)
+        self.arrive(number, stale=False)
+        self.answer(number)
+
+    def try_at_the_edge(self, number: int, other: int) -> None:
+        """Let a router call just before the right of another ends."""
+        left = self.leases[number]._valid_until - self.clock(number)
+        if left > 0.2:
+            self.now += (left - 0.1) / RATES[number]
+            self.make_whole_call(other)
+
+    def give_up_flight(self, number: int) -> None:
+        flight = self.flights[number]
+        if flight is not None and not flight.arrived:
+            self.late.append(flight)
+        self.flights[number] = None
+
+    def restart(self, number: int) -> None:
+        self.give_up_flight(number)
+        self.leases[number] = leases.Lease(f"router-{number}/{self.name()}")
+
+    @stateful.invariant()
+    def one_holder(self) -> None:
+        holders = [
+            number
+            for number, lease in enumerate(self.leases)
+            if lease.holds(self.clock(number))
+        ]
+        assert len(holders) <= 1
+
+    @stateful.invariant()
+    def fences_grow_with_each_holder(self) -> None:
+        records = [record for record in self.values if record is not None]
+        for before, after in itertools.pairwise(records):
+            if after.holder != before.holder:
+                assert after.fence > before.fence
+            assert after.fence >= before.fence
+
+
+TestLeases = LeaseMachine.TestCase
+TestLeases.settings = hypothesis.settings(
+    max_examples=400, stateful_step_count=50, deadline=None
+)
+
+
+def take(lease: leases.Lease, now: float) -> None:
+    """Let a router read an empty store and create the lease."""
+    assert lease.choose(now, "w0", wanted=True).step is leases.Step.READ
+    lease.take_read(None, 0, now)
+    now += leases.RENEW_SECONDS
+    assert lease.choose(now, "w1", wanted=True).step is leases.Step.CREATE
+    lease.take_written(1)
+
+
+def test_holder_paused_past_its_lease_stops_before_another_may_begin() -> None:
+    """An engine loads model A, then B, then A again within a minute.
+
+    The holder of the duty is frozen by its host for longer than its lease; another
+    router takes the duty; the first wakes and goes on where it was.
+    """
+    first, second = leases.Lease("first"), leases.Lease("second")
+    take(first, 0.0)
+    sent_at = leases.RENEW_SECONDS
+    record = leases.Record("first", 1, "w1")
+    second.choose(sent_at, "x", wanted=True)
+    second.take_read(record, 1, sent_at + 0.01)
+    free_at = sent_at + 0.01 + leases.LEASE_SECONDS + leases.MARGIN_SECONDS
+    assert second.choose(free_at - 0.1, "x1", wanted=True).step is leases.Step.READ
+    assert not first.holds(free_at - leases.MARGIN_SECONDS)
+    taken = second.choose(free_at + leases.RENEW_SECONDS, "x2", wanted=True)
+    assert taken.step is leases.Step.UPDATE
+    assert taken.record.fence == 2
+    second.take_written(2)
+    assert not first.may_order(free_at + 6, checks_fence=True)
+
+
+def test_new_holder_waits_for_orders_of_the_old_one() -> None:
+    lease = leases.Lease("first")
+    take(lease, 0.0)
+    taken_at = leases.RENEW_SECONDS
+    assert lease.may_order(taken_at + 0.1, checks_fence=True)
+    assert not lease.may_order(taken_at + 0.1, checks_fence=False)
+    later = taken_at + leases.ORDER_SECONDS
+    assert lease.may_order(later, checks_fence=False)
+    end = taken_at + leases.LEASE_SECONDS
+    assert not lease.may_order(end - leases.ORDER_SECONDS, checks_fence=True)
+
+
+def test_lost_answer_of_a_write_that_took_effect_is_read_back() -> None:
+    lease = leases.Lease("first")
+    lease.choose(0.0, "w0", wanted=True)
+    lease.take_read(None, 0, 0.0)
+    call = lease.choose(5.0, "w1", wanted=True)
+    assert not lease.holds(5.1)
+    assert lease.choose(10.0, "w2", wanted=True).step is leases.Step.READ
+    lease.take_read(call.record, 1, 10.1)
+    assert lease.holds(10.2)
+    assert not lease.holds(5.0 + leases.LEASE_SECONDS)
--- /dev/null
+++ b/tests/decisions/test_placement.py
@@ -0,0 +1,86 @@
+"""Servers move to where work waits, slowly, and stay there."""
+
+from __future__ import annotations
+
+import itertools
+
+from celeryspan.decisions import placement
+
+SLOTS = 8
+
+
+class Fleet:
+    """Servers of two services under given loads, looked at each ten seconds."""
+
+    def __init__(self, first: int, second: int) -> None:
+        self.placement = placement.Placement()
+        self.servers = {
+            f"server-{number:02}": "first" if number < first else "second"
+            for number in range(first + second)
+        }
+        self.moves: list[tuple[float, placement.Move]] = []
+
+    def measure(self, name: str, load: int) -> placement.Pressure:
+        slots = SLOTS * sum(service == name for service in self.servers.values())
+        return placement.Pressure(max(0, load - slots), min(load, slots), slots)
+
+    def run(self, begin: float, end: float, first: int, second: int) -> None:
+        """Let loads, in requests at once, last for a while."""
+        now = begin
+        while now < end:
+            pressures = {
+                "first": self.measure("first", first),
+                "second": self.measure("second", second),
+            }
+            placed = {
+                name: placement.Placed(service, SLOTS)
+                for name, service in self.servers.items()
+            }
+            move = self.placement.choose(pressures, placed, now)
+            if move is not None:
+                self.placement.note_move(move.server, now)
+                self.servers[move.server] = move.taker
+                self.moves.append((now, move))
+            now += 10
+
+
+def test_servers_move_one_a_minute_until_the_work_fits() -> None:
+    fleet = Fleet(8, 2)
+    fleet.run(0, 1_200, first=10, second=50)
+    times = [now for now, _ in fleet.moves]
+    assert times[0] >= placement.STEADY_SECONDS
+    gaps = [late - early for early, late in itertools.pairwise(times)]
+    assert min(gaps) >= placement.MOVE_SECONDS
+    assert 3 <= len(fleet.moves) <= 6
+    fleet.run(1_200, 4_800, first=10, second=50)
+    assert all(now < 1_200 for now, _ in fleet.moves)
+
+
+def test_burst_moves_nothing() -> None:
+    fleet = Fleet(5, 5)
+    for start in range(0, 3_600, 60):
+        fleet.run(start, start + 20, first=0, second=200)
+        fleet.run(start + 20, start + 60, first=10, second=10)
+    assert fleet.moves == []
+
+
+def test_full_giver_gives_nothing() -> None:
+    fleet = Fleet(5, 5)
+    fleet.run(0, 3_600, first=35, second=100)
+    assert fleet.moves == []
+
+
+def test_two_services_that_wait_in_turn_do_not_pass_a_server_to_and_fro() -> None:
+    """Load swings between two models each five minutes; engines load all day.
+
+    Each swing lasts long enough to be pressure. A server that has moved rests for ten
+    minutes, so that each moves at most six times an hour.
+    """
+    fleet = Fleet(3, 3)
+    for start in range(0, 7_200, 600):
+        fleet.run(start, start + 300, first=0, second=60)
+        fleet.run(start + 300, start + 600, first=60, second=0)
+    for server in fleet.servers:
+        times = [now for now, move in fleet.moves if move.server == server]
+        gaps = [late - early for early, late in itertools.pairwise(times)]
+        assert all(gap >= placement.REST_SECONDS for gap in gaps)
