Withdraw demand in the run at scale once nothing waits

Cause: homes kept believing in requests served elsewhere, so that grants came back unused. Change: bench/scale.py tells the homes that were told; homes.sample is timed as well.

--- a/bench/scale.py
+++ b/bench/scale.py
@@ -49,6 +49,7 @@
         self.ledger = grants.Ledger(self.router, costs.INCARNATION, self.counters)
         self.exchange = exchange.Exchange(exchange.Units())
         self.sequence = 0
+        self.told: dict[sharing.Key, set[ids.RouterId]] = {}
 
 
 class Fleet:
@@ -141,7 +142,7 @@
         if not node.queues.waiting(service, account):
             return
         every = self._homes[service].values()
-        told = homes.sample(set(every), node.router, service, attempt)
+        told = self._decide(homes.sample, set(every), node.router, service, attempt)
         self._tell_demand(node, service, account, told)
         again = functools.partial(self._widen, node, service, account, attempt + 1)
         self.at(self.now + exchange.RESAMPLE_SECONDS, again)
@@ -151,6 +152,10 @@
         demand = self._decide(
             node.queues.demand, service, account, node.sequence, self.now
         )
+        believers = node.told.setdefault((service, account), set())
+        believers.update(told)
+        if not demand.waiting:
+            believers.clear()
         for router in told:
             home = self.by_router[router]
             self._send(demand, functools.partial(self._report, home, node))
@@ -168,6 +173,9 @@
         entry = self._decide(
             node.queues.pick, grant.service, grant.account, grant.server, self.now
         )
+        key = (grant.service, grant.account)
+        if not node.queues.waiting(*key):
+            self._tell_demand(node, *key, sorted(node.told.get(key, ())))
         name = (grant.grant, grant.server, grant.account)
         cost = 0.0 if entry is None else self.rng.expovariate(1 / MEAN_COST)
         ended = messages.GrantEnded(*name, cost)
