Start the charge for a slot from several estimates

Cause: the first request's hint alone set the charge until costs were known; hints are off by a factor of three and costs spread over two decades, so that slots could count for almost nothing while a rush filled them. Change: the mean of the first ten estimates and costs.

--- a/celeryspan/decisions/charges.py
+++ b/celeryspan/decisions/charges.py
@@ -21,7 +21,7 @@
 SLOT_CHARGE = 2.0
 
 # The mean cost of a service is learned over about so many requests, so that one of ten
-# times the mean moves it by a fiftieth, and starts as if so many had cost the estimate.
+# times the mean moves it by a fiftieth. The first few may be estimates.
 MEAN_REQUESTS = 500
 PRIOR_REQUESTS = 10
 
@@ -35,17 +35,17 @@
         self._greatest: dict[ids.ServiceId, float] = {}
 
     def expect(self, service: ids.ServiceId, cost: float) -> None:
-        """Start from an estimate, in cost units, until requests have settled."""
-        if service not in self._means and cost > 0.0:
-            self._means[service] = cost
-            self._counts[service] = PRIOR_REQUESTS
+        """Learn from an estimate, in cost units, until enough are known.
+
+        The mean of several is taken: the hint of one request alone may be a tenth of
+        the mean cost, and the first slots would hardly count.
+        """
+        if self._counts.get(service, 0) < PRIOR_REQUESTS and cost > 0.0:
+            self._learn(service, cost)
 
     def settle(self, service: ids.ServiceId, cost: float) -> None:
         """Learn from the true cost of a request that ended, in cost units."""
-        self.expect(service, cost)
-        count = min(self._counts[service] + 1, MEAN_REQUESTS)
-        self._counts[service] = count
-        self._means[service] += (cost - self._means[service]) / count
+        self._learn(service, cost)
         self._greatest[service] = max(cost, self.greatest(service))
 
     def per_slot(self, service: ids.ServiceId) -> float:
@@ -55,3 +55,9 @@
     def greatest(self, service: ids.ServiceId) -> float:
         """Return the greatest cost settled so far, in cost units; 0 if none."""
         return self._greatest.get(service, 0.0)
+
+    def _learn(self, service: ids.ServiceId, cost: float) -> None:
+        count = min(self._counts.get(service, 0) + 1, MEAN_REQUESTS)
+        mean = self._means.get(service, 0.0)
+        self._counts[service] = count
+        self._means[service] = mean + (cost - mean) / count
--- a/tests/decisions/test_sharing.py
+++ b/tests/decisions/test_sharing.py
@@ -6,7 +6,7 @@
 from hypothesis import stateful, strategies
 
 from celeryspan import ids
-from celeryspan.decisions import sharing
+from celeryspan.decisions import charges, sharing
 from celeryspan.wire import messages
 
 SERVICE = ids.ServiceId("planner-llm")
@@ -176,3 +176,18 @@
     assert estimator.estimate(SERVICE, AIRLINE, 1200.0, 420.0) == 1200.0
     estimator.settle(SERVICE, AIRLINE, 400.0)
     assert estimator.estimate(SERVICE, AIRLINE, 1200.0, 420.0) == 400.0
+
+
+def test_charge_is_not_set_by_a_single_hint() -> None:
+    """The first request after a start has a hint of a twentieth of the usual cost.
+
+    Taken alone it would make slots count for nothing, and whoever comes first in the
+    morning's rush would hold most of them for minutes.
+    """
+    charge = charges.Charge()
+    for cost in (20.0, 400.0, 900.0, 360.0):
+        charge.expect(SERVICE, cost)
+    assert charge.per_slot(SERVICE) == charges.SLOT_CHARGE * 420.0
+    charge.settle(SERVICE, 920.0)
+    assert charge.per_slot(SERVICE) == charges.SLOT_CHARGE * 520.0
+    assert charge.greatest(SERVICE) == 920.0
