--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -10,8 +10,8 @@
 
 import cherrypy
 
-from celeryspan import errors, events, ids, kernel, metrics, states
-from celeryspan.decisions import tickets
+from celeryspan import calls, errors, events, ids, kernel, metrics, states
+from celeryspan.decisions import seats, tickets
 from celeryspan.services import (
     addresses,
     answers,
@@ -30,6 +30,10 @@
 
 Handler = Callable[[exchange.Exchange], object]
 
+# Refused callers are told to come back within a time of this width, in seconds, so
+# that they do not all come in the same second.
+SPREAD_SECONDS = 3.0
+
 APPLICATION_CONFIG = {
     "/": {
         "error_page.default": answers.render_error_page,
@@ -48,7 +52,7 @@
 
     Attributes
     ----------
-    in_progress : dict
+    in_progress : set of Exchange
         The requests that are not yet answered to their end.
     draining : bool
         Whether this router is left out of the address answer.
@@ -62,9 +66,10 @@
         self.membership = box.find("membership")
         self.draining = False
         self._box = box
-        self.in_progress: dict[ids.RequestId, exchange.Exchange] = {}
+        self.in_progress: set[exchange.Exchange] = set()
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
+        self._seats = seats.Seats(self.settings.caller_threads)
         self._server = self._make_server()
 
     def start(self) -> None:
@@ -95,7 +100,7 @@
     def cut(self) -> list[str]:
         """End what is in progress and return the ids of the requests."""
         with self._lock:
-            found = list(self.in_progress.values())
+            found = list(self.in_progress)
         for item in found:
             item.presence.end()
         return [item.request for item in found]
@@ -106,7 +111,7 @@
         self._enter(found)
         try:
             if found.overloaded:
-                raise make_overload()
+                raise make_overload("router-full", self._random.random())
             if self.draining:
                 found.close_after()
             found.accept_forwarded(self.settings.fleet_keys)
@@ -124,6 +129,9 @@
 
     def get_addresses(self, found: exchange.Exchange) -> object:
         """Answer which routers to use."""
+        count = read_count()
+        if self.configuration.current() is None:
+            raise make_starting()
         near = self.settings.data_centre
         listed = addresses.choose(self.membership.alive(), near, self._random)
         if self.draining:
@@ -133,13 +141,14 @@
             {
                 "addresses": listed,
                 "keep_seconds": self.settings.address_seconds,
-                "tickets": self.claims.issue(read_count()),
+                "tickets": self.claims.issue(count),
             }
         )
 
     def complete_chat(self, found: exchange.Exchange) -> object:
         """Carry a chat request."""
         call = chat.read_call(found)
+        self._take_seat(found, call)
         found.watch_caller()
         return self.claims.carry(
             found,
@@ -150,6 +159,7 @@
     def call_service(self, found: exchange.Exchange) -> object:
         """Carry a call to a plain service."""
         call = plaincalls.read_call(found)
+        self._take_seat(found, call)
         found.watch_caller()
         return self.claims.carry(
             found,
@@ -185,12 +195,23 @@
 
     def _enter(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress[found.request] = found
+            self.in_progress.add(found)
         found.finally_do(lambda: self._leave(found))
 
+    def _take_seat(self, found: exchange.Exchange, call: calls.Call) -> None:
+        with self._lock:
+            taken = self._seats.take(call.account)
+        if not taken:
+            raise make_overload("account-full", self._random.random())
+        found.finally_do(lambda: self._give_back_seat(call.account))
+
+    def _give_back_seat(self, account: ids.AccountId) -> None:
+        with self._lock:
+            self._seats.give_back(account)
+
     def _leave(self, found: exchange.Exchange) -> None:
         with self._lock:
-            self.in_progress.pop(found.request, None)
+            self.in_progress.discard(found)
 
     def _make_server(self) -> httpserver.Server:
         application = cherrypy.Application(paths.Root(self), "", APPLICATION_CONFIG)
@@ -217,13 +238,24 @@
     return min(int(text), tickets.BATCH_MAX)
 
 
-def make_overload() -> errors.NotRun:
-    """Return the refusal of a router that has no thread left."""
+def make_starting() -> errors.NotRun:
+    """Return the answer of a fleet in which no router can serve yet."""
     return errors.NotRun(
-        "this router has no thread left for the request",
-        code="router-full",
+        "no router has a configuration yet",
+        code="starting",
         status=503,
         retry_after=exchange.RETRY_SECONDS,
+        step="list addresses",
+    )
+
+
+def make_overload(code: str, jitter: float) -> errors.NotRun:
+    """Return the refusal of a router that has no thread for a request."""
+    return errors.NotRun(
+        "this router has no thread left for the request",
+        code=code,
+        status=503 if code == "router-full" else 429,
+        retry_after=exchange.RETRY_SECONDS + SPREAD_SECONDS * jitter,
         step="accept",
     )
 
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -8,7 +8,7 @@
 import pytest
 
 from celeryspan import ids
-from tests import scripted
+from tests import fakes, scripted
 from tests.services import test_caller
 
 PATH = "/v1/services/gate-desk/confirm"
@@ -23,7 +23,7 @@
 def fleet():
     """Two routers that know each other, one gate desk and one object API."""
     with contextlib.ExitStack() as stack:
-        store = scripted.Store()
+        store = fakes.Store()
         first = stack.enter_context(scripted.run_router([confirm], store=store))
         second = stack.enter_context(scripted.run_router(store=store, router="entry-2"))
         second.configuration.value = first.configuration.value
@@ -69,6 +69,18 @@
     assert count_runs(fleet) == 1
 
 
+def test_a_request_passed_on_does_not_stay_in_progress(fleet):
+    """A router that is stopped for an upgrade waits for requests that ended long ago.
+
+    One that another router passed on takes over that router's id after it was noted
+    as in progress under its own.
+    """
+    ask(fleet.second, Celeryspan_Ticket=take_ticket(fleet))
+    for router in (fleet, fleet.second):
+        router.drain.begin()
+        assert not router.caller.in_progress
+
+
 def test_a_ticket_of_a_restarted_router_is_unknown(fleet):
     """A booking was sent to a router that is then replaced; nobody else knows."""
     ticket = take_ticket(fleet)
