Try another engine where one has loaded another model

Cause: an engine that answers 409 had its stream asked for four times, and the caller was told unknown, though the engine had said that it ran nothing. Change: the adapter knows that refusal as a decline, without taking the engine for one that leaves; any other error answer ends the attempt at once.

--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -15,15 +15,27 @@
 
 
 class Declined(errors.CeleryspanError):
-    """The backend server says itself that it did not run the request."""
+    """The backend server says itself that it did not run the request.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether it declines because it is leaving.
+    """
+
+    def __init__(
+        self, message: str, *, leaving: bool = False, step: str = "", peer: str = ""
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.leaving = leaving
 
 
 class AnswerLost(errors.CeleryspanError):
     """The connection ended, fell silent or talked nonsense before the whole answer."""
 
 
-class UnknownStream(errors.CeleryspanError):
-    """The backend server does not know the stream that should be resumed."""
+class StreamRefused(errors.CeleryspanError):
+    """The backend server has no such stream to give; asking again won't help."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/adapters/engine.py
+++ b/celeryspan/adapters/engine.py
@@ -11,6 +11,10 @@
 # One line of a stream; a token is a few bytes and a line holds some of them.
 LINE_BYTES_MAX = 1_048_576
 
+# The answer of an engine that has been ordered to load another model meanwhile.
+NOT_LOADED_STATUS = 409
+NOT_LOADED = "model not loaded"
+
 
 @backend.register(states.ServiceKind.MODEL)
 class ModelEngine:
@@ -62,10 +66,12 @@
 
 def _raise_refusal(status: int, body: bytes, server: ids.ServerId) -> None:
     if status == plain.LEAVING_STATUS and plain.is_leaving(body):
-        raise backend.Declined("the engine is leaving", step="send", peer=server)
-    if status == 404:
-        raise backend.UnknownStream("no such stream", step="resume", peer=server)
-    raise backend.AnswerLost(f"status {status}", step="read answer", peer=server)
+        raise backend.Declined(
+            "the engine is leaving", leaving=True, step="send", peer=server
+        )
+    if status == NOT_LOADED_STATUS and plain.read_reason(body) == NOT_LOADED:
+        raise backend.Declined("another model is loaded", step="send", peer=server)
+    raise backend.StreamRefused(f"status {status}", step="read answer", peer=server)
 
 
 def _split_lines(pieces: Iterator[bytes], server: ids.ServerId) -> Iterator[bytes]:
--- a/celeryspan/adapters/plain.py
+++ b/celeryspan/adapters/plain.py
@@ -59,20 +59,25 @@
         body = response.read()
         if is_leaving(body):
             raise backend.Declined(
-                "the server is leaving", step="send", peer=link.server
+                "the server is leaving", leaving=True, step="send", peer=link.server
             )
         return _make_head(response), iter([body])
 
 
 def is_leaving(body: bytes) -> bool:
     """Say whether an error body is the refusal of a server that is leaving."""
+    return read_reason(body) == "leaving"
+
+
+def read_reason(body: bytes) -> object:
+    """Return the reason in a short error body, or None."""
     if len(body) > LEAVING_BYTES_MAX:
-        return False
+        return None
     try:
         found = json.loads(body)
     except ValueError:
-        return False
-    return isinstance(found, dict) and found.get("error") == "leaving"
+        return None
+    return found.get("error") if isinstance(found, dict) else None
 
 
 def _make_head(response: urllib3.BaseHTTPResponse) -> backend.Head:
--- a/celeryspan/services/modelanswers.py
+++ b/celeryspan/services/modelanswers.py
@@ -37,7 +37,7 @@
             first = next(self._pieces)
         except backends.LINK_ERRORS as error:
             raise run.fail(error) from error
-        except (backend.Declined, backend.UnknownStream) as error:
+        except (backend.Declined, backend.StreamRefused) as error:
             raise run.fail(error) from error
         except backend.AnswerLost as error:
             failure = run.fail(error)
@@ -55,7 +55,7 @@
         self._buffer = buffers.StreamBuffer(self._pieces)
         try:
             yield from self._buffer.read()
-        except (backend.AnswerLost, backend.UnknownStream) as error:
+        except (backend.AnswerLost, backend.StreamRefused) as error:
             self._lost = not self._call.presence.left
             raise backend.AnswerLost(
                 error.message, step=error.step, peer=error.peer
--- a/celeryspan/services/runs.py
+++ b/celeryspan/services/runs.py
@@ -96,7 +96,8 @@
         ending = dispatch.Ending.FAILED
         if declined:
             self.progress.decline()
-            ending = dispatch.Ending.LEAVING
+            if cause.leaving:
+                ending = dispatch.Ending.LEAVING
         else:
             self.progress.lose()
             if isinstance(cause, backends.TIMEOUT_ERRORS):
--- a/tests/services/test_streams.py
+++ b/tests/services/test_streams.py
@@ -142,6 +142,41 @@
     assert answer.headers["Celeryspan-Outcome"] == "ran"
 
 
+@pytest.mark.parametrize(
+    ("status", "reason", "ending"),
+    [
+        ("503 Service Unavailable", "leaving", dispatch.Ending.LEAVING),
+        ("409 Conflict", "model not loaded", dispatch.Ending.FAILED),
+    ],
+)
+def test_a_request_that_an_engine_declines_goes_to_another(status, reason, ending):
+    """An engine leaves, or loads another model, while a draft is on its way to it.
+
+    It says that it did not run the request, so that another engine may.
+    """
+
+    def decline(connection, received):
+        body = json.dumps({"error": reason}).encode()
+        scripted.write_answer(connection, body, status)
+        return True
+
+    engines = [decline, test_caller.generate]
+    with scripted.run_router(engines=engines) as router:
+        assert read_text(ask(router))[1] == "[DONE]"
+        assert router.dispatch.slots[0].endings[0][0] is ending
+
+
+def test_an_engine_that_fails_leaves_the_outcome_unknown():
+    def fail(connection, received):
+        scripted.write_answer(connection, b"{}", "500 Internal Server Error")
+        return True
+
+    with scripted.run_router(engines=[fail, test_caller.generate]) as router:
+        answer = ask(router)
+        assert (answer.status, answer.headers["Celeryspan-Outcome"]) == (502, "unknown")
+        assert router.engines[1].received == []
+
+
 def open_stream(router):
     connection = socket.create_connection(router.address)
     body = json.dumps(STREAM)
