Teach a restarted home who received what

Cause: a router that restarts faster than it is missed keeps its servers by name, so that nobody told it which slots are in use and what each account had received; lifts and counters began at zero. Ruled out: waiting for the next counter of each router (a dead router sends none). A service with a single home still loses what dead routers counted; the bound on what is owed covers it.

--- a/celeryspan/services/assignment.py
+++ b/celeryspan/services/assignment.py
@@ -33,6 +33,7 @@
         self._homes: dict[ids.ServerId, ids.RouterId] = {}
         self._services: dict[ids.ServiceId, frozenset[ids.RouterId]] = {}
         self._maps: dict[ids.ServiceId, dict[ids.ServerId, ids.RouterId]] = {}
+        self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._handlers: list[Handler] = []
         self._lock = threading.Lock()
 
@@ -84,8 +85,14 @@
         if current is None:
             return
         with self._lock:
+            restarted = self._find_restarted()
             found = homes.assign(current.servers, self.live())
-            moves = homes.compare(self._homes, found)
+            known = {
+                server: home
+                for server, home in self._homes.items()
+                if home not in restarted
+            }
+            moves = homes.compare(known, found)
             self._homes = found
             self._maps = group_by_service(current, found)
             self._services = {
@@ -96,6 +103,22 @@
         for handler in handlers if moves else ():
             handler(moves)
 
+    def _find_restarted(self) -> set[ids.RouterId]:
+        """Return routers that run again under the same name, without any state.
+
+        A router that restarts faster than it is missed keeps its servers; unless its
+        homes count as new, nobody tells it which slots are in use and who received
+        what, and it grants whole windows again.
+        """
+        newest = {item.router: item.incarnation for item in self._membership.alive()}
+        restarted = {
+            router
+            for router, incarnation in newest.items()
+            if self._incarnations.get(router, incarnation) < incarnation
+        }
+        self._incarnations.update(newest)
+        return restarted
+
     def report(self) -> dict[str, object]:
         """Return the home of each backend server, for the operator."""
         return {"homes": dict(sorted(self._homes.items()))}
--- a/celeryspan/services/counters.py
+++ b/celeryspan/services/counters.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 import time
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from celeryspan import configuration, events, ids, kernel
-from celeryspan.decisions import exchange, sharing
+from celeryspan.decisions import exchange, homes, sharing
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -24,6 +25,10 @@
 homes of a service of short requests grant several slots before they hear of each
 other."""
 
+FOLD_SECONDS = 60.0
+"""How long the counters of an ended incarnation are kept apart, in seconds: late ones
+still come by way of peers that were cut off for a while."""
+
 
 @kernel.register(
     "counters", needs=("assignment", "configuration", "delivery", "identity")
@@ -48,7 +53,10 @@
         self._identity: identity.IdentityService = box.find("identity")
         self._exchange = exchange.Exchange(exchange.Units())
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
-        self._lifts: dict[sharing.Key, messages.Lift] = {}
+        self._folds: collections.deque[tuple[float, ids.RouterId, ids.Incarnation]] = (
+            collections.deque()
+        )
+        self._known_homes: dict[ids.ServiceId, frozenset[ids.RouterId]] = {}
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="counters", daemon=True)
         self.lock = threading.RLock()
@@ -62,7 +70,8 @@
         self._delivery.subscribe(messages.Counter, self._take_counter)
         self._delivery.subscribe(messages.Lift, self._take_lift)
         self._delivery.subscribe(messages.Pending, self._take_pending)
-        self._assignment.subscribe(lambda _: self.tell_all())
+        self._delivery.subscribe(messages.Snapshot, self._take_snapshot)
+        self._assignment.subscribe(self._teach)
         self._thread.start()
 
     def stop(self) -> None:
@@ -77,18 +86,9 @@
         with self.lock:
             self.counters.give(service, account, units)
 
-    def tell_all(self) -> None:
-        """Tell everything again: a home is new and knows nothing."""
-        with self.lock:
-            self._exchange.forget()
-            lifts = list(self._lifts.values())
-        self.tell(lifts)
-
     def tell(self, found: Iterable[messages.Lift | messages.Pending]) -> None:
         """Tell the other homes of a service what the home on this router decided."""
         for message in found:
-            if isinstance(message, messages.Lift):
-                self._lifts[message.service, message.account] = message
             self._send(message.service, message)
 
     def report(self) -> dict[str, object]:
@@ -100,6 +100,47 @@
             }
         return {"received": totals}
 
+    def _teach(self, moves: tuple[homes.Move, ...]) -> None:
+        """Tell the new homes of each service what this router knows.
+
+        Every router tells its own counters again; the first of the other homes also
+        sends all that it knows, so that a restart costs no fairness.
+        """
+        for service, servers in self._assignment.maps().items():
+            now = frozenset(servers.values())
+            before = self._known_homes.get(service, frozenset())
+            moved = {
+                move.new
+                for move in moves
+                if move.server in servers and move.old is None
+            }
+            self._known_homes[service] = now
+            for home in (now - before | (moved & now)) - {self._identity.router}:
+                with self.lock:
+                    self._exchange.forget(service)
+                if self._identity.router == min(now - {home}, default=None):
+                    self._delivery.send(home, self._make_snapshot())
+
+    def _make_snapshot(self) -> messages.Snapshot:
+        with self.lock:
+            found = self.counters.snapshot()
+        return messages.Snapshot(
+            found.counters,
+            found.lifts,
+            tuple(messages.Total(*key, units) for key, units in found.folded.items()),
+            tuple(messages.Gone(*item) for item in found.gone.items()),
+        )
+
+    def _take_snapshot(
+        self, router: ids.RouterId, _: ids.Incarnation, found: messages.Snapshot
+    ) -> None:
+        folded = {(item.service, item.account): item.units for item in found.totals}
+        gone = {item.router: item.incarnation for item in found.gone}
+        with self.lock:
+            self.counters.adopt(
+                sharing.Snapshot(found.counters, found.lifts, folded, gone)
+            )
+
     def _weigh(self, account: ids.AccountId) -> float:
         current = self._configuration.current()
         return current.weight(account) if current else configuration.DEFAULT_WEIGHT
@@ -113,10 +154,14 @@
                 events.log(events.Event.TASK_FAILED, task="counters", error=repr(error))
 
     def _tell_due(self) -> None:
+        now = time.monotonic()
         with self.lock:
+            while self._folds and self._folds[0][0] <= now:
+                _, router, incarnation = self._folds.popleft()
+                self.counters.fold(router, incarnation)
             own = {(item.service, item.account): item for item in self.counters.own()}
             units = {key: item.units for key, item in own.items()}
-            due = self._exchange.find_due(units, None, time.monotonic())
+            due = self._exchange.find_due(units, None, now)
         for key in due:
             self._send(key[0], own[key])
 
@@ -133,7 +178,8 @@
             if counter.incarnation > newest:
                 self._incarnations[counter.router] = counter.incarnation
                 if newest:
-                    self.counters.fold(counter.router, newest)
+                    due = time.monotonic() + FOLD_SECONDS
+                    self._folds.append((due, counter.router, newest))
             self.counters.merge(counter)
 
     def _take_lift(
--- a/celeryspan/services/homes.py
+++ b/celeryspan/services/homes.py
@@ -190,6 +190,8 @@
                     )
                     self._replay_early(move.server, now)
                     events.log(events.Event.HOME_TAKEN, server=move.server)
+            pending = self._ledger.list_pending()
+        self._counters.tell(pending)
         self._changed.set()
 
     def _hold(self, router: ids.RouterId, held: messages.SlotsHeld, now: float) -> None:
--- a/celeryspan/wire/codec.py
+++ b/celeryspan/wire/codec.py
@@ -155,11 +155,7 @@
 def _layouts() -> dict[type, tuple[str, Fields]]:
     layouts = {}
     for kind in typing.get_args(messages.Message):
-        hints = typing.get_type_hints(kind)
-        fields = [
-            (name, _camel(name), _find_converter(hint)) for name, hint in hints.items()
-        ]
-        layouts[kind] = (_camel(_snake(kind.__name__)), fields)
+        layouts[kind] = (_camel(_snake(kind.__name__)), _list_fields(kind))
     return layouts
 
 
@@ -171,11 +167,45 @@
 def _find_converter(hint: object) -> tuple[Encode, Decode]:
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return _make_state_converter(hint)
+    if hint not in CONVERTERS and typing.get_origin(hint) is tuple:
+        return _make_list_converter(typing.get_args(hint)[0])
     if hint not in CONVERTERS:
         hint = getattr(hint, "__supertype__", hint)
     return CONVERTERS[hint]
 
 
+def _list_fields(kind: type) -> Fields:
+    hints = typing.get_type_hints(kind)
+    return [(name, _camel(name), _find_converter(hint)) for name, hint in hints.items()]
+
+
+def _make_list_converter(kind: type) -> tuple[Encode, Decode]:
+    """Return the converter of a tuple of values of one class."""
+    fields = _list_fields(kind)
+
+    def write(items: tuple, places: dict[str, int]) -> list[dict[str, object]]:
+        return [
+            {
+                wire_name: to_wire(getattr(item, name), places)
+                for name, wire_name, (to_wire, _) in fields
+            }
+            for item in items
+        ]
+
+    def read(entries: typing.Any, texts: list[str]) -> tuple:
+        return tuple(
+            kind(
+                *(
+                    from_wire(getattr(entry, wire_name), texts)
+                    for _, wire_name, (_, from_wire) in fields
+                )
+            )
+            for entry in entries
+        )
+
+    return write, read
+
+
 def _place(text: str, places: dict[str, int]) -> int:
     place = places.get(text)
     if place is None:
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -140,6 +140,33 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Total:
+    """Units that an account received from incarnations that are gone."""
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    units: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """The highest incarnation of a router whose counters are in the totals."""
+
+    router: ids.RouterId
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What a new home must know about service received, from one peer."""
+
+    counters: tuple[Counter, ...]
+    lifts: tuple[Lift, ...]
+    totals: tuple[Total, ...]
+    gone: tuple[Gone, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """What the sender believes about one router; rides on probes."""
@@ -289,6 +316,7 @@
     | Counter
     | Lift
     | Pending
+    | Snapshot
     | Member
     | Probe
     | ProbeRequest
--- a/celeryspan/wire/outbox.py
+++ b/celeryspan/wire/outbox.py
@@ -158,5 +158,6 @@
 @register_key(messages.ConfigurationRequest)
 @register_key(messages.ConfigurationValue)
 @register_key(messages.MembersRequest)
+@register_key(messages.Snapshot)
 def _name_single(_: messages.Message) -> Key:
     return ()
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -39,6 +39,7 @@
     pending @19 :Pending;
     pressure @20 :Pressure;
     vote @21 :Vote;
+    snapshot @22 :Snapshot;
   }
 }
 
@@ -104,6 +105,24 @@
   sequence @3 :UInt64;
 }
 
+struct Total {
+  service @0 :Text;
+  account @1 :Text;
+  units @2 :Float64;
+}
+
+struct Gone {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Snapshot {
+  counters @0 :List(Counter);
+  lifts @1 :List(Lift);
+  totals @2 :List(Total);
+  gone @3 :List(Gone);
+}
+
 struct Member {
   router @0 :Text;
   incarnation @1 :UInt64;
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -73,8 +73,11 @@
 class Router:
     """One router with real scheduling services and fakes around them."""
 
-    def __init__(self, name: str, network: Network, config: object) -> None:
+    def __init__(
+        self, name: str, network: Network, config: object, incarnation: int = 1
+    ) -> None:
         self.name = ids.RouterId(name)
+        self.incarnation = ids.Incarnation(incarnation)
         self.membership_handlers: list = []
         self._network = network
         self._handlers = collections.defaultdict(list)
@@ -107,13 +110,13 @@
 
     def receive(self, sender: Router, message: messages.Message) -> None:
         """Take a message of a peer."""
-        self.inbox.put((sender.name, message))
+        self.inbox.put((sender, message))
 
     def _read(self) -> None:
         while True:
             sender, message = self.inbox.get()
             for handler in self._handlers[type(message)]:
-                handler(sender, ids.Incarnation(1), message)
+                handler(sender.name, sender.incarnation, message)
             self.inbox.task_done()
 
     def _send(self, peer: str, message: messages.Message) -> None:
@@ -125,7 +128,7 @@
         return [
             messages.Member(
                 ids.RouterId(name),
-                ids.Incarnation(1),
+                router.incarnation,
                 states.MemberState.ALIVE,
                 ids.DataCentreId("hala-a"),
                 here,
@@ -133,7 +136,7 @@
                 ids.Generation(1),
                 0,
             )
-            for name in self._network.routers
+            for name, router in self._network.routers.items()
             if name not in self._network.cut
         ]
 
@@ -141,7 +144,7 @@
         nothing = {"start": lambda: None, "stop": lambda: None}
         return {
             "identity": types.SimpleNamespace(
-                router=self.name, incarnation=ids.Incarnation(1), **nothing
+                router=self.name, incarnation=self.incarnation, **nothing
             ),
             "configuration": types.SimpleNamespace(
                 current=lambda: config,
--- a/tests/services/test_scheduling.py
+++ b/tests/services/test_scheduling.py
@@ -114,6 +114,32 @@
     assert caught.value.retry_after
 
 
+def test_a_home_that_restarts_at_once_learns_who_received_what(make_fleet) -> None:
+    """A home restarts faster than it is missed, just after another router died.
+
+    An account that has received much must not be served first again. What it received
+    was counted by the dead router, so that only a third one can tell.
+    """
+    network, routers = make_fleet(3, {f"s{i}": 2 for i in range(6)}, ["a"])
+    asker, third, home = routers
+    asker.acquire("a", "q").end(dispatch.Ending.ANSWERED, 500.0)
+    wait_for(lambda: read_received(third) == 500.0)
+    network.cut.add(asker.name)
+    network.change()
+    config = home.kernel.find("configuration").current()
+    home.kernel.stop()
+    again = fleet.Router(home.name, network, config, incarnation=2)
+    again.start()
+    network.change()
+    wait_for(lambda: read_received(again) == 500.0)
+    again.kernel.stop()
+
+
+def read_received(router: fleet.Router) -> float:
+    """Return what account a has received, as a router knows it."""
+    return router.kernel.find("counters").counters.received("gate-desk", "a")
+
+
 @pytest.mark.parametrize("slots", [{"s1": 1, "s2": 1}, {"s1": 1}])
 def test_a_repeat_that_excludes_a_server_is_served(make_fleet, slots) -> None:
     """A repeat must not go to the server that has just failed it, and not starve.
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -29,6 +29,12 @@
     messages.Ack(1, "r-2"),
     messages.ServerFact("gpu-1", states.ServerState.LEAVING, 12),
     messages.Vote("gpu-1", True),
+    messages.Snapshot(
+        (messages.Counter("r-1", 2**60, "planner-llm", "desk", 1e9),),
+        (messages.Lift("planner-llm", "desk", 812.5),),
+        (messages.Total("planner-llm", "desk", 7.0),),
+        (messages.Gone("r-1", 2**59),),
+    ),
     messages.ConfigurationOffer(3),
     messages.ConfigurationRequest(2),
     messages.ConfigurationValue(3, b"\0\1"),
