--- a/celeryspan/decisions/slots.py
+++ b/celeryspan/decisions/slots.py
@@ -107,6 +107,10 @@
         entries = self.entries.values()
         return sum(entry.window for entry in entries if entry.service == service)
 
+    def services(self) -> list[ids.ServiceId]:
+        """Return the services of the servers here, in order."""
+        return sorted({entry.service for entry in self.entries.values()})
+
     def open_services(self, now: float) -> list[ids.ServiceId]:
         """Return the services with a free slot here, in order."""
         entries = self.entries.values()
