--- /dev/null
+++ b/tests/bench/test_slopes.py
@@ -0,0 +1,37 @@
+"""The capacity page shows the recorded run and nothing else."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from bench import fits, sizing, slopes
+
+
+def test_page_and_recorded_run_agree() -> None:
+    record = json.loads(slopes.RECORDED.read_text())
+    _, generated, _ = slopes.split_page(slopes.PAGE.read_text())
+    assert generated == slopes.render(record)
+
+
+def test_verdict_shows_the_figures_of_the_recorded_run() -> None:
+    record = json.loads(slopes.RECORDED.read_text())
+    found = sizing.summarise(slopes.read_slopes(record))
+    verdict, _, _ = slopes.split_page(slopes.PAGE.read_text())
+    for prefix in ("", "planned_"):
+        assert f"{found[f'{prefix}control_bytes_per_second']:,.0f}" in verdict
+        assert f"{found[f'{prefix}control_core_percent']}" in verdict
+        assert f"{found[f'{prefix}control_memory_mb']}" in verdict
+
+
+def test_every_slope_is_taken_at_three_sizes() -> None:
+    record = json.loads(slopes.RECORDED.read_text())
+    assert all(len(one["sizes"]) >= 3 for one in record["slopes"])
+
+
+def test_fit_finds_a_line() -> None:
+    line = fits.fit("item", "us", (10, 20, 40), (25.0, 45.0, 85.0))
+    assert line.slope == pytest.approx(2.0)
+    assert line.base == pytest.approx(5.0)
+    assert line.error < 1e-6
