--- a/bench/fleetwide.py
+++ b/bench/fleetwide.py
@@ -19,8 +19,8 @@
 from celeryspan.decisions import (
     generations,
     leases,
-    membership,
     placement,
+    statements,
     watchers,
 )
 from celeryspan.services import configuration, pressures, vmlist
@@ -99,7 +99,7 @@
 
 def _note_deaths(victim: str, began: float, times: list[float]) -> Callable[..., None]:
     def note(now, _router, change, member) -> None:
-        if change is membership.Change.DEAD and member.router == victim:
+        if change is statements.Change.DEAD and member.router == victim:
             times.append(now - began)
 
     return note
@@ -113,9 +113,9 @@
     dead: list[str] = []
 
     def note(_now, _router, change, member) -> None:
-        if change is membership.Change.SUSPECTED:
+        if change is statements.Change.SUSPECTED:
             found.add((member.router, member.refutations))
-        elif change is membership.Change.DEAD:
+        elif change is statements.Change.DEAD:
             dead.append(member.router)
 
     made.observe = note
--- a/bench/virtual.py
+++ b/bench/virtual.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable, Iterable
 
 from celeryspan import ids, states
-from celeryspan.decisions import membership
+from celeryspan.decisions import membership, statements
 from celeryspan.wire import codec, messages, proofs
 
 TICK_SECONDS = 0.1
@@ -22,7 +22,7 @@
 OVERHEAD_BYTES = 28 + proofs.TAG_BYTES
 """IP and UDP headers, and the tag."""
 
-Observer = Callable[[float, ids.RouterId, membership.Change, messages.Member], None]
+Observer = Callable[[float, ids.RouterId, statements.Change, messages.Member], None]
 
 
 @dataclasses.dataclass(slots=True)
@@ -128,19 +128,19 @@
         self,
         name: ids.RouterId,
         router: Router,
-        actions: list[membership.Action],
+        actions: list[statements.Action],
     ) -> None:
         for change, member in router.decision.changes:
             self.observe(self.now, name, change, member)
         router.decision.changes.clear()
         for action in actions:
-            if isinstance(action, membership.Send):
+            if isinstance(action, statements.Send):
                 self._send(name, router, action)
             elif not self.cut(name, action.peer):
                 self._exchange(name, action.peer)
 
     def _send(
-        self, name: ids.RouterId, router: Router, action: membership.Send
+        self, name: ids.RouterId, router: Router, action: statements.Send
     ) -> None:
         incarnation = router.decision.own.incarnation
         frame = messages.Frame(name, incarnation, 1, action.batch)
@@ -193,7 +193,7 @@
         router = self.routers[target]
         if not router.running or not self.routers[sender].running:
             return
-        actions: list[membership.Action] = []
+        actions: list[statements.Action] = []
         for member in statements:
             actions += router.decision.learn(member, self.now, sender, spread=False)
         self._carry_out(target, router, actions)
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Hashable, Iterable
 
 from celeryspan import events, ids, kernel, states
-from celeryspan.decisions import membership
+from celeryspan.decisions import membership, statements
 from celeryspan.services import datagrams, identity, links
 from celeryspan.wire import messages
 
@@ -20,12 +20,12 @@
 Handler = Callable[[list[messages.Member]], None]
 
 EVENTS = {
-    membership.Change.JOINED: events.Event.MEMBER_JOINED,
-    membership.Change.SUSPECTED: events.Event.MEMBER_SUSPECTED,
-    membership.Change.LEAVING: events.Event.MEMBER_LEAVING,
-    membership.Change.DEAD: events.Event.MEMBER_DEAD,
-    membership.Change.REFUTED: events.Event.SELF_REFUTED,
-    membership.Change.OUTDONE: events.Event.SELF_REFUTED,
+    statements.Change.JOINED: events.Event.MEMBER_JOINED,
+    statements.Change.SUSPECTED: events.Event.MEMBER_SUSPECTED,
+    statements.Change.LEAVING: events.Event.MEMBER_LEAVING,
+    statements.Change.DEAD: events.Event.MEMBER_DEAD,
+    statements.Change.REFUTED: events.Event.SELF_REFUTED,
+    statements.Change.OUTDONE: events.Event.SELF_REFUTED,
 }
 
 
@@ -135,6 +135,7 @@
                     "incarnation": member.incarnation,
                     "generation": member.generation,
                     "caller_address": str(member.caller_address),
+                    "caller_address": str(member.caller_address),
                 }
                 for member in self.members()
             },
@@ -197,9 +198,9 @@
         for member in self.members():
             self._links.send(peer, member)
 
-    def _carry_out(self, actions: list[membership.Action]) -> None:
+    def _carry_out(self, actions: list[statements.Action]) -> None:
         for action in actions:
-            if isinstance(action, membership.Send):
+            if isinstance(action, statements.Send):
                 self._datagrams.send(action.address, action.batch)
                 continue
             self._links.send(action.peer, messages.MembersRequest())
@@ -216,12 +217,12 @@
         self._alive = self._decision.alive()
         self._changed = True
 
-    def _note(self, change: membership.Change, member: messages.Member) -> None:
-        if change is membership.Change.OUTDONE:
+    def _note(self, change: statements.Change, member: messages.Member) -> None:
+        if change is statements.Change.OUTDONE:
             self._identity.outdo(ids.Incarnation(member.incarnation - 1))
-        elif change is membership.Change.JOINED:
+        elif change is statements.Change.JOINED:
             self._links.learn(member.router, member.peer_address)
-        elif change is membership.Change.DEAD:
+        elif change is statements.Change.DEAD:
             self._links.forget(member.router)
         events.log(EVENTS[change], router=member.router, incarnation=member.incarnation)
 
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -8,7 +8,7 @@
 
 from bench import virtual
 from celeryspan import states
-from celeryspan.decisions import membership
+from celeryspan.decisions import statements
 
 SIZE = 5
 AGREE_SECONDS = 60.0
@@ -71,7 +71,7 @@
 )
 
 
-def watch(fleet: virtual.Fleet, change: membership.Change) -> list[tuple[float, str]]:
+def watch(fleet: virtual.Fleet, change: statements.Change) -> list[tuple[float, str]]:
     """Note who is found to have changed so, and when."""
     found: list[tuple[float, str]] = []
 
@@ -87,7 +87,7 @@
 def test_dead_router_is_found_by_all_and_nobody_else(size: int) -> None:
     fleet = virtual.Fleet(size, 1)
     fleet.run(5)
-    dead = watch(fleet, membership.Change.DEAD)
+    dead = watch(fleet, statements.Change.DEAD)
     victim = list(fleet.routers)[size // 2]
     fleet.routers[victim].running = False
     began = fleet.now
@@ -109,8 +109,8 @@
     sleeper.paused_until = fleet.now + 60
     fleet.run(59)
     assert not fleet.agrees()
-    suspected = watch(fleet, membership.Change.SUSPECTED)
-    refuted = watch(fleet, membership.Change.REFUTED)
+    suspected = watch(fleet, statements.Change.SUSPECTED)
+    refuted = watch(fleet, statements.Change.REFUTED)
     fleet.run_until_agreed(10)
     assert suspected == []
     assert {name for _, name in refuted} <= {"router-0003"}
@@ -141,7 +141,7 @@
 def test_router_that_leaves_is_told_from_one_that_died() -> None:
     fleet = virtual.Fleet(6, 4)
     fleet.run(5)
-    leaving = watch(fleet, membership.Change.LEAVING)
+    leaving = watch(fleet, statements.Change.LEAVING)
     router = fleet.routers["router-0002"]
     actions = router.decision.leave(states.MemberState.LEAVING)
     fleet._carry_out("router-0002", router, actions)
