--- a/celeryspan/decisions/queueing.py
+++ b/celeryspan/decisions/queueing.py
@@ -28,7 +28,7 @@
 PASS_LIMIT = 16
 """Times that younger requests may be served before an older one of the account."""
 
-SCAN_LIMIT = 64
+SCAN_LIMIT = 32
 """Requests at the head of a queue that compete for a grant; bounds time per pick."""
 
 LONG_FACTOR = 4.0
@@ -236,6 +236,19 @@
         self._start(queue, chosen, now)
         return chosen
 
+    def relax(
+        self, service: ids.ServiceId, account: ids.AccountId, server: ids.ServerId
+    ) -> None:
+        """Let the waiting requests of an account go to a server that failed them.
+
+        Guards against a grant that goes to and fro: its home has no other server, so
+        that it offers the same one for ever while the requests wait.
+        """
+        queue = self._queues.get((service, account))
+        for entry in queue.entries.values() if queue else ():
+            left = entry.work.excluded - {server}
+            entry.work = dataclasses.replace(entry.work, excluded=left)
+
     def restore(self, request: ids.RequestId, now: float) -> None:
         """Put a picked request back in front: its grant ended before it was sent."""
         entry, was_long = self._running.pop(request)
@@ -323,6 +336,11 @@
         """Return the queues in which something waits."""
         return [key for key, queue in self._queues.items() if queue.entries]
 
+    def oldest(self, service: ids.ServiceId, account: ids.AccountId) -> Entry | None:
+        """Return the first request in line, for which a server may be asked first."""
+        queue = self._queues.get((service, account))
+        return next(iter(queue.entries.values()), None) if queue else None
+
     def waiting(self, service: ids.ServiceId, account: ids.AccountId) -> int:
         """Return how many requests wait in one queue."""
         queue = self._queues.get((service, account))
