--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -135,7 +135,6 @@
                     "incarnation": member.incarnation,
                     "generation": member.generation,
                     "caller_address": str(member.caller_address),
-                    "caller_address": str(member.caller_address),
                 }
                 for member in self.members()
             },
