Offer another server after a grant came back unused

Cause: a request that may be repeated and had failed at one server waited for another until its deadline. Its home offered the server with the most room, the same each time; the router sent each grant back. Change: a server whose grant came back unused is taken last for 0.1 s. The faults measurement has callers of calls that may be repeated. The new test of the ledger failed before.

--- a/bench/faultcallers.py
+++ b/bench/faultcallers.py
@@ -177,6 +177,12 @@
     judge_answer(ask, caller.post(make_path(ask), ask.mark.encode()))
 
 
+def send_reading(caller: Caller, ask: Ask) -> None:
+    """Send a call that the routers may repeat by themselves."""
+    path = f"/v1/services/{faultfleet.GATE}/status/{ask.mark}"
+    judge_answer(ask, caller.post(path, ask.mark.encode()))
+
+
 def send_by_library(caller: Caller, ask: Ask) -> None:
     """Let the library repeat with a ticket."""
     path = f"/clearances/{ask.mark}"
@@ -224,6 +230,7 @@
 KINDS: dict[str, Callable[[Caller, Ask], None]] = {
     "model": send_model,
     "unnamed": send_unnamed,
+    "reading": send_reading,
     "library": send_by_library,
     "key": send_with_key,
     "ticket": send_with_ticket,
--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -222,6 +222,7 @@
         if message.cost > 0.0:
             self._charge.settle(entry.service, message.cost)
         if not held.is_used:
+            entry.returned_at = now
             self._demands.count_none((entry.service, held.account), router)
         self._free(entry, held)
 
--- a/celeryspan/decisions/slots.py
+++ b/celeryspan/decisions/slots.py
@@ -17,6 +17,10 @@
 if TYPE_CHECKING:
     from celeryspan.decisions import sharing
 
+# A server whose grant came back unused is taken last for so long, in seconds: longer
+# than the router needs to say again what waits, short against any request.
+RETURNED_SECONDS = 0.1
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Held:
@@ -51,6 +55,8 @@
         Routers that have yet to say which slots they hold.
     recovered_at : float
         When the home stops to wait for them, in monotonic seconds.
+    returned_at : float
+        When a grant last came back unused, in monotonic seconds.
     """
 
     service: ids.ServiceId
@@ -58,6 +64,7 @@
     awaited: set[ids.RouterId]
     recovered_at: float
     held: list[Held] = dataclasses.field(default_factory=list)
+    returned_at: float = -math.inf
 
     def is_open(self, now: float) -> bool:
         """Return whether a slot is free and may be granted."""
@@ -112,9 +119,18 @@
         return sorted({entry.service for entry in self.entries.values()})
 
     def pick_server(self, service: ids.ServiceId, now: float) -> ids.ServerId | None:
-        """Return the server with the greatest free part, or None if all are full."""
+        """Return the server with the greatest free part, or None if all are full.
+
+        One whose grant has just come back unused is taken last. The requests that
+        wait there have failed at this server and may not go to it again; granting the
+        server that has most room, which is the same one each time, would let them
+        wait until their deadline beside servers that are free.
+        """
         free = {
-            server: 1.0 - len(entry.held) / entry.window
+            server: (
+                now - entry.returned_at >= RETURNED_SECONDS,
+                1.0 - len(entry.held) / entry.window,
+            )
             for server, entry in self.entries.items()
             if entry.service == service and entry.is_open(now)
         }
--- a/tests/decisions/test_grants.py
+++ b/tests/decisions/test_grants.py
@@ -234,3 +234,21 @@
     ledger.report(ROUTERS[0], make_demand(AIRLINE, 1, 1), 0.5)
     ledger.report(ROUTERS[0], make_demand(HANDLER, 1, 2), 0.5)
     assert ledger.take_lifts() == []
+
+
+def test_a_grant_that_came_back_is_followed_by_one_for_another_server() -> None:
+    """A reading call fails at one gate desk and waits to be tried at the other.
+
+    The first has the most room, so the home offers it again and again; the router
+    sends each grant back, and the call ends at its deadline beside a free server.
+    """
+    ledger = make_ledger()
+    other = ids.ServerId("gate-desk-1")
+    ledger.add_server(other, SERVICE, WINDOW, 0.0)
+    offered = []
+    for sequence in (1, 2):
+        ledger.report(ROUTERS[0], make_demand(HANDLER, 1, sequence), LATER)
+        (issued,) = ledger.issue(LATER)
+        offered.append(issued.grant.server)
+        ledger.ended(ROUTERS[0], make_ended(issued.grant, 0.0), LATER)
+    assert sorted(offered) == [SERVER, other]
