--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import dataclasses
-import math
 import random
 import threading
 import time
@@ -12,18 +11,15 @@
 from celeryspan import dispatch, errors, events, ids, kernel
 from celeryspan.decisions import (
     admission,
-    exchange,
     homes,
     queueing,
     routing,
     sharing,
 )
-from celeryspan.services import slots
+from celeryspan.services import demand, slots
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from celeryspan import metrics
     from celeryspan.services import (
         assignment,
@@ -32,12 +28,9 @@
         delivery,
         identity,
         outliers,
+        vmlist,
     )
 
-REFRESH_SECONDS = 1.0
-"""Demand that stands is reported again, in seconds: covers a report lost with a link,
-and lets the age at the homes follow."""
-
 BOUNCES_MAX = 2
 """Grants of one server that an account's requests may refuse in a row because it has
 failed them; a second offer means that the home has nothing else."""
@@ -80,6 +73,7 @@
         "identity",
         "metrics",
         "outliers",
+        "vmlist",
     ),
 )
 class DispatchService:
@@ -95,6 +89,7 @@
         self._metrics: metrics.Metrics = box.find("metrics")
         self._identity: identity.IdentityService = box.find("identity")
         self._outliers: outliers.OutliersService = box.find("outliers")
+        self._vmlist: vmlist.VMListService = box.find("vmlist")
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
         self._queues = queueing.Queues()
@@ -104,31 +99,30 @@
         self._routing = routing.Routing(self.cache)
         self._waiters: dict[ids.RequestId, _Waiter] = {}
         self._held = slots.HeldSlots()
-        self._demands = exchange.Demands()
-        self._sequence = 0
-        self._turn = 0
-        self._due: dict[sharing.Key, float] = {}
         self._bounces: dict[tuple[sharing.Key, ids.ServerId], int] = {}
-        self._changed = threading.Event()
+        self._demand = demand.DemandReporter(
+            self._identity.router,
+            self._lock,
+            self._queues,
+            self._assignment,
+            self._delivery.send,
+            self._metrics.set_backlog,
+        )
         self._stopped = False
-        self._threads = [
-            threading.Thread(target=run, name=f"dispatch-{name}", daemon=True)
-            for name, run in (("report", self._report_loop), ("tick", self._tick_loop))
-        ]
+        self._thread = threading.Thread(target=self._run, name="dispatch", daemon=True)
 
     def start(self) -> None:
         """Begin to take grants."""
         self._delivery.subscribe(messages.Grant, self._take_grant)
         self._assignment.subscribe(self._move)
-        for thread in self._threads:
-            thread.start()
+        self._demand.start()
+        self._thread.start()
 
     def stop(self) -> None:
         """Refuse whoever still waits; it is certain that nothing was sent for them."""
         self._stopped = True
-        self._changed.set()
-        for thread in self._threads:
-            thread.join()
+        self._demand.stop()
+        self._thread.join()
         with self._lock:
             waiters, self._waiters = self._waiters, {}
         for waiter in waiters.values():
@@ -154,7 +148,8 @@
             if entry is None:
                 return
             self._refuse(request, make_cancelled())
-            self._plan((entry.work.service, entry.work.account), time.monotonic())
+            key = (entry.work.service, entry.work.account)
+            self._demand.plan(key, time.monotonic())
 
     def report(self) -> dict[str, object]:
         """Return what waits and what is in progress, for the operator."""
@@ -180,11 +175,7 @@
             for refused in verdict.shed:
                 self._refuse(refused.request, refused.make_error())
             self._waiters[work.request] = waiter
-            key = (work.service, work.account)
-            if not self._demands.believers(key):
-                self._tell_demand(key, now, again=False)
-            else:
-                self._plan(key, now)
+            self._demand.arrive((work.service, work.account), now)
         return waiter
 
     def _widen(self, work: dispatch.Work) -> dispatch.Work:
@@ -232,17 +223,15 @@
                 unused = messages.GrantEnded(
                     grant.grant, grant.server, grant.account, 0.0
                 )
-                self._demands.tell(key, home, 0)
                 self._delivery.send(home, unused)
-                self._plan(key, now)
+                self._demand.refuse(key, home, now)
                 return
             self._bounces.pop((key, grant.server), None)
             waiter = self._waiters.pop(entry.work.request)
             slot = slots.HeldSlot(grant, entry, now, self)
             self._held.add(slot)
             self.cache.sent(grant.server, entry.work.prefix, now)
-            self._demands.use(key, home, now)
-            self._plan(key, now)
+            self._demand.use(key, home, now)
         used = messages.GrantUsed(
             grant.grant, grant.server, grant.account, entry.cost_estimate
         )
@@ -278,6 +267,8 @@
             if answered:
                 self._estimator.settle(work.service, work.account, cost)
         self._outliers.record(slot, ending, cost)
+        if ending is dispatch.Ending.LEAVING:
+            self._vmlist.mark_leaving(slot.server)
         home = self._assignment.find_home(slot.server)
         if home is not None:
             ended = messages.GrantEnded(
@@ -291,10 +282,7 @@
         with self._lock:
             for move in moves:
                 self._tell_held(move.server)
-            for home in {move.new for move in moves if move.new is not None}:
-                self._demands.forget(home)
-            for key in self._queues.backlogged():
-                self._tell_demand(key, now, again=False)
+            self._demand.forget({move.new for move in moves if move.new}, now)
 
     def _tell_held(self, server: ids.ServerId) -> None:
         home = self._assignment.find_home(server)
@@ -302,84 +290,7 @@
             grants = self._held.list_grants(server)
             self._delivery.send(home, messages.SlotsHeld(server, grants))
 
-    def _plan(self, key: sharing.Key, now: float) -> None:
-        """Tell homes soon if one believes something false, else with the next batch."""
-        believers = self._demands.believers(key)
-        is_urgent = bool(believers) != bool(self._queues.waiting(*key))
-        seconds = 0.0 if is_urgent else exchange.DEMAND_SECONDS
-        due = min(self._due.get(key, math.inf), now + seconds)
-        self._due[key] = due
-        if is_urgent:
-            self._changed.set()
-
-    def _tell_demand(self, key: sharing.Key, now: float, *, again: bool) -> None:
-        """Tell homes how much of an account waits here.
-
-        Parameters
-        ----------
-        again : bool
-            Also tell the homes that have been told the same before.
-        """
-        waiting = self._queues.waiting(*key)
-        stage = self._demands.find_stage(key, waiting, now)
-        targets = dict.fromkeys(self._demands.believers(key))
-        targets.update(dict.fromkeys(self._choose_homes(key, stage, now)))
-        self._sequence += 1
-        demand = self._queues.demand(*key, self._sequence, now)
-        for home in targets:
-            if again or self._demands.belief(key, home) != waiting:
-                self._demands.tell(key, home, waiting)
-                self._delivery.send(home, demand)
-        if stage is exchange.Stage.ONE:
-            self._due[key] = now + exchange.ESCALATE_SECONDS
-            self._changed.set()
-        elif stage is exchange.Stage.ALL:
-            self._due[key] = now + exchange.RESAMPLE_SECONDS
-
-    def _choose_homes(
-        self, key: sharing.Key, stage: exchange.Stage, now: float
-    ) -> Iterable[ids.RouterId]:
-        service, _ = key
-        me = self._identity.router
-        if stage is exchange.Stage.NONE:
-            return ()
-        if stage is exchange.Stage.ALL:
-            found = self._assignment.find_homes(service)
-            return homes.sample(
-                found, me, service, self._demands.find_attempt(key, now)
-            )
-        if self._demands.believers(key):
-            return ()
-        self._turn += 1
-        by_server = self._assignment.map_servers(service)
-        first = homes.pick_first(by_server, me, service, self._turn)
-        return () if first is None else (first,)
-
-    def _report_loop(self) -> None:
-        refreshed = time.monotonic()
-        while not self._stopped:
-            self._changed.wait(self._find_pause())
-            self._changed.clear()
-            now = time.monotonic()
-            with self._lock:
-                self._tell_due(now)
-                if now - refreshed >= REFRESH_SECONDS:
-                    refreshed = now
-                    for key in self._queues.backlogged():
-                        self._tell_demand(key, now, again=True)
-
-    def _find_pause(self) -> float:
-        with self._lock:
-            soonest = min(self._due.values(), default=math.inf)
-        return max(0.0, min(REFRESH_SECONDS, soonest - time.monotonic()))
-
-    def _tell_due(self, now: float) -> None:
-        for key in [key for key, due in self._due.items() if due <= now]:
-            del self._due[key]
-            self._tell_demand(key, now, again=False)
-            self._metrics.set_backlog(*key, self._queues.waiting(*key))
-
-    def _tick_loop(self) -> None:
+    def _run(self) -> None:
         held_at = time.monotonic()
         while not self._stopped:
             time.sleep(TICK_SECONDS)
@@ -399,7 +310,7 @@
                 work, admission.Reason.EXPIRED, now, self._random.random()
             )
             self._refuse(work.request, refused.make_error())
-            self._plan((work.service, work.account), now)
+            self._demand.plan((work.service, work.account), now)
 
 
 def make_stopped() -> errors.NotRun:
