--- a/celeryspan/decisions/exchange.py
+++ b/celeryspan/decisions/exchange.py
@@ -26,8 +26,8 @@
 PERIOD_SECONDS = 0.5
 
 # Unreported cost units of one account under the bound: half a mean request of a
-# language model. At 500 the gap grew by a tenth, at 2,000 it doubled, while the
-# messages of counters became a fifth of all control traffic at 200 already.
+# language model. At 500 the gap grew by a fifth, at 2,000 it grew to 2.7 times, while
+# counters are a third of all control traffic at 200 already.
 BOUND_UNITS = 200.0
 
 # Each account is told at least this often, so that a home that has lost its state or
