--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -140,6 +140,33 @@
     sequence: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Total:
+    """Units that an account received from incarnations that are gone."""
+
+    service: ids.ServiceId
+    account: ids.AccountId
+    units: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gone:
+    """The highest incarnation of a router whose counters are in the totals."""
+
+    router: ids.RouterId
+    incarnation: ids.Incarnation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What a new home must know about service received, from one peer."""
+
+    counters: tuple[Counter, ...]
+    lifts: tuple[Lift, ...]
+    totals: tuple[Total, ...]
+    gone: tuple[Gone, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
     """What the sender believes about one router; rides on probes."""
@@ -193,6 +220,20 @@
     version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vote:
+    """What a router tells a home about the answers of a backend server.
+
+    Attributes
+    ----------
+    is_failing : bool
+        Whether the router would give it no work; False takes that back.
+    """
+
+    server: ids.ServerId
+    is_failing: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationOffer:
     """The generation that the sender has in force."""
@@ -275,11 +316,13 @@
     | Counter
     | Lift
     | Pending
+    | Snapshot
     | Member
     | Probe
     | ProbeRequest
     | Ack
     | ServerFact
+    | Vote
     | ConfigurationOffer
     | ConfigurationRequest
     | ConfigurationValue
--- a/celeryspan/wire/outbox.py
+++ b/celeryspan/wire/outbox.py
@@ -144,6 +144,7 @@
 
 
 @register_key(messages.ServerFact)
+@register_key(messages.Vote)
 def _name_server(message: messages.ServerFact) -> Key:
     return (message.server,)
 
@@ -157,5 +158,6 @@
 @register_key(messages.ConfigurationRequest)
 @register_key(messages.ConfigurationValue)
 @register_key(messages.MembersRequest)
+@register_key(messages.Snapshot)
 def _name_single(_: messages.Message) -> Key:
     return ()
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -38,6 +38,8 @@
     lift @18 :Lift;
     pending @19 :Pending;
     pressure @20 :Pressure;
+    vote @21 :Vote;
+    snapshot @22 :Snapshot;
   }
 }
 
@@ -103,6 +105,24 @@
   sequence @3 :UInt64;
 }
 
+struct Total {
+  service @0 :Text;
+  account @1 :Text;
+  units @2 :Float64;
+}
+
+struct Gone {
+  router @0 :Text;
+  incarnation @1 :UInt64;
+}
+
+struct Snapshot {
+  counters @0 :List(Counter);
+  lifts @1 :List(Lift);
+  totals @2 :List(Total);
+  gone @3 :List(Gone);
+}
+
 struct Member {
   router @0 :Text;
   incarnation @1 :UInt64;
@@ -135,6 +155,11 @@
   version @2 :UInt64;
 }
 
+struct Vote {
+  server @0 :Text;
+  isFailing @1 :Bool;
+}
+
 struct ConfigurationOffer {
   generation @0 :UInt64;
 }
