Judge servers by what runs, and play a slow server and long calls

Change: Outliers.observe takes the running streams once a second; ended requests and running ones are compared apart. DrainRate and RunTime move to drain.py; the measurement has a table for a slow server and for long calls among short ones.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -10,7 +10,7 @@
 import statistics
 
 from bench import one_router
-from celeryspan.decisions import admission
+from celeryspan.decisions import admission, queueing
 
 SEEDS = (1, 2, 3)
 CAPACITY = 36.0
@@ -163,6 +163,71 @@
     return table
 
 
+def measure_slow(ejection: bool, seed: int = 1) -> dict[str, float]:
+    """Return what callers get while one of nine servers runs ten times slower."""
+    servers = make_servers()
+    mechanisms = one_router.Mechanisms(ejection=ejection)
+    router = one_router.Router(servers, mechanisms, seed)
+    router.at(5.0, lambda: setattr(servers[0], "rate", RATE / 10))
+    rates = {name: CAPACITY / 6 for name in "abcd"}
+    records = router.run(make_calls(rates, SECONDS, seed))
+    late = [
+        one.answered_at is None
+        or one.answered_at - one.call.at > 2 * one.call.cost / RATE + 1.0
+        for one in records
+    ]
+    return summarise_times(records) | {"slow_calls": sum(late)}
+
+
+def measure_long(share: float, seed: int = 1) -> dict[str, float]:
+    """Return what one account's short calls get beside its long ones.
+
+    Parameters
+    ----------
+    share : float
+        Part of the account's slots that long requests may hold; 1 is no bound.
+    """
+    rng = random.Random(seed)
+    router = one_router.Router(make_servers(1), seed=seed)
+    calls = []
+    for index in range(400):
+        cost = 500.0 if index % 8 == 0 else 10.0
+        at = 0.1 * index + rng.random()
+        calls.append(one_router.Call(at, "a", cost, patience=120.0, hint=cost))
+    kept, queueing.LONG_SHARE = queueing.LONG_SHARE, share
+    try:
+        records = router.run(calls)
+    finally:
+        queueing.LONG_SHARE = kept
+    return summarise_times([one for one in records if one.call.cost < 100.0])
+
+
+def summarise_times(records: list[one_router.Record]) -> dict[str, float]:
+    """Return the share answered, and whole times of the answered, in seconds."""
+    times = sorted(
+        one.answered_at - one.call.at for one in records if one.answered_at is not None
+    )
+    return {
+        "answered_share": round(len(times) / len(records), 4),
+        "seconds_p50": round(times[len(times) // 2], 2),
+        "seconds_p99": round(times[int(0.99 * (len(times) - 1))], 2),
+    }
+
+
+def print_times() -> dict[str, dict[str, float]]:
+    """Print what a slow server and long calls do with and without the guard."""
+    table = {
+        "slow server, no ejection": measure_slow(False),
+        "slow server, ejection": measure_slow(True),
+        "short among long, no bound": measure_long(1.0),
+        "short among long, bound": measure_long(queueing.LONG_SHARE),
+    }
+    print()
+    for name, result in table.items():
+        print(f"{name:28}" + "".join(f"{k:>18} {v}" for k, v in result.items()))
+    return table
+
+
 def run(arguments: list[str]) -> int:
     """Print a table for each load pattern and the JSON of all."""
     del arguments
@@ -175,6 +240,6 @@
                 print(f"{'':26}" + "".join(f"{name:>23}" for name in result))
             print(f"{case:26}" + "".join(f"{value:23}" for value in result.values()))
             table.setdefault(pattern, {})[case] = result
-    faults = print_faults()
-    print(json.dumps({"bench": "admission", "patterns": table, "faults": faults}))
+    found = {"patterns": table, "faults": print_faults(), "times": print_times()}
+    print(json.dumps({"bench": "admission", **found}))
     return 0
--- a/bench/one_router.py
+++ b/bench/one_router.py
@@ -82,8 +82,19 @@
         self.cache: collections.OrderedDict[int, None] = collections.OrderedDict()
         self.in_use = 0
         self.busy_seconds = 0.0
+        self.running: dict[ids.RequestId, tuple[float, float, float]] = {}
         self.events: list[tuple[float, routing.CacheEvent]] = []
 
+    def sum_running(self, now: float) -> tuple[float, float]:
+        """Return seconds since the first unit and units given, of running requests."""
+        seconds = [
+            max(0.0, now - started - prompt)
+            for started, prompt, _ in self.running.values()
+        ]
+        rates = [rate for _, _, rate in self.running.values()]
+        units = [one * rate for one, rate in zip(seconds, rates, strict=True)]
+        return sum(seconds), sum(units)
+
     def count_cached(self, prompt: tuple[int, ...]) -> int:
         """Return how many leading blocks need no computing."""
         return len(list(itertools.takewhile(lambda block: block in self.cache, prompt)))
@@ -220,6 +231,9 @@
         self.outliers.evaluate(self.now)
         for server in self.servers.values():
             self._take_cache_events(server)
+            if self.mechanisms.ejection:
+                sums = server.sum_running(self.now)
+                self.outliers.observe(server.name, *sums, self.now)
         if self._events or self._by_request:
             self.at(self.now + 1.0, self._tick)
 
@@ -351,6 +365,9 @@
         cached = server.count_cached(record.call.prompt)
         missing = len(record.call.prompt) - cached
         seconds = missing * self.block_seconds + record.call.cost / server.rate
+        prompt_seconds = missing * self.block_seconds
+        running = (self.now, prompt_seconds, server.rate)
+        server.running[entry.work.request] = running
         failed = server.fails
         if failed:
             seconds = self.failure_seconds
@@ -371,6 +388,7 @@
         cached: int,
     ) -> None:
         server.in_use -= 1
+        del server.running[entry.work.request]
         server.busy_seconds += seconds
         self.queues.end(entry.work.request, self.now, not failed)
         call = record.call
--- a/celeryspan/decisions/outliers.py
+++ b/celeryspan/decisions/outliers.py
@@ -34,6 +34,10 @@
 MIN_SAMPLES = 10
 """Ended requests before a server is judged by its mean."""
 
+MIN_RUNNING_SECONDS = 10.0
+"""Sum of the ages of running requests before their speed counts: a server ten times too
+slow ends its tenth request after minutes, but shows within a second with 16 running."""
+
 MEMORY = 0.9
 """Weight kept by earlier requests at each new one: about ten requests count."""
 
@@ -79,6 +83,8 @@
     until: float = 0.0
     ejections: int = 0
     trial_answers: int = 0
+    running_seconds: float = 0.0
+    running_units: float = 0.0
 
     def learn(self, failed: bool, seconds: float, cost: float) -> None:
         self.samples = self.samples * MEMORY + 1.0
@@ -90,6 +96,7 @@
 
     def forget_samples(self) -> None:
         self.samples = self.failures = self.seconds = self.units = 0.0
+        self.running_seconds = self.running_units = 0.0
         self.in_row = self.trial_answers = 0
 
     @property
@@ -97,9 +104,15 @@
         """Enough samples: the decayed count tends to ``1 / (1 - MEMORY)``."""
         return self.samples >= (1.0 - MEMORY**MIN_SAMPLES) / (1.0 - MEMORY) * 0.99
 
-    @property
-    def unit_seconds(self) -> float | None:
-        return self.seconds / self.units if self.units > 0.0 else None
+    def ended_speed(self) -> float | None:
+        """Return seconds per cost unit of ended requests, if enough have ended."""
+        return self.seconds / self.units if self.known and self.units else None
+
+    def running_speed(self) -> float | None:
+        """Return seconds per cost unit of running requests, if they run long enough."""
+        if self.running_seconds < MIN_RUNNING_SECONDS or not self.running_units:
+            return None
+        return self.running_seconds / self.running_units
 
 
 class Outliers:
@@ -146,6 +159,31 @@
         one.learn(failed, seconds, cost)
         if one.standing is Standing.TRIAL:
             return self._judge_trial(server, one, failed, now)
+        return self._judge(server, one, now)
+
+    def observe(
+        self, server: ids.ServerId, seconds: float, units: float, now: float
+    ) -> list[Change]:
+        """Take in what runs at a server; return changes that follow.
+
+        A server that is far too slow, or silent, ends nothing by which it could be
+        judged; its running streams show it. Call about once a second.
+
+        Parameters
+        ----------
+        seconds : float
+            Sum of the times since its running requests gave their first unit: the
+            time before it depends on the prompt.
+        units : float
+            Sum of the cost units that they have given so far; 0 for plain calls.
+        """
+        one = self._servers.setdefault(server, _Server())
+        one.running_seconds, one.running_units = seconds, units
+        if one.standing is not Standing.GOOD:
+            return []
+        return self._judge(server, one, now)
+
+    def _judge(self, server: ids.ServerId, one: _Server, now: float) -> list[Change]:
         reason = self._find_fault(server, one)
         if one.standing is Standing.EJECTED or reason is None:
             return []
@@ -179,9 +217,7 @@
     def _find_fault(self, server: ids.ServerId, one: _Server) -> str | None:
         if one.in_row >= FAILURES_IN_ROW:
             return f"{one.in_row} failures in a row"
-        if not one.known:
-            return None
-        if one.failures > FAILURE_SHARE * one.samples:
+        if one.known and one.failures > FAILURE_SHARE * one.samples:
             return "more than half of its requests failed"
         if self._is_slow(server, one):
             return "far slower than its peers"
@@ -189,15 +225,10 @@
 
     def _is_slow(self, server: ids.ServerId, one: _Server) -> bool:
         """Compare with the median of the others, which one slow server cannot move."""
-        mine = one.unit_seconds
-        others = [
-            peer.unit_seconds
-            for name, peer in self._servers.items()
-            if name != server and peer.known and peer.unit_seconds is not None
-        ]
-        if mine is None or not others:
-            return False
-        return mine > SLOW_FACTOR * statistics.median(others)
+        peers = [peer for name, peer in self._servers.items() if name != server]
+        return _is_outlier(
+            one.ended_speed(), [peer.ended_speed() for peer in peers]
+        ) or _is_outlier(one.running_speed(), [peer.running_speed() for peer in peers])
 
     def _may_eject(self, now: float) -> bool:
         """Keep half of a service whatever its servers answer.
@@ -230,3 +261,10 @@
         one.standing = Standing.GOOD
         one.ejections = max(0, one.ejections - 1)
         return [Change(server, Standing.GOOD, "passed its trial")]
+
+
+def _is_outlier(mine: float | None, others: list[float | None]) -> bool:
+    known = [one for one in others if one is not None]
+    if mine is None or not known:
+        return False
+    return mine > SLOW_FACTOR * statistics.median(known)
--- a/celeryspan/decisions/queueing.py
+++ b/celeryspan/decisions/queueing.py
@@ -19,10 +19,10 @@
 import collections
 import dataclasses
 import heapq
-import math
 from collections.abc import Callable, Iterator
 
 from celeryspan import dispatch, ids
+from celeryspan.decisions import drain
 from celeryspan.wire import messages
 
 PASS_LIMIT = 16
@@ -37,11 +37,8 @@
 LONG_SHARE = 0.5
 """Share of an account's slots that long requests may hold while short ones wait."""
 
-DRAIN_SECONDS = 10.0
-"""Memory of the drain rate: several lags of a load report, shorter than a deadline."""
-
-DRAIN_COUNT = 3.0
-"""Departures needed before a drain rate is believed."""
+MEAN_SHARE = 0.05
+"""Weight of a new request in the account's mean estimate: the last twenty count."""
 
 RUN_SHARE = 1.0
 """Share of the expected run time without which a request is not started. Measured from
@@ -52,9 +49,6 @@
 """Share of its time that a request may wait whatever its hint says: a hint far too high
 must not refuse a request for which a slot is about to be free."""
 
-RUN_MEMORY = 0.98
-"""Weight kept by earlier runs at each end of a run: about fifty runs."""
-
 Fit = Callable[[dispatch.Work], float]
 """Cost units saved if a request ran on the granted server rather than elsewhere."""
 
@@ -88,61 +82,6 @@
     picked_at: float | None = None
 
 
-class DrainRate:
-    """Requests a second that leave a queue while it is backlogged.
-
-    Idle time does not count, so that an account that asks rarely is not believed slow.
-    """
-
-    __slots__ = ("_began", "_busy", "_departures", "_since")
-
-    def __init__(self) -> None:
-        self._departures = 0.0
-        self._busy = 0.0
-        self._began = 0.0
-        self._since: float | None = None
-
-    def begin(self, now: float) -> None:
-        """Say that the queue has become backlogged."""
-        self._since = self._began = now
-
-    def depart(self, now: float, count: int = 1) -> None:
-        """Count requests that were given a grant.
-
-        One served in the moment of its arrival found a free slot and says nothing of
-        the rate under load; counted, it would make the rate far too high.
-        """
-        self._advance(now)
-        if now > self._began:
-            self._departures += count
-
-    def stop(self, now: float) -> None:
-        """Say that the queue is empty."""
-        self._advance(now)
-        self._since = None
-
-    def read(self, now: float) -> float | None:
-        """Return requests a second, or None as long as too few have left.
-
-        At least one is counted: at a standstill the rate falls with time but never to
-        zero, so that a queue is not refused for good.
-        """
-        self._advance(now)
-        known = self._departures >= DRAIN_COUNT or self._busy >= DRAIN_SECONDS / 2
-        if not known or self._busy <= 0.0:
-            return None
-        return max(1.0, self._departures) / self._busy
-
-    def _advance(self, now: float) -> None:
-        if self._since is None or now <= self._since:
-            return
-        elapsed = now - self._since
-        kept = math.exp(-elapsed / DRAIN_SECONDS)
-        self._departures *= kept
-        self._busy = self._busy * kept + DRAIN_SECONDS * (1.0 - kept)
-        self._since = now
-
-
 class AccountQueue:
     """Requests of one client account for one service, at this router."""
 
@@ -152,7 +91,7 @@
         self.entries: collections.OrderedDict[ids.RequestId, Entry] = (
             collections.OrderedDict()
         )
-        self.drain = DrainRate()
+        self.drain = drain.DrainRate()
         self.cost = 0.0
         self.mean_cost = 0.0
         self.running = 0
@@ -163,29 +102,6 @@
         return entry.cost_estimate > LONG_FACTOR * self.mean_cost
 
 
-class RunTime:
-    """Seconds that a cost unit takes in a service, learned from ended runs.
-
-    The sums are divided, not the ratios averaged: a hint far too low would otherwise
-    outweigh many that are right.
-    """
-
-    __slots__ = ("_seconds", "_units")
-
-    def __init__(self) -> None:
-        self._seconds = 0.0
-        self._units = 0.0
-
-    def learn(self, seconds: float, estimate: float) -> None:
-        """Take in a run that ended with an answer."""
-        self._seconds = self._seconds * RUN_MEMORY + seconds
-        self._units = self._units * RUN_MEMORY + estimate
-
-    def expect(self, estimate: float) -> float:
-        """Return the expected seconds of a run; 0 as long as none has ended."""
-        return estimate * self._seconds / self._units if self._units else 0.0
-
-
 class Queues:
     """All queues of one router."""
 
@@ -195,7 +111,7 @@
         self._running: dict[ids.RequestId, tuple[Entry, bool]] = {}
         self._deadlines: list[tuple[float, ids.RequestId]] = []
         self._bytes: dict[ids.AccountId, int] = {}
-        self._run_times: dict[ids.ServiceId, RunTime] = {}
+        self._run_times: dict[ids.ServiceId, drain.RunTime] = {}
         self.total_bytes = 0
 
     def add(self, work: dispatch.Work, size: int, estimate: float, now: float) -> Entry:
@@ -204,9 +120,8 @@
         entry = Entry(work, size, estimate, now, start_by)
         queue = self._find(work)
         self._insert(queue, entry, now)
-        queue.mean_cost += (estimate - queue.mean_cost) * (
-            0.05 if queue.mean_cost else 1.0
-        )
+        share = MEAN_SHARE if queue.mean_cost else 1.0
+        queue.mean_cost += (estimate - queue.mean_cost) * share
         return entry
 
     def pick(
@@ -268,7 +183,7 @@
             return
         entry, was_long = found
         if answered and entry.picked_at is not None:
-            run_time = self._run_times.setdefault(entry.work.service, RunTime())
+            run_time = self._run_times.setdefault(entry.work.service, drain.RunTime())
             run_time.learn(now - entry.picked_at, entry.cost_estimate)
         queue = self._find(entry.work)
         queue.running -= 1
--- a/tests/decisions/test_outliers.py
+++ b/tests/decisions/test_outliers.py
@@ -92,3 +92,28 @@
             judge.record(name, True, 0.1, 0.0, now * 0.1)
     left = [name for name in NAMES if judge.standing(name) is outliers.Standing.GOOD]
     assert len(left) >= outliers.KEPT_SHARE * len(NAMES)
+
+
+def test_a_slow_server_is_ejected_before_its_requests_end() -> None:
+    """Drafts of one engine crawl for minutes and new ones are still sent to it.
+
+    The engine has become ten times slower. Judged by what has ended, it looks as fast
+    as before, since nothing of what it runs now has ended yet.
+    """
+    judge = make_outliers()
+    for name in NAMES[:5]:
+        judge.observe(name, 30.0, 750.0, 1.0)
+    changes = judge.observe(NAMES[5], 30.0, 75.0, 1.0)
+    assert [one.standing for one in changes] == [outliers.Standing.EJECTED]
+
+
+def test_callers_of_a_slow_server_are_few() -> None:
+    guarded, open_ones = patterns.measure_slow(True), patterns.measure_slow(False)
+    assert guarded["slow_calls"] < 0.75 * open_ones["slow_calls"]
+
+
+def test_short_calls_gain_from_the_bound_on_long_ones() -> None:
+    """A phone call for the next yard waits behind whole seasons being summarised."""
+    bound, without = patterns.measure_long(0.5), patterns.measure_long(1.0)
+    assert bound["answered_share"] == without["answered_share"] == 1.0
+    assert bound["seconds_p99"] < 0.85 * without["seconds_p99"]
