--- a/bench/scale.py
+++ b/bench/scale.py
@@ -29,6 +29,9 @@
 SCALE = 200
 SECONDS = 60.0
 RATE = 140_000 / SCALE
+END_SECONDS = 60.0
+"""Time after the last arrival in which requests end: five times a mean one."""
+
 MEAN_COST = 250.0
 """Tokens of a request: 35,000,000 / 140,000."""
 
@@ -85,7 +88,7 @@
             self.at(at, self._arrive)
         for second in range(int(SECONDS)):
             self.at(float(second), self._tell_counters)
-        while self._events and self._events[0][0] < 2 * SECONDS:
+        while self._events and self._events[0][0] < SECONDS + END_SECONDS:
             self.now, _, action = heapq.heappop(self._events)
             action()
 
