--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -219,10 +219,10 @@
     def _note(self, change: statements.Change, member: messages.Member) -> None:
         if change is statements.Change.OUTDONE:
             self._identity.outdo(ids.Incarnation(member.incarnation - 1))
-        elif change is statements.Change.JOINED:
-            self._links.learn(member.router, member.peer_address)
         elif change is statements.Change.DEAD:
             self._links.forget(member.router)
+        elif member.router != self._identity.router:
+            self._links.learn(member.router, member.peer_address)
         events.log(EVENTS[change], router=member.router, incarnation=member.incarnation)
 
     def _notify(self) -> None:
