--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -225,6 +225,7 @@
         if message.cost > 0.0:
             self._charge.settle(entry.service, message.cost)
         if not held.is_used:
+            entry.returned_at = now
             self._demands.count_none((entry.service, held.account), router)
         self._free(entry, held)
 
@@ -242,7 +243,9 @@
     def issue(self, now: float) -> list[Issued]:
         """Grant the free slots to whoever is served next."""
         issued = []
-        for service in self._slots.services():
+        # Most calls find every slot taken: the few servers are looked at first, the
+        # many accounts only for what has a free slot.
+        for service in self._slots.open_services(now):
             issued += self._issue_service(service, now)
         return issued
 
