Empty a model engine before it is ordered to load

Cause: an operator's change of a model reached busy engines, whose answers it cut; and a moved server got work again between the writing of its move and the hearing of it. Conclusion: loads cut nothing; a load waits for the longest answer in progress.

--- a/celeryspan/services/moves.py
+++ b/celeryspan/services/moves.py
@@ -13,20 +13,16 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import configuration, errors, events, ids, publishing, register
-from celeryspan.adapters import load, store
+from celeryspan import configuration, events, ids, publishing, register
+from celeryspan.adapters import store
 from celeryspan.decisions import placement
 
 if TYPE_CHECKING:
-    from celeryspan.services import vmlist
+    from celeryspan.services import drains
 
 DRAIN_SECONDS = 600.0
 """A server that has not finished its requests by then stays where it is."""
 
-QUIET_SECONDS = 3.0
-"""How long a server must have had no request: a grant that was on its way when the
-fact spread is used within a second."""
-
 LOADED_SECONDS = 600.0
 """A server that has not loaded by then is left to operators."""
 
@@ -37,7 +33,6 @@
 
     move: placement.Move
     began_at: float
-    quiet_since: float | None = None
     written: bool = False
 
 
@@ -45,12 +40,11 @@
     """Carries out what :class:`placement.Placement` decides."""
 
     def __init__(
-        self, client: store.StoreClient, departures: vmlist.VMListService, author: str
+        self, client: store.StoreClient, emptying: drains.Drains, author: str
     ) -> None:
         self._client = client
-        self._departures = departures
+        self._drains = emptying
         self._author = author
-        self._loads = load.LoadClient()
         self._placement = placement.Placement()
         self._progress: Progress | None = None
 
@@ -66,26 +60,37 @@
         current: configuration.Configuration,
         managed: dict[ids.ServerId, register.Server],
         pressures: dict[ids.ServiceId, placement.Pressure],
+        leaving: frozenset[ids.ServerId],
         now: float,
     ) -> None:
         """Begin a move if one is due, or bring the one under way a step further."""
         if self._progress is None:
-            self._begin(managed, pressures, now)
+            self._begin(managed, pressures, leaving, now)
             return
-        # The list of VMs calls the server live, and would give it work meanwhile.
-        self._departures.mark_leaving(self._progress.move.server)
         if not self._progress.written:
             self._drain(current, managed, now)
         elif now - self._progress.began_at > LOADED_SECONDS:
             self._progress = None
 
+    def holds_back(self, server: register.Server) -> bool:
+        """Whether a server is being moved and not yet in force where it goes.
+
+        Between writing the move and hearing of it, the engine still matches the
+        service that it leaves; without this question it would get work again.
+        """
+        move = self._progress.move if self._progress is not None else None
+        return (
+            move is not None
+            and move.server == server.name
+            and move.taker != server.service
+        )
+
     def note_loaded(self, server: ids.ServerId) -> None:
         """Note that a server has what its service wants; it gets work again."""
         progress = self._progress
         if progress is None or not progress.written or progress.move.server != server:
             return
         self._progress = None
-        self._departures.mark_live(server)
         events.log(
             events.Event.SERVER_MOVED, server=server, service=progress.move.taker
         )
@@ -93,16 +98,16 @@
     def give_up(self) -> None:
         """End the move under way: the duty is lost."""
         if self._progress is not None and not self._progress.written:
-            self._departures.mark_live(self._progress.move.server)
+            self._drains.finish(self._progress.move.server)
         self._progress = None
 
     def _begin(
         self,
         managed: dict[ids.ServerId, register.Server],
         pressures: dict[ids.ServiceId, placement.Pressure],
+        leaving: frozenset[ids.ServerId],
         now: float,
     ) -> None:
-        leaving = self._departures.leaving()
         placed = {
             name: placement.Placed(ids.ServiceId(server.service), server.slots)
             for name, server in managed.items()
@@ -113,7 +118,6 @@
             return
         self._placement.note_move(move.server, now)
         self._progress = Progress(move, now)
-        self._departures.mark_leaving(move.server)
 
     def _drain(
         self,
@@ -126,17 +130,7 @@
         if server is None or now - progress.began_at > DRAIN_SECONDS:
             self.give_up()
             return
-        address = ids.Address.parse(server.address)
-        try:
-            report = self._loads.read(progress.move.server, address, now)
-        except errors.CeleryspanError:
-            return
-        if report.running or report.waiting:
-            progress.quiet_since = None
-            return
-        if progress.quiet_since is None:
-            progress.quiet_since = now
-        if now - progress.quiet_since >= QUIET_SECONDS:
+        if self._drains.is_quiet(server, now):
             self._write(current, progress)
 
     def _write(self, current: configuration.Configuration, progress: Progress) -> None:
--- a/celeryspan/services/orders.py
+++ b/celeryspan/services/orders.py
@@ -21,13 +21,14 @@
 from celeryspan import configuration, errors, events, ids, kernel, register
 from celeryspan.adapters import orders
 from celeryspan.decisions import loading
-from celeryspan.services import leasing, moves, pressures
+from celeryspan.services import drains, leasing, moves, pressures
 
 if TYPE_CHECKING:
     from celeryspan.services import (
         configuration as configuration_service,
         identity,
         store,
+        vmlist,
     )
 
 ROUND_SECONDS = 1.0
@@ -52,7 +53,9 @@
         holder = f"{self._identity.router}/{self._identity.incarnation}"
         self._keeper = leasing.LeaseKeeper(self._store, pressures.DUTY, holder)
         self._client = orders.OrderClient()
-        self._mover = moves.Mover(self._store.client, box.find("vmlist"), holder)
+        self._departures: vmlist.VMListService = box.find("vmlist")
+        self._drains = drains.Drains(self._departures)
+        self._mover = moves.Mover(self._store.client, self._drains, holder)
         self._limit: loading.LoadLimit | None = None
         self._queue: collections.deque[ids.ServerId] = collections.deque()
         self._stopped = threading.Event()
@@ -93,11 +96,13 @@
         if not self._keeper.holds():
             self._limit = None
             self._mover.give_up()
+            self._drains.give_up()
             return
         if self._limit is None:
             self._limit = loading.LoadLimit(time.monotonic())
         managed = list_managed(current)
-        self._mover.work(current, managed, self._pressures.sum_up(), time.monotonic())
+        totals, leaving = self._pressures.sum_up(), self._departures.leaving()
+        self._mover.work(current, managed, totals, leaving, time.monotonic())
         self._reconcile(current, managed)
 
     def _reconcile(
@@ -129,19 +134,30 @@
         kind = loading.choose_order(wanted, state)
         if kind is None:
             if not state.loading:
-                self._mover.note_loaded(ids.ServerId(server.name))
+                self._finish(server)
             return
         now = time.monotonic()
         if not self._keeper.lease.may_order(now, checks_fence=server.checks_fence):
             return
-        if kind is loading.Kind.LOAD and not self._limit.take(server.name, now):
-            return
+        if kind is loading.Kind.LOAD:
+            if not self._drains.is_quiet(server, now):
+                return
+            if not self._limit.take(server.name, now):
+                return
+            self._drains.note_ordered(ids.ServerId(server.name))
         fence = self._keeper.lease.fence
         self._client.send(address, kind, wanted, fence)
         events.log(
             events.Event.ORDER_SENT, server=server.name, kind=kind.value, fence=fence
         )
 
+    def _finish(self, server: register.Server) -> None:
+        """Let a server that has what its service wants have work."""
+        if self._mover.holds_back(server):
+            return
+        self._drains.finish(ids.ServerId(server.name))
+        self._mover.note_loaded(ids.ServerId(server.name))
+
 
 def list_managed(
     current: configuration.Configuration,
--- a/tests/services/test_orders.py
+++ b/tests/services/test_orders.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import pytest
+import urllib3
 
 from celeryspan import kernel, publishing, register, rules
 from celeryspan.adapters import orders, store as store_adapter
 from celeryspan.decisions import leases, loading, placement
-from celeryspan.services import moves, orders as orders_service, pressures
+from celeryspan.services import drains, orders as orders_service, pressures
 from standins import engine, store
 from tests.services import support
 
@@ -87,7 +88,7 @@
         monkeypatch.setattr(leases, name, seconds)
     monkeypatch.setattr(loading, "LOAD_SECONDS", 0.1)
     monkeypatch.setattr(orders_service, "ROUND_SECONDS", 0.05)
-    monkeypatch.setattr(moves, "QUIET_SECONDS", 0.1)
+    monkeypatch.setattr(drains, "QUIET_SECONDS", 0.1)
     monkeypatch.setattr(pressures, "REPORT_SECONDS", 0.2)
     for name in ("STEADY_SECONDS", "MOVE_SECONDS"):
         monkeypatch.setattr(placement, name, 0.5)
@@ -147,3 +148,25 @@
     support.wait_until(lambda: not box.find("orders").report()["moving"])
     assert not box.find("vmlist").leaving()
     assert sorted(fleet.models()) == ["old", "other"]
+
+
+def test_busy_engine_finishes_its_answer_before_it_loads(fleet) -> None:
+    """An operator changes the model's version; a stream in progress ends in the middle.
+
+    The engine was ordered to load while it generated.
+    """
+    busy = fleet.engines[0]
+    busy.batch.token_seconds = 0.05
+    body = {"request": "r", "model": "old", "messages": [], "max_tokens": 60}
+    answer = urllib3.request(
+        "POST", f"http://{busy.address}/generate", json=body, preload_content=False
+    )
+    fleet.publish(planner_llm="new")
+    box = fleet.start("a")
+    support.wait_until(lambda: "server-0" in box.find("vmlist").leaving(), 20.0)
+    assert b'"done": true' in answer.read()
+    support.wait_until(lambda: fleet.models() == ["new", "new"], 20.0)
+    support.wait_until(lambda: not box.find("vmlist").leaving())
+    runs = urllib3.request("GET", f"http://{busy.address}/_journal").json()
+    assert [run["state"] for run in runs["runs"]] == ["done"]
+    assert len(runs["orders"]) == 1
