End the processes of the faults measurement when it is terminated

Cause: a measurement ended by a signal left its store, servers and routers running. Change: SIGTERM ends it like any other error, with its processes. Conclusion: a measurement that is given up leaves nothing behind.

--- a/bench/faults.py
+++ b/bench/faults.py
@@ -14,6 +14,7 @@
 import pathlib
 import signal
 import socket
+import sys
 import tempfile
 import time
 from collections.abc import Iterator
@@ -180,6 +181,8 @@
 def run(arguments: list[str]) -> int:
     """Run the measurement; returns 0 if every promise was kept."""
     began = time.monotonic()
+    # Without this a terminated measurement would leave its processes running.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     with start_fleet() as fleet:
         callers = faultcallers.Callers(fleet.callers)
         for kind, count, pause, account in CALLERS:
