--- a/tests/decisions/test_grants.py
+++ b/tests/decisions/test_grants.py
@@ -252,3 +252,29 @@
         offered.append(issued.grant.server)
         ledger.ended(ROUTERS[0], make_ended(issued.grant, 0.0), LATER)
     assert sorted(offered) == [SERVER, other]
+
+
+def test_two_homes_at_once_agree_again() -> None:
+    """Two routers believe that they are home of one server, and both grant its slots.
+
+    The server gets up to twice its window for a moment. Once the views agree, the one
+    that stays learns from the routers what is in use, and grants nothing before half
+    of it has ended.
+    """
+    first, second = make_ledger(), make_ledger()
+    running = []
+    for sequence, ledger in enumerate((first, second), start=1):
+        ledger.report(ROUTERS[0], make_demand(AIRLINE, 8, sequence), LATER)
+        for item in ledger.issue(LATER):
+            ledger.used(ROUTERS[0], make_used(item.grant), LATER)
+            running.append(item.grant)
+    assert len(running) == 2 * WINDOW
+    second.drop_server(SERVER)
+    held = messages.SlotsHeld(SERVER, ((AIRLINE, 400.0),) * len(running))
+    first.hold(ROUTERS[0], held, LATER)
+    for grant in running[:WINDOW]:
+        assert first.issue(LATER) == []
+        first.ended(ROUTERS[0], make_ended(grant, 400.0), LATER)
+    assert first.issue(LATER) == []
+    first.ended(ROUTERS[0], make_ended(running[WINDOW], 400.0), LATER)
+    assert len(first.issue(LATER)) == 1
