--- a/bench/fleetwide.py
+++ b/bench/fleetwide.py
@@ -261,7 +261,8 @@
         lease.take_read(values[-1], version, clock)
     if call.step not in (leases.Step.CREATE, leases.Step.UPDATE):
         return False
-    if call.step is leases.Step.UPDATE and call.version != version:
+    expected = 0 if call.step is leases.Step.CREATE else call.version
+    if expected != version:
         lease.take_conflict()
         return False
     values.append(call.record)
