Judge running streams in the daemon, and cached blocks by what was believed at sending

Cause: a server too slow to end anything was not judged by the daemon. Answers were not held against the cache map; and the rule compared them with the whole prompt, which by then the server had, so that trust fell to its floor everywhere. Change: the dispatch service sums its running streams each second; an answer's cached blocks are compared with what the map expected before the prompt was sent. A test holds the case.

--- a/bench/one_router.py
+++ b/bench/one_router.py
@@ -371,10 +371,11 @@
         failed = server.fails
         if failed:
             seconds = self.failure_seconds
-        self.cache.sent(server.name, record.call.prompt, self.now)
+        expected = self.cache.sent(server.name, record.call.prompt, self.now)
+        known = (expected, cached)
         self.at(
             self.now + seconds,
-            lambda: self._end(server, entry, record, attempt, seconds, failed, cached),
+            lambda: self._end(server, entry, record, attempt, seconds, failed, known),
         )
 
     def _end(
@@ -385,7 +386,7 @@
         attempt: int,
         seconds: float,
         failed: bool,
-        cached: int,
+        known: tuple[int, int],
     ) -> None:
         server.in_use -= 1
         del server.running[entry.work.request]
@@ -399,7 +400,7 @@
             self._failed(server, entry, record, attempt)
             return
         server.store(call.prompt, self.now)
-        self.cache.observe(server.name, call.prompt, cached, self.now)
+        self.cache.observe(server.name, *known)
         self.retries.succeed(SERVICE)
         record.ended_at = self.now
         record.code = "late"
--- a/celeryspan/decisions/routing.py
+++ b/celeryspan/decisions/routing.py
@@ -129,22 +129,34 @@
         """Return the number after which to ask the server for events."""
         return self._last.get(server, 0)
 
-    def sent(self, server: ids.ServerId, prefix: Sequence[int], now: float) -> None:
+    def sent(self, server: ids.ServerId, prefix: Sequence[int], now: float) -> int:
         """Expect a prompt's blocks at the server that it was sent to.
 
         Its own event comes seconds later; until then further prompts of the same prefix
         would be spread over all servers.
+
+        Returns
+        -------
+        int
+            Blocks that the server was believed to have before, for :meth:`observe`.
         """
         del now
+        expected = self._count(server, prefix)
         for block in prefix:
             self._add(server, block)
+        return expected
 
-    def observe(
-        self, server: ids.ServerId, prefix: Sequence[int], cached: int, now: float
-    ) -> None:
-        """Learn from an answer how many blocks of a prompt were cached."""
-        del now
-        expected = self._count(server, prefix)
+    def observe(self, server: ids.ServerId, expected: int, cached: int) -> None:
+        """Learn from an answer how many blocks of a prompt were cached.
+
+        What was believed when the prompt was sent counts: afterwards the server has
+        all of it, and each first prompt would look like a broken promise.
+
+        Parameters
+        ----------
+        expected : int
+            What :meth:`sent` returned.
+        """
         if not expected:
             return
         shown = min(1.0, cached / expected)
--- a/celeryspan/dispatch.py
+++ b/celeryspan/dispatch.py
@@ -69,6 +69,9 @@
     def progress(self, units: float) -> None:
         """Count service given since the last call, in cost units."""
 
+    def note_cached(self, blocks: int) -> None:
+        """Note how many blocks of the prompt the server had cached."""
+
     def end(self, ending: Ending, cost: float) -> None:
         """Give the slot back; ``cost`` is the true cost of the request."""
 
--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -31,6 +31,9 @@
         vmlist,
     )
 
+MEASURE_SECONDS = 1.0
+"""How often the speed of running streams is looked at, in seconds."""
+
 BOUNCES_MAX = 2
 """Grants of one server that an account's requests may refuse in a row because it has
 failed them; a second offer means that the home has nothing else."""
@@ -230,7 +233,7 @@
             waiter = self._waiters.pop(entry.work.request)
             slot = slots.HeldSlot(grant, entry, now, self)
             self._held.add(slot)
-            self.cache.sent(grant.server, entry.work.prefix, now)
+            slot.expected_blocks = self.cache.sent(grant.server, entry.work.prefix, now)
             self._demand.use(key, home, now)
         used = messages.GrantUsed(
             grant.grant, grant.server, grant.account, entry.cost_estimate
@@ -257,6 +260,11 @@
         work = slot.entry.work
         self._counters.give(work.service, work.account, units)
 
+    def note_cached(self, slot: slots.HeldSlot, blocks: int) -> None:
+        """Learn how many blocks of a prompt a server had cached."""
+        with self._lock:
+            self.cache.observe(slot.server, slot.expected_blocks, blocks)
+
     def end(self, slot: slots.HeldSlot, ending: dispatch.Ending, cost: float) -> None:
         """Take a slot back and tell its home."""
         work = slot.entry.work
@@ -291,10 +299,15 @@
             self._delivery.send(home, messages.SlotsHeld(server, grants))
 
     def _run(self) -> None:
-        held_at = time.monotonic()
+        held_at = measured_at = time.monotonic()
         while not self._stopped:
             time.sleep(TICK_SECONDS)
             now = time.monotonic()
+            if now - measured_at >= MEASURE_SECONDS:
+                measured_at = now
+                with self._lock:
+                    sums = self._held.measure(now)
+                self._outliers.observe(sums)
             with self._lock:
                 self._expire(now)
                 if now - held_at >= HELD_SECONDS:
--- a/celeryspan/services/modelanswers.py
+++ b/celeryspan/services/modelanswers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 
 from celeryspan import calls, dispatch, errors, events, states
-from celeryspan.adapters import backend
+from celeryspan.adapters import backend, prefix
 from celeryspan.services import backends, buffers, runs
 
 # Connections tried in a row, without a token between them, before a stream is given
@@ -97,6 +97,7 @@
             return
         self._confirm()
         read = max(piece.prompt_tokens - piece.cached_tokens, 0)
+        self._run.slot.note_cached(piece.cached_tokens // prefix.BLOCK_TOKENS)
         self._run.finish(piece.tokens + PROMPT_TOKEN_COST * read)
 
     def _resume(self, error: Exception, failures: int) -> None:
--- a/celeryspan/services/outliers.py
+++ b/celeryspan/services/outliers.py
@@ -62,6 +62,18 @@
             )
         self._apply(changes)
 
+    def observe(
+        self, sums: dict[tuple[ids.ServiceId, ids.ServerId], slots.Sums]
+    ) -> None:
+        """Take in seconds and units of what runs: a server may be too slow to end."""
+        now = time.monotonic()
+        changes = []
+        with self._lock:
+            for (service, server), (seconds, units) in sums.items():
+                judge = self._judges.setdefault(service, outliers.Outliers())
+                changes += judge.observe(server, seconds, units, now)
+        self._apply(changes)
+
     def report(self) -> dict[str, object]:
         """Return the servers that this router votes against."""
         return {"ejected": sorted(self._ejected)}
--- a/celeryspan/services/slots.py
+++ b/celeryspan/services/slots.py
@@ -16,12 +16,18 @@
 dead meanwhile and its slots belong to others."""
 
 
+Sums = tuple[float, float]
+
+
 class Owner(Protocol):
     """Who gave the slot."""
 
     def give(self, slot: HeldSlot, units: float) -> None:
         """Count service given."""
 
+    def note_cached(self, slot: HeldSlot, blocks: int) -> None:
+        """Note how many blocks of a prompt were cached."""
+
     def end(self, slot: HeldSlot, ending: dispatch.Ending, cost: float) -> None:
         """Take the slot back."""
 
@@ -35,6 +41,8 @@
         Where the request goes.
     given_at : float
         Monotonic seconds.
+    expected_blocks : int
+        Blocks of the prompt that the server was believed to have cached.
     """
 
     def __init__(
@@ -44,8 +52,10 @@
         self.entry = entry
         self.server = grant.server
         self.given_at = now
+        self.expected_blocks = 0
         self._owner = owner
         self._units = 0.0
+        self._first_at: float | None = None
         self._ended = False
         self._lock = threading.Lock()
 
@@ -61,8 +71,20 @@
                 peer=self.server,
             )
 
+    def measure(self, now: float) -> tuple[float, float]:
+        """Return seconds since the first unit, and units given since; 0 before it."""
+        if self._first_at is None:
+            return 0.0, 0.0
+        return now - self._first_at, self._units
+
+    def note_cached(self, blocks: int) -> None:
+        """Note how many blocks of the prompt the server had cached."""
+        self._owner.note_cached(self, blocks)
+
     def progress(self, units: float) -> None:
         """Count service given since the last call, in cost units."""
+        if self._first_at is None:
+            self._first_at = time.monotonic()
         self._units += units
         self._owner.give(self, units)
 
@@ -105,6 +127,17 @@
         self._slots = {server: slots for server, slots in self._slots.items() if slots}
         return found
 
+    def measure(self, now: float) -> dict[tuple[ids.ServiceId, ids.ServerId], Sums]:
+        """Return the sums of seconds and units of what runs at each server."""
+        sums = {}
+        for server, found in self._slots.items():
+            measured = [slot.measure(now) for slot in found.values()]
+            if found:
+                service = next(iter(found.values())).grant.service
+                seconds, units = (sum(column) for column in zip(*measured, strict=True))
+                sums[service, server] = (seconds, units)
+        return sums
+
     def list_grants(
         self, server: ids.ServerId
     ) -> tuple[tuple[ids.AccountId, float], ...]:
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -124,12 +124,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pending:
-    """Estimates of the requests in progress under the grants of one home.
+    """What the slots held under the grants of one home are charged.
 
     Attributes
     ----------
     units : float
-        Sum of the full estimates, in cost units; 0 once nothing is in progress.
+        Slots times the charge for one, in cost units; 0 once none is held.
     sequence : int
         Grows with each message of the home's incarnation; the newest wins.
     """
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -55,10 +55,25 @@
     store(cache, "s0", first=40)
     assert cache.cached(NAMES[0], PROMPT) < 4.0
     for _ in range(30):
-        cache.observe(NAMES[0], PROMPT, 4, 0.0)
+        cache.observe(NAMES[0], expected=4, cached=4)
     assert cache.cached(NAMES[0], PROMPT) > 3.9
 
 
+def test_first_prompts_do_not_lower_trust() -> None:
+    """A farm's season history is sent to the server that has it, prompt by prompt.
+
+    Each prompt ends in blocks that no server has seen. Held against the whole prompt,
+    every answer looked like a broken promise, and trust fell to its floor everywhere.
+    """
+    cache = routing.CacheMap()
+    store(cache, "s0")
+    for number in range(30):
+        prompt = (*PROMPT, 1000 + number)
+        expected = cache.sent(NAMES[0], prompt, 0.0)
+        cache.observe(NAMES[0], expected, cached=4)
+    assert cache.cached(NAMES[0], PROMPT) == 4.0
+
+
 def test_a_server_that_has_started_again_is_believed_empty() -> None:
     cache = routing.CacheMap()
     store(cache, "s0", first=100)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -26,6 +26,9 @@
     def progress(self, units: float) -> None:
         self.units += units
 
+    def note_cached(self, blocks: int) -> None:
+        pass
+
     def end(self, ending: dispatch.Ending, cost: float) -> None:
         self.endings.append((ending, cost))
         self.ended.set()
