End the bench of the fleet when it has printed its last line

Cause: a stand-in that is made only for its configuration kept its threads, so that the process printed its result and never ended. Change: it is stopped. Conclusion: none further.

--- a/bench/fleetwide.py
+++ b/bench/fleetwide.py
@@ -304,7 +304,9 @@
 def measure_processes() -> tuple[float, float]:
     """Return seconds from apply to in force on six processes, and their store calls."""
     plan = fleet.Plan(accounts=("desk",), routers=6, engines=0, gates=0)
-    made = fleet.Fleet(plan).make_configuration()
+    planned = fleet.Fleet(plan)
+    made = planned.make_configuration()
+    planned.store.stop()  # Its threads would keep this process from ending.
     with processes.Processes() as running:
         store = running.start_standin("store")
         processes.publish(store, made.register)
