Measure costs again after moves in membership and the log

Cause: the measurement of slopes ended with an error since membership's actions moved, and would have given 0 bytes for log events since lines are written by a thread. Ruled out: a fault in the package; only the measurement was behind.

--- a/bench/costs.py
+++ b/bench/costs.py
@@ -25,6 +25,7 @@
     membership,
     queueing,
     sharing,
+    statements,
 )
 from celeryspan.wire import codec, messages, proofs
 
@@ -263,11 +264,11 @@
     """Send the probe that is due, answer it, and return the bytes of both ways."""
     size = 0
     for action in view.tick(now):
-        if isinstance(action, membership.Send):
+        if isinstance(action, statements.Send):
             asked, count = pass_datagram(action)
             size += count
             for answer in peer.receive(now, OWN, view.own.peer_address, asked):
-                if isinstance(answer, membership.Send):
+                if isinstance(answer, statements.Send):
                     told, count = pass_datagram(answer)
                     size += count
                     router = ids.RouterId("router-0002")
@@ -275,7 +276,7 @@
     return size
 
 
-def pass_datagram(action: membership.Send) -> tuple[tuple[messages.Message, ...], int]:
+def pass_datagram(action: statements.Send) -> tuple[tuple[messages.Message, ...], int]:
     """Seal and read a datagram; return what it says and its bytes with headers."""
     data = proofs.seal(KEY, encode(*action.batch))
     frame = codec.decode(proofs.unseal([KEY], data))
@@ -366,13 +367,14 @@
 def measure_logs() -> list[fits.Slope]:
     """Measure events written to a file."""
     file = io.StringIO()
-    events.open_log(file)
+    writer = events.open_log(file)
     event = next(iter(events.Event))
 
     def prepare(size: int) -> Callable[[], object]:
         def play() -> None:
             for index in range(size):
                 events.log(event, router=OWN, request=f"request-{index}")
+            writer.write_out()
 
         return play
 
