Derive what was kept twice, drop a pace that nothing follows, print tables in one place

Cause: read-through. The homes service kept each window beside the ledger's own; the pace of demand reports was replaced by exchange.DEMAND_SECONDS and stayed; two benches printed their tables by the same lines. Change: the ledger tells its window; the pace is gone; bench/tables.py prints. Conclusion: no behaviour changed.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -9,7 +9,7 @@
 import random
 import statistics
 
-from bench import one_router
+from bench import one_router, tables
 from celeryspan.decisions import admission, queueing
 
 SEEDS = (1, 2, 3)
@@ -231,15 +231,7 @@
 def run(arguments: list[str]) -> int:
     """Print a table for each load pattern and the JSON of all."""
     del arguments
-    table: dict[str, dict[str, dict]] = {}
-    for pattern in PATTERNS:
-        print(f"\n{pattern}")
-        for case in CASES:
-            result = measure(pattern, case)
-            if case == next(iter(CASES)):
-                print(f"{'':26}" + "".join(f"{name:>23}" for name in result))
-            print(f"{case:26}" + "".join(f"{value:23}" for value in result.values()))
-            table.setdefault(pattern, {})[case] = result
+    table = tables.print_patterns(PATTERNS, CASES, measure)
     found = {"patterns": table, "faults": print_faults(), "times": print_times()}
     print(json.dumps({"bench": "admission", **found}))
     return 0
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -9,7 +9,7 @@
 import random
 import statistics
 
-from bench import one_router
+from bench import one_router, tables
 
 SEEDS = (1, 2)
 SECONDS = 30.0
@@ -84,14 +84,6 @@
 def run(arguments: list[str]) -> int:
     """Print a table for each load pattern and the JSON of all."""
     del arguments
-    table: dict[str, dict[str, dict]] = {}
-    for pattern in PATTERNS:
-        print(f"\n{pattern}")
-        for case in CASES:
-            result = measure(pattern, case)
-            if not table.get(pattern):
-                print(f"{'':32}" + "".join(f"{name:>20}" for name in result))
-            print(f"{case:32}" + "".join(f"{one:20}" for one in result.values()))
-            table.setdefault(pattern, {})[case] = result
+    table = tables.print_patterns(PATTERNS, CASES, measure)
     print(json.dumps({"bench": "routing", "patterns": table}))
     return 0
--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -135,6 +135,10 @@
         """Return the servers in this ledger."""
         return tuple(self._slots.entries)
 
+    def window(self, server: ids.ServerId) -> int:
+        """Return how many slots of a server may be in use."""
+        return self._slots.entries[server].window
+
     def in_use(self, server: ids.ServerId) -> int:
         """Return the slots of a server that are granted or used."""
         return len(self._slots.entries[server].held)
--- a/celeryspan/decisions/pacing.py
+++ b/celeryspan/decisions/pacing.py
@@ -46,9 +46,6 @@
     READMISSION = Pace(1.0)
     """Trials in one service: each takes a real request."""
 
-    DEMAND = Pace(0.02, burst=4)
-    """Demand reports of one queue: below it, more reports do not lower the wait."""
-
     AFFINITY = Pace(2.0)
     """Moves of a hot prefix to one more server: the lag of cache events."""
 
--- a/celeryspan/services/homes.py
+++ b/celeryspan/services/homes.py
@@ -80,7 +80,6 @@
         )
         self._windows = windows.Windows()
         self._votes = votes.Votes()
-        self._sizes: dict[ids.ServerId, int] = {}
         self._early: dict[tuple[ids.ServerId, ids.RouterId], _Early] = {}
         self._told_at = 0.0
         self._known: frozenset[ids.RouterId] = frozenset()
@@ -130,7 +129,7 @@
         with self._lock:
             servers = {
                 server: {
-                    "window": self._sizes.get(server, 0),
+                    "window": self._ledger.window(server),
                     "in_use": self._ledger.in_use(server),
                 }
                 for server in self._ledger.servers()
@@ -217,7 +216,6 @@
     def _drop(self, server: ids.ServerId) -> None:
         self._ledger.drop_server(server)
         self._windows.forget(server)
-        self._sizes.pop(server, None)
         self._votes.forget(server)
         self._metrics.forget_server(server)
         events.log(events.Event.HOME_LEFT, server=server)
@@ -279,7 +277,6 @@
         if server in self._vmlist.leaving():
             window = 0
         self._ledger.set_window(server, window)
-        self._sizes[server] = window
         self._metrics.set_window(server, window)
         self._metrics.set_grants(server, self._ledger.in_use(server))
 
