--- /dev/null
+++ b/celeryspan/decisions/engines.py
@@ -0,0 +1,63 @@
+"""What a prompt costs a model engine, and what it does to the streams beside it.
+
+Load answered: prompts of a few hundred and of fifty thousand tokens at the same
+engines. An engine reads a prompt in chunks between the tokens of running streams, so
+that each chunk lengthens a step of all of them, and chunks late in a long prompt are
+dearer, since each token looks at all before it. Without this model a router takes all
+requests for alike, and every stream beside a long prompt pauses past its limit.
+
+The figures are those of today's engines; the ledger of a pool scales them by what it
+observes at each server.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineModel:
+    """Times of one engine.
+
+    Attributes
+    ----------
+    token_seconds : float
+        To read one token; today's engines read 125 in a millisecond.
+    pair_seconds : float
+        For one token to look at one before it; 0.263 ms for a million pairs.
+    chunk_tokens : int
+        Tokens read in one step.
+    step_seconds, step_run_seconds : float
+        A step without reading: at least 3.27 ms, and 0.0823 ms more a running request.
+    first_seconds : float
+        From the end of reading to the first event: a stride of steps and the way back.
+    """
+
+    token_seconds: float = 8e-6
+    pair_seconds: float = 0.263e-9
+    chunk_tokens: int = 4096
+    step_seconds: float = 0.00327
+    step_run_seconds: float = 0.0000823
+    first_seconds: float = 0.062
+
+    def read_seconds(self, unread: int, kept: int) -> float:
+        """Return the time to read the rest of a prompt of which a part is kept."""
+        pairs = unread * kept + unread * unread / 2
+        return unread * self.token_seconds + pairs * self.pair_seconds
+
+    def gap_seconds(self, unread: int, kept: int, stride: int, running: int) -> float:
+        """Return the longest pause that reading a prompt causes in streams beside it.
+
+        An event of a stream holds ``stride`` tokens, so that as many steps lie between
+        two events; the worst are those with the last chunks of the prompt.
+
+        Parameters
+        ----------
+        running : int
+            Streams in progress at the engine.
+        """
+        steps = stride * (self.step_seconds + self.step_run_seconds * running)
+        chunks = min(stride, math.ceil(unread / self.chunk_tokens))
+        last = min(unread, chunks * self.chunk_tokens)
+        return steps + self.read_seconds(last, kept + unread - last)
--- /dev/null
+++ b/celeryspan/decisions/placing.py
@@ -0,0 +1,361 @@
+"""Which backend server of a pool takes a request, if any can take it now.
+
+Load answered: prompts that share parts, of very different lengths, beside streams that
+must not pause; servers that are slow, dark or failing.
+
+* A request goes where its prompt is kept and where little waits to be read. Reading
+  anew is weighed ten times against waiting, since it makes all others wait as well.
+* No more than a tenth of a second of reading is pending at one engine: more would make
+  first events late, and what is not sent yet can still go elsewhere.
+* A prompt whose reading alone makes the streams beside it pause past their limit goes
+  to engines set apart, one at a time. How many are set apart follows how much of such
+  reading has come lately.
+* Plain services take the server with the shortest expected time.
+
+Without the second and third rule more than half of the long streams of a calm hour had
+a pause that was too long; with them a tenth.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Iterable, Sequence
+
+import xxhash
+
+from celeryspan import catalog, ids, states
+from celeryspan.decisions import engines, promptcache, serverhealth
+from celeryspan.wire import messages
+
+PENDING_SECONDS = 0.1
+"""Reading pending at one engine beyond which nothing is sent there: a sixth of the
+shortest objective that streams have."""
+
+READ_WEIGHT = 10.0
+"""Weight of reading against waiting for what is read already."""
+
+RUN_SECONDS = 0.002
+"""What a run in progress counts for when servers are compared: spreads requests that
+read nothing."""
+
+PLACE_SECONDS = 0.002
+"""What another data centre counts for, there and back."""
+
+FAILING_SECONDS = 2.0
+"""What a server that fails all requests counts for beyond its peers."""
+
+APART_USE = 0.6
+"""Part of the time that engines set apart shall read: one that reads all the time
+makes the next long prompt wait for as long as the one before it takes."""
+
+APART_SHARE_MAX = 0.34
+"""Part of the engines that may be set apart."""
+
+APART_FADE_SECONDS = 10.0
+"""Time over which the reading of long prompts is averaged."""
+
+SPEED_MEMORY = 0.1
+SPEED_RANGE = (0.8, 8.0)
+"""How far a server's own speed may differ from the model."""
+
+SPEED_READ_SECONDS = 0.02
+"""Readings shorter than this tell nothing about a server's speed."""
+
+CALL_SECONDS = 0.02
+"""Expected time of a plain call before any was seen."""
+
+CALL_MEMORY = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A place in use.
+
+    Attributes
+    ----------
+    read : float
+        Predicted time of reading, in seconds.
+    due_at : float
+        When the first event is predicted.
+    """
+
+    router: ids.RouterId
+    since: float
+    read: float
+    due_at: float
+    end_at: float
+    is_long: bool
+    is_begun: bool = False
+
+
+class Server:
+    """What the home of a pool knows of one backend server."""
+
+    def __init__(
+        self, entry: catalog.ServerEntry, engine: catalog.Engine | None
+    ) -> None:
+        self.entry = entry
+        self.runs: dict[ids.RequestId, Run] = {}
+        self.health = serverhealth.ServerHealth()
+        self.cache = promptcache.PromptCache(engine.memory_tokens if engine else 0)
+        self.speed = 1.0
+        self.call_seconds = CALL_SECONDS
+        self.read_until = 0.0
+
+    def pending(self, now: float) -> float:
+        """Return the seconds of reading that lie before a new prompt.
+
+        Runs that are overdue count for as long as they are: a server that has become
+        slow or dark looks idle otherwise, and draws all requests.
+        """
+        overdue = max(
+            (now - run.due_at for run in self.runs.values() if not run.is_begun),
+            default=0.0,
+        )
+        return max(0.0, self.read_until - now, overdue)
+
+    def reads_long(self) -> bool:
+        """Whether a long prompt is being read."""
+        return any(run.is_long and not run.is_begun for run in self.runs.values())
+
+
+class Placing:
+    """The servers of one pool and what runs there."""
+
+    def __init__(self) -> None:
+        self._model = engines.EngineModel()
+        self._servers: dict[ids.ServerId, Server] = {}
+        self._left: dict[ids.ServerId, Server] = {}
+        self._engine: catalog.Engine | None = None
+        self._long_load = 0.0
+        self._long_since = 0.0
+
+    def set_servers(
+        self, entries: Iterable[catalog.ServerEntry], engine: catalog.Engine | None
+    ) -> None:
+        """Set which servers may get new work; runs at the others go on."""
+        self._engine = engine
+        known = {**self._left, **self._servers}
+        self._servers = {}
+        for entry in entries:
+            server = known.pop(entry.server, None) or Server(entry, engine)
+            server.entry = entry
+            self._servers[entry.server] = server
+        self._left = {name: server for name, server in known.items() if server.runs}
+
+    def is_hopeless(self, ask: messages.SlotRequest) -> bool:
+        """Whether no server could ever run the request."""
+        engine = self._engine
+        tokens = ask.prompt_tokens + ask.output_tokens
+        return engine is not None and tokens > engine.memory_tokens
+
+    def note_arrival(self, ask: messages.SlotRequest, now: float) -> None:
+        """Count the reading of long prompts, so that engines are set apart for it."""
+        elapsed = max(0.0, now - self._long_since)
+        self._long_since = now
+        self._long_load *= math.exp(-elapsed / APART_FADE_SECONDS)
+        kept = max((s.cache.count_kept(ask.parts) for s in self._iterate()), default=0)
+        if self._engine is not None and self._is_long(ask, kept):
+            read = self._model.read_seconds(ask.prompt_tokens - kept, kept)
+            self._long_load += read / APART_FADE_SECONDS
+
+    def choose(
+        self, ask: messages.SlotRequest, end_at: float, now: float
+    ) -> ids.ServerId | None:
+        """Return the server that takes a request now, or None."""
+        fit = [server for server in self._iterate() if self._is_open(server, now)]
+        others = [s for s in fit if s.entry.server not in ask.excluded]
+        # One that has failed the request may still be all there is.
+        fit = others or (fit if len(ask.excluded) >= len(self._servers) else [])
+        if self._engine is None:
+            return self._choose_plain(ask, fit)
+        return self._choose_engine(ask, fit, now)
+
+    def take(
+        self,
+        ask: messages.SlotRequest,
+        router: ids.RouterId,
+        name: ids.ServerId,
+        end_at: float,
+        now: float,
+    ) -> None:
+        """Take a place for a request."""
+        server = self._servers[name]
+        kept = server.cache.count_kept(ask.parts)
+        read = self._read_seconds(server, ask, kept) if self._engine else 0.0
+        server.read_until = max(now, server.read_until) + read
+        due_at = server.read_until + self._model.first_seconds
+        is_long = self._engine is not None and self._is_long(ask, kept)
+        server.runs[ask.request] = Run(router, now, read, due_at, end_at, is_long)
+        server.cache.use(ask.parts)
+
+    def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
+        """Take in a run that another home has placed."""
+        server = self._find(run.server)
+        if server is None:
+            return
+        server.cache.use(run.parts)
+        held = Run(router, now, 0.0, now, now + run.left, False, run.is_begun)
+        server.runs[run.request] = held
+
+    def begin(self, request: ids.RequestId, name: ids.ServerId, now: float) -> None:
+        """Note the first event of a run; learn how fast the server reads."""
+        server = self._find(name)
+        run = server.runs.get(request) if server else None
+        if run is None or run.is_begun:
+            return
+        run.is_begun = True
+        if run.read >= SPEED_READ_SECONDS:
+            predicted = run.due_at - run.since - self._model.first_seconds
+            seen = now - run.since - self._model.first_seconds
+            low, high = SPEED_RANGE
+            ratio = min(max(server.speed * seen / predicted, low), high)
+            server.speed += (ratio - server.speed) * SPEED_MEMORY
+        unread = sum(each.read for each in server.runs.values() if not each.is_begun)
+        server.read_until = min(server.read_until, now + unread)
+
+    def end(
+        self,
+        request: ids.RequestId,
+        name: ids.ServerId,
+        ending: states.RunEnding,
+        now: float,
+    ) -> None:
+        """Give a place back and learn from how the run ended."""
+        server = self._find(name)
+        run = server.runs.pop(request, None) if server else None
+        if run is None:
+            return
+        if not server.runs:
+            self._left.pop(name, None)
+        unread = sum(each.read for each in server.runs.values() if not each.is_begun)
+        server.read_until = min(server.read_until, now + unread)
+        if ending is states.RunEnding.ANSWERED:
+            server.health.succeed()
+            took = now - run.since
+            server.call_seconds += (took - server.call_seconds) * CALL_MEMORY
+        elif ending is states.RunEnding.FAILED:
+            server.health.fail(now)
+        elif ending in (states.RunEnding.UNREACHABLE, states.RunEnding.GONE):
+            server.health.fail(now, unreachable=True)
+        elif ending is states.RunEnding.REJECTED:
+            server.read_until = max(server.read_until, now + PENDING_SECONDS)
+
+    def forget_router(self, router: ids.RouterId) -> None:
+        """Drop the runs of a router that is dead: its connections are closed."""
+        for server in [*self._servers.values(), *self._left.values()]:
+            server.runs = {
+                request: run
+                for request, run in server.runs.items()
+                if run.router != router
+            }
+
+    def expire(self, now: float) -> None:
+        """Drop runs whose end was never told."""
+        for server in [*self._servers.values(), *self._left.values()]:
+            late = [key for key, run in server.runs.items() if run.end_at + 1.0 < now]
+            for request in late:
+                del server.runs[request]
+
+    def count_runs(self) -> int:
+        """Return how many places are taken."""
+        return sum(
+            len(server.runs)
+            for server in [*self._servers.values(), *self._left.values()]
+        )
+
+    def estimate_wait(self, asks: Sequence[messages.SlotRequest]) -> float:
+        """Return the time in which all these requests will have been placed."""
+        servers = max(1, len(self._servers))
+        if self._engine is None:
+            slots = sum(server.entry.slots for server in self._iterate())
+            return len(asks) * CALL_SECONDS / max(1, slots)
+        read = sum(self._model.read_seconds(ask.prompt_tokens, 0) for ask in asks)
+        return read / servers
+
+    def count_apart(self) -> int:
+        """Return how many engines are set apart for long prompts."""
+        most = math.floor(len(self._servers) * APART_SHARE_MAX)
+        return min(most, math.ceil(self._long_load / APART_USE))
+
+    def _iterate(self) -> Iterable[Server]:
+        return self._servers.values()
+
+    def _find(self, name: ids.ServerId) -> Server | None:
+        return self._servers.get(name) or self._left.get(name)
+
+    def _is_open(self, server: Server, now: float) -> bool:
+        return len(server.runs) < server.entry.slots and not server.health.rests(now)
+
+    def _choose_plain(
+        self, ask: messages.SlotRequest, fit: Sequence[Server]
+    ) -> ids.ServerId | None:
+        if not fit:
+            return None
+        healthy = min(server.health.failing for server in fit)
+
+        def cost(server: Server) -> tuple[float, str]:
+            use = (len(server.runs) + 1) / server.entry.slots
+            failing = (server.health.failing - healthy) * FAILING_SECONDS
+            return (
+                server.call_seconds * (1.0 + use) + failing + _distance(server, ask),
+                server.entry.server,
+            )
+
+        return min(fit, key=cost).entry.server
+
+    def _choose_engine(
+        self, ask: messages.SlotRequest, fit: Sequence[Server], now: float
+    ) -> ids.ServerId | None:
+        apart = self._list_apart()
+        best: tuple[float, str] | None = None
+        for server in fit:
+            kept = server.cache.count_kept(ask.parts)
+            is_long = self._is_long(ask, kept)
+            if apart and is_long != (server.entry.server in apart):
+                continue
+            read = self._read_seconds(server, ask, kept)
+            pending = server.pending(now)
+            if not self._admits(server, pending, read, is_long):
+                continue
+            cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
+            cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
+            if best is None or (cost, server.entry.server) < best:
+                best = (cost, server.entry.server)
+        return None if best is None else ids.ServerId(best[1])
+
+    def _admits(
+        self, server: Server, pending: float, read: float, is_long: bool
+    ) -> bool:
+        if is_long:
+            return not server.reads_long()
+        return pending <= 0.0 or pending + read <= PENDING_SECONDS
+
+    def _list_apart(self) -> frozenset[ids.ServerId]:
+        """Return the engines set apart: the same ones while their number lasts."""
+        count = self.count_apart()
+        if not count:
+            return frozenset()
+        ranked = sorted(
+            self._servers, key=lambda name: xxhash.xxh3_64_intdigest(name.encode())
+        )
+        return frozenset(ranked[:count])
+
+    def _is_long(self, ask: messages.SlotRequest, kept: int) -> bool:
+        engine = self._engine
+        assert engine is not None
+        unread = ask.prompt_tokens - kept
+        running = engine.slots // 2
+        gap = self._model.gap_seconds(unread, kept, engine.stride, running)
+        return gap > ask.gap_max
+
+    def _read_seconds(
+        self, server: Server, ask: messages.SlotRequest, kept: int
+    ) -> float:
+        unread = max(0, ask.prompt_tokens - kept)
+        return self._model.read_seconds(unread, kept) * server.speed
+
+
+def _distance(server: Server, ask: messages.SlotRequest) -> float:
+    return 0.0 if server.entry.data_centre == ask.data_centre else PLACE_SECONDS
--- /dev/null
+++ b/celeryspan/decisions/pools.py
@@ -0,0 +1,240 @@
+"""The ledger of a pool: who gets which place at the backend servers of one service.
+
+Load answered: all requests of a service, of all routers, at servers that admit in the
+order of arrival and know neither accounts nor objectives. One router, the home of the
+pool, decides for all, since six routers that each see a sixth of an engine's prompts
+can neither keep long prompts apart nor hold accounts to equal shares.
+
+* Of the accounts that wait, the one that has begun least goes first
+  (:mod:`accountshares`); within an account, whoever can still be in time, then the
+  rest, each in the order of arrival.
+* Where a request goes is chosen by :mod:`placing`; what no server can take yet waits
+  here, never in an engine's queue.
+* What can't be served in a sensible time is refused at once, with the time after which
+  a place is likely.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Iterable
+
+from celeryspan import catalog, ids, states
+from celeryspan.decisions import accountshares, placing
+from celeryspan.wire import messages
+
+OUTPUT_WEIGHT = 2.0
+"""A generated token counts as two that are read."""
+
+PATIENCE = 0.25
+"""Part of the timeout after which a request that waits is refused: the caller can then
+still come back and be served. A late answer is worth more to it than none."""
+
+OVERDUE_SECONDS = 1.0
+"""A run is forgotten this long after its timeout: its router ends it then, and if the
+message was lost the place would stay taken for good."""
+
+LOOK_AHEAD = 8
+"""Requests of one account that are tried in a row, so that one which fits nowhere yet
+does not hold up the rest."""
+
+RETRY_SPREAD = 0.5
+"""Refused callers return over a time this much longer than the estimate."""
+
+RETRY_SECONDS_MIN = 0.05
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """A request that waits.
+
+    Attributes
+    ----------
+    due_at, give_up_at, end_at : float
+        When the first event is due, when waiting ends, and when the request must have
+        ended; on the home's clock, in seconds.
+    """
+
+    ask: messages.SlotRequest
+    router: ids.RouterId
+    arrived_at: float
+    due_at: float
+    give_up_at: float
+    end_at: float
+
+    @property
+    def units(self) -> float:
+        """Service that the request asks for, in tokens; 1 for a plain call."""
+        ask = self.ask
+        return ask.prompt_tokens + OUTPUT_WEIGHT * ask.output_tokens or 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What a router is told: an offer or a refusal."""
+
+    router: ids.RouterId
+    message: messages.SlotOffer | messages.SlotRefusal
+
+
+class Pool:
+    """Places at the servers of one service, and the requests that wait for them.
+
+    Parameters
+    ----------
+    generator : random.Random
+        Spreads the return of those refused.
+    """
+
+    def __init__(self, service: ids.ServiceId, generator: random.Random) -> None:
+        self.service = service
+        self._generator = generator
+        self._placing = placing.Placing()
+        self._shares = accountshares.AccountShares()
+        self._waiting: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
+
+    def set_servers(
+        self, entries: Iterable[catalog.ServerEntry], engine: catalog.Engine | None
+    ) -> None:
+        """Set which servers may get new work."""
+        self._placing.set_servers(entries, engine)
+
+    def ask(
+        self, router: ids.RouterId, ask: messages.SlotRequest, now: float
+    ) -> list[Answer]:
+        """Take in a request; returns what is decided at once."""
+        arrived = now - ask.waited
+        task = Task(
+            ask,
+            router,
+            now,
+            arrived + ask.objective,
+            arrived + ask.timeout * PATIENCE,
+            arrived + ask.timeout,
+        )
+        if self._placing.is_hopeless(ask):
+            return [self._refuse(task, "too-large")]
+        self._placing.note_arrival(ask, now)
+        self._waiting.setdefault(ask.account, {})[ask.request] = task
+        return self.decide(now)
+
+    def cancel(self, request: ids.RequestId) -> None:
+        """Take a request out of the queue."""
+        for account, tasks in self._waiting.items():
+            if tasks.pop(request, None) is not None:
+                if not tasks:
+                    del self._waiting[account]
+                return
+
+    def begin(
+        self, request: ids.RequestId, server: ids.ServerId, now: float
+    ) -> list[Answer]:
+        """Note the first event of a run."""
+        self._placing.begin(request, server, now)
+        return self.decide(now)
+
+    def end(
+        self,
+        request: ids.RequestId,
+        server: ids.ServerId,
+        ending: states.RunEnding,
+        now: float,
+    ) -> list[Answer]:
+        """Take a place back."""
+        self._placing.end(request, server, ending, now)
+        return self.decide(now)
+
+    def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
+        """Take in a run that another home has placed."""
+        self._placing.hold(router, run, now)
+
+    def forget_router(self, router: ids.RouterId) -> None:
+        """Drop the requests and runs of a router that is dead."""
+        for account in list(self._waiting):
+            tasks = self._waiting[account]
+            for request in [
+                key for key, task in tasks.items() if task.router == router
+            ]:
+                del tasks[request]
+            if not tasks:
+                del self._waiting[account]
+        self._placing.forget_router(router)
+
+    def list_routers(self) -> set[ids.RouterId]:
+        """Return the routers whose requests wait here."""
+        return {
+            task.router for tasks in self._waiting.values() for task in tasks.values()
+        }
+
+    def count_waiting(self) -> int:
+        """Return how many requests wait."""
+        return sum(len(tasks) for tasks in self._waiting.values())
+
+    def count_runs(self) -> int:
+        """Return how many places are taken."""
+        return self._placing.count_runs()
+
+    def tick(self, now: float) -> list[Answer]:
+        """Decide again: servers have read on, and some have waited too long."""
+        self._placing.expire(now)
+        return self._expire(now) + self.decide(now)
+
+    def decide(self, now: float) -> list[Answer]:
+        """Place as many requests as servers can take now."""
+        answers: list[Answer] = []
+        stuck: set[ids.AccountId] = set()
+        while len(stuck) < len(self._waiting):
+            account = min(
+                (name for name in self._waiting if name not in stuck),
+                key=lambda name: (self._shares.level(name), name),
+            )
+            answer = self._place_one(account, now)
+            if answer is None:
+                stuck.add(account)
+            else:
+                answers.append(answer)
+        return answers
+
+    def _place_one(self, account: ids.AccountId, now: float) -> Answer | None:
+        tasks = sorted(
+            self._waiting[account].values(),
+            key=lambda task: (task.due_at < now, task.arrived_at),
+        )
+        for task in tasks[:LOOK_AHEAD]:
+            server = self._placing.choose(task.ask, task.end_at, now)
+            if server is not None:
+                return self._offer(task, server, now)
+        return None
+
+    def _offer(self, task: Task, server: ids.ServerId, now: float) -> Answer:
+        self.cancel(task.ask.request)
+        self._placing.take(task.ask, task.router, server, task.end_at, now)
+        self._shares.charge(task.ask.account, task.units, now)
+        offer = messages.SlotOffer(task.ask.request, self.service, server)
+        return Answer(task.router, offer)
+
+    def _expire(self, now: float) -> list[Answer]:
+        late = [
+            task
+            for tasks in self._waiting.values()
+            for task in tasks.values()
+            if task.give_up_at <= now
+        ]
+        answers = []
+        for task in late:
+            self.cancel(task.ask.request)
+            answers.append(self._refuse(task, "no-place-in-time"))
+        return answers
+
+    def _refuse(self, task: Task, reason: str) -> Answer:
+        wait = self._estimate_wait()
+        spread = 1.0 + RETRY_SPREAD * self._generator.random()
+        retry_after = max(RETRY_SECONDS_MIN, wait) * spread
+        refusal = messages.SlotRefusal(task.ask.request, retry_after, reason)
+        return Answer(task.router, refusal)
+
+    def _estimate_wait(self) -> float:
+        """Return the time in which what waits now will have been placed, in seconds."""
+        asks = [task.ask for tasks in self._waiting.values() for task in tasks.values()]
+        return self._placing.estimate_wait(asks)
--- /dev/null
+++ b/celeryspan/decisions/promptcache.py
@@ -0,0 +1,58 @@
+"""Which parts of prompts one model engine keeps, as its pool's home believes.
+
+Load answered: most of a long prompt is shared with earlier ones. A request sent to an
+engine that keeps its shared parts reads a fifth of the tokens; sent anywhere, the same
+parts are read again at every engine. The belief follows what was sent: parts of a
+prompt are kept in the order of their last use until the memory is full.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Sequence
+
+from celeryspan.wire import messages
+
+
+class PromptCache:
+    """Parts kept by one engine, the least recently used first.
+
+    Parameters
+    ----------
+    capacity : int
+        Tokens that fit.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._parts: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._tokens = 0
+
+    def count_kept(self, parts: Sequence[messages.PromptPart]) -> int:
+        """Return the tokens of the leading parts that are kept.
+
+        A part is of use only if all parts before it are kept.
+        """
+        kept = 0
+        for part in parts:
+            if part.part not in self._parts:
+                break
+            kept += part.tokens
+        return kept
+
+    def use(self, parts: Sequence[messages.PromptPart]) -> None:
+        """Note that a prompt is read here.
+
+        The last part is touched first, so that the shared ones before it stay longest.
+        """
+        for part in reversed(parts):
+            self._tokens += part.tokens - self._parts.pop(part.part, 0)
+            self._parts[part.part] = part.tokens
+        while self._tokens > self._capacity and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+    def clear(self) -> None:
+        """Forget all: the engine has started anew."""
+        self._parts.clear()
+        self._tokens = 0
--- /dev/null
+++ b/celeryspan/decisions/serverlist.py
@@ -0,0 +1,88 @@
+"""Which backend servers there are, from entries that lapse while the store is away.
+
+Failure answered: the store is down for seconds, entries lapse because their servers
+could not renew them, and when it is back every router would drop servers that work:
+seen as refusals while all capacity idles. An entry found missing right after the store
+was away stays in use until servers have had time to come back; one that is missing
+after that is gone. Without an outage a missing entry is gone at once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from celeryspan import catalog, ids
+
+RETURN_SECONDS = 2.0
+"""Servers that live are back this long after the store's return."""
+
+
+class ServerList:
+    """The entries of backend servers, as one router believes them."""
+
+    def __init__(self) -> None:
+        self._entries: dict[ids.ServerId, catalog.ServerEntry] = {}
+        self._missing: dict[ids.ServerId, float] = {}
+        self._away = False
+        self._returned_at = float("-inf")
+
+    def lose_store(self) -> None:
+        """Note that the store does not answer."""
+        self._away = True
+
+    def regain_store(self, now: float) -> None:
+        """Note that the store answers."""
+        if self._away:
+            self._away = False
+            self._returned_at = now
+
+    def put(self, entry: catalog.ServerEntry) -> None:
+        """Take in an entry unless a newer one is known."""
+        known = self._entries.get(entry.server)
+        if known is not None and known.revision > entry.revision:
+            return
+        self._entries[entry.server] = entry
+        self._missing.pop(entry.server, None)
+
+    def remove(self, server: ids.ServerId, now: float) -> None:
+        """Note that an entry is missing."""
+        if server not in self._entries:
+            return
+        gone_at = self._returned_at + RETURN_SECONDS
+        if now < gone_at:
+            self._missing.setdefault(server, gone_at)
+        else:
+            self._drop(server)
+
+    def replace(self, entries: Iterable[catalog.ServerEntry], now: float) -> None:
+        """Take in all entries at once; those not among them are missing."""
+        listed = list(entries)
+        for server in self._entries.keys() - {entry.server for entry in listed}:
+            self.remove(server, now)
+        for entry in listed:
+            self.put(entry)
+
+    def expire(self, now: float) -> bool:
+        """Drop what has been missing for too long; returns whether anything was."""
+        if self._away:
+            return False
+        late = [server for server, at in self._missing.items() if at <= now]
+        for server in late:
+            self._drop(server)
+        return bool(late)
+
+    def usable(self) -> dict[ids.ServerId, catalog.ServerEntry]:
+        """Return the servers that may get new work."""
+        return {
+            server: entry
+            for server, entry in self._entries.items()
+            if not entry.is_leaving
+        }
+
+    def find(self, server: ids.ServerId) -> catalog.ServerEntry | None:
+        """Return an entry, also of a server that is leaving, or None."""
+        return self._entries.get(server)
+
+    def _drop(self, server: ids.ServerId) -> None:
+        self._entries.pop(server, None)
+        self._missing.pop(server, None)
--- a/celeryspan/errors.py
+++ b/celeryspan/errors.py
@@ -116,6 +116,14 @@
     """The call was held back here, so that it certainly took no effect."""
 
 
+class StoreRefused(StoreUnavailable):
+    """The object API answered that it did nothing; try again later."""
+
+
+class HistoryGone(StoreError):
+    """The object API no longer has the changes that a watch asked for."""
+
+
 class LinkError(CeleryspanError):
     """A link to another router failed, or the peer could not prove itself."""
 
--- /dev/null
+++ b/celeryspan/gateway/channels.py
@@ -0,0 +1,288 @@
+"""The kernel service ``channels``: connections to backend servers, kept with care."""
+
+from __future__ import annotations
+
+import collections
+import http.client
+import io
+import re
+import select
+import socket
+import threading
+import time
+
+from urllib3.util import connection as urllib3_connection, wait as urllib3_wait
+
+from celeryspan import catalog, errors, events, ids, kernel
+from celeryspan.platform import names
+
+CONNECT_SECONDS = 0.4
+"""A server's port answers within a few milliseconds; one that is dark never does, and
+the request can still go to another one."""
+
+SILENT_MS = 1_000
+"""What was sent and is not acknowledged for this long is lost: the other end has no
+power or the connection has been forgotten on the way. In milliseconds."""
+
+SOCKET_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, SILENT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+)
+
+IDLE_MAX = 24
+"""Idle connections kept for each server."""
+
+IDLE_SECONDS = 4.0
+"""How long one is kept if the server does not say; below the 5 s that are common."""
+
+IDLE_MARGIN_SECONDS = 1.0
+"""A server closes an idle connection after whole seconds; what is sent as it closes is
+lost, so that a connection this close to its end is not used."""
+
+FRESH_SECONDS = 1.0
+"""A request that must not run twice takes a kept connection only if it was idle for
+less: one that the server has dropped meanwhile loses the request for good."""
+
+STALE_ANSWERS_MAX = 4
+"""Answers of earlier requests that are skipped on one connection."""
+
+TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
+
+FAULTS = (OSError, http.client.HTTPException, ValueError)
+"""What can go wrong on a connection once it is open."""
+
+
+class _SharedReader(io.RawIOBase):
+    """Lets several answers be read through the one buffer of a connection.
+
+    The parser closes its file at the end of an answer; a file of its own for each would
+    swallow bytes of the next answer in its buffer.
+    """
+
+    def __init__(self, reader: io.BufferedReader) -> None:
+        super().__init__()
+        self._reader = reader
+        self.read = reader.read
+        self.read1 = reader.read1
+        self.readinto = reader.readinto
+        self.readline = reader.readline
+        self.peek = reader.peek
+
+    def makefile(self, _: str) -> _SharedReader:
+        """Return itself: the parser takes it for a socket."""
+        return self
+
+    def close(self) -> None:
+        """Leave the connection open."""
+
+
+class Channel:
+    """One connection to a backend server, used by one request at a time."""
+
+    def __init__(self, server: ids.ServerId, sock: socket.socket) -> None:
+        self.server = server
+        self.kept_until = 0.0
+        self.idle_since = time.monotonic()
+        self.is_new = True
+        self._socket = sock
+        self._reader = sock.makefile("rb")
+        self._is_spoilt = False
+
+    def send(self, data: bytes, until: float) -> None:
+        """Send a whole request, or as much as the server reads before it answers.
+
+        A server may answer before it has read a long body. Waiting for the rest to be
+        taken would end in a deadlock; the connection is not used again, so that no
+        other bytes stand where the rest of the body is due.
+
+        Raises
+        ------
+        OSError
+            If the connection breaks, or time is over.
+        """
+        self._socket.setblocking(False)
+        poll = select.poll()
+        poll.register(self._socket, select.POLLIN | select.POLLOUT)
+        view = memoryview(data)
+        while view:
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError("time is over")
+            for _, state in poll.poll(left * 1000):
+                if state & select.POLLOUT:
+                    view = view[self._socket.send(view) :]
+                elif state & (select.POLLIN | select.POLLHUP | select.POLLERR):
+                    self._is_spoilt = True
+                    return
+
+    def receive(
+        self, method: str, request: ids.RequestId, until: float
+    ) -> http.client.HTTPResponse:
+        """Read the head of the answer to a request.
+
+        An answer that names another request is a second one to an earlier request on
+        this connection; it is read to its end and dropped.
+        """
+        for _ in range(STALE_ANSWERS_MAX):
+            self.limit(until)
+            shared = _SharedReader(self._reader)
+            answer = http.client.HTTPResponse(shared, method=method)
+            answer.begin()
+            named = answer.getheader(names.REQUEST_ID)
+            if named == request or (named is None and answer.status >= 300):
+                return answer
+            events.log(
+                events.Event.STALE_ANSWER_DROPPED, request=request, server=self.server
+            )
+            answer.read()
+        raise http.client.HTTPException("only answers to other requests")
+
+    def limit(self, until: float) -> None:
+        """Let reads fail at a time.
+
+        Raises
+        ------
+        TimeoutError
+            If it has come.
+        """
+        left = until - time.monotonic()
+        if left <= 0:
+            raise TimeoutError("time is over")
+        self._socket.settimeout(left)
+
+    def is_clean(self) -> bool:
+        """Whether no byte waits that belongs to no request, and it is not closed."""
+        if self._is_spoilt:
+            return False
+        try:
+            self._socket.setblocking(False)
+            return not self._reader.peek(1) and not urllib3_wait.wait_for_read(
+                self._socket, 0
+            )
+        except FAULTS:
+            return False
+
+    def note_answer(self, answer: http.client.HTTPResponse) -> None:
+        """Take from an answer whether and how long the connection may be kept."""
+        if answer.will_close:
+            self._is_spoilt = True
+            return
+        found = TIMEOUT_PATTERN.search(answer.getheader("Keep-Alive") or "")
+        seconds = float(found.group(1)) if found else IDLE_SECONDS
+        now = time.monotonic()
+        self.idle_since = now
+        self.kept_until = now + max(0.0, seconds - IDLE_MARGIN_SECONDS)
+        self.is_new = False
+
+    def abort(self) -> None:
+        """Wake the thread that reads; it meets the end of the connection."""
+        try:
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass  # The connection has ended already.
+
+    def close(self) -> None:
+        """Close the connection."""
+        try:
+            self._reader.close()
+            self._socket.close()
+        except OSError:
+            pass  # It was reset; the descriptor is free either way.
+
+
+@kernel.register("channels")
+class Channels:
+    """Opens connections to backend servers and keeps some of them open."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._lock = threading.Lock()
+        self._idle: dict[ids.ServerId, collections.deque[Channel]] = {}
+        self._opened = 0
+        self._reused = 0
+
+    def start(self) -> None:
+        """Do nothing: connections are opened when they are needed."""
+
+    def stop(self) -> None:
+        """Close the idle connections."""
+        with self._lock:
+            idle, self._idle = self._idle, {}
+        for channels in idle.values():
+            for channel in channels:
+                channel.close()
+
+    def report(self) -> dict[str, object]:
+        """Return counts for the operator."""
+        return {"opened": self._opened, "reused": self._reused}
+
+    def open(self, entry: catalog.ServerEntry, *, once_only: bool) -> Channel:
+        """Return a connection on which nothing of a request has been sent.
+
+        Parameters
+        ----------
+        once_only : bool
+            The request must not run twice.
+
+        Raises
+        ------
+        errors.NotRun
+            If the server does not accept.
+        """
+        channel = self._take_idle(entry.server, once_only)
+        if channel is not None:
+            self._reused += 1
+            return channel
+        try:
+            sock = urllib3_connection.create_connection(
+                tuple(entry.address), CONNECT_SECONDS, socket_options=SOCKET_OPTIONS
+            )
+        except OSError as error:
+            raise errors.NotRun(
+                f"no connection: {error}",
+                code="server-unreachable",
+                status=503,
+                step="connect",
+                peer=entry.server,
+            ) from error
+        self._opened += 1
+        return Channel(entry.server, sock)
+
+    def keep(self, channel: Channel) -> None:
+        """Keep a connection whose last answer has been read to its end."""
+        now = time.monotonic()
+        if now >= channel.kept_until or not channel.is_clean():
+            channel.close()
+            return
+        with self._lock:
+            channels = self._idle.setdefault(channel.server, collections.deque())
+            channels.append(channel)
+            surplus = channels.popleft() if len(channels) > IDLE_MAX else None
+        if surplus is not None:
+            surplus.close()
+
+    def drop(self, servers: set[ids.ServerId]) -> None:
+        """Close the idle connections to servers that are not among these."""
+        with self._lock:
+            gone = [self._idle.pop(server) for server in self._idle.keys() - servers]
+        for channels in gone:
+            for channel in channels:
+                channel.close()
+
+    def _take_idle(self, server: ids.ServerId, once_only: bool) -> Channel | None:
+        while True:
+            with self._lock:
+                channels = self._idle.get(server)
+                if not channels:
+                    return None
+                channel = channels.pop()
+            now = time.monotonic()
+            if once_only and now - channel.idle_since > FRESH_SECONDS:
+                self.keep(channel)
+                return None
+            if now < channel.kept_until and channel.is_clean():
+                return channel
+            channel.close()
--- /dev/null
+++ b/celeryspan/gateway/fleet.py
@@ -0,0 +1,86 @@
+"""The kernel service ``fleet``: routers find each other through the store.
+
+Each router writes one object that says where its peers reach it, and reads those of
+the others until it has met some; who is alive is then the membership's to find out.
+"""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import errors, events, ids, kernel
+from celeryspan.platform import names, routers
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import objectstore
+    from celeryspan.services import identity, membership
+
+PAUSE_FIRST = 0.25
+PAUSE_MAX = 30.0
+"""Pauses between two looks at the list; they double. A router that nobody has met is
+found by the others' looks and by its own."""
+
+
+@kernel.register("fleet", needs=("identity", "objects", "membership"))
+class FleetService:
+    """Writes this router's object and seeds the membership with the others'."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        store: objectstore.ObjectStore = box.find("objects")
+        self._client = store.client
+        self._identity: identity.IdentityService = box.find("identity")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._address = ids.Address.parse(box.settings.peer_address)
+        self._is_written = False
+        self._random = random.Random(time.time_ns())
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="fleet", daemon=True)
+
+    def start(self) -> None:
+        """Begin to look for the others."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop looking; the object stays for the next life of this router."""
+        self._stopped.set()
+
+    def _run(self) -> None:
+        pause = PAUSE_FIRST
+        while not self._stopped.is_set():
+            try:
+                self._write()
+                self._read()
+                pause = min(pause * 2, PAUSE_MAX)
+            except errors.StoreError as error:
+                events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
+            self._stopped.wait(pause * self._random.uniform(0.7, 1.0))
+
+    def _write(self) -> None:
+        """Write the object, over that of an earlier life if there is one."""
+        if self._is_written:
+            return
+        spec = routers.write(self._address, self._identity.incarnation)
+        name = self._identity.router
+        try:
+            self._client.create(names.ROUTER_KIND, name, spec)
+        except errors.Conflict:
+            found = self._client.get(names.ROUTER_KIND, name)
+            self._client.replace(names.ROUTER_KIND, name, spec, found.revision)
+        self._is_written = True
+
+    def _read(self) -> None:
+        seeds = []
+        for found in self._client.list_objects(names.ROUTER_KIND).objects:
+            try:
+                address = routers.read(found)
+            except errors.InputError as error:
+                events.log(
+                    events.Event.TASK_FAILED, task="read router", error=str(error)
+                )
+                continue
+            if address != self._address:
+                seeds.append(address)
+        self._membership.set_seeds(seeds)
--- /dev/null
+++ b/celeryspan/gateway/front.py
@@ -0,0 +1,401 @@
+"""The kernel service ``front``: the address at which callers are served.
+
+The routes are the operator's and change while requests run, so that nothing of a web
+framework's own routing fits here; cherrypy's server reads the requests.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from cheroot import errors as cheroot_errors, server as cheroot_server
+
+from celeryspan import catalog, errors, events, ids, kernel, states
+from celeryspan.adapters import backend
+from celeryspan.gateway import orders
+from celeryspan.platform import names, requests
+from celeryspan.services import framing, httpserver
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import carrier, catalogues
+
+STARTING_SECONDS = 0.5
+"""When to come back to a router that knows no configuration yet."""
+
+OVERLOAD_SECONDS = 0.5
+"""When to come back to a router that has no thread left."""
+
+IDLE_MARGIN = 1.2
+IDLE_MARGIN_SECONDS = 3.0
+"""Callers may use a connection until the idle limit; closing it later by this factor
+and time never crosses a request on its way, also when a clock is stepped."""
+
+REASONS = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Refused(errors.RequestError):
+    """The request is not allowed, or not understood; it was not sent anywhere."""
+
+    outcome = states.Outcome.NOT_RUN
+
+
+class CallerSink:
+    """Writes one answer to a caller's connection."""
+
+    def __init__(self, request: cheroot_server.HTTPRequest, *, closes: bool) -> None:
+        self._request = request
+        self._closes = closes
+        self._is_chunked = False
+        self.is_begun = False
+        self.is_ended = False
+
+    def write_head(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> None:
+        """Begin the answer."""
+        request = self._request
+        found = {name.lower() for name, _ in headers}
+        lines = [f"HTTP/1.1 {status} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if "content-length" not in found:
+            self._is_chunked = True
+            lines.append("Transfer-Encoding: chunked")
+        if self._closes:
+            request.close_connection = True
+        if request.close_connection:
+            lines.append("Connection: close")
+        self.is_begun = True
+        self._send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._send(data)
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+        if self._is_chunked:
+            self._send(b"0\r\n\r\n")
+        self.is_ended = True
+
+    def cut(self) -> None:
+        """Close the connection without the end of the answer."""
+        self._request.close_connection = True
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._request.conn.wfile.write(data)
+        except ValueError as error:
+            raise ConnectionAbortedError(str(error)) from error
+
+
+class _Gateway(cheroot_server.Gateway):
+    """Hands a request to the front instead of to an application."""
+
+    def respond(self) -> None:
+        self.req.sent_headers = True
+        self.req.server.front.serve(self.req)
+
+
+class _Request(framing.Request):
+    """A request; refusals of its framing look like all others."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        self.close_connection = True
+        self.conn.unread = True
+        self.sent_headers = True
+        code = int(str(status)[:3])
+        error = Refused(str(msg or status), code="malformed", status=code)
+        sink = CallerSink(self, closes=True)
+        write_refusal(sink, "", error)
+
+
+class _Connection(httpserver.Connection):
+    RequestHandlerClass = _Request
+
+
+class _Server(httpserver.Server):
+    ConnectionClass = _Connection
+    front: Front
+
+
+@kernel.register("front", needs=("carrier", "catalogues"))
+class Front:
+    """Reads requests, finds route and account, and answers.
+
+    Attributes
+    ----------
+    draining : bool
+        Whether answers announce the end of their connections.
+    refusing : bool
+        Whether new requests are refused: this router is about to end.
+    """
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._settings = box.settings
+        self._carrier: carrier.Carrier = box.find("carrier")
+        self._catalogues: catalogues.CataloguesService = box.find("catalogues")
+        self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
+        self._lock = threading.Lock()
+        self._in_progress: dict[int, orders.Order | None] = {}
+        self.draining = False
+        self.refusing = False
+        self._server = _Server(
+            ids.Address.parse(self._settings.caller_address),
+            lambda *_: (),
+            threads=self._settings.caller_threads,
+            body_bytes_max=self._settings.body_bytes_max,
+            log=lambda text: events.log(
+                events.Event.TASK_FAILED, task="front", error=text
+            ),
+        )
+        self._server.gateway = _Gateway
+        self._server.front = self
+
+    def start(self) -> None:
+        """Listen; raises OSError if the address is taken."""
+        self._server.open()
+        self._catalogues.subscribe(self._apply_limits)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self._server.shut()
+
+    def report(self) -> dict[str, object]:
+        """Return the state for the operator."""
+        return {"in_progress": self.count(), "draining": self.draining}
+
+    def count(self) -> int:
+        """Return how many requests are in progress."""
+        return len(self._in_progress)
+
+    def stop_listening(self) -> None:
+        """Take no new connections."""
+        self._server.stop_listening()
+
+    def cut(self) -> list[str]:
+        """End what is in progress and return the ids of the requests."""
+        with self._lock:
+            found = [order for order in self._in_progress.values() if order]
+        for order in found:
+            order.presence.end()
+        return [order.request for order in found]
+
+    def serve(self, request: cheroot_server.HTTPRequest) -> None:
+        """Serve one request whose head has been read."""
+        key = id(request)
+        self._in_progress[key] = None
+        sink = CallerSink(request, closes=self.draining)
+        name = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
+        try:
+            order = self._accept(request)
+            with self._lock:
+                self._in_progress[key] = order
+            self._server.watch.add(request.conn.socket, order.presence.leave)
+            self._carry(order, sink)
+        except errors.RequestError as error:
+            self._refuse(sink, name.decode("latin-1"), error)
+        except OSError:
+            events.log(events.Event.CALLER_LEFT, request=name.decode("latin-1"))
+            request.close_connection = True
+        except Exception as error:
+            # Nobody knows how far the request has come: no promise is made.
+            events.log(
+                events.Event.TASK_FAILED, request=name.decode(), error=repr(error)
+            )
+            internal = errors.OutcomeUnknown(
+                f"internal error: {type(error).__name__}", code="internal", status=500
+            )
+            self._refuse(sink, name.decode("latin-1"), internal)
+        finally:
+            with self._lock:
+                del self._in_progress[key]
+
+    def _carry(self, order: orders.Order, sink: CallerSink) -> None:
+        try:
+            self._carrier.carry(order, sink)
+        except backend.AnswerLost as lost:
+            events.log(
+                events.Event.REQUEST_SETTLED,
+                request=order.request,
+                outcome=states.Outcome.UNKNOWN.value,
+                error=str(lost),
+            )
+            if sink.is_begun:
+                sink.cut()
+                return
+            raise errors.OutcomeUnknown(
+                lost.message, code="answer-lost", status=502, step=lost.step
+            ) from lost
+
+    def _accept(self, request: cheroot_server.HTTPRequest) -> orders.Order:
+        """Read a whole request; raises Refused or NotRun."""
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        body = read_body(request)
+        request.conn.end_reading()
+        received_at = time.monotonic()
+        current = self._check_ready(request)
+        target = request.uri
+        path = target.partition(b"?")[0].decode("latin-1")
+        host = headers.get("Host", "").lower()
+        route = current.find_route(host, path)
+        if route is None:
+            raise Refused(
+                "no route for this host and path", code="no-route", status=404
+            )
+        try:
+            incoming = requests.read(headers)
+        except errors.InputError as error:
+            raise Refused(str(error), code="malformed", status=400) from error
+        account = find_account(current, route, incoming.key)
+        service = route.choose_service(incoming.request)
+        if service is None:
+            raise Refused("the route has no service", code="no-service", status=404)
+        seconds = route.timeout
+        if incoming.patience is not None:
+            seconds = min(seconds, incoming.patience)
+        return orders.Order(
+            incoming=incoming,
+            route=route,
+            service=service,
+            account=account,
+            method=request.method.decode("latin-1"),
+            target=target,
+            body=body,
+            received_at=received_at,
+            deadline=received_at + seconds,
+        )
+
+    def _check_ready(self, request: cheroot_server.HTTPRequest) -> catalog.Catalogue:
+        current = self._catalogues.current()
+        if current is None or self.refusing:
+            raise errors.NotRun(
+                "this router starts or stops; use another one",
+                code="starting" if current is None else "stopping",
+                status=503,
+                retry_after=STARTING_SECONDS * (0.5 + self._random.random()),
+                step="accept",
+            )
+        if request.conn.overloaded:
+            raise errors.NotRun(
+                "this router has no thread left for the request",
+                code="router-full",
+                status=503,
+                retry_after=OVERLOAD_SECONDS * (0.5 + self._random.random()),
+                step="accept",
+            )
+        return current
+
+    def _refuse(self, sink: CallerSink, name: str, error: errors.RequestError) -> None:
+        events.log(
+            events.Event.REQUEST_REFUSED,
+            request=name,
+            status=error.status,
+            code=error.code,
+            outcome=error.outcome.value,
+            retry_after=error.retry_after,
+            error=str(error),
+        )
+        if sink.is_begun:
+            sink.cut()
+            return
+        try:
+            write_refusal(sink, name, error)
+        except OSError:
+            sink.cut()  # The caller has left; there is nobody to tell.
+
+    def _apply_limits(self, current: catalog.Catalogue) -> None:
+        limits = current.limits
+        self._server.max_request_header_size = limits.header_bytes
+        self._server.max_request_body_size = limits.body_bytes
+        idle = limits.idle_seconds * IDLE_MARGIN + IDLE_MARGIN_SECONDS
+        # Never shorter than before: callers may go by an earlier version still.
+        self._server.timeout = max(self._server.timeout, idle)
+
+
+def read_body(request: cheroot_server.HTTPRequest) -> bytes:
+    """Return the whole body of a request.
+
+    Raises
+    ------
+    Refused
+        If it is too long or malformed.
+    ConnectionAbortedError
+        If the caller ends its connection before the end of the body.
+    """
+    if not request.chunked_read:
+        expected = int(request.inheaders.get(b"Content-Length", 0))
+        body = request.rfile.read(expected) if expected else b""
+        if len(body) < expected:
+            raise ConnectionAbortedError("the body is shorter than announced")
+        return body
+    try:
+        body = request.rfile.read()
+        if not request.rfile.closed:
+            raise ConnectionAbortedError("the body has no last chunk")
+        for _ in request.rfile.read_trailer_lines():
+            pass  # Trailers concern this connection only.
+        return body
+    except cheroot_errors.MaxSizeExceeded as error:
+        raise Refused("the body is too long", code="too-large", status=413) from error
+    except ValueError as error:
+        raise Refused(str(error), code="malformed", status=400) from error
+
+
+def find_account(
+    current: catalog.Catalogue, route: catalog.Route, key: str
+) -> ids.AccountId | None:
+    """Return the client account of a key; None where the route asks for no key.
+
+    Raises
+    ------
+    Refused
+        If a key is needed and this one is unknown.
+    """
+    account = current.accounts.get(key) if key else None
+    if account is None and current.needs_keys and not route.is_anonymous:
+        raise Refused("no such key", code="unknown-key", status=401)
+    return account
+
+
+def write_refusal(sink: orders.Sink, name: str, error: errors.RequestError) -> None:
+    """Write the answer to a request that gets none from a server."""
+    body = json.dumps(
+        {
+            "error": {
+                "code": error.code,
+                "message": error.message,
+                "outcome": error.outcome.value,
+                "step": error.step,
+                "peer": error.peer,
+            }
+        }
+    ).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    if name:
+        headers.append((names.REQUEST_ID, name))
+    if error.retry_after is not None:
+        headers.append((names.RETRY_AFTER, f"{error.retry_after:.3f}"))
+    sink.write_head(error.status, REASONS.get(error.status, "Refused"), headers)
+    sink.write(body)
+    sink.finish()
--- /dev/null
+++ b/celeryspan/gateway/places.py
@@ -0,0 +1,305 @@
+"""The kernel service ``places``: asks the homes of pools for places at servers.
+
+One thread a request waits here. If the home of its pool dies or says nothing, the
+request is asked of the next one, and runs in progress are told to it, so that a pool
+is without a decision for no longer than its home's silence takes to show.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from celeryspan import errors, events, ids, kernel, states
+from celeryspan.decisions import homes
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan.services import delivery, identity, membership
+
+TICK_SECONDS = 0.05
+
+SILENT_SECONDS = 0.6
+"""A home that has said nothing of a waiting request for this long is passed over:
+three of its signs of life."""
+
+PASSED_OVER_SECONDS = 3.0
+"""How long a silent home is passed over; its death is found within this time."""
+
+LATE_SECONDS = 0.3
+"""How long after its time a request is refused here if no home has done so."""
+
+
+@dataclasses.dataclass(slots=True)
+class Place:
+    """Leave to send one request to one server.
+
+    Attributes
+    ----------
+    home : RouterId
+        Who must hear of its end.
+    """
+
+    ask: messages.SlotRequest
+    server: ids.ServerId
+    home: ids.RouterId
+    end_at: float
+    is_begun: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiter:
+    ask: messages.SlotRequest
+    home: ids.RouterId
+    asked_at: float
+    heard_at: float
+    ready: threading.Event = dataclasses.field(default_factory=threading.Event)
+    place: Place | None = None
+    error: errors.NotRun | None = None
+
+
+@kernel.register("places", needs=("delivery", "identity", "membership"))
+class Places:
+    """Waits for places, and tells their homes what becomes of them."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._delivery: delivery.DeliveryService = box.find("delivery")
+        self._identity: identity.IdentityService = box.find("identity")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._lock = threading.Lock()
+        self._waiters: dict[ids.RequestId, _Waiter] = {}
+        self._held: dict[ids.RequestId, Place] = {}
+        self._passed_over: dict[ids.RouterId, float] = {}
+        self._routers = self._list_candidates(self._membership.alive())
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="places", daemon=True)
+
+    def start(self) -> None:
+        """Begin to take offers."""
+        self._delivery.subscribe(messages.SlotOffer, self._take_offer)
+        self._delivery.subscribe(messages.SlotRefusal, self._take_refusal)
+        self._delivery.subscribe(messages.QueueAlive, self._take_alive)
+        self._membership.subscribe(self._follow_members)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Refuse whoever still waits."""
+        self._stopped.set()
+        self._thread.join()
+        with self._lock:
+            waiters, self._waiters = self._waiters, {}
+        for waiter in waiters.values():
+            self._refuse(waiter, make_refusal("router-stopping", 0.1))
+
+    def report(self) -> dict[str, object]:
+        """Return how much waits and runs, for the operator."""
+        return {"waiting": len(self._waiters), "held": len(self._held)}
+
+    def count_routers(self) -> int:
+        """Return how many routers take part."""
+        return max(1, len(self._routers))
+
+    def acquire(self, ask: messages.SlotRequest) -> Place:
+        """Wait for a place.
+
+        Raises
+        ------
+        errors.NotRun
+            If there is none in time, or the caller has left.
+        """
+        now = time.monotonic()
+        waiter = _Waiter(ask, self._find_home(ask.service, now), now, now)
+        with self._lock:
+            self._waiters[ask.request] = waiter
+        self._delivery.send(waiter.home, ask)
+        waiter.ready.wait()
+        if waiter.error is not None:
+            raise waiter.error
+        assert waiter.place is not None
+        return waiter.place
+
+    def cancel(self, request: ids.RequestId) -> None:
+        """Give up waiting: the caller has left."""
+        with self._lock:
+            waiter = self._waiters.pop(request, None)
+        if waiter is not None:
+            cancel = messages.SlotCancel(request, waiter.ask.service)
+            self._delivery.send(waiter.home, cancel)
+            self._refuse(waiter, make_refusal("caller-left", 0.0))
+
+    def begin(self, place: Place) -> None:
+        """Say that the first event has come."""
+        place.is_begun = True
+        ask = place.ask
+        begun = messages.RunBegun(ask.request, ask.service, place.server)
+        self._delivery.send(place.home, begun)
+
+    def end(self, place: Place, ending: states.RunEnding) -> None:
+        """Give a place back."""
+        ask = place.ask
+        with self._lock:
+            self._held.pop(ask.request, None)
+        ended = messages.RunEnded(ask.request, ask.service, place.server, ending)
+        self._delivery.send(place.home, ended)
+
+    def _take_offer(
+        self, home: ids.RouterId, _: ids.Incarnation, offer: messages.SlotOffer
+    ) -> None:
+        """Bind an offer to its request; one that nobody waits for goes back."""
+        with self._lock:
+            waiter = self._waiters.pop(offer.request, None)
+            if waiter is not None:
+                end_at = waiter.asked_at + waiter.ask.timeout
+                place = Place(waiter.ask, offer.server, home, end_at)
+                self._held[offer.request] = waiter.place = place
+        if waiter is not None:
+            waiter.ready.set()
+            return
+        held = self._held.get(offer.request)
+        if held is not None and held.home == home and held.server == offer.server:
+            return
+        ended = messages.RunEnded(
+            offer.request, offer.service, offer.server, states.RunEnding.UNUSED
+        )
+        self._delivery.send(home, ended)
+
+    def _take_refusal(
+        self, home: ids.RouterId, _: ids.Incarnation, refusal: messages.SlotRefusal
+    ) -> None:
+        with self._lock:
+            waiter = self._waiters.get(refusal.request)
+            if waiter is None or waiter.home != home:
+                return
+            del self._waiters[refusal.request]
+        self._refuse(waiter, make_refusal(refusal.reason, refusal.retry_after))
+
+    def _take_alive(
+        self, home: ids.RouterId, _: ids.Incarnation, alive: messages.QueueAlive
+    ) -> None:
+        now = time.monotonic()
+        with self._lock:
+            for waiter in self._waiters.values():
+                if waiter.home == home and waiter.ask.service == alive.service:
+                    waiter.heard_at = now
+
+    def _refuse(self, waiter: _Waiter, error: errors.NotRun) -> None:
+        waiter.error = error
+        waiter.ready.set()
+
+    def _find_home(self, service: ids.ServiceId, now: float) -> ids.RouterId:
+        """Return the home of a pool: this router if no other is left."""
+        candidates = [
+            router
+            for router in self._routers
+            if self._passed_over.get(router, 0.0) <= now
+        ]
+        found = homes.find_home(ids.ServerId(service), candidates)
+        return found if found is not None else self._identity.router
+
+    def _list_candidates(
+        self, members: Iterable[messages.Member]
+    ) -> tuple[ids.RouterId, ...]:
+        """Return the routers that may be homes: those that stop hand over."""
+        return tuple(
+            member.router
+            for member in members
+            if member.state is not states.MemberState.LEAVING
+        )
+
+    def _follow_members(self, members: list[messages.Member]) -> None:
+        self._routers = self._list_candidates(members)
+        self._move(time.monotonic())
+
+    def _move(self, now: float) -> None:
+        """Ask new homes for what waits, and tell them what runs."""
+        told: list[tuple[ids.RouterId, messages.Message]] = []
+        with self._lock:
+            for waiter in self._waiters.values():
+                told += self._move_waiter(waiter, now)
+            for place in self._held.values():
+                told += self._move_place(place, now)
+        for home, message in told:
+            self._delivery.send(home, message)
+
+    def _move_waiter(
+        self, waiter: _Waiter, now: float
+    ) -> list[tuple[ids.RouterId, messages.Message]]:
+        home = self._find_home(waiter.ask.service, now)
+        if home == waiter.home:
+            return []
+        before = (
+            waiter.home,
+            messages.SlotCancel(waiter.ask.request, waiter.ask.service),
+        )
+        waiter.home, waiter.heard_at = home, now
+        waited = waiter.ask.waited + now - waiter.asked_at
+        return [before, (home, dataclasses.replace(waiter.ask, waited=waited))]
+
+    def _move_place(
+        self, place: Place, now: float
+    ) -> list[tuple[ids.RouterId, messages.Message]]:
+        home = self._find_home(place.ask.service, now)
+        if home == place.home:
+            return []
+        ask = place.ask
+        before = messages.RunEnded(
+            ask.request, ask.service, place.server, states.RunEnding.UNUSED
+        )
+        held = messages.RunHeld(
+            ask.request,
+            ask.service,
+            ask.account,
+            place.server,
+            ask.parts,
+            ask.prompt_tokens,
+            place.is_begun,
+            max(0.0, place.end_at - now),
+        )
+        told = [(place.home, before), (home, held)]
+        place.home = home
+        return told
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            try:
+                self._tick(time.monotonic())
+            except Exception as error:
+                # Without this task requests of a dead home would wait for ever.
+                events.log(events.Event.TASK_FAILED, task="places", error=repr(error))
+
+    def _tick(self, now: float) -> None:
+        with self._lock:
+            silent = {
+                waiter.home
+                for waiter in self._waiters.values()
+                if now - waiter.heard_at > SILENT_SECONDS
+                and waiter.home != self._identity.router
+            }
+            late = [
+                waiter
+                for waiter in self._waiters.values()
+                if now - waiter.asked_at > waiter.ask.timeout + LATE_SECONDS
+            ]
+            for waiter in late:
+                del self._waiters[waiter.ask.request]
+        for waiter in late:
+            self._refuse(waiter, make_refusal("no-place-in-time", 1.0))
+        for router in silent:
+            self._passed_over[router] = now + PASSED_OVER_SECONDS
+            events.log(events.Event.HOME_LEFT, peer=router, reason="silent")
+        if silent:
+            self._move(now)
+
+
+def make_refusal(reason: str, retry_after: float) -> errors.NotRun:
+    """Return the refusal of a request that no server has got."""
+    return errors.NotRun(
+        "no place at a backend server",
+        code=reason,
+        status=503,
+        retry_after=retry_after,
+        step="wait for a place",
+    )
--- /dev/null
+++ b/celeryspan/gateway/poolhomes.py
@@ -0,0 +1,211 @@
+"""The kernel service ``poolhomes``: the ledgers of the pools whose home this router is."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from collections.abc import Iterable
+from typing import TYPE_CHECKING
+
+from celeryspan import catalog, events, ids, kernel
+from celeryspan.decisions import pools
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import catalogues, serverlists
+    from celeryspan.services import delivery, identity, membership
+
+TICK_SECONDS = 0.01
+"""How often waiting requests are looked at again: engines read on meanwhile."""
+
+IDLE_SECONDS = 0.5
+"""The same while nothing waits: only lost messages are to be cleaned up."""
+
+ALIVE_SECONDS = 0.2
+"""How often routers with waiting requests hear that these are still held."""
+
+
+@kernel.register(
+    "poolhomes",
+    needs=("catalogues", "delivery", "identity", "membership", "servers"),
+)
+class PoolHomes:
+    """Decides for all routers who gets a place in the pools kept here.
+
+    Whoever asks is served: routers may disagree for a moment about who is home, and a
+    request that nobody decides waits for nothing.
+    """
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._catalogues: catalogues.CataloguesService = box.find("catalogues")
+        self._delivery: delivery.DeliveryService = box.find("delivery")
+        self._identity: identity.IdentityService = box.find("identity")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._servers: serverlists.ServersService = box.find("servers")
+        self._random = random.Random(self._identity.incarnation)
+        self._lock = threading.Lock()
+        self._pools: dict[ids.ServiceId, pools.Pool] = {}
+        self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
+        self._told_at = 0.0
+        self._changed = threading.Event()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="poolhomes", daemon=True)
+
+    def start(self) -> None:
+        """Begin to decide."""
+        self._delivery.subscribe(messages.SlotRequest, self._take_request)
+        self._delivery.subscribe(messages.SlotCancel, self._take_cancel)
+        self._delivery.subscribe(messages.RunHeld, self._take_held)
+        self._delivery.subscribe(messages.RunBegun, self._take_begun)
+        self._delivery.subscribe(messages.RunEnded, self._take_ended)
+        self._servers.subscribe(lambda _: self._set_servers())
+        self._catalogues.subscribe(lambda _: self._set_servers())
+        self._membership.subscribe(self._follow_members)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop deciding; the routers ask the next home."""
+        self._stopped = True
+        self._changed.set()
+        self._thread.join()
+
+    def report(self) -> dict[str, object]:
+        """Return what waits and runs in each pool kept here."""
+        with self._lock:
+            return {
+                service: {"waiting": pool.count_waiting(), "runs": pool.count_runs()}
+                for service, pool in self._pools.items()
+            }
+
+    def _take_request(
+        self,
+        router: ids.RouterId,
+        incarnation: ids.Incarnation,
+        ask: messages.SlotRequest,
+    ) -> None:
+        now = time.monotonic()
+        with self._lock:
+            self._note_incarnation(router, incarnation)
+            answers = self._find_pool(ask.service).ask(router, ask, now)
+        self._tell(answers)
+        self._changed.set()
+
+    def _take_cancel(
+        self, _: ids.RouterId, __: ids.Incarnation, cancel: messages.SlotCancel
+    ) -> None:
+        with self._lock:
+            self._find_pool(cancel.service).cancel(cancel.request)
+
+    def _take_held(
+        self, router: ids.RouterId, incarnation: ids.Incarnation, run: messages.RunHeld
+    ) -> None:
+        with self._lock:
+            self._note_incarnation(router, incarnation)
+            self._find_pool(run.service).hold(router, run, time.monotonic())
+
+    def _take_begun(
+        self, _: ids.RouterId, __: ids.Incarnation, begun: messages.RunBegun
+    ) -> None:
+        now = time.monotonic()
+        with self._lock:
+            pool = self._find_pool(begun.service)
+            answers = pool.begin(begun.request, begun.server, now)
+        self._tell(answers)
+
+    def _take_ended(
+        self, _: ids.RouterId, __: ids.Incarnation, ended: messages.RunEnded
+    ) -> None:
+        now = time.monotonic()
+        with self._lock:
+            pool = self._find_pool(ended.service)
+            answers = pool.end(ended.request, ended.server, ended.ending, now)
+        self._tell(answers)
+
+    def _find_pool(self, service: ids.ServiceId) -> pools.Pool:
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = pools.Pool(service, self._random)
+            self._set_pool_servers(pool, self._servers.usable().values())
+            events.log(events.Event.HOME_TAKEN, service=service)
+        return pool
+
+    def _set_servers(self) -> None:
+        usable = self._servers.usable().values()
+        with self._lock:
+            for pool in self._pools.values():
+                self._set_pool_servers(pool, usable)
+        self._changed.set()
+
+    def _set_pool_servers(
+        self, pool: pools.Pool, usable: Iterable[catalog.ServerEntry]
+    ) -> None:
+        current = self._catalogues.current()
+        service = current.services.get(pool.service) if current else None
+        mine = [entry for entry in usable if entry.service == pool.service]
+        pool.set_servers(mine, service.engine if service else None)
+
+    def _note_incarnation(
+        self, router: ids.RouterId, incarnation: ids.Incarnation
+    ) -> None:
+        """Free what the earlier life of a router held.
+
+        A router that restarts before it is held dead never leaves the membership;
+        without this its places would stay taken until their requests' timeouts.
+        """
+        newest = self._incarnations.get(router)
+        if newest is not None and incarnation > newest:
+            self._forget(router)
+        self._incarnations[router] = max(incarnation, newest or incarnation)
+
+    def _follow_members(self, members: list[messages.Member]) -> None:
+        alive = {member.router for member in members} | {self._identity.router}
+        with self._lock:
+            for router in self._incarnations.keys() - alive:
+                del self._incarnations[router]
+                self._forget(router)
+        self._changed.set()
+
+    def _forget(self, router: ids.RouterId) -> None:
+        for pool in self._pools.values():
+            pool.forget_router(router)
+
+    def _tell(self, answers: Iterable[pools.Answer]) -> None:
+        for answer in answers:
+            self._delivery.send(answer.router, answer.message)
+
+    def _run(self) -> None:
+        waits = False
+        while not self._stopped:
+            self._changed.wait(TICK_SECONDS if waits else IDLE_SECONDS)
+            self._changed.clear()
+            try:
+                waits = self._tick(time.monotonic())
+            except Exception as error:
+                # A fault in one decision must not end the task of all pools, which
+                # would show as servers that idle while requests wait.
+                events.log(
+                    events.Event.TASK_FAILED, task="poolhomes", error=repr(error)
+                )
+            if waits:
+                time.sleep(TICK_SECONDS)
+
+    def _tick(self, now: float) -> bool:
+        """Decide again in all pools; returns whether anything waits."""
+        with self._lock:
+            answers = [a for pool in self._pools.values() for a in pool.tick(now)]
+            waits = any(pool.count_waiting() for pool in self._pools.values())
+            alive = self._list_alive() if now - self._told_at > ALIVE_SECONDS else []
+        if alive:
+            self._told_at = now
+        for router, service in alive:
+            self._delivery.send(router, messages.QueueAlive(service))
+        self._tell(answers)
+        return waits
+
+    def _list_alive(self) -> list[tuple[ids.RouterId, ids.ServiceId]]:
+        return [
+            (router, service)
+            for service, pool in self._pools.items()
+            for router in pool.list_routers()
+        ]
--- /dev/null
+++ b/celeryspan/gateway/serverlists.py
@@ -0,0 +1,129 @@
+"""The kernel service ``servers``: the backend servers as the store lists them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from celeryspan import catalog, errors, events, ids, kernel
+from celeryspan.decisions import serverlist
+from celeryspan.gateway import followers
+from celeryspan.platform import names, objects, servers
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import objectstore
+
+Handler = Callable[[dict[ids.ServerId, catalog.ServerEntry]], None]
+
+TICK_SECONDS = 0.2
+"""How often entries that have lapsed are looked at."""
+
+
+@kernel.register("servers", needs=("objects",))
+class ServersService:
+    """Holds the entries of backend servers and tells who may get new work."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        store: objectstore.ObjectStore = box.find("objects")
+        self._list = serverlist.ServerList()
+        self._lock = threading.Lock()
+        self._handlers: list[Handler] = []
+        self._usable: dict[ids.ServerId, catalog.ServerEntry] = {}
+        self._follower = followers.Follower(store.client, names.SERVER_KIND, self)
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="servers", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._follower.start()
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self._follower.stop()
+        self._stopped.set()
+
+    def usable(self) -> dict[ids.ServerId, catalog.ServerEntry]:
+        """Return the servers that may get new work."""
+        return self._usable
+
+    def subscribe(self, handler: Handler) -> None:
+        """Call a handler with the usable servers whenever they change."""
+        self._handlers.append(handler)
+        if self._usable:
+            handler(self._usable)
+
+    def report(self) -> dict[str, object]:
+        """Return the usable servers by service."""
+        found: dict[str, list[str]] = {}
+        for server, entry in self._usable.items():
+            found.setdefault(entry.service, []).append(server)
+        return {"usable": found}
+
+    def drop(self, server: ids.ServerId) -> None:
+        """Take out a server at whose address another one has answered."""
+        with self._lock:
+            self._list.remove(server, time.monotonic())
+        self._publish()
+
+    def replace(self, listing: objects.Listing) -> None:
+        """Take in all entries."""
+        found = [entry for entry in map(_read, listing.objects) if entry is not None]
+        with self._lock:
+            self._list.replace(found, time.monotonic())
+        self._publish()
+
+    def apply(self, changes: objects.Changes) -> None:
+        """Take in changes."""
+        now = time.monotonic()
+        with self._lock:
+            for change in changes.changes:
+                self._apply_one(change, now)
+        self._publish()
+
+    def lose(self) -> None:
+        """Note that entries may lapse for no fault of their servers."""
+        with self._lock:
+            self._list.lose_store()
+
+    def regain(self) -> None:
+        """Note that servers can renew their entries again."""
+        with self._lock:
+            self._list.regain_store(time.monotonic())
+
+    def _apply_one(self, change: objects.Change, now: float) -> None:
+        if change.is_deleted:
+            self._list.remove(ids.ServerId(change.object.name), now)
+            return
+        entry = _read(change.object)
+        if entry is not None:
+            self._list.put(entry)
+
+    def _publish(self) -> None:
+        with self._lock:
+            usable = self._list.usable()
+            if usable == self._usable:
+                return
+            left = self._usable.keys() - usable.keys()
+            self._usable = usable
+        for server in left:
+            events.log(events.Event.SERVER_LEAVING, server=server)
+        for handler in list(self._handlers):
+            handler(usable)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            with self._lock:
+                changed = self._list.expire(time.monotonic())
+            if changed:
+                self._publish()
+
+
+def _read(found: objects.StoredObject) -> catalog.ServerEntry | None:
+    try:
+        return servers.read(found)
+    except errors.InputError as error:
+        events.log(events.Event.TASK_FAILED, task="read server", error=str(error))
+        return None
--- a/celeryspan/inputs.py
+++ b/celeryspan/inputs.py
@@ -194,13 +194,24 @@
 def read_settings(path: str | pathlib.Path) -> settings.Settings:
     """Return the settings in a file.
 
+    Raises
+    ------
+    ExceptionGroup
+        Of one InputError for each fault.
+    """
+    return read_file(path, settings.Settings)
+
+
+def read_file(path: str | pathlib.Path, model: type[ModelType]) -> ModelType:
+    """Return the settings in a file as a model of :class:`settings.Settings`.
+
     Raises
     ------
     ExceptionGroup
         Of one InputError for each fault.
     """
     document = Document(path)
-    values = document.validate(settings.Settings)
+    values = document.validate(model)
     document.check(checks.check_settings(document.get_data()))
     raise_faults(document.path, document.faults)
     assert values is not None
--- a/celeryspan/states.py
+++ b/celeryspan/states.py
@@ -32,6 +32,18 @@
     DEAD = "dead"
 
 
+class RunEnding(enum.Enum):
+    """How a place at a backend server was given back."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    UNREACHABLE = "unreachable"
+    REJECTED = "rejected"
+    GONE = "gone"
+    UNUSED = "unused"
+    CANCELLED = "cancelled"
+
+
 class ServerState(enum.Enum):
     """What a router believes about one backend server."""
 
--- a/celeryspan/wire/codec.py
+++ b/celeryspan/wire/codec.py
@@ -263,6 +263,14 @@
     )
 
 
+@register_converter(tuple[ids.ServerId, ...])
+def _make_servers_converter() -> tuple[Encode, Decode]:
+    return (
+        lambda servers, places: [_place(server, places) for server in servers],
+        lambda entries, texts: tuple(ids.ServerId(texts[entry]) for entry in entries),
+    )
+
+
 def _snake(name: str) -> str:
     return re.sub(r"(?<=[a-z])(?=[A-Z])", "_", name).lower()
 
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -307,6 +307,142 @@
     slots: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromptPart:
+    """A part of a prompt that requests may share.
+
+    Attributes
+    ----------
+    part : str
+        Names the part; equal names mean equal text after equal parts.
+    """
+
+    part: str
+    tokens: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRequest:
+    """Ask the home of a pool for a place of one request at a backend server.
+
+    Attributes
+    ----------
+    prompt_tokens, output_tokens : int
+        Length of the prompt and estimated length of the answer; 0 for plain services.
+    waited : float
+        Since the caller's request was read, in seconds.
+    objective, timeout : float
+        Latency objective, and time in which the request must end, both from the
+        moment at which it was read, in seconds.
+    gap_max : float
+        Longest pause between events, in seconds.
+    stride : int
+        Tokens in one event.
+    excluded : tuple of ServerId
+        Servers that have failed the request.
+    """
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    account: ids.AccountId
+    data_centre: ids.DataCentreId
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    output_tokens: int
+    waited: float
+    objective: float
+    timeout: float
+    gap_max: float
+    stride: int
+    excluded: tuple[ids.ServerId, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotCancel:
+    """The request needs no place any more."""
+
+    request: ids.RequestId
+    service: ids.ServiceId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotOffer:
+    """A place at a backend server; the router uses it or gives it back."""
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    server: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRefusal:
+    """There is no place for the request in time.
+
+    Attributes
+    ----------
+    retry_after : float
+        Seconds after which a place is likely.
+    reason : str
+        Stable machine-readable name.
+    """
+
+    request: ids.RequestId
+    retry_after: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunHeld:
+    """A request runs at a backend server; tells a new home of the pool.
+
+    Attributes
+    ----------
+    is_begun : bool
+        Whether its first event has come.
+    """
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    account: ids.AccountId
+    server: ids.ServerId
+    parts: tuple[PromptPart, ...]
+    prompt_tokens: int
+    is_begun: bool
+    left: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunBegun:
+    """The first event of a run has come."""
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    server: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunEnded:
+    """A place is free again.
+
+    Attributes
+    ----------
+    ending : RunEnding
+        What it tells of the server.
+    """
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    server: ids.ServerId
+    ending: states.RunEnding
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueAlive:
+    """The home of a pool still holds requests of the receiver."""
+
+    service: ids.ServiceId
+
+
 Message = (
     Demand
     | Grant
@@ -331,6 +467,14 @@
     | Heartbeat
     | MembersRequest
     | Pressure
+    | SlotRequest
+    | SlotCancel
+    | SlotOffer
+    | SlotRefusal
+    | RunHeld
+    | RunBegun
+    | RunEnded
+    | QueueAlive
 )
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -40,6 +40,14 @@
     pressure @20 :Pressure;
     vote @21 :Vote;
     snapshot @22 :Snapshot;
+    slotRequest @23 :SlotRequest;
+    slotCancel @24 :SlotCancel;
+    slotOffer @25 :SlotOffer;
+    slotRefusal @26 :SlotRefusal;
+    runHeld @27 :RunHeld;
+    runBegun @28 :RunBegun;
+    runEnded @29 :RunEnded;
+    queueAlive @30 :QueueAlive;
   }
 }
 
@@ -194,3 +202,69 @@
   busy @2 :UInt32;
   slots @3 :UInt32;
 }
+
+struct PromptPart {
+  part @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct SlotRequest {
+  request @0 :Text;
+  service @1 :Text;
+  account @2 :Text;
+  dataCentre @3 :Text;
+  parts @4 :List(PromptPart);
+  promptTokens @5 :UInt32;
+  outputTokens @6 :UInt32;
+  waited @7 :Float32;
+  objective @8 :Float32;
+  timeout @9 :Float32;
+  gapMax @10 :Float32;
+  stride @11 :UInt16;
+  excluded @12 :List(Text);
+}
+
+struct SlotCancel {
+  request @0 :Text;
+  service @1 :Text;
+}
+
+struct SlotOffer {
+  request @0 :Text;
+  server @1 :Text;
+  service @2 :Text;
+}
+
+struct SlotRefusal {
+  request @0 :Text;
+  retryAfter @1 :Float32;
+  reason @2 :Text;
+}
+
+struct RunHeld {
+  request @0 :Text;
+  service @1 :Text;
+  account @2 :Text;
+  server @3 :Text;
+  parts @4 :List(PromptPart);
+  promptTokens @5 :UInt32;
+  isBegun @6 :Bool;
+  left @7 :Float32;
+}
+
+struct RunBegun {
+  request @0 :Text;
+  service @1 :Text;
+  server @2 :Text;
+}
+
+struct RunEnded {
+  request @0 :Text;
+  service @1 :Text;
+  server @2 :Text;
+  ending @3 :Text;
+}
+
+struct QueueAlive {
+  service @0 :Text;
+}
