Let a watch of the store wait as long as it asks for

Ruled out: the store (all its answers came within 4 ms outside the trouble), lapse rules. Change: connect and read limits are given by name.

--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -173,7 +173,9 @@
                 address,
                 body=None if body is None else json.dumps(body).encode(),
                 headers={"Content-Type": "application/json"},
-                timeout=urllib3.Timeout(CONNECT_SECONDS, wait + ANSWER_SECONDS),
+                timeout=urllib3.Timeout(
+                    connect=CONNECT_SECONDS, read=wait + ANSWER_SECONDS
+                ),
             )
             return self._read(response, step)
         except (urllib3.exceptions.HTTPError, OSError) as error:
