Log what decided each place, and how late a stream was

Change: the home logs each offer with the reading pending, the tokens kept and the wait; the router logs first event, longest pause and their limits with the end of a request.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -74,14 +74,18 @@
 
     Attributes
     ----------
-    read : float
-        Predicted time of reading, in seconds.
+    kept : int
+        Tokens of the prompt that need not be read.
+    pending, read : float
+        Predicted time of reading what came before, and this prompt, in seconds.
     due_at : float
         When the first event is predicted.
     """
 
     router: ids.RouterId
     since: float
+    kept: int
+    pending: float
     read: float
     due_at: float
     end_at: float
@@ -179,16 +183,19 @@
         name: ids.ServerId,
         end_at: float,
         now: float,
-    ) -> None:
+    ) -> Run:
         """Take a place for a request."""
         server = self._servers[name]
         kept = server.cache.count_kept(ask.parts)
         read = self._read_seconds(server, ask, kept) if self._engine else 0.0
+        pending = server.pending(now)
         server.read_until = max(now, server.read_until) + read
         due_at = server.read_until + self._model.first_seconds
         is_long = self._engine is not None and self._is_long(ask, kept)
-        server.runs[ask.request] = Run(router, now, read, due_at, end_at, is_long)
+        run = Run(router, now, kept, pending, read, due_at, end_at, is_long)
+        server.runs[ask.request] = run
         server.cache.use(ask.parts)
+        return run
 
     def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
         """Take in a run that another home has placed."""
@@ -196,7 +203,7 @@
         if server is None:
             return
         server.cache.use(run.parts)
-        held = Run(router, now, 0.0, now, now + run.left, False, run.is_begun)
+        held = Run(router, now, 0, 0.0, 0.0, now, now + run.left, False, run.is_begun)
         server.runs[run.request] = held
 
     def begin(self, request: ids.RequestId, name: ids.ServerId, now: float) -> None:
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -72,10 +72,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """What a router is told: an offer or a refusal."""
+    """What a router is told, and what decided it.
+
+    Attributes
+    ----------
+    waited : float
+        Time that the request waited here, in seconds.
+    run : Run or None
+        The place taken; None for a refusal.
+    """
 
     router: ids.RouterId
     message: messages.SlotOffer | messages.SlotRefusal
+    waited: float
+    run: placing.Run | None = None
 
 
 class Pool:
@@ -114,7 +124,7 @@
             arrived + ask.timeout,
         )
         if self._placing.is_hopeless(ask):
-            return [self._refuse(task, "too-large")]
+            return [self._refuse(task, "too-large", now)]
         self._placing.note_arrival(ask, now)
         self._waiting.setdefault(ask.account, {})[ask.request] = task
         return self.decide(now)
@@ -209,10 +219,10 @@
 
     def _offer(self, task: Task, server: ids.ServerId, now: float) -> Answer:
         self.cancel(task.ask.request)
-        self._placing.take(task.ask, task.router, server, task.end_at, now)
+        run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
         offer = messages.SlotOffer(task.ask.request, self.service, server)
-        return Answer(task.router, offer)
+        return Answer(task.router, offer, now - task.arrived_at, run)
 
     def _expire(self, now: float) -> list[Answer]:
         late = [
@@ -224,15 +234,15 @@
         answers = []
         for task in late:
             self.cancel(task.ask.request)
-            answers.append(self._refuse(task, "no-place-in-time"))
+            answers.append(self._refuse(task, "no-place-in-time", now))
         return answers
 
-    def _refuse(self, task: Task, reason: str) -> Answer:
+    def _refuse(self, task: Task, reason: str, now: float) -> Answer:
         wait = self._estimate_wait()
         spread = 1.0 + RETRY_SPREAD * self._generator.random()
         retry_after = max(RETRY_SECONDS_MIN, wait) * spread
         refusal = messages.SlotRefusal(task.ask.request, retry_after, reason)
-        return Answer(task.router, refusal)
+        return Answer(task.router, refusal, now - task.arrived_at)
 
     def _estimate_wait(self) -> float:
         """Return the time in which what waits now will have been placed, in seconds."""
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -61,6 +61,17 @@
         self.failure: tuple[replies.Reply, bytes] | None = None
         self.timed_out = False
         self.first_at: float | None = None
+        self.last_at = 0.0
+        self.gap = 0.0
+        self.placed_at = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that an event of a stream is passed on."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.gap = max(self.gap, now - self.last_at)
+        self.last_at = now
 
 
 @kernel.register(
@@ -242,6 +253,7 @@
             reused=not channel.is_new,
         )
         progress.sends += 1
+        progress.placed_at = time.monotonic()
         try:
             channel.send(head + order.body, until)
             answer = channel.receive(order.method, order.request, until)
@@ -301,12 +313,11 @@
         sink: orders.Sink,
     ) -> None:
         for event in reply.read_events(progress.last_event):
-            now = time.monotonic()
+            progress.note_event(time.monotonic())
             if not place.is_begun:
                 self._places.begin(place)
             if not progress.is_answering:
                 progress.is_answering = True
-                progress.first_at = now
                 headers = [
                     (name, value)
                     for name, value in reply.headers
@@ -410,8 +421,9 @@
         now = time.monotonic()
         account = order.account or ids.AccountId("")
         took = now - order.received_at
+        first = None
         if progress.first_at is not None:
-            first = progress.first_at - order.received_at
+            first = round(progress.first_at - order.received_at, 3)
             self._meters.observe_first_token(order.service, account, first)
         cost = float(order.incoming.prompt_tokens or 1)
         self._meters.observe_request(
@@ -421,8 +433,15 @@
             events.Event.REQUEST_SETTLED,
             request=order.request,
             server=server,
+            account=account,
             attempts=progress.sends,
+            waited=round(progress.placed_at - order.received_at, 3),
+            first=first,
+            objective=order.route.target_latency,
+            gap=round(progress.gap, 3),
+            gap_max=order.route.gap_max,
             seconds=round(took, 3),
+            prompt=order.incoming.prompt_tokens,
             outcome=states.Outcome.RAN.value,
         )
 
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -173,6 +173,7 @@
     def _tell(self, answers: Iterable[pools.Answer]) -> None:
         for answer in answers:
             self._delivery.send(answer.router, answer.message)
+            log_answer(answer)
 
     def _run(self) -> None:
         waits = False
@@ -209,3 +210,27 @@
             for service, pool in self._pools.items()
             for router in pool.list_routers()
         ]
+
+
+def log_answer(answer: pools.Answer) -> None:
+    """Log one decision of a pool and what it was made by."""
+    message, run = answer.message, answer.run
+    if run is None:
+        events.log(
+            events.Event.PLACE_REFUSED,
+            request=message.request,
+            reason=message.reason,
+            waited=round(answer.waited, 3),
+            retry_after=round(message.retry_after, 3),
+        )
+        return
+    events.log(
+        events.Event.GRANT_ISSUED,
+        request=message.request,
+        server=message.server,
+        waited=round(answer.waited, 3),
+        kept=run.kept,
+        pending=round(run.pending, 3),
+        read=round(run.read, 3),
+        is_long=run.is_long,
+    )
