Let an engine take a step without reading before a pause is too long

Cause: an event takes six steps; six full chunks in a row with their tokens take 313 ms at an engine that is slower by 1.3, so that each stream there paused too long whenever reading went on without a break. Keeping long prompts apart does nothing for that. Ruled out: prompts of over 20,000 tokens (59 of 470 late pauses were at engines apart). Change: what is read in one burst is bounded by the pause that the stream may make, by each engine's own speed; then the engine reads all it has before it gets more. A prompt counts as long by the same speed.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -7,6 +7,8 @@
   anew is weighed ten times against waiting, since it makes all others wait as well.
 * No more than a tenth of a second of reading is pending at one engine: more would make
   first events late, and what is not sent yet can still go elsewhere.
+* An engine that has read for as long as a stream beside it may pause reads all it has
+  before it gets more, so that a step without reading comes between.
 * A prompt whose reading alone makes the streams beside it pause past their limit goes
   to engines set apart, one at a time. How many are set apart follows how much of such
   reading has come lately.
@@ -39,6 +41,9 @@
 """What a run in progress counts for when servers are compared: spreads requests that
 read nothing."""
 
+GAP_MARGIN_SECONDS = 0.02
+"""Part of the longest pause that is left for the way of an event to its caller."""
+
 PLACE_SECONDS = 0.002
 """What another data centre counts for, there and back."""
 
@@ -106,6 +111,17 @@
         self.speed = 1.0
         self.call_seconds = CALL_SECONDS
         self.read_until = 0.0
+        self.burst = 0.0
+
+    def add_reading(self, seconds: float, now: float) -> None:
+        """Note reading that begins when all before it is done.
+
+        ``burst`` is what is read without a step between that reads nothing.
+        """
+        if self.pending(now) <= 0.0:
+            self.burst = 0.0
+        self.burst += seconds
+        self.read_until = max(now, self.read_until) + seconds
 
     def pending(self, now: float) -> float:
         """Return the seconds of reading that lie before a new prompt.
@@ -189,9 +205,9 @@
         kept = server.cache.count_kept(ask.parts)
         read = self._read_seconds(server, ask, kept) if self._engine else 0.0
         pending = server.pending(now)
-        server.read_until = max(now, server.read_until) + read
+        server.add_reading(read, now)
         due_at = server.read_until + self._model.first_seconds
-        is_long = self._engine is not None and self._is_long(ask, kept)
+        is_long = self._engine is not None and self._is_long(ask, kept, server.speed)
         run = Run(router, now, kept, pending, read, due_at, end_at, is_long)
         server.runs[ask.request] = run
         server.cache.use(ask.parts)
@@ -319,12 +335,12 @@
         best: tuple[float, str] | None = None
         for server in fit:
             kept = server.cache.count_kept(ask.parts)
-            is_long = self._is_long(ask, kept)
+            is_long = self._is_long(ask, kept, server.speed)
             if apart and is_long != (server.entry.server in apart):
                 continue
             read = self._read_seconds(server, ask, kept)
             pending = server.pending(now)
-            if not self._admits(server, pending, read, is_long):
+            if not self._admits(ask, server, pending, read, is_long):
                 continue
             cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
             cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
@@ -333,11 +349,21 @@
         return None if best is None else ids.ServerId(best[1])
 
     def _admits(
-        self, server: Server, pending: float, read: float, is_long: bool
+        self,
+        ask: messages.SlotRequest,
+        server: Server,
+        pending: float,
+        read: float,
+        is_long: bool,
     ) -> bool:
+        """Whether a server may get a prompt to read now."""
         if is_long:
             return not server.reads_long()
-        return pending <= 0.0 or pending + read <= PENDING_SECONDS
+        if pending <= 0.0:
+            return True
+        steps = self._model.gap_seconds(0, 0, ask.stride, len(server.runs))
+        longest = ask.gap_max - GAP_MARGIN_SECONDS - steps * server.speed
+        return pending + read <= PENDING_SECONDS and server.burst + read <= longest
 
     def _list_apart(self) -> frozenset[ids.ServerId]:
         """Return the engines set apart: the same ones while their number lasts."""
@@ -349,13 +375,15 @@
         )
         return frozenset(ranked[:count])
 
-    def _is_long(self, ask: messages.SlotRequest, kept: int) -> bool:
+    def _is_long(
+        self, ask: messages.SlotRequest, kept: int, speed: float = 1.0
+    ) -> bool:
         engine = self._engine
         assert engine is not None
         unread = ask.prompt_tokens - kept
         running = engine.slots // 2
         gap = self._model.gap_seconds(unread, kept, engine.stride, running)
-        return gap > ask.gap_max
+        return gap * speed > ask.gap_max - GAP_MARGIN_SECONDS
 
     def _read_seconds(
         self, server: Server, ask: messages.SlotRequest, kept: int
