Decide once a tick for all that wait in a pool

Ruled out: the counters (one home alone kept the order), the node_cut before (it had ended). Change: while others wait a request joins them and the ticker decides; begun and ended runs only wake it; nothing is looked at while no server can take more.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -180,6 +180,13 @@
             read = self._model.read_seconds(ask.prompt_tokens - kept, kept)
             self._long_load += read / APART_FADE_SECONDS
 
+    def is_ready(self, now: float) -> bool:
+        """Whether any server may get more now, whatever it is."""
+        return any(
+            self._is_open(server, now) and server.pending(now) <= PENDING_SECONDS
+            for server in self._iterate()
+        )
+
     def choose(
         self, ask: messages.SlotRequest, end_at: float, now: float
     ) -> ids.ServerId | None:
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -35,7 +35,7 @@
 """A run is forgotten this long after its timeout: its router ends it then, and if the
 message was lost the place would stay taken for good."""
 
-LOOK_AHEAD = 8
+LOOK_AHEAD = 4
 """Requests of one account that are tried in a row, so that one which fits nowhere yet
 does not hold up the rest."""
 
@@ -113,7 +113,11 @@
     def ask(
         self, router: ids.RouterId, ask: messages.SlotRequest, now: float
     ) -> list[Answer]:
-        """Take in a request; returns what is decided at once."""
+        """Take in a request; returns what is decided at once.
+
+        While others wait the next :meth:`tick` decides for all: deciding anew for each
+        message took a whole core with some hundred requests waiting.
+        """
         arrived = now - ask.waited
         task = Task(
             ask,
@@ -126,8 +130,9 @@
         if self._placing.is_hopeless(ask):
             return [self._refuse(task, "too-large", now)]
         self._placing.note_arrival(ask, now)
+        others_wait = bool(self._waiting)
         self._waiting.setdefault(ask.account, {})[ask.request] = task
-        return self.decide(now)
+        return [] if others_wait else self.decide(now)
 
     def cancel(self, request: ids.RequestId) -> None:
         """Take a request out of the queue."""
@@ -137,12 +142,9 @@
                     del self._waiting[account]
                 return
 
-    def begin(
-        self, request: ids.RequestId, server: ids.ServerId, now: float
-    ) -> list[Answer]:
+    def begin(self, request: ids.RequestId, server: ids.ServerId, now: float) -> None:
         """Note the first event of a run."""
         self._placing.begin(request, server, now)
-        return self.decide(now)
 
     def end(
         self,
@@ -150,10 +152,9 @@
         server: ids.ServerId,
         ending: states.RunEnding,
         now: float,
-    ) -> list[Answer]:
+    ) -> None:
         """Take a place back."""
         self._placing.end(request, server, ending, now)
-        return self.decide(now)
 
     def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
         """Take in a run that another home has placed."""
@@ -194,7 +195,7 @@
         """Place as many requests as servers can take now."""
         answers: list[Answer] = []
         stuck: set[ids.AccountId] = set()
-        while len(stuck) < len(self._waiting):
+        while len(stuck) < len(self._waiting) and self._placing.is_ready(now):
             account = min(
                 (name for name in self._waiting if name not in stuck),
                 key=lambda name: (self._shares.level(name), name),
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -107,20 +107,18 @@
     def _take_begun(
         self, _: ids.RouterId, __: ids.Incarnation, begun: messages.RunBegun
     ) -> None:
-        now = time.monotonic()
         with self._lock:
             pool = self._find_pool(begun.service)
-            answers = pool.begin(begun.request, begun.server, now)
-        self._tell(answers)
+            pool.begin(begun.request, begun.server, time.monotonic())
+        self._changed.set()
 
     def _take_ended(
         self, _: ids.RouterId, __: ids.Incarnation, ended: messages.RunEnded
     ) -> None:
-        now = time.monotonic()
         with self._lock:
             pool = self._find_pool(ended.service)
-            answers = pool.end(ended.request, ended.server, ended.ending, now)
-        self._tell(answers)
+            pool.end(ended.request, ended.server, ended.ending, time.monotonic())
+        self._changed.set()
 
     def _find_pool(self, service: ids.ServiceId) -> pools.Pool:
         pool = self._pools.get(service)
@@ -178,7 +176,8 @@
     def _run(self) -> None:
         waits = False
         while not self._stopped:
-            self._changed.wait(TICK_SECONDS if waits else IDLE_SECONDS)
+            if not waits:
+                self._changed.wait(IDLE_SECONDS)
             self._changed.clear()
             try:
                 waits = self._tick(time.monotonic())
