Place those first who can still be in time

Cause: in a peak the oldest went first within each account, so that all waited until they were late, and callers of streams gave up after four objectives while they still waited. Change: requests that a free server would still answer in time go before the others, over all accounts, in the order of shares; waiting ends after three objectives. Ticks of 5 ms.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -304,6 +304,17 @@
         read = sum(self._model.read_seconds(ask.prompt_tokens, 0) for ask in asks)
         return read / servers
 
+    def estimate_first(self, ask: messages.SlotRequest) -> float:
+        """Return the time from a place to the first event, if the best server is free.
+
+        For plain calls, to the answer.
+        """
+        if self._engine is None:
+            return CALL_SECONDS
+        kept = max((s.cache.count_kept(ask.parts) for s in self._iterate()), default=0)
+        unread = max(0, ask.prompt_tokens - kept)
+        return self._model.first_seconds + self._model.read_seconds(unread, kept)
+
     def count_apart(self) -> int:
         """Return how many engines are set apart for long prompts."""
         most = math.floor(len(self._servers) * APART_SHARE_MAX)
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -5,9 +5,10 @@
 pool, decides for all, since six routers that each see a sixth of an engine's prompts
 can neither keep long prompts apart nor hold accounts to equal shares.
 
-* Of the accounts that wait, the one that has begun least goes first
-  (:mod:`accountshares`); within an account, whoever can still be in time, then the
-  rest, each in the order of arrival.
+* Requests that can still be in time go before those that can't: a late answer is worth
+  less to its caller, and in a queue where all wait alike all are late. Of the accounts
+  that have such, the one that has begun least goes first (:mod:`accountshares`);
+  within an account the order of arrival holds.
 * Where a request goes is chosen by :mod:`placing`; what no server can take yet waits
   here, never in an engine's queue.
 * What can't be served in a sensible time is refused at once, with the time after which
@@ -18,7 +19,7 @@
 
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import accountshares, placing
@@ -31,11 +32,15 @@
 """Part of the timeout after which a request that waits is refused: the caller can then
 still come back and be served. A late answer is worth more to it than none."""
 
+PATIENCE_OBJECTIVES = 3.0
+"""Latency objectives after which a request that waits is refused: callers give up on a
+stream without an event after four of them."""
+
 OVERDUE_SECONDS = 1.0
 """A run is forgotten this long after its timeout: its router ends it then, and if the
 message was lost the place would stay taken for good."""
 
-LOOK_AHEAD = 4
+LOOK_AHEAD = 6
 """Requests of one account that are tried in a row, so that one which fits nowhere yet
 does not hold up the rest."""
 
@@ -51,15 +56,15 @@
 
     Attributes
     ----------
-    due_at, give_up_at, end_at : float
-        When the first event is due, when waiting ends, and when the request must have
-        ended; on the home's clock, in seconds.
+    start_by, give_up_at, end_at : float
+        Until when the request must be placed to be in time, when waiting ends, and when
+        the request must have ended; on the home's clock, in seconds.
     """
 
     ask: messages.SlotRequest
     router: ids.RouterId
     arrived_at: float
-    due_at: float
+    start_by: float
     give_up_at: float
     end_at: float
 
@@ -88,6 +93,9 @@
     run: placing.Run | None = None
 
 
+Candidates = dict[ids.AccountId, list[Task]]
+
+
 class Pool:
     """Places at the servers of one service, and the requests that wait for them.
 
@@ -123,8 +131,8 @@
             ask,
             router,
             now,
-            arrived + ask.objective,
-            arrived + ask.timeout * PATIENCE,
+            arrived + ask.objective - self._placing.estimate_first(ask),
+            arrived + min(ask.timeout * PATIENCE, ask.objective * PATIENCE_OBJECTIVES),
             arrived + ask.timeout,
         )
         if self._placing.is_hopeless(ask):
@@ -193,28 +201,44 @@
 
     def decide(self, now: float) -> list[Answer]:
         """Place as many requests as servers can take now."""
+        answers = self._decide_for(self._list_in_time(now), now)
+        if self._placing.is_ready(now):
+            answers += self._decide_for(self._list_late(now), now)
+        return answers
+
+    def _list_in_time(self, now: float) -> Candidates:
+        return self._list(lambda task: task.start_by >= now)
+
+    def _list_late(self, now: float) -> Candidates:
+        return self._list(lambda task: task.start_by < now)
+
+    def _list(self, fits: Callable[[Task], bool]) -> Candidates:
+        """Return the oldest requests of each account that fit, oldest first."""
+        found = {}
+        for account, tasks in self._waiting.items():
+            fitting = [task for task in tasks.values() if fits(task)]
+            if fitting:
+                fitting.sort(key=lambda task: task.arrived_at)
+                found[account] = fitting
+        return found
+
+    def _decide_for(self, candidates: Candidates, now: float) -> list[Answer]:
         answers: list[Answer] = []
-        stuck: set[ids.AccountId] = set()
-        while len(stuck) < len(self._waiting) and self._placing.is_ready(now):
-            account = min(
-                (name for name in self._waiting if name not in stuck),
-                key=lambda name: (self._shares.level(name), name),
-            )
-            answer = self._place_one(account, now)
-            if answer is None:
-                stuck.add(account)
-            else:
+        while candidates and self._placing.is_ready(now):
+            account = min(candidates, key=lambda name: (self._shares.level(name), name))
+            answer = self._place_one(candidates[account], now)
+            if answer is not None:
                 answers.append(answer)
+            if answer is None or not candidates[account]:
+                del candidates[account]
         return answers
 
-    def _place_one(self, account: ids.AccountId, now: float) -> Answer | None:
-        tasks = sorted(
-            self._waiting[account].values(),
-            key=lambda task: (task.due_at < now, task.arrived_at),
-        )
+    def _place_one(self, tasks: list[Task], now: float) -> Answer | None:
+        """Place the first of some requests that a server takes, and take it out."""
         for task in tasks[:LOOK_AHEAD]:
             server = self._placing.choose(task.ask, task.end_at, now)
             if server is not None:
+                tasks.remove(task)
                 return self._offer(task, server, now)
         return None
 
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -16,9 +16,12 @@
     from celeryspan.gateway import catalogues, serverlists
     from celeryspan.services import delivery, identity, membership
 
-TICK_SECONDS = 0.01
+TICK_SECONDS = 0.005
 """How often waiting requests are looked at again: engines read on meanwhile."""
 
+REST_SECONDS = 0.002
+"""Between two looks, however much comes: bounds what deciding takes of a core."""
+
 IDLE_SECONDS = 0.5
 """The same while nothing waits: only lost messages are to be cleaned up."""
 
@@ -176,8 +179,7 @@
     def _run(self) -> None:
         waits = False
         while not self._stopped:
-            if not waits:
-                self._changed.wait(IDLE_SECONDS)
+            self._changed.wait(TICK_SECONDS if waits else IDLE_SECONDS)
             self._changed.clear()
             try:
                 waits = self._tick(time.monotonic())
@@ -188,7 +190,7 @@
                     events.Event.TASK_FAILED, task="poolhomes", error=repr(error)
                 )
             if waits:
-                time.sleep(TICK_SECONDS)
+                time.sleep(REST_SECONDS)
 
     def _tick(self, now: float) -> bool:
         """Decide again in all pools; returns whether anything waits."""
