Let a request wait a little for the engine that keeps its prompt

Change: the best engine is chosen among all that are open; the request waits for it up to a quarter of its objective, then takes the best that is ready.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -9,6 +9,8 @@
   first events late, and what is not sent yet can still go elsewhere.
 * An engine that has read for as long as a stream beside it may pause reads all it has
   before it gets more, so that a step without reading comes between.
+* A request waits a little for the server that keeps its prompt while others are free:
+  reading again costs more, and all who wait there.
 * A prompt whose reading alone makes the streams beside it pause past their limit goes
   to engines set apart, one at a time. How many are set apart follows how much of such
   reading has come lately.
@@ -23,6 +25,7 @@
 import dataclasses
 import math
 from collections.abc import Iterable, Sequence
+from typing import NamedTuple
 
 import xxhash
 
@@ -37,6 +40,11 @@
 READ_WEIGHT = 10.0
 """Weight of reading against waiting for what is read already."""
 
+AFFINITY_WAIT = 0.25
+"""Part of the latency objective that a request waits for the server that keeps most of
+its prompt, while others are free: a few ten milliseconds against reading 5,000 tokens
+again, which takes as long and keeps all others at that server waiting as well."""
+
 RUN_SECONDS = 0.002
 """What a run in progress counts for when servers are compared: spreads requests that
 read nothing."""
@@ -98,6 +106,22 @@
     is_begun: bool = False
 
 
+class Option(NamedTuple):
+    """A server that a request could go to; lower costs are better.
+
+    Attributes
+    ----------
+    cost : float
+        Seconds of waiting, weighed.
+    is_ready : bool
+        Whether the server takes the request now.
+    """
+
+    cost: float
+    server: ids.ServerId
+    is_ready: bool
+
+
 class Server:
     """What the home of a pool knows of one backend server."""
 
@@ -188,16 +212,22 @@
         )
 
     def choose(
-        self, ask: messages.SlotRequest, end_at: float, now: float
+        self, ask: messages.SlotRequest, waited: float, now: float
     ) -> ids.ServerId | None:
-        """Return the server that takes a request now, or None."""
+        """Return the server that takes a request now, or None.
+
+        Parameters
+        ----------
+        waited : float
+            Time that the request has waited here, in seconds.
+        """
         fit = [server for server in self._iterate() if self._is_open(server, now)]
         others = [s for s in fit if s.entry.server not in ask.excluded]
         # One that has failed the request may still be all there is.
         fit = others or (fit if len(ask.excluded) >= len(self._servers) else [])
         if self._engine is None:
             return self._choose_plain(ask, fit)
-        return self._choose_engine(ask, fit, now)
+        return self._choose_engine(ask, fit, waited, now)
 
     def take(
         self,
@@ -347,24 +377,41 @@
         return min(fit, key=cost).entry.server
 
     def _choose_engine(
-        self, ask: messages.SlotRequest, fit: Sequence[Server], now: float
+        self,
+        ask: messages.SlotRequest,
+        fit: Sequence[Server],
+        waited: float,
+        now: float,
     ) -> ids.ServerId | None:
         apart = self._list_apart()
-        best: tuple[float, str] | None = None
+        best = ready = Option(math.inf, ids.ServerId(""), False)
         for server in fit:
-            kept = server.cache.count_kept(ask.parts)
-            is_long = self._is_long(ask, kept, server.speed)
-            if apart and is_long != (server.entry.server in apart):
-                continue
-            read = self._read_seconds(server, ask, kept)
-            pending = server.pending(now)
-            if not self._admits(ask, server, pending, read, is_long):
-                continue
-            cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
-            cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
-            if best is None or (cost, server.entry.server) < best:
-                best = (cost, server.entry.server)
-        return None if best is None else ids.ServerId(best[1])
+            option = self._weigh(ask, server, apart, now)
+            if option is not None:
+                best = min(best, option)
+                ready = min(ready, option) if option.is_ready else ready
+        waits_for_best = ask.waited + waited < AFFINITY_WAIT * ask.objective
+        found = best if waits_for_best else ready
+        return found.server if found.is_ready else None
+
+    def _weigh(
+        self,
+        ask: messages.SlotRequest,
+        server: Server,
+        apart: frozenset[ids.ServerId],
+        now: float,
+    ) -> Option | None:
+        """Return what it would mean to place a request at a server, or None."""
+        kept = server.cache.count_kept(ask.parts)
+        is_long = self._is_long(ask, kept, server.speed)
+        if apart and is_long != (server.entry.server in apart):
+            return None
+        read = self._read_seconds(server, ask, kept)
+        pending = server.pending(now)
+        cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
+        cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
+        is_ready = self._admits(ask, server, pending, read, is_long)
+        return Option(cost, server.entry.server, is_ready)
 
     def _admits(
         self,
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -236,7 +236,7 @@
     def _place_one(self, tasks: list[Task], now: float) -> Answer | None:
         """Place the first of some requests that a server takes, and take it out."""
         for task in tasks[:LOOK_AHEAD]:
-            server = self._placing.choose(task.ask, task.end_at, now)
+            server = self._placing.choose(task.ask, now - task.arrived_at, now)
             if server is not None:
                 tasks.remove(task)
                 return self._offer(task, server, now)
