Let the engine that is free choose among the oldest requests of an account

Cause: in a peak one engine at a time is free; the request that had waited longest took it and read again what another engine kept. Change: of the ten oldest requests of the account whose turn it is, the one goes for which no other engine would be much better.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -122,6 +122,19 @@
     is_ready: bool
 
 
+class Choice(NamedTuple):
+    """The server that takes a request now.
+
+    Attributes
+    ----------
+    regret : float
+        How much better another server would be that can't take it yet, in seconds.
+    """
+
+    server: ids.ServerId
+    regret: float
+
+
 class Server:
     """What the home of a pool knows of one backend server."""
 
@@ -213,7 +226,7 @@
 
     def choose(
         self, ask: messages.SlotRequest, waited: float, now: float
-    ) -> ids.ServerId | None:
+    ) -> Choice | None:
         """Return the server that takes a request now, or None.
 
         Parameters
@@ -361,7 +374,7 @@
 
     def _choose_plain(
         self, ask: messages.SlotRequest, fit: Sequence[Server]
-    ) -> ids.ServerId | None:
+    ) -> Choice | None:
         if not fit:
             return None
         healthy = min(server.health.failing for server in fit)
@@ -374,7 +387,7 @@
                 server.entry.server,
             )
 
-        return min(fit, key=cost).entry.server
+        return Choice(min(fit, key=cost).entry.server, 0.0)
 
     def _choose_engine(
         self,
@@ -382,7 +395,7 @@
         fit: Sequence[Server],
         waited: float,
         now: float,
-    ) -> ids.ServerId | None:
+    ) -> Choice | None:
         apart = self._list_apart()
         best = ready = Option(math.inf, ids.ServerId(""), False)
         for server in fit:
@@ -390,9 +403,11 @@
             if option is not None:
                 best = min(best, option)
                 ready = min(ready, option) if option.is_ready else ready
+        if not ready.is_ready:
+            return None
+        regret = ready.cost - best.cost
         waits_for_best = ask.waited + waited < AFFINITY_WAIT * ask.objective
-        found = best if waits_for_best else ready
-        return found.server if found.is_ready else None
+        return None if regret and waits_for_best else Choice(ready.server, regret)
 
     def _weigh(
         self,
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -40,9 +40,9 @@
 """A run is forgotten this long after its timeout: its router ends it then, and if the
 message was lost the place would stay taken for good."""
 
-LOOK_AHEAD = 6
-"""Requests of one account that are tried in a row, so that one which fits nowhere yet
-does not hold up the rest."""
+LOOK_AHEAD = 10
+"""Requests of one account that are weighed against each other: one that fits nowhere
+yet does not hold up the rest, and the choice is bounded in time."""
 
 RETRY_SPREAD = 0.5
 """Refused callers return over a time this much longer than the estimate."""
@@ -234,13 +234,23 @@
         return answers
 
     def _place_one(self, tasks: list[Task], now: float) -> Answer | None:
-        """Place the first of some requests that a server takes, and take it out."""
-        for task in tasks[:LOOK_AHEAD]:
-            server = self._placing.choose(task.ask, now - task.arrived_at, now)
-            if server is not None:
-                tasks.remove(task)
-                return self._offer(task, server, now)
-        return None
+        """Place one of the oldest requests, and take it out.
+
+        It is the one that fits the servers that are free best: in a peak one engine at
+        a time is free, and would read again what another one keeps.
+        """
+        best: tuple[float, int, ids.ServerId] | None = None
+        for index, task in enumerate(tasks[:LOOK_AHEAD]):
+            choice = self._placing.choose(task.ask, now - task.arrived_at, now)
+            if choice is None:
+                continue
+            if best is None or choice.regret < best[0]:
+                best = (choice.regret, index, choice.server)
+            if choice.regret <= 0.0:
+                break
+        if best is None:
+            return None
+        return self._offer(tasks.pop(best[1]), best[2], now)
 
     def _offer(self, task: Task, server: ids.ServerId, now: float) -> Answer:
         self.cancel(task.ask.request)
