--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the router on the users' platform."""
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,218 @@
+"""Whole routers in one process, before stand-ins of the platform."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import socket
+import time
+from collections.abc import Callable, Iterator
+
+from celeryspan import kernel
+from celeryspan.daemons import gateway
+from celeryspan.gateway import settings
+from standins import objects, platformserver
+
+HOST = "desk.example"
+KEY = "key-of-tower"
+ACCOUNT = "tower"
+CALLS = "/calls/"
+BOOKINGS = "/bookings/"
+DRAFTS = "/drafts/"
+NOTES = "/notes/"
+WAIT_SECONDS = 10.0
+
+
+def make_route(prefix: str, kind: str, service: str, **values: object) -> dict:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 1000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "anonymous": False,
+        "sticky": False,
+        "resumable": False,
+        "max_gap_ms": 2000,
+        **values,
+    }
+
+
+def make_configuration(version: int = 1, **values: object) -> dict:
+    """Return the operator's configuration: a plain service and one of engines."""
+    return {
+        "version": version,
+        "routes": [
+            make_route(CALLS, "idempotent", "gate"),
+            make_route(BOOKINGS, "non_idempotent", "gate", max_attempts=1),
+            make_route(DRAFTS, "stream", "planner", resumable=True),
+            make_route(NOTES, "stream", "planner", max_attempts=1),
+        ],
+        "services": [
+            {"name": "gate", "health_path": "/healthz", "max_conns": 64},
+            {
+                "name": "planner",
+                "health_path": "/healthz",
+                "max_conns": 64,
+                "engine": {"slots": 8, "kv_capacity_tokens": 100_000, "stride": 1},
+            },
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": ACCOUNT, "api_keys": [KEY]}],
+        **values,
+    }
+
+
+class Place:
+    """One router, its store and its backend servers."""
+
+    def __init__(self, stack: contextlib.ExitStack) -> None:
+        self._stack = stack
+        self.store = objects.ObjectStore()
+        self.store.start()
+        stack.callback(self.store.stop)
+
+    def add_server(
+        self, name: str, service: str = "gate", **values: object
+    ) -> platformserver.PlatformServer:
+        """Start a backend server and enter it in the store."""
+        server = platformserver.PlatformServer(name, streams=service == "planner")
+        server.start()
+        self._stack.callback(server.stop)
+        self.enter(server, service, **values)
+        return server
+
+    def enter(
+        self, server: platformserver.PlatformServer, service: str, **values: object
+    ) -> None:
+        """Write the entry of a backend server."""
+        spec = {
+            "service": service,
+            "address": str(server.address),
+            "zone": "hala-a",
+            "slots": 8,
+            "state": "ready",
+            "sequence": 1,
+            **values,
+        }
+        self.store.put("servers", server.name, spec)
+
+    def start_router(self, name: str = "edge-1") -> Router:
+        """Start a router and wait until it has what the store has."""
+        router = Router(name, str(self.store.address))
+        self._stack.callback(router.stop)
+        wanted = set(self.store._objects["servers"])
+        wait_for(lambda: wanted <= set(router.box.find("servers").usable()))
+        if self.store.find("config", "main"):
+            wait_for(lambda: router.box.find("catalogues").current() is not None)
+        return router
+
+
+class Router:
+    """All services of a router on the platform, on ports of loopback."""
+
+    def __init__(self, name: str, store: str) -> None:
+        addresses = [f"127.0.0.1:{port}" for port in find_ports(4)]
+        self.settings = settings.Settings(
+            router=name,
+            data_centre="hala-a",
+            caller_address=addresses[0],
+            peer_address=addresses[1],
+            ready_address=addresses[2],
+            directory_address=addresses[3],
+            store_address=store,
+            fleet_keys=("test",),
+            grace_seconds=6.0,
+        )
+        gateway.import_services()
+        self.box = kernel.Kernel(self.settings)
+        self.box.start(gateway.SERVICES)
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Stop all services."""
+        if not self._stopped:
+            self._stopped = True
+            self.box.stop()
+
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a caller's connection."""
+        host, _, port = self.settings.caller_address.partition(":")
+        return http.client.HTTPConnection(host, int(port), timeout=WAIT_SECONDS)
+
+    def call(
+        self, path: str, request: str = "r1", method: str = "POST", **values: object
+    ) -> http.client.HTTPResponse:
+        """Send one request on a connection of its own; the body is read."""
+        connection = self.connect()
+        answer = ask(connection, path, request, method, **values)
+        connection.close()
+        return answer
+
+    def get(self, address: str, path: str) -> tuple[int, bytes]:
+        """Ask one of the addresses that the platform asks."""
+        host, _, port = address.partition(":")
+        connection = http.client.HTTPConnection(host, int(port), timeout=WAIT_SECONDS)
+        connection.request("GET", path)
+        answer = connection.getresponse()
+        body = answer.read()
+        connection.close()
+        return answer.status, body
+
+
+def ask(
+    connection: http.client.HTTPConnection,
+    path: str,
+    request: str = "r1",
+    method: str = "POST",
+    *,
+    key: str = KEY,
+    body: object = b"asked",
+    headers: dict[str, str] | None = None,
+) -> http.client.HTTPResponse:
+    """Send one request; ``text`` of the answer holds its body."""
+    sent = {
+        "Host": HOST,
+        "Celeryspan-Request-Id": request,
+        "Celeryspan-Deadline-Ms": "2000",
+        "Celeryspan-Credential": key,
+        **(headers or {}),
+    }
+    sent = {name: value for name, value in sent.items() if value}
+    connection.request(method, path, body=body, headers=sent)
+    answer = connection.getresponse()
+    answer.text = answer.read()
+    return answer
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        found = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(count)
+        ]
+        return [each.getsockname()[1] for each in found]
+
+
+def wait_for(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; fails if it never does."""
+    until = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < until, "the condition never held"
+        time.sleep(0.01)
+
+
+@contextlib.contextmanager
+def open_place(*, configured: bool = True) -> Iterator[Place]:
+    """Yield a store, with the configuration of the tests in it."""
+    with contextlib.ExitStack() as stack:
+        place = Place(stack)
+        if configured:
+            place.store.put("config", "main", make_configuration())
+        yield place
--- /dev/null
+++ b/tests/gateway/test_carrier.py
@@ -0,0 +1,201 @@
+"""What callers get when backend servers fail, and what may run twice."""
+
+from __future__ import annotations
+
+import http.client
+
+import pytest
+
+from tests.gateway import support
+
+
+def count_runs(*servers) -> int:
+    """Return how often requests ran on some servers."""
+    return sum(len(server.ran) for server in servers)
+
+
+def test_request_that_a_full_server_rejects_is_promised_not_to_have_run(place) -> None:
+    server = place.add_server("gate-1")
+    server.script.append("full")
+    router = place.start_router()
+    answer = router.call("/bookings/1")
+    assert answer.status == 503
+    assert answer.getheader("Retry-After")
+    assert answer.getheader("Celeryspan-Server-Stamp") is None
+    assert server.ran == []
+
+
+@pytest.mark.parametrize("failure", ["reset", "cut", "unsigned"])
+def test_request_whose_answer_is_lost_runs_once_and_is_promised_nothing(
+    place, failure: str
+) -> None:
+    """A booking runs and its answer is lost on the way.
+
+    A repeat would book twice; a promise that it had not run would make the caller
+    book again.
+    """
+    servers = [place.add_server("gate-1"), place.add_server("gate-2")]
+    for server in servers:
+        server.script.append(failure)
+    router = place.start_router()
+    answer = router.call("/bookings/1")
+    assert answer.status == 502
+    assert count_runs(*servers) == 1
+
+
+@pytest.mark.parametrize("failure", ["reset", "cut", "unsigned", "error", "full"])
+def test_repeatable_request_is_sent_to_another_server(place, failure: str) -> None:
+    servers = [place.add_server("gate-1"), place.add_server("gate-2")]
+    router = place.start_router()
+    servers[0].script.append(failure)
+    servers[1].script.append(failure)
+    answer = router.call("/calls/1", method="GET", body=None)
+    # Each server fails its first request: the second attempt fails as well.
+    assert answer.status in (500, 502, 503)
+    assert len(servers[0].seen) == len(servers[1].seen) == 1
+    answer = router.call("/calls/1", "r2", method="GET", body=None)
+    assert (answer.status, answer.text) == (200, b"served")
+
+
+def test_failure_of_a_server_is_passed_on_as_it_is(place) -> None:
+    server = place.add_server("gate-1")
+    server.script.append("error")
+    router = place.start_router()
+    answer = router.call("/bookings/1")
+    assert (answer.status, answer.text) == (500, b"error")
+    assert answer.getheader("Celeryspan-Server-Stamp")
+
+
+def test_second_answer_reaches_nobody(place) -> None:
+    """A server answers twice on a connection that is then used again.
+
+    The next caller would get the answer to somebody else's booking.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    server.script.extend(["twice", "serve"])
+    for request in ("r1", "r2", "r3"):
+        answer = router.call("/bookings/1", request)
+        assert answer.status == 200
+        assert answer.getheader("Celeryspan-Request-Id") == request
+    assert server.ran == ["r1", "r2", "r3"]
+
+
+def test_answer_without_length_ends_with_its_connection(place) -> None:
+    server = place.add_server("gate-1")
+    server.script.append("unframed")
+    router = place.start_router()
+    answer = router.call("/bookings/1")
+    assert (answer.status, answer.text) == (200, b"served")
+
+
+def test_early_answer_to_a_long_body_is_passed_on(place) -> None:
+    """A server rejects a long request before it has read it, then reads on.
+
+    A router that first writes the whole body, while the server waits to write, stops
+    for good; one that uses the connection again sends a request where the rest of the
+    body is due.
+    """
+    server = place.add_server("gate-1")
+    server.script.append("early")
+    router = place.start_router()
+    answer = router.call("/bookings/1", body=b"x" * 90_000)
+    assert answer.status == 413
+    assert answer.getheader("Celeryspan-Server-Stamp")
+    assert router.call("/bookings/2", "r2").status == 200
+
+
+def test_server_at_a_used_address_is_not_mistaken(place) -> None:
+    """A server is gone and another service's has its address.
+
+    Its 421 says that nothing ran; the router must not send there again.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    server.name = "another"
+    answer = router.call("/bookings/1")
+    assert answer.status == 503
+    assert server.ran == []
+    seen = len(server.seen)
+    assert router.call("/bookings/2", "r2").status == 503
+    assert len(server.seen) == seen
+
+
+def test_server_that_accepts_no_connection_is_passed_over(place) -> None:
+    dead = place.add_server("gate-1")
+    router = place.start_router()
+    dead.stop()
+    alive = place.add_server("gate-2")
+    support.wait_for(lambda: "gate-2" in router.box.find("servers").usable())
+    for number in range(4):
+        assert router.call("/bookings/1", f"r{number}").status == 200
+    assert len(alive.ran) == 4
+
+
+def test_stream_goes_on_at_another_server_without_a_gap(place) -> None:
+    """A server breaks off in the middle of an event of a stream that may be resumed.
+
+    The caller must get each event once and whole, as if nothing had happened.
+    """
+    first = place.add_server("planner-1", "planner")
+    second = place.add_server("planner-2", "planner")
+    router = place.start_router()
+    first.script.append("cut_stream")
+    answer = router.call("/drafts/1")
+    assert second.seen[0].headers["last-event-id"] == "2"
+    assert answer.status == 200
+    numbers = [line for line in answer.text.split(b"\n") if line.startswith(b"id:")]
+    assert numbers == [b"id: %d" % number for number in range(1, 7)]
+    assert answer.text.count(b"data: piece 3\n\n") == 1
+
+
+def test_stream_that_may_not_be_resumed_is_cut_and_not_ended(place) -> None:
+    servers = [
+        place.add_server("planner-1", "planner"),
+        place.add_server("planner-2", "planner"),
+    ]
+    for server in servers:
+        server.script.append("cut_stream")
+    router = place.start_router()
+    with pytest.raises(http.client.IncompleteRead):
+        router.call("/notes/1")
+    assert count_runs(*servers) == 1
+
+
+def test_whole_stream_is_passed_on(place) -> None:
+    place.add_server("planner-1", "planner")
+    router = place.start_router()
+    parts = {
+        "Celeryspan-Token-Count": "120,40",
+        "Celeryspan-Prefix-Hash": "aa:60,bb:40,cc:20",
+    }
+    answer = router.call("/notes/1", headers=parts)
+    assert answer.text.count(b"\n\n") == 6
+    assert answer.getheader("Celeryspan-Server-Stamp")
+
+
+def test_run_ends_when_its_caller_leaves(place) -> None:
+    """A caller closes its connection while its request runs.
+
+    The server would work for nobody until the request's timeout.
+    """
+    server = place.add_server("gate-1")
+    server.script.append("silent")
+    router = place.start_router()
+    caller = router.connect()
+    headers = {"Host": support.HOST, "Celeryspan-Credential": support.KEY}
+    caller.request("POST", "/bookings/1", body=b"", headers=headers)
+    support.wait_for(lambda: server.ran)
+    caller.close()
+    support.wait_for(server.left_early.is_set)
+    places = router.box.find("places")
+    support.wait_for(lambda: places.report()["held"] == 0)
+
+
+def test_caller_gets_an_answer_at_the_end_of_its_time(place) -> None:
+    server = place.add_server("gate-1")
+    server.script.append("silent")
+    router = place.start_router()
+    answer = router.call("/bookings/1", headers={"Celeryspan-Deadline-Ms": "300"})
+    assert answer.status == 504
+    assert len(server.ran) == 1
--- /dev/null
+++ b/tests/gateway/test_front.py
@@ -0,0 +1,157 @@
+"""Requests as callers send them, and what reaches the backend server."""
+
+from __future__ import annotations
+
+import json
+import socket
+
+import pytest
+
+from tests.gateway import support
+
+
+def test_request_reaches_its_server_and_the_answer_its_caller(place) -> None:
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    answer = router.call("/bookings/7?stand=12", headers={"X-Note": "urgent"})
+    assert (answer.status, answer.text) == (200, b"served")
+    assert answer.getheader("Celeryspan-Server-Stamp") == "gate-1.1"
+    assert answer.getheader("Celeryspan-Request-Id") == "r1"
+    (seen,) = server.seen
+    assert (seen.method, seen.target) == ("POST", "/bookings/7?stand=12")
+    assert seen.body == b"asked"
+    assert seen.headers["x-note"] == "urgent"
+    assert seen.headers["celeryspan-tenant"] == support.ACCOUNT
+    assert seen.headers["celeryspan-expect-instance"] == "gate-1"
+    assert 0 < int(seen.headers["celeryspan-deadline-ms"]) <= 2000
+
+
+def test_headers_that_the_system_sets_are_not_the_callers(place) -> None:
+    """A caller names another account, a place in a server's memory and a server.
+
+    Passed on, it would be served on somebody else's account or go on from the memory
+    of another caller's request.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    forged = {
+        "Celeryspan-Tenant": "another",
+        "Celeryspan-Kv-Hold": "h1",
+        "Celeryspan-Pin-Ms": "4000",
+        "Celeryspan-Kv-Backup": "10.0.0.1:80",
+        "Kv-From": "10.0.0.1:80/h",
+        "Kv-Fetch": "10.0.0.1:80",
+        "Celeryspan-Expect-Instance": "gate-9",
+        "Keep-Alive": "timeout=9",
+    }
+    assert router.call("/bookings/1", headers=forged).status == 200
+    (seen,) = server.seen
+    assert seen.headers["celeryspan-tenant"] == support.ACCOUNT
+    assert seen.headers["celeryspan-expect-instance"] == "gate-1"
+    for name in ("kv-hold", "pin-ms", "kv-backup"):
+        assert f"celeryspan-{name}" not in seen.headers
+    assert not {"kv-from", "kv-fetch", "keep-alive"} & seen.headers.keys()
+    assert support.KEY not in seen.headers.values()
+
+
+def test_unknown_route_and_key_are_refused_without_a_server(place) -> None:
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    assert router.call("/elsewhere/1").status == 404
+    assert router.call("/bookings").status == 404
+    assert router.call("/bookings/1", key="guessed").status == 401
+    assert router.call("/bookings/1", key="").status == 401
+    assert server.seen == []
+
+
+def test_anonymous_route_needs_no_key_and_ignores_a_wrong_one(place) -> None:
+    configuration = support.make_configuration(2)
+    configuration["routes"][0]["anonymous"] = True
+    place.store.put("config", "main", configuration)
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    assert router.call("/calls/1", key="").status == 200
+    assert router.call("/calls/1", key="guessed").status == 200
+    assert "celeryspan-tenant" not in server.seen[0].headers
+
+
+def test_router_without_configuration_promises_that_nothing_ran() -> None:
+    """A router starts while the store has no configuration yet.
+
+    A caller that got 404 or 401 from it would not come back, though its route exists.
+    """
+    with support.open_place(configured=False) as place:
+        router = place.start_router()
+        answer = router.call("/bookings/1")
+        assert answer.status == 503
+        assert float(answer.getheader("Retry-After")) > 0
+        assert json.loads(answer.text)["error"]["code"] == "starting"
+        ready, _ = router.get(router.settings.ready_address, "/v1/readyz")
+        assert ready == 503
+
+
+def test_body_in_chunks_arrives_whole(place) -> None:
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    answer = router.call("/bookings/1", body=iter([b"one ", b"two"]))
+    assert answer.status == 200
+    assert server.seen[0].body == b"one two"
+
+
+def test_body_that_breaks_off_reaches_no_server(place) -> None:
+    """A caller announces ten bytes, sends three and leaves.
+
+    A server that got the three would carry out something nobody has asked for.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    host, _, port = router.settings.caller_address.partition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        head = f"POST /bookings/1 HTTP/1.1\r\nHost: {support.HOST}\r\n"
+        caller.sendall(f"{head}Content-Length: 10\r\n\r\nabc".encode())
+    assert router.call("/bookings/2", "r2").status == 200
+    assert [seen.request for seen in server.seen] == ["r2"]
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [
+        "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 5\r\nContent-Length: 6\r\n",
+        "Content-Length: +5\r\n",
+    ],
+)
+def test_request_with_two_ends_is_refused(place, framing: str) -> None:
+    """A caller hides a second request behind a length that readers disagree about.
+
+    Passed on, the second one would run under the key of whoever uses the connection
+    to the server next.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    host, _, port = router.settings.caller_address.partition(":")
+    with socket.create_connection((host, int(port)), timeout=5) as caller:
+        head = f"POST /bookings/1 HTTP/1.1\r\nHost: {support.HOST}\r\n{framing}\r\n"
+        caller.sendall(head.encode() + b"0\r\n\r\nGET /calls/1 HTTP/1.1\r\n\r\n")
+        assert caller.recv(64).startswith(b"HTTP/1.1 400 ")
+    assert server.seen == []
+
+
+def test_directory_names_ready_routers_and_leaves_out_one_that_stops(place) -> None:
+    place.add_server("gate-1")
+    first = place.start_router("edge-1")
+    second = place.start_router("edge-2")
+    both = {first.settings.caller_address, second.settings.caller_address}
+
+    def resolve(router: support.Router) -> set[str]:
+        path = f"/v1/resolve?name={support.HOST}&region=here&zone=hala-a"
+        status, body = router.get(router.settings.directory_address, path)
+        return set(json.loads(body)["addresses"]) if status == 200 else set()
+
+    support.wait_for(lambda: resolve(first) == both and resolve(second) == both)
+    second.box.find("directory").draining = True
+    second.box.find("membership").leave()
+    left = {first.settings.caller_address}
+    support.wait_for(lambda: resolve(first) == left and resolve(second) == left)
+    assert second.get(second.settings.ready_address, "/v1/readyz")[0] == 503
+    assert second.call("/bookings/1").status == 200
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the platform's names, formats and calls."""
