--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -9,6 +9,7 @@
 from celeryspan import VERSION, errors, inputs
 from celeryspan.daemons import (  # noqa: F401 - modules of commands register them
     demo,
+    gateway,
     operations,
     registry,
     router,
--- a/celeryspan/logwriter.py
+++ b/celeryspan/logwriter.py
@@ -16,9 +16,12 @@
 # is killed without warning may lose.
 FLUSH_SECONDS = 0.05
 
-# Lines that wait at most; the thread that logs one more writes them itself, so that a
-# slow disk slows the process down and does not fill its memory. About 20 MB.
-LINES_MAX = 50_000
+# Lines that wait at most, about 8 MB. Further ones are dropped and counted: a reader of
+# the log that stops must neither fill the memory nor stop the threads that log.
+LINES_MAX = 20_000
+
+
+DROPPED_LINE = '{"number":108,"message_type":"log_lines_dropped","count":%d}\n'
 
 
 class LogWriter:
@@ -34,6 +37,7 @@
         self._file = file
         self._lines: collections.deque[str] = collections.deque()
         self._lock = threading.Lock()
+        self._dropped = 0
         threading.Thread(target=self._run, name="log", daemon=True).start()
         atexit.register(self.write_out)
 
@@ -41,9 +45,10 @@
         """Take a line; raises TypeError for bytes, as text files do."""
         if not isinstance(text, str):
             raise TypeError("expected text")
-        self._lines.append(text)
-        if len(self._lines) > LINES_MAX:
-            self.write_out()
+        if len(self._lines) >= LINES_MAX:
+            self._dropped += 1
+        else:
+            self._lines.append(text)
         return len(text)
 
     def flush(self) -> None:
@@ -53,6 +58,9 @@
         """Write all lines that wait."""
         with self._lock:
             lines = [self._lines.popleft() for _ in range(len(self._lines))]
+            if self._dropped:
+                dropped, self._dropped = self._dropped, 0
+                lines.append(DROPPED_LINE % dropped)
             if lines and not self._file.closed:
                 self._file.write("".join(lines))
                 self._file.flush()
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -45,6 +45,28 @@
     messages.Lift("planner-llm", "desk", 812.5),
     messages.Pressure("planner-llm", 3, 7, 16),
     messages.Pending("planner-llm", "desk", 420.0, 3),
+    messages.SlotRequest(
+        "q-1",
+        "planner-llm",
+        "desk",
+        "hala-a",
+        (messages.PromptPart("5c1e", 800), messages.PromptPart("91bd", 410)),
+        1210,
+        80,
+        0.25,
+        0.5,
+        15.0,
+        0.25,
+        6,
+        ("gpu-1", "gpu-2"),
+    ),
+    messages.SlotCancel("q-1", "planner-llm"),
+    messages.SlotOffer("q-1", "planner-llm", "gpu-1"),
+    messages.SlotRefusal("q-1", 0.5, "no-place-in-time"),
+    messages.RunHeld("q-1", "planner-llm", "desk", "gpu-1", (), 1210, True, 2.5),
+    messages.RunBegun("q-1", "planner-llm", "gpu-1"),
+    messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
+    messages.QueueAlive("planner-llm"),
 )
 
 
