Refuse what comes late in a stop

Requests were taken until 3.3 s. Ruled out: the end itself (in the last sixth of the grace, as it must be). Change: requests are refused, as not run, from 2.9 s after the signal on.

--- a/celeryspan/gateway/stopping.py
+++ b/celeryspan/gateway/stopping.py
@@ -16,8 +16,10 @@
 KEEPS = 3
 """Callers keep an answer of the directory up to this many times as long as it says."""
 
-SLACK_SECONDS = 0.3
-"""For requests on their way when callers learn that this router has left."""
+TAKEN_MARGIN_SECONDS = 0.1
+"""New requests are refused this long before the last caller has learnt that this router
+leaves: a stream taken later than that may outlast the grace, and would be cut by the
+end of the process; a caller that is refused has time to go elsewhere."""
 
 END_SECONDS = 0.6
 """Before the end of the grace what is still in progress is ended in order."""
@@ -61,8 +63,8 @@
         self._directory.draining = True
         self._front.draining = True
         self._membership.leave()
-        known = began + KEEPS * directory_module.KEEP_SECONDS + SLACK_SECONDS
-        self._wait(known)
+        known = began + KEEPS * directory_module.KEEP_SECONDS
+        self._wait(known - TAKEN_MARGIN_SECONDS)
         self._front.refusing = True
         quiet_since = time.monotonic()
         while time.monotonic() < end:
