Name peers in the directory by what is believed now

The list of those alive is made anew when a router joins or leaves only; peers that had joined before they had a configuration stayed unready in it, so that some directories named themselves alone. Ruled out: cuts between routers (all had met at -11 s), the callers' choice. Change: the directory asks for the newest belief of each peer. The test fails before.

--- a/celeryspan/gateway/directory.py
+++ b/celeryspan/gateway/directory.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from celeryspan.gateway import catalogues, serverlists
     from celeryspan.services import membership
+    from celeryspan.wire import messages
 
 ADDRESSES_MAX = 64
 
@@ -120,21 +121,26 @@
 
     def list_addresses(self, region: str | None, data_centre: str | None) -> list[str]:
         """Return the addresses of the routers that serve, nearest first."""
-        found = []
-        for member in self._membership.alive():
-            if str(member.caller_address) == self._settings.caller_address:
-                usable = self.is_ready()
-            else:
-                usable = (
-                    member.state in (states.MemberState.ALIVE,)
-                    and member.generation > 0
-                )
-            if usable:
-                found.append(member)
+        found = [
+            member for member in self._membership.members() if self._is_usable(member)
+        ]
         self._random.shuffle(found)
         found.sort(key=lambda member: member.data_centre != data_centre)
         return [str(member.caller_address) for member in found[:ADDRESSES_MAX]]
 
+    def _is_usable(self, member: messages.Member) -> bool:
+        """Whether callers may use a router.
+
+        A peer is ready once it shows a configuration. What is asked is the newest
+        belief: the list of those alive is kept until somebody joins or leaves, and
+        would show peers without the configuration that they have got since. Callers
+        near such a router were sent to it alone, and it refused one in two for want of
+        threads.
+        """
+        if str(member.caller_address) == self._settings.caller_address:
+            return self.is_ready()
+        return member.state is states.MemberState.ALIVE and member.generation > 0
+
     def render_metrics(self) -> bytes:
         """Return the metrics in the text format."""
         return self._metrics.render()
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -137,17 +137,38 @@
     assert server.seen == []
 
 
+def resolve(router: support.Router) -> set[str]:
+    """Return the routers that a directory names."""
+    path = f"/v1/resolve?name={support.HOST}&region=here&zone=hala-a"
+    status, body = router.get(router.settings.directory_address, path)
+    return set(json.loads(body)["addresses"]) if status == 200 else set()
+
+
+def test_directory_names_peers_that_became_ready_after_they_joined() -> None:
+    """Routers meet before there is a configuration, and get it a moment later.
+
+    One that goes on by what it knew when they met names only itself: all callers near
+    it use one router, which has no thread left, while the others idle.
+    """
+    with support.open_place(configured=False) as place:
+        place.add_server("gate-1")
+        routers = [place.start_router(f"edge-{number}") for number in range(2)]
+        for router in routers:
+            membership = router.box.find("membership")
+            support.wait_for(lambda found=membership: len(found.alive()) == 2)
+            assert resolve(router) == set()
+        place.store.put("config", "main", support.make_configuration())
+        both = {router.settings.caller_address for router in routers}
+        for router in routers:
+            support.wait_for(lambda found=router: resolve(found) == both)
+
+
 def test_directory_names_ready_routers_and_leaves_out_one_that_stops(place) -> None:
     place.add_server("gate-1")
     first = place.start_router("edge-1")
     second = place.start_router("edge-2")
     both = {first.settings.caller_address, second.settings.caller_address}
 
-    def resolve(router: support.Router) -> set[str]:
-        path = f"/v1/resolve?name={support.HOST}&region=here&zone=hala-a"
-        status, body = router.get(router.settings.directory_address, path)
-        return set(json.loads(body)["addresses"]) if status == 200 else set()
-
     support.wait_for(lambda: resolve(first) == both and resolve(second) == both)
     second.box.find("directory").draining = True
     second.box.find("membership").leave()
