Learn an engine's speed from long readings, falling fast and rising slowly

Change: readings under 40 ms tell nothing; the speed follows a faster reading by 0.3 of the way and a slower one by 0.05.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -68,13 +68,16 @@
 APART_FADE_SECONDS = 10.0
 """Time over which the reading of long prompts is averaged."""
 
-SPEED_MEMORY = 0.95
-SPEED_PRIOR_SECONDS = 0.5
-"""A server's speed is the reading seen over the reading predicted; each reading makes
-those before it count for a twentieth less, and a new server begins with half a second
-as predicted. A mean of single ratios held engines of the usual speed for 1.2 to 1.8
-times slower, since short readings end with a step that is under way.
-"""
+SPEED_FALL = 0.3
+SPEED_RISE = 0.05
+"""Part of the way that a server's speed follows one reading, down and up. A router with
+much to do tells late of first events, so that readings seem slow now and then and never
+fast; the mean of all held every engine of a full fleet for up to eight times slower,
+and it got an eighth of what it could read."""
+
+SPEED_READ_SECONDS = 0.04
+"""Readings shorter than this tell nothing: the step that is under way and the messages
+take a few ten milliseconds."""
 
 SPEED_RANGE = (0.8, 8.0)
 """How far a server's own speed may differ from the model."""
@@ -148,26 +151,24 @@
     def __init__(
         self, entry: catalog.ServerEntry, engine: catalog.Engine | None
     ) -> None:
+        # Speed is how many times as long as the model says the server takes to read.
         self.entry = entry
         self.runs: dict[ids.RequestId, Run] = {}
         self.health = serverhealth.ServerHealth()
         self.cache = promptcache.PromptCache(engine.memory_tokens if engine else 0)
-        self._seen = SPEED_PRIOR_SECONDS
-        self._predicted = SPEED_PRIOR_SECONDS
+        self.speed = 1.0
         self.call_seconds = CALL_SECONDS
         self.read_until = 0.0
         self.burst = 0.0
 
-    @property
-    def speed(self) -> float:
-        """How many times as long as the model says the server takes to read."""
-        low, high = SPEED_RANGE
-        return min(max(self._seen / self._predicted, low), high)
-
     def learn_speed(self, predicted: float, seen: float) -> None:
         """Learn from one reading; ``predicted`` is for a server of speed 1."""
-        self._seen = self._seen * SPEED_MEMORY + max(0.0, seen)
-        self._predicted = self._predicted * SPEED_MEMORY + predicted
+        if predicted < SPEED_READ_SECONDS:
+            return
+        low, high = SPEED_RANGE
+        ratio = min(max(seen / predicted, low), high)
+        part = SPEED_FALL if ratio < self.speed else SPEED_RISE
+        self.speed += (ratio - self.speed) * part
 
     def add_reading(self, seconds: float, now: float) -> None:
         """Note reading that begins when all before it is done.
