--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -9,7 +9,7 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from bench.engines import engine, loads, site
+from bench.engines import engine, loads, policies, site
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import pools
 from celeryspan.wire import messages
@@ -158,7 +158,11 @@
     """The state of one trial: a clock, engines, and the home of their pool."""
 
     def __init__(
-        self, place: site.Site, asked: Sequence[loads.Arrival], seed: int
+        self,
+        place: site.Site,
+        asked: Sequence[loads.Arrival],
+        seed: int,
+        policy: str = "ledger",
     ) -> None:
         self._site = place
         self._engines = {
@@ -167,7 +171,7 @@
             )
             for index in range(place.engines)
         }
-        self._pool = pools.Pool(ids.ServiceId("engines"), random.Random(seed))
+        self._pool = policies.REGISTRY[policy](random.Random(seed))
         self._pool.set_servers(
             [self._make_entry(name) for name in self._engines],
             catalog.Engine(place.slots, place.memory_tokens, place.stride),
@@ -262,6 +266,7 @@
     *,
     seed: int = 0,
     until: float = 60.0,
+    policy: str = "ledger",
 ) -> Result:
     """Play requests at a deployment; the same seed gives the same result."""
-    return _Trial(place, asked, seed).play(until)
+    return _Trial(place, asked, seed, policy).play(until)
