--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -32,7 +32,7 @@
     read: int = 0
     read_again: int = 0
     started: float = 0.0
-    engine: ids.ServerId = ids.ServerId("")
+    engine: ids.ServerId | None = None
     events: list[float] = dataclasses.field(default_factory=list)
 
 
--- /dev/null
+++ b/standins/desk.py
@@ -0,0 +1,80 @@
+"""The desk that stand-ins of the platform serve: its configuration and key."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections.abc import Callable
+
+HOST = "desk.example"
+KEY = "key-of-tower"
+ACCOUNT = "tower"
+CALLS = "/calls/"
+BOOKINGS = "/bookings/"
+DRAFTS = "/drafts/"
+NOTES = "/notes/"
+WAIT_SECONDS = 10.0
+
+
+def make_route(prefix: str, kind: str, service: str, **values: object) -> dict:
+    """Return a route of the operator's configuration."""
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 1000,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "anonymous": False,
+        "sticky": False,
+        "resumable": False,
+        "max_gap_ms": 2000,
+        **values,
+    }
+
+
+def make_configuration(version: int = 1, **values: object) -> dict:
+    """Return the operator's configuration: a plain service and one of engines."""
+    return {
+        "version": version,
+        "routes": [
+            make_route(CALLS, "idempotent", "gate"),
+            make_route(BOOKINGS, "non_idempotent", "gate", max_attempts=1),
+            make_route(DRAFTS, "stream", "planner", resumable=True),
+            make_route(NOTES, "stream", "planner", max_attempts=1),
+        ],
+        "services": [
+            {"name": "gate", "health_path": "/healthz", "max_conns": 64},
+            {
+                "name": "planner",
+                "health_path": "/healthz",
+                "max_conns": 64,
+                "engine": {"slots": 8, "kv_capacity_tokens": 100_000, "stride": 1},
+            },
+        ],
+        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
+        "tenants": [{"name": ACCOUNT, "api_keys": [KEY]}],
+        **values,
+    }
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that were free a moment ago."""
+    with contextlib.ExitStack() as stack:
+        found = [
+            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
+            for _ in range(count)
+        ]
+        return [each.getsockname()[1] for each in found]
+
+
+def wait_for(condition: Callable[[], object]) -> None:
+    """Wait until a condition holds; fails if it never does."""
+    until = time.monotonic() + WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < until, "the condition never held"
+        time.sleep(0.01)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -53,8 +53,8 @@
         What happens to the next requests, one word each: see the methods ``_do_*``.
     seen : list of Seen
         All requests that arrived.
-    ran : list of str
-        Ids of the requests that ran.
+    ran, ran_at : list of str, list of float
+        Ids of the requests that ran, and when each began.
     connections : int
         Connections accepted so far.
     """
@@ -65,6 +65,7 @@
         self.script: collections.deque[str] = collections.deque()
         self.seen: list[Seen] = []
         self.ran: list[str] = []
+        self.ran_at: list[float] = []
         self.left_early = threading.Event()
         self.connections = 0
         self.event_seconds = 0.0
@@ -137,8 +138,12 @@
         word = self.script.popleft() if self.script else "serve"
         return getattr(self, f"_do_{word}")(seen, connection)
 
-    def _do_serve(self, seen: Seen, connection: socket.socket) -> bool:
+    def _note_run(self, seen: Seen) -> None:
         self.ran.append(seen.request)
+        self.ran_at.append(time.monotonic())
+
+    def _do_serve(self, seen: Seen, connection: socket.socket) -> bool:
+        self._note_run(seen)
         if not self.streams:
             connection.sendall(self._write_head(seen, 200, len(BODY)) + BODY)
             return True
@@ -154,23 +159,23 @@
         return True
 
     def _do_error(self, seen: Seen, connection: socket.socket) -> bool:
-        self.ran.append(seen.request)
+        self._note_run(seen)
         connection.sendall(self._write_head(seen, 500, 5) + b"error")
         return True
 
     def _do_reset(self, seen: Seen, connection: socket.socket) -> bool:
-        self.ran.append(seen.request)
+        self._note_run(seen)
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         return False
 
     def _do_cut(self, seen: Seen, connection: socket.socket) -> bool:
-        self.ran.append(seen.request)
+        self._note_run(seen)
         connection.sendall(self._write_head(seen, 200, len(BODY)) + BODY[:3])
         return False
 
     def _do_cut_stream(self, seen: Seen, connection: socket.socket) -> bool:
         """Break off in the middle of the third event."""
-        self.ran.append(seen.request)
+        self._note_run(seen)
         connection.sendall(self._write_head(seen, 200, None))
         sent = b"".join(list(self._write_events(seen))[:3])[:-4]
         connection.sendall(b"%x\r\n%b\r\n" % (len(sent), sent))
@@ -178,19 +183,19 @@
 
     def _do_twice(self, seen: Seen, connection: socket.socket) -> bool:
         """Answer, and answer again at once."""
-        self.ran.append(seen.request)
+        self._note_run(seen)
         answer = self._write_head(seen, 200, len(BODY)) + BODY
         connection.sendall(answer + answer)
         return True
 
     def _do_unsigned(self, seen: Seen, connection: socket.socket) -> bool:
-        self.ran.append(seen.request)
+        self._note_run(seen)
         head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: {seen.request}\r\n"
         connection.sendall(f"{head}Content-Length: 2\r\n\r\nno".encode())
         return True
 
     def _do_unframed(self, seen: Seen, connection: socket.socket) -> bool:
-        self.ran.append(seen.request)
+        self._note_run(seen)
         head = self._write_head(seen, 200, None).replace(
             b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"
         )
@@ -199,7 +204,7 @@
 
     def _do_silent(self, seen: Seen, connection: socket.socket) -> bool:
         """Run, and answer nothing until the other end leaves."""
-        self.ran.append(seen.request)
+        self._note_run(seen)
         connection.settimeout(10)
         if not connection.recv(1):
             self.left_early.set()
--- /dev/null
+++ b/tests/daemons/test_launch.py
@@ -0,0 +1,30 @@
+"""The platform's router holds its signals back from the first moment."""
+
+from __future__ import annotations
+
+import signal
+import subprocess
+import sys
+
+PROGRAM = """
+import signal, sys
+import celeryspan.daemons.launch as launch
+held = signal.pthread_sigmask(signal.SIG_BLOCK, [])
+assert set(launch.HELD) <= held, held
+assert "celeryspan.daemons.gateway" not in sys.modules
+signal.raise_signal(signal.SIGHUP)
+print("alive")
+"""
+
+
+def test_signal_during_the_imports_waits() -> None:
+    """Settings change while a router starts, and the platform sends SIGHUP.
+
+    The daemon's imports were still under way; the signal ended the process, and callers
+    near it had no router until the platform started it again.
+    """
+    done = subprocess.run(
+        [sys.executable, "-c", PROGRAM], capture_output=True, text=True, timeout=60
+    )
+    assert (done.returncode, done.stdout) == (0, "alive\n"), done.stderr
+    assert signal.SIGHUP not in signal.pthread_sigmask(signal.SIG_BLOCK, [])
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -4,68 +4,22 @@
 
 import contextlib
 import http.client
-import socket
-import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from celeryspan import kernel
 from celeryspan.daemons import gateway
 from celeryspan.gateway import settings
-from standins import objects, platformserver
-
-HOST = "desk.example"
-KEY = "key-of-tower"
-ACCOUNT = "tower"
-CALLS = "/calls/"
-BOOKINGS = "/bookings/"
-DRAFTS = "/drafts/"
-NOTES = "/notes/"
-WAIT_SECONDS = 10.0
-
-
-def make_route(prefix: str, kind: str, service: str, **values: object) -> dict:
-    """Return a route of the operator's configuration."""
-    return {
-        "name": prefix.strip("/"),
-        "host": HOST,
-        "path_prefix": prefix,
-        "route_type": kind,
-        "timeout_ms": 3000,
-        "target_latency_ms": 1000,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 2,
-        "anonymous": False,
-        "sticky": False,
-        "resumable": False,
-        "max_gap_ms": 2000,
-        **values,
-    }
+from standins import desk, objects, platformserver
 
+HOST = desk.HOST
+KEY = desk.KEY
+ACCOUNT = desk.ACCOUNT
+WAIT_SECONDS = desk.WAIT_SECONDS
 
-def make_configuration(version: int = 1, **values: object) -> dict:
-    """Return the operator's configuration: a plain service and one of engines."""
-    return {
-        "version": version,
-        "routes": [
-            make_route(CALLS, "idempotent", "gate"),
-            make_route(BOOKINGS, "non_idempotent", "gate", max_attempts=1),
-            make_route(DRAFTS, "stream", "planner", resumable=True),
-            make_route(NOTES, "stream", "planner", max_attempts=1),
-        ],
-        "services": [
-            {"name": "gate", "health_path": "/healthz", "max_conns": 64},
-            {
-                "name": "planner",
-                "health_path": "/healthz",
-                "max_conns": 64,
-                "engine": {"slots": 8, "kv_capacity_tokens": 100_000, "stride": 1},
-            },
-        ],
-        "limits": {"max_body_bytes": 100_000, "idle_timeout_ms": 15_000},
-        "tenants": [{"name": ACCOUNT, "api_keys": [KEY]}],
-        **values,
-    }
+find_ports = desk.find_ports
+make_configuration = desk.make_configuration
+make_route = desk.make_route
+wait_for = desk.wait_for
 
 
 class Place:
@@ -190,24 +144,6 @@
     return answer
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        found = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [each.getsockname()[1] for each in found]
-
-
-def wait_for(condition: Callable[[], object]) -> None:
-    """Wait until a condition holds; fails if it never does."""
-    until = time.monotonic() + WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < until, "the condition never held"
-        time.sleep(0.01)
-
-
 @contextlib.contextmanager
 def open_place(*, configured: bool = True) -> Iterator[Place]:
     """Yield a store, with the configuration of the tests in it."""
