Show the platform's path in the demo

Cause: make demo showed the product's own interface only. Change: celeryspan demo-platform runs a store, four servers and three routers in one process; make demo runs both.

--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: $(STAMP)
 	$(VENV)/bin/celeryspan demo
+	$(VENV)/bin/celeryspan demo-platform
 
 test: $(STAMP)
 	$(PYTHON) -m pytest
--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -11,6 +11,7 @@
     demo,
     gateway,
     operations,
+    platformdemo,
     registry,
     router,
 )
--- /dev/null
+++ b/celeryspan/daemons/platformdemo.py
@@ -0,0 +1,153 @@
+"""Three routers of the users' platform in one process, before its stand-ins."""
+
+from __future__ import annotations
+
+import collections
+import concurrent.futures
+import contextlib
+import time
+
+import rich.console
+import rich.table
+import urllib3
+from absl import flags
+
+from celeryspan import ids, kernel
+from celeryspan.daemons import gateway, registry
+from celeryspan.gateway import settings
+from standins import desk, objects, platformserver
+
+ROUTERS = 3
+SERVERS = {"gate": 2, "planner": 2}
+REQUESTS = 200
+CALLERS = 8
+CALL_SECONDS = 5.0
+PATHS = (desk.CALLS, desk.BOOKINGS, desk.DRAFTS, desk.NOTES)
+
+
+class PlatformDemo:
+    """A store, backend servers and routers, and what callers get of them.
+
+    Parameters
+    ----------
+    stack : ExitStack
+        Stops everything that is started.
+    """
+
+    def __init__(self, stack: contextlib.ExitStack) -> None:
+        self.store = objects.ObjectStore()
+        self.store.start()
+        stack.callback(self.store.stop)
+        self.store.put("config", "main", desk.make_configuration())
+        self.servers = [
+            self._start_server(stack, f"{service}-{number}", service)
+            for service, count in SERVERS.items()
+            for number in range(count)
+        ]
+        gateway.import_services()
+        self.boxes = [
+            self._start_router(stack, f"edge-{number}") for number in range(ROUTERS)
+        ]
+        self._pool = urllib3.PoolManager(
+            maxsize=CALLERS, retries=False, timeout=CALL_SECONDS
+        )
+        stack.callback(self._pool.clear)
+
+    def wait(self) -> None:
+        """Wait until each router knows all others, all servers and a configuration."""
+        desk.wait_for(
+            lambda: all(
+                len(box.find("membership").alive()) == ROUTERS
+                and len(box.find("servers").usable()) == len(self.servers)
+                and box.find("directory").is_ready()
+                for box in self.boxes
+            )
+        )
+
+    def ask(self, number: int) -> tuple[str, int]:
+        """Send one request to one router; returns its path and status."""
+        box = self.boxes[number % ROUTERS]
+        path = PATHS[number % len(PATHS)]
+        answer = self._pool.request(
+            "GET" if path == desk.CALLS else "POST",
+            f"http://{box.settings.caller_address}{path}{number}",
+            headers={
+                "Host": desk.HOST,
+                "Celeryspan-Request-Id": f"demo-{number}",
+                "Celeryspan-Deadline-Ms": "3000",
+                "Celeryspan-Credential": desk.KEY,
+            },
+        )
+        return path, answer.status
+
+    def _start_server(
+        self, stack: contextlib.ExitStack, name: str, service: str
+    ) -> platformserver.PlatformServer:
+        server = platformserver.PlatformServer(name, streams=service == "planner")
+        server.start()
+        stack.callback(server.stop)
+        entry = {
+            "service": service,
+            "address": str(server.address),
+            "zone": "hala-a",
+            "slots": 8,
+            "state": "ready",
+        }
+        self.store.put("servers", name, entry)
+        return server
+
+    def _start_router(self, stack: contextlib.ExitStack, name: str) -> kernel.Kernel:
+        ports = desk.find_ports(4)
+        front, peer, ready, directory = (
+            str(ids.Address("127.0.0.1", port)) for port in ports
+        )
+        box = kernel.Kernel(
+            settings.Settings(
+                router=name,
+                data_centre="hala-a",
+                caller_address=front,
+                peer_address=peer,
+                ready_address=ready,
+                directory_address=directory,
+                store_address=str(self.store.address),
+                fleet_keys=("demo",),
+            )
+        )
+        box.start(gateway.SERVICES)
+        stack.callback(box.stop)
+        return box
+
+
+@registry.command("demo-platform")
+def run(arguments: list[str], values: flags.FlagValues) -> registry.Exit:
+    """Run three routers of the users' platform before its stand-ins.
+
+    A store, four backend servers and three routers run in this process; two hundred
+    requests of four kinds are sent. The last line says what their callers got.
+    """
+    began = time.monotonic()
+    with contextlib.ExitStack() as stack:
+        demo = PlatformDemo(stack)
+        demo.wait()
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            told = list(pool.map(demo.ask, range(REQUESTS)))
+        runs = collections.Counter(name for s in demo.servers for name in s.ran)
+    render(told)
+    answered = sum(status == 200 for _, status in told)
+    twice = sum(count > 1 for count in runs.values())
+    seconds = time.monotonic() - began
+    print(
+        f"asked {len(told)}, answered {answered}, ran_twice {twice}, {seconds:.1f} s",
+        flush=True,
+    )
+    whole = answered == len(told) and not twice
+    return registry.Exit.DONE if whole else registry.Exit.FAILED
+
+
+def render(told: list[tuple[str, int]]) -> None:
+    """Print how many requests of each path were answered with which status."""
+    counts = collections.Counter(told)
+    table = rich.table.Table("path", "status", "requests")
+    for (path, status), count in sorted(counts.items()):
+        table.add_row(path, str(status), str(count))
+    rich.console.Console().print(table)
