Let two routers of a data centre read the store for the rest

Cause: each router watched two kinds of the store for a second at a time. Ruled out: longer watches alone (a connection gone silent would hide a leaving server for as long), keep-alive probes of the connection alone (they find it after 3 s). Change: decisions/relays names two sources in each data centre; the others ask them each second and hear changes and, each 0.4 s, the age of what they know. Without a word of at most 1.8 s a router reads the store itself. decisions/storelog makes batches that a receiver can check for gaps. A peer's newer configuration is asked for only when it has not come by that way within 0.4 s. The list of routers is read again only after 30 s once all are met. Tests: a state machine of two sources and a listener; four real routers of which two hear a leaving server and a new configuration without reading the store.

--- a/celeryspan/events.py
+++ b/celeryspan/events.py
@@ -67,6 +67,7 @@
     STORE_ANSWER_LOST = 603
     CLAIM_WON = 604
     CLAIM_LOST = 605
+    STORE_READERS_CHANGED = 606
 
     LEASE_TAKEN = 701
     LEASE_LOST = 702
--- a/celeryspan/gateway/catalogues.py
+++ b/celeryspan/gateway/catalogues.py
@@ -13,22 +13,28 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, errors, events, ids, kernel
+from celeryspan import catalog, errors, events, ids, kernel, storedobjects
 from celeryspan.gateway import followers
-from celeryspan.platform import catalogues, names, objects
+from celeryspan.platform import catalogues, names
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import objectstore
-    from celeryspan.services import links, membership
+    from celeryspan.gateway import objectstore, relays
+    from celeryspan.services import identity, links, membership
 
 Handler = Callable[[catalog.Catalogue], None]
 
 REQUEST_SECONDS = 0.5
 """After this long without an answer another peer may be asked."""
 
+BEHIND_SECONDS = 0.4
+"""How long a peer's higher revision is left to come by the usual way: asked at once, a
+configuration of 50 KB crossed between data centres once for each router."""
 
-@kernel.register("catalogues", needs=("objects", "links", "membership"))
+
+@kernel.register(
+    "catalogues", needs=("identity", "objects", "links", "membership", "relays")
+)
 class CataloguesService:
     """Holds the catalogue in force; takes only a higher revision."""
 
@@ -37,12 +43,15 @@
         self._links: links.LinksService = box.find("links")
         self._membership: membership.MembershipService = box.find("membership")
         self._current: catalog.Catalogue | None = None
-        self._object: objects.StoredObject | None = None
+        self._object: storedobjects.StoredObject | None = None
         self._handlers: list[Handler] = []
         self._lock = threading.Lock()
         self._asked_until = 0.0
+        self._behind_since: float | None = None
+        own: identity.IdentityService = box.find("identity")
+        self._relays: relays.RelayService = box.find("relays")
         self._follower = followers.Follower(
-            store.client, names.CONFIGURATION_KIND, self
+            store.client, names.CONFIGURATION_KIND, self, own.router, depth=0
         )
 
     def start(self) -> None:
@@ -50,7 +59,8 @@
         self._links.subscribe(messages.ConfigurationRequest, self._answer)
         self._links.subscribe(messages.ConfigurationValue, self._take_value)
         self._membership.on_ahead(self._ask)
-        self._follower.start()
+        self._relays.join(self._follower)
+        self._follower.start(self._relays)
 
     def stop(self) -> None:
         """Stop following."""
@@ -73,12 +83,12 @@
             return {"version": None}
         return {"version": current.version, "revision": current.revision}
 
-    def replace(self, listing: objects.Listing) -> None:
+    def replace(self, listing: storedobjects.Listing) -> None:
         """Take in the configuration out of a list."""
         for found in listing.objects:
             self._take(found)
 
-    def apply(self, changes: objects.Changes) -> None:
+    def apply(self, changes: storedobjects.Changes) -> None:
         """Take in the newest configuration out of changes."""
         for change in changes.changes:
             if not change.is_deleted:
@@ -90,7 +100,7 @@
     def regain(self) -> None:
         """Nothing to do: a list or watch follows."""
 
-    def _take(self, found: objects.StoredObject, peer: str = "store") -> None:
+    def _take(self, found: storedobjects.StoredObject, peer: str = "store") -> None:
         if found.name != names.CONFIGURATION_NAME:
             return
         with self._lock:
@@ -105,6 +115,7 @@
                 )
                 return
             self._object, self._current = found, current
+            self._behind_since = None
         events.log(
             events.Event.CONFIGURATION_IN_FORCE,
             generation=current.revision,
@@ -120,7 +131,12 @@
         now = time.monotonic()
         with self._lock:
             above = self._object.revision if self._object else 0
-            if member.generation <= above or now < self._asked_until:
+            if member.generation <= above:
+                return
+            if above and self._behind_since is None:
+                self._behind_since = now
+            since = self._behind_since or -BEHIND_SECONDS
+            if now < max(self._asked_until, since + BEHIND_SECONDS):
                 return
             self._asked_until = now + REQUEST_SECONDS
         self._links.learn(member.router, member.peer_address)
@@ -145,7 +161,7 @@
         _: ids.Incarnation,
         value: messages.ConfigurationValue,
     ) -> None:
-        found = objects.StoredObject(
+        found = storedobjects.StoredObject(
             name=names.CONFIGURATION_NAME,
             revision=value.generation,
             spec=json.loads(value.body),
--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -20,8 +20,9 @@
 
 PAUSE_FIRST = 0.25
 PAUSE_MAX = 30.0
-"""Pauses between two looks at the list; they double. A router that nobody has met is
-found by the others' looks and by its own."""
+"""Pauses between two looks at the list; they double, and are the longest once all
+listed routers are met. A router that nobody has met is found by the others' looks and
+by its own."""
 
 
 @kernel.register("fleet", needs=("identity", "objects", "membership"))
@@ -52,8 +53,7 @@
         while not self._stopped.is_set():
             try:
                 self._write()
-                self._read()
-                pause = min(pause * 2, PAUSE_MAX)
+                pause = PAUSE_MAX if self._read() else min(pause * 2, PAUSE_MAX)
             except errors.StoreError as error:
                 events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
             self._stopped.wait(pause * self._random.uniform(0.7, 1.0))
@@ -71,7 +71,8 @@
             self._client.replace(names.ROUTER_KIND, name, spec, found.revision)
         self._is_written = True
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
+        """Read where the others are; returns whether all of them are met."""
         seeds = []
         for found in self._client.list_objects(names.ROUTER_KIND).objects:
             try:
@@ -84,3 +85,5 @@
             if address != self._address:
                 seeds.append(address)
         self._membership.set_seeds(seeds)
+        met = {member.peer_address for member in self._membership.members()}
+        return bool(seeds) and met.issuperset(seeds)
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -1,4 +1,8 @@
-"""Follows all objects of one kind in the store: a list, then watches."""
+"""Keeps a reader up to date with all objects of one kind in the store.
+
+The objects come from the store itself, by a list and then watches, or from routers
+beside this one that read it (:mod:`celeryspan.decisions.relays`).
+"""
 
 from __future__ import annotations
 
@@ -7,17 +11,20 @@
 import time
 from typing import Protocol
 
-from celeryspan import errors, events
+from celeryspan import errors, events, ids, storedobjects
+from celeryspan.decisions import relays, storelog
 from celeryspan.platform import objects
 
-WATCH_SECONDS = 1.0
-"""How long a watch waits. A connection that has gone silent is found this much later
-and a little more; a leaving server must be known within two seconds."""
+CHECK_SECONDS = 0.2
+"""How often a router that hears others looks whether it still does."""
 
 PAUSE_FIRST = 0.05
 PAUSE_MAX = 0.5
-"""Pauses between attempts while the store does not answer; the rates of the store bear
-a fleet of hundreds at the longest pause."""
+"""Pauses of a source between attempts while the store does not answer."""
+
+PAUSE_MAX_OTHERS = 2.0
+"""The same for all other routers, which are many: they only try in case the store
+answers them and not their sources."""
 
 AWAY_FAILURES = 2
 """Failures in a row that count as an outage: a single one may be a connection that has
@@ -25,13 +32,13 @@
 
 
 class Reader(Protocol):
-    """What is done with what a follower reads; called from its task."""
+    """What is done with what a follower reads; called by one task at a time."""
 
-    def replace(self, listing: objects.Listing) -> None:
+    def replace(self, listing: storedobjects.Listing) -> None:
         """Take in all objects."""
 
-    def apply(self, changes: objects.Changes) -> None:
-        """Take in changes; called with none after a quiet watch."""
+    def apply(self, changes: storedobjects.Changes) -> None:
+        """Take in changes."""
 
     def lose(self) -> None:
         """Note that the store does not answer."""
@@ -40,35 +47,118 @@
         """Note that the store answers."""
 
 
-class Follower:
-    """One task that keeps a reader up to date with one kind of objects."""
+class Relayer(Protocol):
+    """Passes on to other routers what a follower has taken in."""
 
-    def __init__(self, client: objects.ObjectClient, kind: str, reader: Reader) -> None:
+    def publish(self, kind: str) -> None:
+        """Pass on news."""
+
+
+class Follower:
+    """One kind of objects, read by one task or heard from other routers.
+
+    Attributes
+    ----------
+    kind : str
+    relays : Relays
+        Who reads the store for whom.
+    log : StoreLog
+        What is known, to be passed on.
+    """
+
+    def __init__(
+        self,
+        client: objects.ObjectClient,
+        kind: str,
+        reader: Reader,
+        router: ids.RouterId,
+        depth: int = storelog.BATCHES_MAX,
+    ) -> None:
+        self.kind = kind
+        self.relays = relays.Relays(router)
+        self.log = storelog.StoreLog(depth)
         self._client = client
-        self._kind = kind
         self._reader = reader
-        self._at: int | None = None
+        self._relayer: Relayer | None = None
+        self._lists = True
+        self._read_at = float("-inf")
         self._failures = 0
         self._random = random.Random(f"{kind}{time.time_ns()}")
+        self._lock = threading.RLock()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=f"follow-{kind}", daemon=True
         )
 
-    def start(self) -> None:
+    def start(self, relayer: Relayer) -> None:
         """Begin to follow."""
+        self._relayer = relayer
         self._thread.start()
 
     def stop(self) -> None:
         """Stop following; a waiting watch ends by itself."""
         self._stopped.set()
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the store answers neither this router nor those that it hears."""
+        if self._failures:
+            return self._failures >= AWAY_FAILURES
+        return self.relays.is_away() and not self.relays.is_source
+
+    def measure_age(self, now: float) -> float:
+        """Return how old the knowledge of the store's state is, in seconds."""
+        return now - max(self._read_at, self.relays.read_at())
+
+    def hear(
+        self,
+        source: ids.RouterId,
+        batch: storelog.Batch,
+        age: float,
+        *,
+        is_away: bool,
+    ) -> bool:
+        """Take in what another router tells; returns whether changes are missing."""
+        now = time.monotonic()
+        with self._lock:
+            self.relays.note_word(source, age, now, is_away=is_away)
+            if self._failures == 0 and not self.relays.is_source:
+                self._note_store()
+            if self._take(batch):
+                return False
+            return self.log.is_behind(batch)
+
+    def _note_store(self) -> None:
+        """Tell the reader what the sources say of the store."""
+        if self.relays.is_away():
+            self._reader.lose()
+        else:
+            self._reader.regain()
+
+    def _take(self, batch: storelog.Batch) -> bool:
+        """Take in a batch from wherever it comes, and pass it on."""
+        with self._lock:
+            if not self.log.take(batch):
+                return False
+            if batch.is_whole:
+                listed = tuple(change.object for change in batch.changes)
+                self._reader.replace(storedobjects.Listing(listed, batch.at))
+            elif batch.changes:
+                self._reader.apply(storedobjects.Changes(batch.changes, batch.at))
+        if self._relayer is not None and (batch.is_whole or batch.changes):
+            self._relayer.publish(self.kind)
+        return True
+
     def _run(self) -> None:
         while not self._stopped.is_set():
+            if not self.relays.must_read(time.monotonic()):
+                self._failures = 0
+                self._stopped.wait(CHECK_SECONDS)
+                continue
             try:
-                self._step()
+                self._read()
             except errors.HistoryGone:
-                self._at = None
+                self._lists = True
             except errors.StoreError as error:
                 self._fail(error)
             except Exception as error:
@@ -76,40 +166,49 @@
                 # router that serves an old configuration for good.
                 events.log(
                     events.Event.TASK_FAILED,
-                    task=f"follow {self._kind}",
+                    task=f"follow {self.kind}",
                     error=repr(error),
                 )
                 self._stopped.wait(PAUSE_MAX)
 
-    def _step(self) -> None:
-        if self._at is None:
-            listing = self._client.list_objects(self._kind)
-            self._note_answer()
-            self._reader.replace(listing)
-            self._at = listing.at
-            return
-        changes = self._client.watch(self._kind, self._at, WATCH_SECONDS)
+    def _read(self) -> None:
+        """Read the store once: a list at first, then watches."""
+        at = self.log.at
+        if at is None or self._lists:
+            listing = self._client.list_objects(self.kind)
+            changes = tuple(
+                storedobjects.Change(found, False) for found in listing.objects
+            )
+            batch = storelog.Batch(0, listing.at, changes, is_whole=True)
+        else:
+            found = self._client.watch(self.kind, at, relays.WATCH_SECONDS)
+            batch = storelog.Batch(at, found.at, found.changes)
         self._note_answer()
-        self._reader.apply(changes)
-        self._at = max(self._at, changes.at)
+        self._lists = False
+        self._take(batch)
 
     def _note_answer(self) -> None:
         if self._failures >= AWAY_FAILURES:
             events.log(
-                events.Event.STORE_REACHABLE, peer=self._client.address, kind=self._kind
+                events.Event.STORE_REACHABLE, peer=self._client.address, kind=self.kind
             )
-        self._failures = 0
-        self._reader.regain()
+        with self._lock:
+            self._failures = 0
+            self._read_at = time.monotonic()
+            self._reader.regain()
 
     def _fail(self, error: errors.StoreError) -> None:
-        self._failures += 1
+        with self._lock:
+            self._failures += 1
+            if self._failures == AWAY_FAILURES:
+                self._reader.lose()
         if self._failures == AWAY_FAILURES:
-            self._reader.lose()
             events.log(
                 events.Event.STORE_UNREACHABLE,
                 peer=self._client.address,
-                kind=self._kind,
+                kind=self.kind,
                 error=str(error),
             )
-        longest = min(PAUSE_MAX, PAUSE_FIRST * 2 ** min(self._failures, 5))
+        most = PAUSE_MAX if self.relays.is_source else PAUSE_MAX_OTHERS
+        longest = min(most, PAUSE_FIRST * 2 ** min(self._failures, 6))
         self._stopped.wait(longest * self._random.uniform(0.5, 1.0))
--- /dev/null
+++ b/celeryspan/gateway/relays.py
@@ -0,0 +1,225 @@
+"""The kernel service ``relays``: what the store says, passed between routers.
+
+A router that does not read the store asks its sources, again every second; they tell
+it what changes, and how old their knowledge is.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import events, ids, kernel, states, storedobjects
+from celeryspan.decisions import relays, storelog
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from celeryspan.gateway import followers
+    from celeryspan.services import identity, links, membership
+
+TICK_SECONDS = 0.1
+
+ASK_SECONDS = 1.0
+"""How often a source is asked again, in case that it has forgotten the asker."""
+
+SERVED_SECONDS = 3.5
+"""How long a router that has asked is told news: three lost questions."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Listener:
+    """A router that is told news of one kind.
+
+    Attributes
+    ----------
+    above : int
+        Revision up to which it was told.
+    until, told_at : float
+        When it is no longer told unless it asks again; the last word to it.
+    """
+
+    above: int
+    until: float
+    told_at: float = float("-inf")
+
+
+@kernel.register("relays", needs=("identity", "links", "membership"))
+class RelayService:
+    """Tells and hears what the store says."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._identity: identity.IdentityService = box.find("identity")
+        self._links: links.LinksService = box.find("links")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._data_centre = box.settings.data_centre
+        self._followers: dict[str, followers.Follower] = {}
+        self._listeners: dict[tuple[ids.RouterId, str], _Listener] = {}
+        self._asked_at: dict[tuple[ids.RouterId, str], float] = {}
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="relays", daemon=True)
+
+    def start(self) -> None:
+        """Begin to ask and to tell."""
+        self._links.subscribe(messages.RelayRequest, self._take_request)
+        self._links.subscribe(messages.RelayBatch, self._take_batch)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop asking and telling."""
+        self._stopped.set()
+        self._thread.join()
+
+    def report(self) -> dict[str, object]:
+        """Return who reads the store for this router, and the age of what is known."""
+        now = time.monotonic()
+        return {
+            kind: {
+                "sources": list(follower.relays.sources),
+                "revision": follower.log.at,
+                "age": round(follower.measure_age(now), 2),
+                "is_away": follower.is_away,
+            }
+            for kind, follower in self._followers.items()
+        }
+
+    def join(self, follower: followers.Follower) -> None:
+        """Pass on what a follower takes in, and tell it what others know."""
+        self._followers[follower.kind] = follower
+
+    def publish(self, kind: str) -> None:
+        """Tell news to all who listen."""
+        with self._lock:
+            for (router, listened), listener in self._listeners.items():
+                if listened == kind:
+                    self._tell(router, kind, listener, time.monotonic())
+
+    def _tell(
+        self, router: ids.RouterId, kind: str, listener: _Listener, now: float
+    ) -> None:
+        """Send what a listener lacks, or a word of life; the caller holds the lock."""
+        follower = self._followers[kind]
+        batch = follower.log.since(listener.above)
+        if batch is None:
+            return
+        listener.above, listener.told_at = batch.at, now
+        message = messages.RelayBatch(
+            kind=kind,
+            above=batch.above,
+            at=batch.at,
+            is_whole=batch.is_whole,
+            age=follower.measure_age(now),
+            is_away=follower.is_away,
+            body=pack(batch.changes) if batch.changes else b"",
+        )
+        self._links.send(router, message)
+
+    def _take_request(
+        self, peer: ids.RouterId, _: ids.Incarnation, request: messages.RelayRequest
+    ) -> None:
+        if request.kind not in self._followers:
+            return
+        now = time.monotonic()
+        listener = _Listener(request.above, now + SERVED_SECONDS)
+        with self._lock:
+            self._listeners[peer, request.kind] = listener
+            self._tell(peer, request.kind, listener, now)
+
+    def _take_batch(
+        self, peer: ids.RouterId, _: ids.Incarnation, message: messages.RelayBatch
+    ) -> None:
+        follower = self._followers.get(message.kind)
+        if follower is None:
+            return
+        changes = unpack(message.body) if message.body else ()
+        batch = storelog.Batch(message.above, message.at, changes, message.is_whole)
+        lacks = follower.hear(peer, batch, message.age, is_away=message.is_away)
+        if lacks and peer in follower.relays.sources:
+            self._ask(peer, follower, time.monotonic())
+
+    def _ask(
+        self, source: ids.RouterId, follower: followers.Follower, now: float
+    ) -> None:
+        self._asked_at[source, follower.kind] = now
+        above = follower.log.at or 0
+        self._links.send(source, messages.RelayRequest(follower.kind, above))
+
+    def _run(self) -> None:
+        while not self._stopped.wait(TICK_SECONDS):
+            try:
+                self._tick(time.monotonic())
+            except Exception as error:
+                # Without this task the others beside this router would all read the
+                # store themselves.
+                events.log(events.Event.TASK_FAILED, task="relays", error=repr(error))
+
+    def _tick(self, now: float) -> None:
+        beside = self._list_beside()
+        for follower in self._followers.values():
+            if follower.relays.set_routers(self._data_centre, beside):
+                events.log(
+                    events.Event.STORE_READERS_CHANGED,
+                    kind=follower.kind,
+                    readers=list(follower.relays.sources),
+                )
+            follower.relays.forget(now)
+            if not follower.relays.is_source:
+                self._ask_again(follower, now)
+        self._tell_again(now)
+
+    def _list_beside(self) -> list[ids.RouterId]:
+        """Return the routers of this data centre that take part and stay."""
+        staying = (states.MemberState.ALIVE, states.MemberState.SUSPECT)
+        return [
+            member.router
+            for member in self._membership.members()
+            if member.data_centre == self._data_centre and member.state in staying
+        ]
+
+    def _ask_again(self, follower: followers.Follower, now: float) -> None:
+        for source in follower.relays.sources:
+            asked_at = self._asked_at.get((source, follower.kind), float("-inf"))
+            if now - asked_at >= ASK_SECONDS:
+                self._ask(source, follower, now)
+
+    def _tell_again(self, now: float) -> None:
+        """Tell those who have heard nothing for a while; forget who does not ask."""
+        with self._lock:
+            for key, listener in list(self._listeners.items()):
+                if listener.until < now:
+                    del self._listeners[key]
+                elif now - listener.told_at >= relays.TELL_SECONDS:
+                    self._tell(*key, listener, now)
+
+
+def pack(changes: Iterable[storedobjects.Change]) -> bytes:
+    """Return the bytes of changes."""
+    return json.dumps(
+        [
+            [
+                change.object.name,
+                change.object.revision,
+                change.object.spec,
+                change.object.status,
+                change.object.is_deleting,
+                change.is_deleted,
+            ]
+            for change in changes
+        ]
+    ).encode()
+
+
+def unpack(body: bytes) -> tuple[storedobjects.Change, ...]:
+    """Return the changes out of bytes; raises ValueError."""
+    return tuple(
+        storedobjects.Change(
+            storedobjects.StoredObject(name, revision, spec, status, is_deleting),
+            is_deleted,
+        )
+        for name, revision, spec, status, is_deleting, is_deleted in json.loads(body)
+    )
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, errors, events, ids, kernel
+from celeryspan import catalog, errors, events, ids, kernel, storedobjects
 from celeryspan.decisions import serverlist
 from celeryspan.gateway import followers
-from celeryspan.platform import names, objects, servers
+from celeryspan.platform import names, servers
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import objectstore
+    from celeryspan.gateway import objectstore, relays
+    from celeryspan.services import identity
 
 Handler = Callable[[dict[ids.ServerId, catalog.ServerEntry]], None]
 
@@ -21,7 +22,7 @@
 """How often entries that have lapsed are looked at."""
 
 
-@kernel.register("servers", needs=("objects",))
+@kernel.register("servers", needs=("identity", "objects", "relays"))
 class ServersService:
     """Holds the entries of backend servers and tells who may get new work."""
 
@@ -31,13 +32,18 @@
         self._lock = threading.Lock()
         self._handlers: list[Handler] = []
         self._usable: dict[ids.ServerId, catalog.ServerEntry] = {}
-        self._follower = followers.Follower(store.client, names.SERVER_KIND, self)
+        own: identity.IdentityService = box.find("identity")
+        self._relays: relays.RelayService = box.find("relays")
+        self._follower = followers.Follower(
+            store.client, names.SERVER_KIND, self, own.router
+        )
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="servers", daemon=True)
 
     def start(self) -> None:
         """Begin to follow."""
-        self._follower.start()
+        self._relays.join(self._follower)
+        self._follower.start(self._relays)
         self._thread.start()
 
     def stop(self) -> None:
@@ -68,14 +74,14 @@
             self._list.remove(server, time.monotonic())
         self._publish()
 
-    def replace(self, listing: objects.Listing) -> None:
+    def replace(self, listing: storedobjects.Listing) -> None:
         """Take in all entries."""
         found = [entry for entry in map(_read, listing.objects) if entry is not None]
         with self._lock:
             self._list.replace(found, time.monotonic())
         self._publish()
 
-    def apply(self, changes: objects.Changes) -> None:
+    def apply(self, changes: storedobjects.Changes) -> None:
         """Take in changes."""
         now = time.monotonic()
         with self._lock:
@@ -93,7 +99,7 @@
         with self._lock:
             self._list.regain_store(time.monotonic())
 
-    def _apply_one(self, change: objects.Change, now: float) -> None:
+    def _apply_one(self, change: storedobjects.Change, now: float) -> None:
         if change.is_deleted:
             self._list.remove(ids.ServerId(change.object.name), now)
             return
@@ -121,7 +127,7 @@
                 self._publish()
 
 
-def _read(found: objects.StoredObject) -> catalog.ServerEntry | None:
+def _read(found: storedobjects.StoredObject) -> catalog.ServerEntry | None:
     try:
         return servers.read(found)
     except errors.InputError as error:
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-from celeryspan import catalog, errors, ids
-from celeryspan.platform import names, objects
+from celeryspan import catalog, errors, ids, storedobjects
+from celeryspan.platform import names
 
 KINDS = {
     "idempotent": catalog.RouteKind.IDEMPOTENT,
@@ -14,7 +14,7 @@
 }
 
 
-def read(found: objects.StoredObject) -> catalog.Catalogue:
+def read(found: storedobjects.StoredObject) -> catalog.Catalogue:
     """Return the catalogue of the configuration object.
 
     Raises
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import urllib.parse
 from collections.abc import Mapping
 
 import urllib3
 
-from celeryspan import errors
+from celeryspan import errors, storedobjects
 from celeryspan.platform import names
 
 CONNECT_SECONDS = 0.5
@@ -24,51 +23,6 @@
 """Statuses that say that nothing was done."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredObject:
-    """One object of the store.
-
-    Attributes
-    ----------
-    revision : int
-        Of its last change.
-    spec, status : object
-        What its writer put there, as decoded JSON.
-    is_deleting : bool
-        Whether it only waits for its finalizers.
-    """
-
-    name: str
-    revision: int
-    spec: object
-    status: object
-    is_deleting: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
-    """All objects of a kind, and the revision at which they were read."""
-
-    objects: tuple[StoredObject, ...]
-    at: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
-    """An object that was written or deleted."""
-
-    object: StoredObject
-    is_deleted: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
-    """What has changed, and the revision from which to watch on."""
-
-    changes: tuple[Change, ...]
-    at: int
-
-
 class ObjectClient:
     """Calls the object API.
 
@@ -92,7 +46,9 @@
         """Close all connections."""
         self._pool.clear()
 
-    def list_objects(self, kind: str, *, is_stale: bool = False) -> Listing:
+    def list_objects(
+        self, kind: str, *, is_stale: bool = False
+    ) -> storedobjects.Listing:
         """Return all objects of a kind, page by page.
 
         Parameters
@@ -100,16 +56,16 @@
         is_stale : bool
             Take an answer that may be seconds old, for a tenth of the price.
         """
-        found: list[StoredObject] = []
+        found: list[storedobjects.StoredObject] = []
         query: dict[str, object] = {"is_stale": 1} if is_stale else {}
         while True:
             page = self._call("GET", kind, "", query=query)
             found += [_read_object(entry) for entry in page["entries"]]
             if not page.get("has_more") or not found:
-                return Listing(tuple(found), int(page["at"]))
+                return storedobjects.Listing(tuple(found), int(page["at"]))
             query = {**query, "after": found[-1].name}
 
-    def watch(self, kind: str, at: int, seconds: float) -> Changes:
+    def watch(self, kind: str, at: int, seconds: float) -> storedobjects.Changes:
         """Wait for changes above a revision; empty if none came in time.
 
         Raises
@@ -120,30 +76,30 @@
         query = {"watch": at, "wait_ms": int(seconds * 1000)}
         found = self._call("GET", kind, "", query=query, wait=seconds)
         changes = tuple(
-            Change(_read_object(event["object"]), bool(event["deleted"]))
+            storedobjects.Change(_read_object(event["object"]), bool(event["deleted"]))
             for event in found["events"]
         )
-        return Changes(changes, int(found["at"]))
+        return storedobjects.Changes(changes, int(found["at"]))
 
-    def get(self, kind: str, name: str) -> StoredObject:
+    def get(self, kind: str, name: str) -> storedobjects.StoredObject:
         """Return one object; raises errors.NotFound."""
         return _read_object(self._call("GET", kind, name))
 
-    def create(self, kind: str, name: str, spec: object) -> StoredObject:
+    def create(self, kind: str, name: str, spec: object) -> storedobjects.StoredObject:
         """Create an object; raises errors.Conflict if there is one already."""
         body = {"metadata": {"name": name}, "spec": spec}
         return _read_object(self._call("POST", kind, "", body=body))
 
     def replace(
         self, kind: str, name: str, spec: object, revision: int
-    ) -> StoredObject:
+    ) -> storedobjects.StoredObject:
         """Replace an object of a known revision; raises errors.Conflict."""
         body = {"metadata": {"name": name, "revision": revision}, "spec": spec}
         return _read_object(self._call("PUT", kind, name, body=body))
 
     def replace_status(
         self, kind: str, name: str, status: object, revision: int
-    ) -> StoredObject:
+    ) -> storedobjects.StoredObject:
         """Replace the status of an object; raises errors.Conflict."""
         body = {"metadata": {"name": name, "revision": revision}, "status": status}
         return _read_object(self._call("PUT", kind, f"{name}/status", body=body))
@@ -209,9 +165,9 @@
             ) from error
 
 
-def _read_object(found: dict) -> StoredObject:
+def _read_object(found: dict) -> storedobjects.StoredObject:
     meta = found["metadata"]
-    return StoredObject(
+    return storedobjects.StoredObject(
         name=meta["name"],
         revision=int(meta["revision"]),
         spec=found.get("spec"),
--- a/celeryspan/platform/routers.py
+++ b/celeryspan/platform/routers.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from celeryspan import errors, ids
-from celeryspan.platform import names, objects
+from celeryspan import errors, ids, storedobjects
+from celeryspan.platform import names
 
 
 def write(peer_address: ids.Address, incarnation: ids.Incarnation) -> dict[str, object]:
@@ -11,7 +11,7 @@
     return {"peer_address": str(peer_address), "incarnation": incarnation}
 
 
-def read(found: objects.StoredObject) -> ids.Address:
+def read(found: storedobjects.StoredObject) -> ids.Address:
     """Return where a router listens for its peers.
 
     Raises
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from celeryspan import catalog, errors, ids
-from celeryspan.platform import names, objects
+from celeryspan import catalog, errors, ids, storedobjects
+from celeryspan.platform import names
 
 DRAINING = "draining"
 
 
-def read(found: objects.StoredObject) -> catalog.ServerEntry:
+def read(found: storedobjects.StoredObject) -> catalog.ServerEntry:
     """Return a backend server's entry.
 
     Raises
--- /dev/null
+++ b/celeryspan/storedobjects.py
@@ -0,0 +1,50 @@
+"""Objects of the platform's store and changes of them, as the routers pass them on."""
+
+from __future__ import annotations
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object of the store.
+
+    Attributes
+    ----------
+    revision : int
+        Of its last change.
+    spec, status : object
+        What its writer put there, as decoded JSON.
+    is_deleting : bool
+        Whether it only waits for its finalizers.
+    """
+
+    name: str
+    revision: int
+    spec: object
+    status: object
+    is_deleting: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """All objects of a kind, and the revision at which they were read."""
+
+    objects: tuple[StoredObject, ...]
+    at: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """An object that was written or deleted."""
+
+    object: StoredObject
+    is_deleted: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What has changed, and the revision from which to watch on."""
+
+    changes: tuple[Change, ...]
+    at: int
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -443,6 +443,47 @@
     service: ids.ServiceId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Asks a router to pass on objects of one kind for a while.
+
+    Attributes
+    ----------
+    above : int
+        Revision that the sender has; 0 for none.
+    """
+
+    kind: str
+    above: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayBatch:
+    """Objects of one kind that changed between two revisions, or only a word of life.
+
+    Attributes
+    ----------
+    above, at : int
+        The changes lead from the first to the second.
+    is_whole : bool
+        The changes are all objects there are.
+    age : float
+        How long ago the sender had an answer of the store, in seconds.
+    is_away : bool
+        Whether the store does not answer the sender.
+    body : bytes
+        The changes; empty if there are none.
+    """
+
+    kind: str
+    above: int
+    at: int
+    is_whole: bool
+    age: float
+    is_away: bool
+    body: bytes
+
+
 Message = (
     Demand
     | Grant
@@ -475,6 +516,8 @@
     | RunBegun
     | RunEnded
     | QueueAlive
+    | RelayRequest
+    | RelayBatch
 )
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -48,6 +48,8 @@
     runBegun @28 :RunBegun;
     runEnded @29 :RunEnded;
     queueAlive @30 :QueueAlive;
+    relayRequest @31 :RelayRequest;
+    relayBatch @32 :RelayBatch;
   }
 }
 
@@ -268,3 +270,18 @@
 struct QueueAlive {
   service @0 :Text;
 }
+
+struct RelayRequest {
+  kind @0 :Text;
+  above @1 :UInt64;
+}
+
+struct RelayBatch {
+  kind @0 :Text;
+  above @1 :UInt64;
+  at @2 :UInt64;
+  isWhole @3 :Bool;
+  age @4 :Float32;
+  isAway @5 :Bool;
+  body @6 :Data;
+}
--- /dev/null
+++ b/tests/decisions/test_storelog.py
@@ -0,0 +1,124 @@
+"""What one router passes on leads another one to the same objects."""
+
+from __future__ import annotations
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from celeryspan import storedobjects
+from celeryspan.decisions import storelog
+
+NAMES = strategies.sampled_from(["s1", "s2", "s3", "s4"])
+
+
+def make_change(
+    name: str, revision: int, is_deleted: bool = False
+) -> storedobjects.Change:
+    found = storedobjects.StoredObject(name, revision, {"at": revision}, None, False)
+    return storedobjects.Change(found, is_deleted)
+
+
+def make_whole(at: int, *changes: storedobjects.Change) -> storelog.Batch:
+    return storelog.Batch(0, at, changes, is_whole=True)
+
+
+def test_nothing_is_told_before_a_list() -> None:
+    assert storelog.StoreLog().since(0) is None
+
+
+def test_quiet_kind_is_not_told_again() -> None:
+    """Heartbeats of servers raise the store's revision a hundred times a second.
+
+    Each word about the configuration would carry all of it.
+    """
+    log = storelog.StoreLog(depth=0)
+    log.take(make_whole(5, make_change("main", 4)))
+    log.take(storelog.Batch(5, 90, ()))
+    assert log.since(5) == storelog.Batch(5, 90, ())
+    assert log.since(3).is_whole
+
+
+def test_gap_is_seen_and_not_taken() -> None:
+    """One message between two routers is lost; it said that a server is gone."""
+    log = storelog.StoreLog()
+    log.take(make_whole(5, make_change("s1", 4)))
+    late = storelog.Batch(7, 9, (make_change("s2", 9),))
+    assert not log.take(late)
+    assert log.is_behind(late)
+    assert log.at == 5
+
+
+def test_batch_from_before_is_ignored() -> None:
+    """The slower of two sources tells of a deletion after the server came back."""
+    log = storelog.StoreLog()
+    log.take(make_whole(5, make_change("s1", 4)))
+    log.take(storelog.Batch(5, 9, (make_change("s1", 8, True), make_change("s1", 9))))
+    assert not log.take(storelog.Batch(5, 8, (make_change("s1", 8, True),)))
+    assert [change.object.name for change in log.since(0).changes] == ["s1"]
+
+
+class Passing(stateful.RuleBasedStateMachine):
+    """A store, two sources that read it, and a listener that hears both."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.objects: dict[str, storedobjects.StoredObject] = {}
+        self.history: list[tuple[int, storedobjects.Change]] = []
+        self.sources = [storelog.StoreLog(depth=3), storelog.StoreLog(depth=3)]
+        self.listener = storelog.StoreLog(depth=3)
+
+    @stateful.rule(name=NAMES)
+    def write(self, name: str) -> None:
+        self.revision += 1
+        change = make_change(name, self.revision)
+        self.objects[name] = change.object
+        self.history.append((self.revision, change))
+
+    @stateful.rule(name=NAMES)
+    def delete(self, name: str) -> None:
+        found = self.objects.pop(name, None)
+        if found is not None:
+            self.revision += 1
+            change = storedobjects.Change(found, True)
+            self.history.append((self.revision, change))
+
+    @stateful.rule(which=strategies.integers(0, 1))
+    def read(self, which: int) -> None:
+        source = self.sources[which]
+        if source.at is None:
+            found = tuple(
+                storedobjects.Change(each, False) for each in self.objects.values()
+            )
+            source.take(storelog.Batch(0, self.revision, found, is_whole=True))
+            return
+        new = tuple(change for at, change in self.history if at > source.at)
+        source.take(storelog.Batch(source.at, self.revision, new))
+
+    @stateful.rule(which=strategies.integers(0, 1), back=strategies.integers(0, 6))
+    def tell(self, which: int, back: int) -> None:
+        """Tell from where the listener was some time ago, or may be."""
+        batch = self.sources[which].since(max(0, (self.listener.at or 0) - back))
+        if batch is not None:
+            self.listener.take(batch)
+
+    @stateful.invariant()
+    def holds_the_state_of_its_revision(self) -> None:
+        for log in (*self.sources, self.listener):
+            if log.at is None:
+                continue
+            expected: dict[str, storedobjects.StoredObject] = {}
+            for at, change in self.history:
+                if at > log.at:
+                    break
+                if change.is_deleted:
+                    expected.pop(change.object.name)
+                else:
+                    expected[change.object.name] = change.object
+            assert log._objects == expected
+
+
+TestPassing = Passing.TestCase
+TestPassing.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=40, deadline=None, derandomize=True
+)
--- a/tests/gateway/test_catalogues.py
+++ b/tests/gateway/test_catalogues.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
-from celeryspan import ids
-from celeryspan.platform import objects
+import time
+
+from celeryspan import ids, storedobjects
+from celeryspan.decisions import relays
+from celeryspan.gateway import followers
 from tests.gateway import support
 
 
@@ -40,10 +43,10 @@
     router = place.start_router()
     service = router.box.find("catalogues")
     newest = service.current()
-    old = objects.StoredObject(
+    old = storedobjects.StoredObject(
         "main", newest.revision - 1, support.make_configuration(99), None, False
     )
-    service.replace(objects.Listing((old,), 1))
+    service.replace(storedobjects.Listing((old,), 1))
     assert service.current() is newest
 
 
@@ -94,3 +97,31 @@
         assert router.call("/bookings/1", f"r{number}").status == 200
     assert leaving.ran == []
     assert len(staying.ran) == 4
+
+
+def test_few_routers_read_the_store_for_all(place) -> None:
+    """Each router of a large fleet watches the store, and each change ends all watches.
+
+    The store's calls grow with routers times changes until it refuses them.
+    """
+    leaving = place.add_server("gate-1")
+    place.add_server("gate-2")
+    routers = [place.start_router(f"edge-{number}") for number in range(4)]
+    found = [router.box.find("servers")._follower for router in routers]
+
+    def rests(follower: followers.Follower) -> bool:
+        """Whether a follower hears others, and its own last watch is over."""
+        now = time.monotonic()
+        watch_over = now - follower._read_at > relays.WATCH_SECONDS + 0.5
+        return watch_over and not follower.relays.must_read(now)
+
+    support.wait_for(lambda: sum(map(rests, found)) == 2)
+    readers = [follower for follower in found if not follower.relays.is_source]
+    before = [follower._read_at for follower in readers]
+    place.enter(leaving, "gate", state="draining")
+    place.store.put("config", "main", support.make_configuration(2))
+    staying = {ids.ServerId("gate-2")}
+    lists = [router.box.find("servers") for router in routers]
+    support.wait_for(lambda: all(set(each.usable()) == staying for each in lists))
+    support.wait_for(lambda: {find_version(router) for router in routers} == {2})
+    assert [follower._read_at for follower in readers] == before
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -4,14 +4,16 @@
 
 import pytest
 
-from celeryspan import catalog, errors, ids
-from celeryspan.platform import catalogues, objects, requests, routers, servers
+from celeryspan import catalog, errors, ids, storedobjects
+from celeryspan.platform import catalogues, requests, routers, servers
 from tests.gateway import support
 
 
-def store(spec: object, name: str = "main", revision: int = 7) -> objects.StoredObject:
+def store(
+    spec: object, name: str = "main", revision: int = 7
+) -> storedobjects.StoredObject:
     """Return an object of the store."""
-    return objects.StoredObject(name, revision, spec, None, False)
+    return storedobjects.StoredObject(name, revision, spec, None, False)
 
 
 def test_configuration_is_read_whole() -> None:
@@ -61,7 +63,7 @@
     spec = {"service": "gate", "address": "10.0.0.1:80", "zone": "a", "slots": 4}
     assert not servers.read(store(spec, "s1")).is_leaving
     assert servers.read(store({**spec, "state": "draining"}, "s1")).is_leaving
-    deleting = objects.StoredObject("s1", 7, spec, None, True)
+    deleting = storedobjects.StoredObject("s1", 7, spec, None, True)
     assert servers.read(deleting).is_leaving
     with pytest.raises(errors.InputError, match="servers/s1"):
         servers.read(store({"service": "gate"}, "s1"))
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -67,6 +67,8 @@
     messages.RunBegun("q-1", "planner-llm", "gpu-1"),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
     messages.QueueAlive("planner-llm"),
+    messages.RelayRequest("servers", 2**40),
+    messages.RelayBatch("servers", 7, 2**40, True, 0.5, False, b"[]"),
 )
 
 
