--- a/bench/engines/loads.py
+++ b/bench/engines/loads.py
@@ -93,7 +93,7 @@
     tokens = max(1, int(generator.expovariate(1 / load.output)))
     ask = messages.SlotRequest(
         request=ids.RequestId(f"{load.name}-{number}"),
-        service=ids.ServiceId("engines"),
+        pool=ids.PoolId("engines#1#0"),
         account=ids.AccountId(generator.choice(load.accounts)),
         data_centre=ids.DataCentreId("here"),
         parts=parts,
--- a/bench/engines/policies.py
+++ b/bench/engines/policies.py
@@ -10,9 +10,14 @@
 import xxhash
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import pools
+from celeryspan.decisions import pools, shards
 from celeryspan.wire import messages
 
+SERVICE = ids.ServiceId("engines")
+
+SHARES_SECONDS = 0.25
+"""As the routers' homes do."""
+
 CHOICES = 3
 """Engines among which the policy by hash chooses."""
 
@@ -62,7 +67,7 @@
 @register("ledger")
 def make_ledger(generator: random.Random) -> Policy:
     """Return what the routers run."""
-    return pools.Pool(ids.ServiceId("engines"), generator)
+    return pools.Pool(ids.PoolId("engines#1#0"), generator)
 
 
 @register("any")
@@ -118,7 +123,7 @@
                 break
             self._line.popleft()
             self._free[server] -= 1
-            offer = messages.SlotOffer(ask.request, ask.service, server)
+            offer = messages.SlotOffer(ask.request, ask.pool, server, 0.0)
             answers.append(pools.Answer(router, offer, 0.0))
         return answers
 
@@ -136,3 +141,75 @@
         )
         best = max(ranked[:CHOICES], key=lambda server: self._free[server])
         return best if self._free[best] else super().choose(ask)
+
+
+@register("shards")
+class Sharded:
+    """What the routers run before many engines: a home for each shard of the pool."""
+
+    def __init__(self, generator: random.Random) -> None:
+        self._generator = generator
+        self._pressures = shards.Pressures()
+        self._pools: list[pools.Pool] = []
+        self._places: dict[ids.RequestId, pools.Pool] = {}
+        self._told_at = 0.0
+
+    def set_servers(
+        self, entries: list[catalog.ServerEntry], engine: catalog.Engine
+    ) -> None:
+        """Divide the servers."""
+        division = shards.divide([entry.server for entry in entries])
+        for shard in range(division.count):
+            name = shards.name_pool(SERVICE, division.count, shard)
+            pool = pools.Pool(name, self._generator)
+            mine = [each for each in entries if division.shards[each.server] == shard]
+            pool.set_servers(mine, engine)
+            self._pools.append(pool)
+
+    def ask(
+        self, router: ids.RouterId, ask: messages.SlotRequest, now: float
+    ) -> list[pools.Answer]:
+        """Take in a request."""
+        key, penalty = shards.find_affinity(ask)
+        count = len(self._pools)
+        shard = self._pressures.choose(SERVICE, count, key, penalty, now)
+        pool = self._places[ask.request] = self._pools[shard]
+        return self._note(pool.ask(router, ask, now), now)
+
+    def begin(self, request: ids.RequestId, server: ids.ServerId, now: float) -> None:
+        """Note a first event."""
+        self._places[request].begin(request, server, now)
+
+    def end(
+        self,
+        request: ids.RequestId,
+        server: ids.ServerId,
+        ending: states.RunEnding,
+        now: float,
+    ) -> None:
+        """Take the place back."""
+        self._places[request].end(request, server, ending, now)
+
+    def tick(self, now: float) -> list[pools.Answer]:
+        """Decide again in each shard, and let them tell each other their shares."""
+        if now - self._told_at >= SHARES_SECONDS:
+            self._told_at = now
+            self._tell_shares(now)
+        found: list[pools.Answer] = []
+        for pool in self._pools:
+            found += self._note(pool.tick(now), now)
+        return found
+
+    def _note(self, answers: list[pools.Answer], now: float) -> list[pools.Answer]:
+        for answer in answers:
+            message = answer.message
+            self._pressures.note(message.pool, message.pressure, now)
+        return answers
+
+    def _tell_shares(self, now: float) -> None:
+        for dimension in range(len(self._pools).bit_length() - 1):
+            for shard, pool in enumerate(self._pools):
+                partner = self._pools[shard ^ (1 << dimension)]
+                units = pool.add_up_shares(dimension, now)
+                told = messages.PoolShares(partner.name, dimension, units)
+                partner.hear_shares(told, now)
--- a/celeryspan/decisions/engines.py
+++ b/celeryspan/decisions/engines.py
@@ -61,3 +61,52 @@
         chunks = min(stride, math.ceil(unread / self.chunk_tokens))
         last = min(unread, chunks * self.chunk_tokens)
         return steps + self.read_seconds(last, kept + unread - last)
+
+
+class Prompt:
+    """What one prompt costs, worked out once for each number of tokens kept.
+
+    Parameters
+    ----------
+    tokens : int
+        Length of the prompt.
+    gap_max : float
+        Longest pause that streams beside it may make, in seconds.
+    stride : int
+        Tokens in one event.
+    running : int
+        Streams that are expected beside it.
+    """
+
+    def __init__(
+        self, model: EngineModel, tokens: int, gap_max: float, stride: int, running: int
+    ) -> None:
+        self._model = model
+        self._tokens = tokens
+        self._gap_max = gap_max
+        self._stride = stride
+        self._running = running
+        self._costs: dict[int, tuple[float, float, float]] = {}
+
+    def read(self, kept: int, running: int, speed: float) -> float:
+        """Return the time to read what is not kept, beside so many streams."""
+        read, steps, _ = self._find(kept)
+        model = self._model
+        step = model.step_seconds + model.step_run_seconds * running
+        return (read + steps * step) * speed
+
+    def is_long(self, kept: int, speed: float) -> bool:
+        """Whether reading it makes the streams beside it pause for too long."""
+        return self._find(kept)[2] * speed > self._gap_max
+
+    def _find(self, kept: int) -> tuple[float, float, float]:
+        """Return reading time, steps that it takes, and the pause that it causes."""
+        found = self._costs.get(kept)
+        if found is None:
+            unread = max(0, self._tokens - kept)
+            found = self._costs[kept] = (
+                self._model.read_seconds(unread, kept),
+                unread / self._model.chunk_tokens,
+                self._model.gap_seconds(unread, kept, self._stride, self._running),
+            )
+        return found
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -22,21 +22,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 import xxhash
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import engines, promptcache, serverhealth
+from celeryspan.decisions import engines, poolservers
 from celeryspan.wire import messages
 
-PENDING_SECONDS = 0.1
-"""Reading pending at one engine beyond which nothing is sent there: a sixth of the
-shortest objective that streams have."""
-
 READ_WEIGHT = 10.0
 """Weight of reading against waiting for what is read already."""
 
@@ -68,52 +63,16 @@
 APART_FADE_SECONDS = 10.0
 """Time over which the reading of long prompts is averaged."""
 
-SPEED_FALL = 0.3
-SPEED_RISE = 0.05
-"""Part of the way that a server's speed follows one reading, down and up. A router with
-much to do tells late of first events, so that readings seem slow now and then and never
-fast; the mean of all held engines of the usual speed for two to eight times slower on
-a full day."""
-
-SPEED_READ_SECONDS = 0.04
-"""Readings shorter than this tell nothing: the step that is under way and the messages
-take a few ten milliseconds."""
-
-SPEED_RANGE = (0.8, 8.0)
-"""How far a server's own speed may differ from the model."""
-
-CALL_SECONDS = 0.02
-"""Expected time of a plain call before any was seen."""
-
-CALL_MEMORY = 0.1
-
-
-@dataclasses.dataclass(slots=True)
-class Run:
-    """A place in use.
+EXPIRE_SECONDS = 0.25
+"""How often runs are looked through for such as should have ended."""
 
-    Attributes
-    ----------
-    kept : int
-        Tokens of the prompt that need not be read.
-    pending, read : float
-        Predicted time of reading what came before, and this prompt, in seconds.
-    speed : float
-        Of the server, as it was believed then.
-    due_at : float
-        When the first event is predicted.
-    """
+OVERDUE_SECONDS = 1.0
+"""A run is forgotten this long after its timeout: its router ends it then, and if the
+message was lost the place would stay taken for good."""
 
-    router: ids.RouterId
-    since: float
-    kept: int
-    pending: float
-    read: float
-    speed: float
-    due_at: float
-    end_at: float
-    is_long: bool
-    is_begun: bool = False
+RUN_MEMORY = 0.01
+"""Weight of the newest run in the mean time that runs hold a place: the last hundred
+runs are those of less than a second at a few engines."""
 
 
 class Option(NamedTuple):
@@ -132,6 +91,9 @@
     is_ready: bool
 
 
+NOWHERE = Option(math.inf, ids.ServerId(""), False)
+
+
 class Choice(NamedTuple):
     """The server that takes a request now.
 
@@ -145,80 +107,34 @@
     regret: float
 
 
-class Server:
-    """What the home of a pool knows of one backend server."""
-
-    def __init__(
-        self, entry: catalog.ServerEntry, engine: catalog.Engine | None
-    ) -> None:
-        # Speed is how many times as long as the model says the server takes to read.
-        self.entry = entry
-        self.runs: dict[ids.RequestId, Run] = {}
-        self.health = serverhealth.ServerHealth()
-        self.cache = promptcache.PromptCache(engine.memory_tokens if engine else 0)
-        self.speed = 1.0
-        self.call_seconds = CALL_SECONDS
-        self.read_until = 0.0
-        self.burst = 0.0
-
-    def learn_speed(self, predicted: float, seen: float) -> None:
-        """Learn from one reading; ``predicted`` is for a server of speed 1."""
-        if predicted < SPEED_READ_SECONDS:
-            return
-        low, high = SPEED_RANGE
-        ratio = min(max(seen / predicted, low), high)
-        part = SPEED_FALL if ratio < self.speed else SPEED_RISE
-        self.speed += (ratio - self.speed) * part
-
-    def add_reading(self, seconds: float, now: float) -> None:
-        """Note reading that begins when all before it is done.
-
-        ``burst`` is what is read without a step between that reads nothing.
-        """
-        if self.pending(now) <= 0.0:
-            self.burst = 0.0
-        self.burst += seconds
-        self.read_until = max(now, self.read_until) + seconds
-
-    def pending(self, now: float) -> float:
-        """Return the seconds of reading that lie before a new prompt.
-
-        Runs that are overdue count for as long as they are: a server that has become
-        slow or dark looks idle otherwise, and draws all requests.
-        """
-        overdue = max(
-            (now - run.due_at for run in self.runs.values() if not run.is_begun),
-            default=0.0,
-        )
-        return max(0.0, self.read_until - now, overdue)
-
-    def reads_long(self) -> bool:
-        """Whether a long prompt is being read."""
-        return any(run.is_long and not run.is_begun for run in self.runs.values())
-
-
 class Placing:
     """The servers of one pool and what runs there."""
 
     def __init__(self) -> None:
         self._model = engines.EngineModel()
-        self._servers: dict[ids.ServerId, Server] = {}
-        self._left: dict[ids.ServerId, Server] = {}
+        self._servers: dict[ids.ServerId, poolservers.PoolServer] = {}
+        self._by_order: list[poolservers.PoolServer] = []
+        self._left: dict[ids.ServerId, poolservers.PoolServer] = {}
+        self._slots = 0
         self._engine: catalog.Engine | None = None
         self._long_load = 0.0
         self._long_since = 0.0
+        self._run_seconds = 0.0
+        self._expire_at = 0.0
 
     def set_servers(
-        self, entries: Iterable[catalog.ServerEntry], engine: catalog.Engine | None
+        self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
     ) -> None:
         """Set which servers may get new work; runs at the others go on."""
         self._engine = engine
         known = {**self._left, **self._servers}
         self._servers = {}
         for entry in entries:
-            server = known.pop(entry.server, None) or Server(entry, engine)
+            server = known.pop(entry.server, None) or _make_server(entry, engine)
             server.entry = entry
             self._servers[entry.server] = server
+        self._by_order = sorted(self._servers.values(), key=lambda each: each.order)
+        self._slots = sum(entry.slots for entry in entries)
         self._left = {name: server for name, server in known.items() if server.runs}
 
     def is_hopeless(self, ask: messages.SlotRequest) -> bool:
@@ -245,18 +161,32 @@
 
     def is_ready(self, is_long: bool, now: float) -> bool:
         """Whether any server may get more now, a long prompt or another request."""
-        apart = self._list_apart()
-        for server in self._iterate():
-            if not self._is_open(server, now):
-                continue
-            if apart and is_long != (server.entry.server in apart):
+        for server in self._list_for(is_long, now):
+            if not server.is_open(now):
                 continue
-            if is_long and not server.reads_long():
-                return True
-            if not is_long and server.pending(now) <= PENDING_SECONDS:
+            if not server.reads_long() if is_long else self._is_calm(server, now):
                 return True
         return False
 
+    def _is_calm(self, server: poolservers.PoolServer, now: float) -> bool:
+        return server.pending(now) <= poolservers.PENDING_SECONDS
+
+    def _list_for(self, is_long: bool, now: float) -> Sequence[poolservers.PoolServer]:
+        """Return the servers for long prompts, or for other requests.
+
+        The same engines are set apart for long ones while their number lasts. Others go
+        there only when all the rest is full, so that no place idles while they wait.
+        """
+        count = self.count_apart()
+        if not count:
+            return self._by_order
+        apart, rest = self._by_order[:count], self._by_order[count:]
+        if is_long:
+            return apart
+        if any(server.is_open(now) for server in rest):
+            return rest
+        return [server for server in apart if not server.reads_long()]
+
     def choose(
         self, ask: messages.SlotRequest, waited: float, now: float
     ) -> Choice | None:
@@ -267,13 +197,12 @@
         waited : float
             Time that the request has waited here, in seconds.
         """
-        fit = [server for server in self._iterate() if self._is_open(server, now)]
-        others = [s for s in fit if s.entry.server not in ask.excluded]
-        # One that has failed the request may still be all there is.
-        fit = others or (fit if len(ask.excluded) >= len(self._servers) else [])
+        barred: Collection[ids.ServerId] = ask.excluded
+        if len(barred) >= len(self._servers):
+            barred = ()  # One that has failed the request may still be all there is.
         if self._engine is None:
-            return self._choose_plain(ask, fit)
-        return self._choose_engine(ask, fit, waited, now)
+            return self._choose_plain(ask, barred, now)
+        return self._choose_engine(ask, barred, waited, now)
 
     def take(
         self,
@@ -282,19 +211,21 @@
         name: ids.ServerId,
         end_at: float,
         now: float,
-    ) -> Run:
+    ) -> poolservers.Run:
         """Take a place for a request."""
         server = self._servers[name]
         kept = server.cache.count_kept(ask.parts)
-        read = self._read_seconds(server, ask, kept) if self._engine else 0.0
+        read = 0.0
+        if self._engine is not None:
+            read = self._make_prompt(ask).read(kept, len(server.runs), server.speed)
         pending = server.pending(now)
-        server.add_reading(read, now)
-        due_at = server.read_until + self._model.first_seconds
+        read_until = max(now, server.read_until) + read
+        due_at = read_until + self._model.first_seconds
         is_long = self._engine is not None and self._is_long(ask, kept, server.speed)
-        run = Run(
+        run = poolservers.Run(
             router, now, kept, pending, read, server.speed, due_at, end_at, is_long
         )
-        server.runs[ask.request] = run
+        server.add(ask.request, run, now)
         server.cache.use(ask.parts)
         return run
 
@@ -304,23 +235,16 @@
         if server is None:
             return
         server.cache.use(run.parts)
-        held = Run(
+        held = poolservers.Run(
             router, now, 0, 0.0, 0.0, 1.0, now, now + run.left, False, run.is_begun
         )
-        server.runs[run.request] = held
+        server.add(run.request, held, now)
 
     def begin(self, request: ids.RequestId, name: ids.ServerId, now: float) -> None:
-        """Note the first event of a run; learn how fast the server reads."""
+        """Note the first event of a run."""
         server = self._find(name)
-        run = server.runs.get(request) if server else None
-        if run is None or run.is_begun:
-            return
-        run.is_begun = True
-        first = self._model.first_seconds
-        predicted = (run.due_at - run.since - first) / run.speed
-        server.learn_speed(predicted, now - run.since - first)
-        unread = sum(each.read for each in server.runs.values() if not each.is_begun)
-        server.read_until = min(server.read_until, now + unread)
+        if server is not None:
+            server.begin(request, self._model.first_seconds, now)
 
     def end(
         self,
@@ -331,39 +255,27 @@
     ) -> None:
         """Give a place back and learn from how the run ended."""
         server = self._find(name)
-        run = server.runs.pop(request, None) if server else None
+        run = server.remove(request, now) if server else None
         if run is None:
             return
         if not server.runs:
             self._left.pop(name, None)
-        unread = sum(each.read for each in server.runs.values() if not each.is_begun)
-        server.read_until = min(server.read_until, now + unread)
+        server.follow(ending, now - run.since, now)
         if ending is states.RunEnding.ANSWERED:
-            server.health.succeed()
-            took = now - run.since
-            server.call_seconds += (took - server.call_seconds) * CALL_MEMORY
-        elif ending is states.RunEnding.FAILED:
-            server.health.fail(now)
-        elif ending in (states.RunEnding.UNREACHABLE, states.RunEnding.GONE):
-            server.health.fail(now, unreachable=True)
-        elif ending is states.RunEnding.REJECTED:
-            server.read_until = max(server.read_until, now + PENDING_SECONDS)
+            self._run_seconds += (now - run.since - self._run_seconds) * RUN_MEMORY
 
     def forget_router(self, router: ids.RouterId) -> None:
-        """Drop the runs of a router that is dead: its connections are closed."""
+        """Drop the runs of a router that is dead."""
         for server in [*self._servers.values(), *self._left.values()]:
-            server.runs = {
-                request: run
-                for request, run in server.runs.items()
-                if run.router != router
-            }
+            server.forget(router)
 
     def expire(self, now: float) -> None:
         """Drop runs whose end was never told."""
+        if now < self._expire_at:
+            return
+        self._expire_at = now + EXPIRE_SECONDS
         for server in [*self._servers.values(), *self._left.values()]:
-            late = [key for key, run in server.runs.items() if run.end_at + 1.0 < now]
-            for request in late:
-                del server.runs[request]
+            server.expire(now - OVERDUE_SECONDS)
 
     def count_runs(self) -> int:
         """Return how many places are taken."""
@@ -372,12 +284,29 @@
             for server in [*self._servers.values(), *self._left.values()]
         )
 
+    def measure_pending(self, now: float) -> float:
+        """Return how long reading that was begun takes, over all servers, in seconds.
+
+        Only so much counts at one server as is ever sent to one at a time: a server
+        that has stopped must not make a whole pool look full.
+        """
+        if not self._servers:
+            return 0.0
+        most = poolservers.PENDING_SECONDS
+        pending = sum(min(server.pending(now), most) for server in self._by_order)
+        return pending / len(self._servers)
+
+    def estimate_turn(self, waiting: int) -> float:
+        """Return when so many requests have found free places, in seconds."""
+        taken = sum(len(server.runs) for server in self._by_order)
+        lacking = waiting + 1 - (self._slots - taken)
+        return max(0, lacking) * self._run_seconds / max(1, self._slots)
+
     def estimate_wait(self, asks: Sequence[messages.SlotRequest]) -> float:
         """Return the time in which all these requests will have been placed."""
         servers = max(1, len(self._servers))
         if self._engine is None:
-            slots = sum(server.entry.slots for server in self._iterate())
-            return len(asks) * CALL_SECONDS / max(1, slots)
+            return len(asks) * poolservers.CALL_SECONDS / max(1, self._slots)
         read = sum(self._model.read_seconds(ask.prompt_tokens, 0) for ask in asks)
         return read / servers
 
@@ -387,7 +316,7 @@
         For plain calls, to the answer.
         """
         if self._engine is None:
-            return CALL_SECONDS
+            return poolservers.CALL_SECONDS
         kept = self._find_most_kept(ask)
         unread = max(0, ask.prompt_tokens - kept)
         return self._model.first_seconds + self._model.read_seconds(unread, kept)
@@ -398,25 +327,24 @@
         return min(most, math.ceil(self._long_load / APART_USE))
 
     def _find_most_kept(self, ask: messages.SlotRequest) -> int:
-        return max((s.cache.count_kept(ask.parts) for s in self._iterate()), default=0)
-
-    def _iterate(self) -> Iterable[Server]:
-        return self._servers.values()
+        return max((s.cache.count_kept(ask.parts) for s in self._by_order), default=0)
 
-    def _find(self, name: ids.ServerId) -> Server | None:
+    def _find(self, name: ids.ServerId) -> poolservers.PoolServer | None:
         return self._servers.get(name) or self._left.get(name)
 
-    def _is_open(self, server: Server, now: float) -> bool:
-        return len(server.runs) < server.entry.slots and not server.health.rests(now)
-
     def _choose_plain(
-        self, ask: messages.SlotRequest, fit: Sequence[Server]
+        self, ask: messages.SlotRequest, barred: Collection[ids.ServerId], now: float
     ) -> Choice | None:
+        fit = [
+            server
+            for server in self._by_order
+            if server.is_open(now) and server.entry.server not in barred
+        ]
         if not fit:
             return None
         healthy = min(server.health.failing for server in fit)
 
-        def cost(server: Server) -> tuple[float, str]:
+        def cost(server: poolservers.PoolServer) -> tuple[float, str]:
             use = (len(server.runs) + 1) / server.entry.slots
             failing = (server.health.failing - healthy) * FAILING_SECONDS
             return (
@@ -429,15 +357,20 @@
     def _choose_engine(
         self,
         ask: messages.SlotRequest,
-        fit: Sequence[Server],
+        barred: Collection[ids.ServerId],
         waited: float,
         now: float,
     ) -> Choice | None:
-        apart = self._list_apart()
-        best = ready = Option(math.inf, ids.ServerId(""), False)
-        for server in fit:
-            option = self._weigh(ask, server, apart, now)
-            if option is not None:
+        best = ready = NOWHERE
+        prompt = self._make_prompt(ask)
+        for is_long in (False, True):
+            for server in self._list_for(is_long, now):
+                if not server.is_open(now) or server.entry.server in barred:
+                    continue
+                kept = server.cache.count_kept(ask.parts)
+                if prompt.is_long(kept, server.speed) is not is_long:
+                    continue
+                option = self._weigh(ask, prompt, server, kept, is_long, now)
                 best = min(best, option)
                 ready = min(ready, option) if option.is_ready else ready
         if not ready.is_ready:
@@ -449,67 +382,59 @@
     def _weigh(
         self,
         ask: messages.SlotRequest,
-        server: Server,
-        apart: frozenset[ids.ServerId],
+        prompt: engines.Prompt,
+        server: poolservers.PoolServer,
+        kept: int,
+        is_long: bool,
         now: float,
-    ) -> Option | None:
-        """Return what it would mean to place a request at a server, or None."""
-        kept = server.cache.count_kept(ask.parts)
-        is_long = self._is_long(ask, kept, server.speed)
-        if apart and is_long != (server.entry.server in apart):
-            return None
-        read = self._read_seconds(server, ask, kept)
+    ) -> Option:
+        """Return what it would mean to place a request at a server."""
+        running = len(server.runs)
+        read = prompt.read(kept, running, server.speed)
         pending = server.pending(now)
-        cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
+        cost = pending + READ_WEIGHT * read + RUN_SECONDS * running
         cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
-        is_ready = self._admits(ask, server, pending, read, is_long)
+        if is_long:
+            is_ready = not server.reads_long()
+        else:
+            is_ready = pending <= 0.0 or self._admits(ask, server, pending, read)
         return Option(cost, server.entry.server, is_ready)
 
     def _admits(
         self,
         ask: messages.SlotRequest,
-        server: Server,
+        server: poolservers.PoolServer,
         pending: float,
         read: float,
-        is_long: bool,
     ) -> bool:
-        """Whether a server may get a prompt to read now."""
-        if is_long:
-            return not server.reads_long()
-        if pending <= 0.0:
-            return True
+        """Whether a server that reads may get one more prompt."""
         steps = self._model.gap_seconds(0, 0, ask.stride, len(server.runs))
         longest = ask.gap_max - GAP_MARGIN_SECONDS - steps * server.speed
-        return pending + read <= PENDING_SECONDS and server.burst + read <= longest
-
-    def _list_apart(self) -> frozenset[ids.ServerId]:
-        """Return the engines set apart: the same ones while their number lasts."""
-        count = self.count_apart()
-        if not count:
-            return frozenset()
-        ranked = sorted(
-            self._servers, key=lambda name: xxhash.xxh3_64_intdigest(name.encode())
+        most = poolservers.PENDING_SECONDS
+        return pending + read <= most and server.burst + read <= longest
+
+    def _make_prompt(self, ask: messages.SlotRequest) -> engines.Prompt:
+        assert self._engine is not None
+        return engines.Prompt(
+            self._model,
+            ask.prompt_tokens,
+            ask.gap_max - GAP_MARGIN_SECONDS,
+            self._engine.stride,
+            self._engine.slots // 2,
         )
-        return frozenset(ranked[:count])
 
     def _is_long(
         self, ask: messages.SlotRequest, kept: int, speed: float = 1.0
     ) -> bool:
-        engine = self._engine
-        assert engine is not None
-        unread = ask.prompt_tokens - kept
-        running = engine.slots // 2
-        gap = self._model.gap_seconds(unread, kept, engine.stride, running)
-        return gap * speed > ask.gap_max - GAP_MARGIN_SECONDS
-
-    def _read_seconds(
-        self, server: Server, ask: messages.SlotRequest, kept: int
-    ) -> float:
-        unread = max(0, ask.prompt_tokens - kept)
-        steps = unread / self._model.chunk_tokens
-        step = self._model.gap_seconds(0, 0, 1, len(server.runs))
-        return (self._model.read_seconds(unread, kept) + steps * step) * server.speed
+        return self._make_prompt(ask).is_long(kept, speed)
+
+
+def _make_server(
+    entry: catalog.ServerEntry, engine: catalog.Engine | None
+) -> poolservers.PoolServer:
+    order = xxhash.xxh3_64_intdigest(entry.server.encode())
+    return poolservers.PoolServer(entry, engine, order)
 
 
-def _distance(server: Server, ask: messages.SlotRequest) -> float:
+def _distance(server: poolservers.PoolServer, ask: messages.SlotRequest) -> float:
     return 0.0 if server.entry.data_centre == ask.data_centre else PLACE_SECONDS
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -1,7 +1,8 @@
 """The ledger of a pool: who gets which place at the backend servers of one service.
 
 Load answered: all requests of a service, of all routers, at servers that admit in the
-order of arrival and know neither accounts nor objectives. One router, the home of the
+order of arrival and know neither accounts nor objectives. (A service with many servers
+has several pools, see :mod:`shards`.) One router, the home of the
 pool, decides for all, since six routers that each see a sixth of an engine's prompts
 can neither keep long prompts apart nor hold accounts to equal shares.
 
@@ -19,10 +20,10 @@
 
 import dataclasses
 import random
-from collections.abc import Iterable
+from collections.abc import Sequence
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import accountshares, placing
+from celeryspan.decisions import accountshares, placing, poolservers
 from celeryspan.wire import messages
 
 OUTPUT_WEIGHT = 2.0
@@ -36,10 +37,6 @@
 """Latency objectives after which a request that waits is refused: callers give up on a
 stream without an event after four of them."""
 
-OVERDUE_SECONDS = 1.0
-"""A run is forgotten this long after its timeout: its router ends it then, and if the
-message was lost the place would stay taken for good."""
-
 MARGIN_SECONDS = 0.1
 """A request counts as in time only if it could start this much later still: a server
 has up to this much reading before it. With twice the load that engines can read it
@@ -96,7 +93,7 @@
     router: ids.RouterId
     message: messages.SlotOffer | messages.SlotRefusal
     waited: float
-    run: placing.Run | None = None
+    run: poolservers.Run | None = None
 
 
 Candidates = dict[ids.AccountId, list[Task]]
@@ -111,15 +108,16 @@
         Spreads the return of those refused.
     """
 
-    def __init__(self, service: ids.ServiceId, generator: random.Random) -> None:
-        self.service = service
+    def __init__(self, name: ids.PoolId, generator: random.Random) -> None:
+        self.name = name
         self._generator = generator
         self._placing = placing.Placing()
         self._shares = accountshares.AccountShares()
         self._waiting: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
+        self._waiting_seconds = 0.0
 
     def set_servers(
-        self, entries: Iterable[catalog.ServerEntry], engine: catalog.Engine | None
+        self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
     ) -> None:
         """Set which servers may get new work."""
         self._placing.set_servers(entries, engine)
@@ -208,10 +206,31 @@
         """Return how many places are taken."""
         return self._placing.count_runs()
 
+    def add_up_shares(
+        self, dimension: int, now: float
+    ) -> tuple[messages.AccountUnits, ...]:
+        """Return what the partner in a dimension is to be told of accounts."""
+        units = self._shares.add_up(dimension, now)
+        return tuple(
+            messages.AccountUnits(name, value) for name, value in units.items()
+        )
+
+    def hear_shares(self, told: messages.PoolShares, now: float) -> None:
+        """Take in what another shard says that accounts have begun."""
+        units = {each.account: each.units for each in told.units}
+        self._shares.hear(told.dimension, units, now)
+
+    def measure_pressure(self, now: float) -> float:
+        """Return how long a request that comes now would wait, in seconds."""
+        turn = self._placing.estimate_turn(self.count_waiting())
+        return max(turn, self._waiting_seconds) + self._placing.measure_pending(now)
+
     def tick(self, now: float) -> list[Answer]:
         """Decide again: servers have read on, and some have waited too long."""
         self._placing.expire(now)
-        return self._expire(now) + self.decide(now)
+        answers = self._expire(now) + self.decide(now)
+        self._waiting_seconds = self._estimate_wait()
+        return answers
 
     def decide(self, now: float) -> list[Answer]:
         """Place as many requests as servers can take now.
@@ -277,7 +296,8 @@
         self.cancel(task.ask.request)
         run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
-        offer = messages.SlotOffer(task.ask.request, self.service, server)
+        pressure = self.measure_pressure(now)
+        offer = messages.SlotOffer(task.ask.request, self.name, server, pressure)
         return Answer(task.router, offer, now - task.arrived_at, run)
 
     def _expire(self, now: float) -> list[Answer]:
@@ -297,7 +317,9 @@
         wait = self._estimate_wait()
         spread = 1.0 + RETRY_SPREAD * self._generator.random()
         retry_after = max(RETRY_SECONDS_MIN, wait) * spread
-        refusal = messages.SlotRefusal(task.ask.request, retry_after, reason)
+        refusal = messages.SlotRefusal(
+            task.ask.request, self.name, retry_after, reason, self.measure_pressure(now)
+        )
         return Answer(task.router, refusal, now - task.arrived_at)
 
     def _estimate_wait(self) -> float:
--- /dev/null
+++ b/celeryspan/decisions/poolservers.py
@@ -0,0 +1,187 @@
+"""What the home of a pool knows of one backend server, and learns from its runs.
+
+Load answered: servers of the same service that are slow, dark or start anew, and whose
+own reports are late. What a server does is predicted from what was sent to it, and the
+prediction is corrected by when first events and answers come.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+
+from celeryspan import catalog, ids, states
+from celeryspan.decisions import promptcache, serverhealth
+
+PENDING_SECONDS = 0.1
+"""Reading pending at one engine beyond which nothing is sent there: a sixth of the
+shortest objective that streams have."""
+
+SPEED_FALL = 0.3
+SPEED_RISE = 0.05
+"""Part of the way that a server's speed follows one reading, down and up. A router with
+much to do tells late of first events, so that readings seem slow now and then and never
+fast; the mean of all held engines of the usual speed for two to eight times slower on
+a full day."""
+
+SPEED_READ_SECONDS = 0.04
+"""Readings shorter than this tell nothing: the step that is under way and the messages
+take a few ten milliseconds."""
+
+SPEED_RANGE = (0.8, 8.0)
+"""How far a server's own speed may differ from the model."""
+
+CALL_SECONDS = 0.02
+"""Expected time of a plain call before any was seen."""
+
+CALL_MEMORY = 0.1
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """A place in use.
+
+    Attributes
+    ----------
+    kept : int
+        Tokens of the prompt that need not be read.
+    pending, read : float
+        Predicted time of reading what came before, and this prompt, in seconds.
+    speed : float
+        Of the server, as it was believed then.
+    due_at : float
+        When the first event is predicted.
+    """
+
+    router: ids.RouterId
+    since: float
+    kept: int
+    pending: float
+    read: float
+    speed: float
+    due_at: float
+    end_at: float
+    is_long: bool
+    is_begun: bool = False
+
+
+class PoolServer:
+    """One backend server of a pool and what runs there.
+
+    Attributes
+    ----------
+    order : int
+        Place among the servers when some are set apart; the same for all routers.
+    speed : float
+        How many times as long as the model says the server takes to read.
+    burst : float
+        Reading without a step between that reads nothing, in seconds.
+    """
+
+    def __init__(
+        self, entry: catalog.ServerEntry, engine: catalog.Engine | None, order: int
+    ) -> None:
+        self.entry = entry
+        self.order = order
+        self.runs: dict[ids.RequestId, Run] = {}
+        self.health = serverhealth.ServerHealth()
+        self.cache = promptcache.PromptCache(engine.memory_tokens if engine else 0)
+        self.speed = 1.0
+        self.call_seconds = CALL_SECONDS
+        self.burst = 0.0
+        self._read_until = 0.0
+        self._unread: dict[ids.RequestId, Run] = {}
+
+    @property
+    def read_until(self) -> float:
+        """When all that was sent is predicted to be read."""
+        return self._read_until
+
+    def add(self, request: ids.RequestId, run: Run, now: float) -> None:
+        """Take in a run; its reading begins when all before it is done."""
+        if self.pending(now) <= 0.0:
+            self.burst = 0.0
+        self.burst += run.read
+        self.runs[request] = run
+        if not run.is_begun:
+            self._unread[request] = run
+        self._read_until = max(now, self._read_until) + run.read
+
+    def begin(self, request: ids.RequestId, first_seconds: float, now: float) -> None:
+        """Note the first event of a run; learn how fast the server reads."""
+        run = self._unread.pop(request, None)
+        if run is None:
+            return
+        run.is_begun = True
+        predicted = (run.due_at - run.since - first_seconds) / run.speed
+        self._learn_speed(predicted, now - run.since - first_seconds)
+        self._catch_up(now)
+
+    def remove(self, request: ids.RequestId, now: float) -> Run | None:
+        """Take out a run that has ended."""
+        self._unread.pop(request, None)
+        run = self.runs.pop(request, None)
+        if run is not None:
+            self._catch_up(now)
+        return run
+
+    def forget(self, router: ids.RouterId) -> None:
+        """Drop the runs of a router that is dead: its connections are closed."""
+        self._keep([key for key, run in self.runs.items() if run.router != router])
+
+    def expire(self, before: float) -> None:
+        """Drop runs that should have ended before a time."""
+        if any(run.end_at < before for run in self.runs.values()):
+            self._keep([key for key, run in self.runs.items() if run.end_at >= before])
+
+    def follow(self, ending: states.RunEnding, took: float, now: float) -> None:
+        """Learn from how a run ended."""
+        match ending:
+            case states.RunEnding.ANSWERED:
+                self.health.succeed()
+                self.call_seconds += (took - self.call_seconds) * CALL_MEMORY
+            case states.RunEnding.FAILED:
+                self.health.fail(now)
+            case states.RunEnding.UNREACHABLE | states.RunEnding.GONE:
+                self.health.fail(now, unreachable=True)
+            case states.RunEnding.REJECTED:
+                self._read_until = max(self._read_until, now + PENDING_SECONDS)
+
+    def pending(self, now: float) -> float:
+        """Return the seconds of reading that lie before a new prompt.
+
+        Runs that are overdue count for as long as they are: a server that has become
+        slow or dark looks idle otherwise, and draws all requests.
+        """
+        pending = self._read_until - now
+        for run in self._unread.values():
+            if now - run.due_at > pending:
+                pending = now - run.due_at
+        return pending if pending > 0.0 else 0.0
+
+    def reads_long(self) -> bool:
+        """Whether a long prompt is being read."""
+        return any(run.is_long for run in self._unread.values())
+
+    def is_open(self, now: float) -> bool:
+        """Whether there is a place, and the server is not at rest."""
+        return len(self.runs) < self.entry.slots and not self.health.rests(now)
+
+    def _learn_speed(self, predicted: float, seen: float) -> None:
+        """Learn from one reading; ``predicted`` is for a server of speed 1."""
+        if predicted < SPEED_READ_SECONDS:
+            return
+        low, high = SPEED_RANGE
+        ratio = min(max(seen / predicted, low), high)
+        part = SPEED_FALL if ratio < self.speed else SPEED_RISE
+        self.speed += (ratio - self.speed) * part
+
+    def _catch_up(self, now: float) -> None:
+        """Take back what was predicted beyond what is still unread."""
+        unread = sum(run.read for run in self._unread.values())
+        self._read_until = min(self._read_until, now + unread)
+
+    def _keep(self, requests: list[ids.RequestId]) -> None:
+        self.runs = {key: self.runs[key] for key in requests}
+        self._unread = {
+            key: run for key, run in self._unread.items() if key in self.runs
+        }
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -20,7 +20,7 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, serverlists
+    from celeryspan.gateway import catalogues, poolmap, serverlists
 
 CONNECTS_MAX = 4
 """Servers that one request tries to connect to."""
@@ -76,7 +76,7 @@
 
 @kernel.register(
     "carrier",
-    needs=("catalogues", "channels", "metrics", "places", "servers"),
+    needs=("catalogues", "channels", "metrics", "places", "poolmap", "servers"),
 )
 class Carrier:
     """Carries orders to backend servers and their answers back."""
@@ -85,6 +85,7 @@
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
         self._channels: channels.Channels = box.find("channels")
         self._places: places.Places = box.find("places")
+        self._map: poolmap.PoolMap = box.find("poolmap")
         self._servers: serverlists.ServersService = box.find("servers")
         self._meters: metrics.Metrics = box.find("metrics")
         self._settings = box.settings
@@ -127,7 +128,7 @@
         """Return a place, or None if a server's own failure is the best answer."""
         order.presence.watch(lambda: self._places.cancel(order.request))
         try:
-            return self._places.acquire(self._make_ask(order, progress))
+            return self._places.acquire(order.service, self._make_ask(order, progress))
         except errors.NotRun as refusal:
             if progress.failure is not None:
                 return None
@@ -146,7 +147,7 @@
         engine = service.engine if service else None
         return messages.SlotRequest(
             request=order.request,
-            service=order.service,
+            pool=ids.PoolId(""),
             account=order.account or ids.AccountId(""),
             data_centre=self._data_centre,
             parts=incoming.parts,
@@ -392,7 +393,7 @@
             return False
         with self._lock:
             budget = self._find_budget(order.service)
-            return budget.take(time.monotonic(), self._places.count_routers())
+            return budget.take(time.monotonic(), self._map.count_routers())
 
     def _note_request(self, service: ids.ServiceId) -> None:
         with self._lock:
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -10,15 +10,15 @@
 import dataclasses
 import threading
 import time
-from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from celeryspan import errors, events, ids, kernel, states
-from celeryspan.decisions import homes
+from celeryspan.decisions import shards
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.services import delivery, identity, membership
+    from celeryspan.gateway import poolmap
+    from celeryspan.services import delivery, identity
 
 TICK_SECONDS = 0.05
 
@@ -26,8 +26,12 @@
 """A home that has said nothing of a waiting request for this long is passed over:
 three of its signs of life."""
 
-PASSED_OVER_SECONDS = 3.0
-"""How long a silent home is passed over; its death is found within this time."""
+MOVE_SECONDS = 0.1
+"""How long a request waits in one pool before another one is looked for: the time in
+which most requests get their place."""
+
+MOVES_MAX = 2
+"""Pools that a request may leave for a better one: its time is spent on its way."""
 
 LATE_SECONDS = 0.3
 """How long after its time a request is refused here if no home has done so."""
@@ -44,6 +48,7 @@
     """
 
     ask: messages.SlotRequest
+    pool: ids.PoolId
     server: ids.ServerId
     home: ids.RouterId
     end_at: float
@@ -56,24 +61,23 @@
     home: ids.RouterId
     asked_at: float
     heard_at: float
+    moves: int = 0
     ready: threading.Event = dataclasses.field(default_factory=threading.Event)
     place: Place | None = None
     error: errors.NotRun | None = None
 
 
-@kernel.register("places", needs=("delivery", "identity", "membership"))
+@kernel.register("places", needs=("delivery", "identity", "poolmap"))
 class Places:
     """Waits for places, and tells their homes what becomes of them."""
 
     def __init__(self, box: kernel.Kernel) -> None:
         self._delivery: delivery.DeliveryService = box.find("delivery")
         self._identity: identity.IdentityService = box.find("identity")
-        self._membership: membership.MembershipService = box.find("membership")
+        self._map: poolmap.PoolMap = box.find("poolmap")
         self._lock = threading.Lock()
         self._waiters: dict[ids.RequestId, _Waiter] = {}
         self._held: dict[ids.RequestId, Place] = {}
-        self._passed_over: dict[ids.RouterId, float] = {}
-        self._routers = self._list_candidates(self._membership.alive())
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="places", daemon=True)
 
@@ -82,7 +86,7 @@
         self._delivery.subscribe(messages.SlotOffer, self._take_offer)
         self._delivery.subscribe(messages.SlotRefusal, self._take_refusal)
         self._delivery.subscribe(messages.QueueAlive, self._take_alive)
-        self._membership.subscribe(self._follow_members)
+        self._map.subscribe(lambda: self._move(time.monotonic()))
         self._thread.start()
 
     def stop(self) -> None:
@@ -98,12 +102,8 @@
         """Return how much waits and runs, for the operator."""
         return {"waiting": len(self._waiters), "held": len(self._held)}
 
-    def count_routers(self) -> int:
-        """Return how many routers take part."""
-        return max(1, len(self._routers))
-
-    def acquire(self, ask: messages.SlotRequest) -> Place:
-        """Wait for a place.
+    def acquire(self, service: ids.ServiceId, ask: messages.SlotRequest) -> Place:
+        """Wait for a place at a server of a service; the pool is found here.
 
         Raises
         ------
@@ -111,7 +111,9 @@
             If there is none in time, or the caller has left.
         """
         now = time.monotonic()
-        waiter = _Waiter(ask, self._find_home(ask.service, now), now, now)
+        pool = self._map.choose_pool(service, ask, now)
+        ask = dataclasses.replace(ask, pool=pool)
+        waiter = _Waiter(ask, self._map.find_home(pool), now, now)
         with self._lock:
             self._waiters[ask.request] = waiter
         self._delivery.send(waiter.home, ask)
@@ -126,7 +128,7 @@
         with self._lock:
             waiter = self._waiters.pop(request, None)
         if waiter is not None:
-            cancel = messages.SlotCancel(request, waiter.ask.service)
+            cancel = messages.SlotCancel(request, waiter.ask.pool)
             self._delivery.send(waiter.home, cancel)
             self._refuse(waiter, make_refusal("caller-left", 0.0))
 
@@ -134,7 +136,7 @@
         """Say that the first event has come."""
         place.is_begun = True
         ask = place.ask
-        begun = messages.RunBegun(ask.request, ask.service, place.server)
+        begun = messages.RunBegun(ask.request, place.pool, place.server)
         self._delivery.send(place.home, begun)
 
     def end(self, place: Place, ending: states.RunEnding) -> None:
@@ -142,18 +144,19 @@
         ask = place.ask
         with self._lock:
             self._held.pop(ask.request, None)
-        ended = messages.RunEnded(ask.request, ask.service, place.server, ending)
+        ended = messages.RunEnded(ask.request, place.pool, place.server, ending)
         self._delivery.send(place.home, ended)
 
     def _take_offer(
         self, home: ids.RouterId, _: ids.Incarnation, offer: messages.SlotOffer
     ) -> None:
         """Bind an offer to its request; one that nobody waits for goes back."""
+        self._map.note_pressure(offer.pool, offer.pressure, time.monotonic())
         with self._lock:
             waiter = self._waiters.pop(offer.request, None)
             if waiter is not None:
                 end_at = waiter.asked_at + waiter.ask.timeout
-                place = Place(waiter.ask, offer.server, home, end_at)
+                place = Place(waiter.ask, offer.pool, offer.server, home, end_at)
                 self._held[offer.request] = waiter.place = place
         if waiter is not None:
             waiter.ready.set()
@@ -162,16 +165,17 @@
         if held is not None and held.home == home and held.server == offer.server:
             return
         ended = messages.RunEnded(
-            offer.request, offer.service, offer.server, states.RunEnding.UNUSED
+            offer.request, offer.pool, offer.server, states.RunEnding.UNUSED
         )
         self._delivery.send(home, ended)
 
     def _take_refusal(
         self, home: ids.RouterId, _: ids.Incarnation, refusal: messages.SlotRefusal
     ) -> None:
+        self._map.note_pressure(refusal.pool, refusal.pressure, time.monotonic())
         with self._lock:
             waiter = self._waiters.get(refusal.request)
-            if waiter is None or waiter.home != home:
+            if waiter is None or waiter.home != home or waiter.ask.pool != refusal.pool:
                 return
             del self._waiters[refusal.request]
         self._refuse(waiter, make_refusal(refusal.reason, refusal.retry_after))
@@ -180,60 +184,40 @@
         self, home: ids.RouterId, _: ids.Incarnation, alive: messages.QueueAlive
     ) -> None:
         now = time.monotonic()
+        self._map.note_pressure(alive.pool, alive.pressure, now)
         with self._lock:
             for waiter in self._waiters.values():
-                if waiter.home == home and waiter.ask.service == alive.service:
+                if waiter.home == home and waiter.ask.pool == alive.pool:
                     waiter.heard_at = now
 
     def _refuse(self, waiter: _Waiter, error: errors.NotRun) -> None:
         waiter.error = error
         waiter.ready.set()
 
-    def _find_home(self, service: ids.ServiceId, now: float) -> ids.RouterId:
-        """Return the home of a pool: this router if no other is left."""
-        candidates = [
-            router
-            for router in self._routers
-            if self._passed_over.get(router, 0.0) <= now
-        ]
-        found = homes.find_home(ids.ServerId(service), candidates)
-        return found if found is not None else self._identity.router
-
-    def _list_candidates(
-        self, members: Iterable[messages.Member]
-    ) -> tuple[ids.RouterId, ...]:
-        """Return the routers that may be homes: those that stop hand over."""
-        return tuple(
-            member.router
-            for member in members
-            if member.state is not states.MemberState.LEAVING
-        )
-
-    def _follow_members(self, members: list[messages.Member]) -> None:
-        self._routers = self._list_candidates(members)
-        self._move(time.monotonic())
-
     def _move(self, now: float) -> None:
-        """Ask new homes for what waits, and tell them what runs."""
+        """Ask the present homes for what waits, and tell them what runs."""
         told: list[tuple[ids.RouterId, messages.Message]] = []
         with self._lock:
             for waiter in self._waiters.values():
-                told += self._move_waiter(waiter, now)
+                pool = waiter.ask.pool
+                if not self._map.is_current(pool):
+                    service, _, _ = shards.parse_pool(pool)
+                    pool = self._map.choose_pool(service, waiter.ask, now)
+                told += self._move_waiter(waiter, pool, now)
             for place in self._held.values():
                 told += self._move_place(place, now)
         for home, message in told:
             self._delivery.send(home, message)
 
     def _move_waiter(
-        self, waiter: _Waiter, now: float
+        self, waiter: _Waiter, pool: ids.PoolId, now: float
     ) -> list[tuple[ids.RouterId, messages.Message]]:
-        home = self._find_home(waiter.ask.service, now)
-        if home == waiter.home:
+        home = self._map.find_home(pool)
+        if home == waiter.home and pool == waiter.ask.pool:
             return []
-        before = (
-            waiter.home,
-            messages.SlotCancel(waiter.ask.request, waiter.ask.service),
-        )
+        cancel = messages.SlotCancel(waiter.ask.request, waiter.ask.pool)
+        before = (waiter.home, cancel)
+        waiter.ask = dataclasses.replace(waiter.ask, pool=pool)
         waiter.home, waiter.heard_at = home, now
         waited = waiter.ask.waited + now - waiter.asked_at
         return [before, (home, dataclasses.replace(waiter.ask, waited=waited))]
@@ -241,16 +225,20 @@
     def _move_place(
         self, place: Place, now: float
     ) -> list[tuple[ids.RouterId, messages.Message]]:
-        home = self._find_home(place.ask.service, now)
-        if home == place.home:
+        service, _, _ = shards.parse_pool(place.pool)
+        pool = self._map.find_pool_of(service, place.server)
+        if pool is None:
+            return []  # It has left: whoever placed the run forgets it at its end.
+        home = self._map.find_home(pool)
+        if home == place.home and pool == place.pool:
             return []
         ask = place.ask
         before = messages.RunEnded(
-            ask.request, ask.service, place.server, states.RunEnding.UNUSED
+            ask.request, place.pool, place.server, states.RunEnding.UNUSED
         )
         held = messages.RunHeld(
             ask.request,
-            ask.service,
+            pool,
             ask.account,
             place.server,
             ask.parts,
@@ -259,7 +247,7 @@
             max(0.0, place.end_at - now),
         )
         told = [(place.home, before), (home, held)]
-        place.home = home
+        place.home, place.pool = home, pool
         return told
 
     def _run(self) -> None:
@@ -288,10 +276,25 @@
         for waiter in late:
             self._refuse(waiter, make_refusal("no-place-in-time", 1.0))
         for router in silent:
-            self._passed_over[router] = now + PASSED_OVER_SECONDS
-            events.log(events.Event.HOME_LEFT, peer=router, reason="silent")
+            self._map.pass_over(router, now)
         if silent:
             self._move(now)
+        self._move_to_better(now)
+
+    def _move_to_better(self, now: float) -> None:
+        """Let requests that wait go to pools in which they would wait less."""
+        told: list[tuple[ids.RouterId, messages.Message]] = []
+        with self._lock:
+            for waiter in self._waiters.values():
+                due = waiter.asked_at + MOVE_SECONDS * (waiter.moves + 1)
+                if now < due or waiter.moves >= MOVES_MAX:
+                    continue
+                pool = self._map.find_better(waiter.ask.pool, waiter.ask, now)
+                if pool is not None:
+                    waiter.moves += 1
+                    told += self._move_waiter(waiter, pool, now)
+        for home, message in told:
+            self._delivery.send(home, message)
 
 
 def make_refusal(reason: str, retry_after: float) -> errors.NotRun:
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -8,12 +8,12 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, events, ids, kernel
-from celeryspan.decisions import pools
+from celeryspan import events, ids, kernel
+from celeryspan.decisions import pools, shards
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, serverlists
+    from celeryspan.gateway import catalogues, poolmap, serverlists
     from celeryspan.services import delivery, identity, membership
 
 TICK_SECONDS = 0.005
@@ -28,10 +28,18 @@
 ALIVE_SECONDS = 0.2
 """How often routers with waiting requests hear that these are still held."""
 
+SHARES_SECONDS = 0.25
+"""How often homes of one service tell each other what accounts have begun: with eight
+shards each knows the total after 0.75 s, while shares count for six seconds."""
+
+UNUSED_SECONDS = 10.0
+"""A pool without requests for this long is forgotten: the service has another number
+of pools now, or this router is no longer its home."""
+
 
 @kernel.register(
     "poolhomes",
-    needs=("catalogues", "delivery", "identity", "membership", "servers"),
+    needs=("catalogues", "delivery", "identity", "membership", "poolmap", "servers"),
 )
 class PoolHomes:
     """Decides for all routers who gets a place in the pools kept here.
@@ -45,12 +53,15 @@
         self._delivery: delivery.DeliveryService = box.find("delivery")
         self._identity: identity.IdentityService = box.find("identity")
         self._membership: membership.MembershipService = box.find("membership")
+        self._map: poolmap.PoolMap = box.find("poolmap")
         self._servers: serverlists.ServersService = box.find("servers")
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
-        self._pools: dict[ids.ServiceId, pools.Pool] = {}
+        self._pools: dict[ids.PoolId, pools.Pool] = {}
+        self._used_at: dict[ids.PoolId, float] = {}
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._told_at = 0.0
+        self._shares_at = 0.0
         self._changed = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="poolhomes", daemon=True)
@@ -62,7 +73,8 @@
         self._delivery.subscribe(messages.RunHeld, self._take_held)
         self._delivery.subscribe(messages.RunBegun, self._take_begun)
         self._delivery.subscribe(messages.RunEnded, self._take_ended)
-        self._servers.subscribe(lambda _: self._set_servers())
+        self._delivery.subscribe(messages.PoolShares, self._take_shares)
+        self._map.subscribe(self._set_servers)
         self._catalogues.subscribe(lambda _: self._set_servers())
         self._membership.subscribe(self._follow_members)
         self._thread.start()
@@ -77,8 +89,8 @@
         """Return what waits and runs in each pool kept here."""
         with self._lock:
             return {
-                service: {"waiting": pool.count_waiting(), "runs": pool.count_runs()}
-                for service, pool in self._pools.items()
+                name: {"waiting": pool.count_waiting(), "runs": pool.count_runs()}
+                for name, pool in self._pools.items()
             }
 
     def _take_request(
@@ -90,7 +102,7 @@
         now = time.monotonic()
         with self._lock:
             self._note_incarnation(router, incarnation)
-            answers = self._find_pool(ask.service).ask(router, ask, now)
+            answers = self._find_pool(ask.pool).ask(router, ask, now)
         self._tell(answers)
         self._changed.set()
 
@@ -98,20 +110,20 @@
         self, _: ids.RouterId, __: ids.Incarnation, cancel: messages.SlotCancel
     ) -> None:
         with self._lock:
-            self._find_pool(cancel.service).cancel(cancel.request)
+            self._find_pool(cancel.pool).cancel(cancel.request)
 
     def _take_held(
         self, router: ids.RouterId, incarnation: ids.Incarnation, run: messages.RunHeld
     ) -> None:
         with self._lock:
             self._note_incarnation(router, incarnation)
-            self._find_pool(run.service).hold(router, run, time.monotonic())
+            self._find_pool(run.pool).hold(router, run, time.monotonic())
 
     def _take_begun(
         self, _: ids.RouterId, __: ids.Incarnation, begun: messages.RunBegun
     ) -> None:
         with self._lock:
-            pool = self._find_pool(begun.service)
+            pool = self._find_pool(begun.pool)
             pool.begin(begun.request, begun.server, time.monotonic())
         self._changed.set()
 
@@ -119,33 +131,48 @@
         self, _: ids.RouterId, __: ids.Incarnation, ended: messages.RunEnded
     ) -> None:
         with self._lock:
-            pool = self._find_pool(ended.service)
+            pool = self._find_pool(ended.pool)
             pool.end(ended.request, ended.server, ended.ending, time.monotonic())
         self._changed.set()
 
-    def _find_pool(self, service: ids.ServiceId) -> pools.Pool:
-        pool = self._pools.get(service)
+    def _take_shares(
+        self, _: ids.RouterId, __: ids.Incarnation, told: messages.PoolShares
+    ) -> None:
+        with self._lock:
+            pool = self._pools.get(told.pool)
+            if pool is not None:
+                pool.hear_shares(told, time.monotonic())
+
+    def _find_pool(self, name: ids.PoolId) -> pools.Pool:
+        """Return a pool that is asked of; the caller holds the lock."""
+        self._used_at[name] = time.monotonic()
+        pool = self._pools.get(name)
         if pool is None:
-            pool = self._pools[service] = pools.Pool(service, self._random)
-            self._set_pool_servers(pool, self._servers.usable().values())
-            events.log(events.Event.HOME_TAKEN, service=service)
+            pool = self._pools[name] = pools.Pool(name, self._random)
+            self._set_pool_servers(pool)
+            events.log(events.Event.HOME_TAKEN, pool=name)
         return pool
 
     def _set_servers(self) -> None:
-        usable = self._servers.usable().values()
         with self._lock:
             for pool in self._pools.values():
-                self._set_pool_servers(pool, usable)
+                self._set_pool_servers(pool)
         self._changed.set()
 
-    def _set_pool_servers(
-        self, pool: pools.Pool, usable: Iterable[catalog.ServerEntry]
-    ) -> None:
+    def _set_pool_servers(self, pool: pools.Pool) -> None:
+        service_id, _, _ = shards.parse_pool(pool.name)
         current = self._catalogues.current()
-        service = current.services.get(pool.service) if current else None
-        mine = [entry for entry in usable if entry.service == pool.service]
+        service = current.services.get(service_id) if current else None
+        mine = self._map.list_servers(pool.name, self._servers.usable())
         pool.set_servers(mine, service.engine if service else None)
 
+    def _drop_unused(self, now: float) -> None:
+        """Forget pools that nobody asks of any more; the caller holds the lock."""
+        for name, pool in list(self._pools.items()):
+            is_idle = not pool.count_waiting() and not pool.count_runs()
+            if is_idle and now - self._used_at[name] > UNUSED_SECONDS:
+                del self._pools[name], self._used_at[name]
+
     def _note_incarnation(
         self, router: ids.RouterId, incarnation: ids.Incarnation
     ) -> None:
@@ -192,23 +219,41 @@
             if waits:
                 time.sleep(REST_SECONDS)
 
+    def _tell_shares(self, now: float) -> None:
+        """Tell the homes of other shards what accounts have begun here."""
+        if now - self._shares_at < SHARES_SECONDS:
+            return
+        self._shares_at = now
+        told = []
+        with self._lock:
+            self._drop_unused(now)
+            for name, pool in self._pools.items():
+                service, count, shard = shards.parse_pool(name)
+                for dimension in range(count.bit_length() - 1):
+                    partner = shards.name_pool(service, count, shard ^ (1 << dimension))
+                    units = pool.add_up_shares(dimension, now)
+                    told.append(messages.PoolShares(partner, dimension, units))
+        for message in told:
+            self._delivery.send(self._map.find_home(message.pool), message)
+
     def _tick(self, now: float) -> bool:
         """Decide again in all pools; returns whether anything waits."""
+        self._tell_shares(now)
         with self._lock:
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
             waits = any(pool.count_waiting() for pool in self._pools.values())
-            alive = self._list_alive() if now - self._told_at > ALIVE_SECONDS else []
+            alive = self._list_alive(now) if now - self._told_at > ALIVE_SECONDS else []
         if alive:
             self._told_at = now
-        for router, service in alive:
-            self._delivery.send(router, messages.QueueAlive(service))
+        for router, message in alive:
+            self._delivery.send(router, message)
         self._tell(answers)
         return waits
 
-    def _list_alive(self) -> list[tuple[ids.RouterId, ids.ServiceId]]:
+    def _list_alive(self, now: float) -> list[tuple[ids.RouterId, messages.QueueAlive]]:
         return [
-            (router, service)
-            for service, pool in self._pools.items()
+            (router, messages.QueueAlive(name, pool.measure_pressure(now)))
+            for name, pool in self._pools.items()
             for router in pool.list_routers()
         ]
 
--- /dev/null
+++ b/celeryspan/gateway/poolmap.py
@@ -0,0 +1,175 @@
+"""The kernel service ``poolmap``: which router is home of which pool.
+
+All routers work this out alike, from the list of backend servers and the membership.
+"""
+
+from __future__ import annotations
+
+import collections
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from celeryspan import events, ids, kernel, states
+from celeryspan.decisions import shards
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan import catalog
+    from celeryspan.gateway import serverlists
+    from celeryspan.services import identity, membership
+
+PASSED_OVER_SECONDS = 3.0
+"""How long a silent home is passed over; its death is found within this time."""
+
+MOVE_GAIN_SECONDS = 0.1
+"""A request that waits goes to another shard only for this much: what homes say of
+their waiting time is some tenths of a second old."""
+
+
+@kernel.register("poolmap", needs=("identity", "membership", "servers"))
+class PoolMap:
+    """Finds pools for requests, and homes for pools."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._identity: identity.IdentityService = box.find("identity")
+        self._membership: membership.MembershipService = box.find("membership")
+        self._servers: serverlists.ServersService = box.find("servers")
+        self._pressures = shards.Pressures()
+        self._passed_over: dict[ids.RouterId, float] = {}
+        self._routers: tuple[ids.RouterId, ...] = (self._identity.router,)
+        self._divisions: dict[ids.ServiceId, shards.Division] = {}
+        self._homes: dict[tuple[ids.ServiceId, int], tuple[ids.RouterId, ...]] = {}
+        self._handlers: list[Callable[[], None]] = []
+
+    def start(self) -> None:
+        """Begin to follow servers and routers."""
+        self._set_members(self._membership.alive())
+        self._membership.subscribe(self._follow_members)
+        self._servers.subscribe(self._follow_servers)
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def report(self) -> dict[str, object]:
+        """Return the homes of each service's pools."""
+        return {
+            service: list(self._list_homes(service, division.count))
+            for service, division in self._divisions.items()
+        }
+
+    def subscribe(self, handler: Callable[[], None]) -> None:
+        """Call a handler when pools or homes may have changed."""
+        self._handlers.append(handler)
+
+    def count_routers(self) -> int:
+        """Return how many routers take part."""
+        return max(1, len(self._routers))
+
+    def find_pool_of(
+        self, service: ids.ServiceId, server: ids.ServerId
+    ) -> ids.PoolId | None:
+        """Return the pool of a backend server; None if it has left."""
+        division = self._find_division(service)
+        shard = division.shards.get(server)
+        if shard is None:
+            return None
+        return shards.name_pool(service, division.count, shard)
+
+    def choose_pool(
+        self, service: ids.ServiceId, ask: messages.SlotRequest, now: float
+    ) -> ids.PoolId:
+        """Return the pool of which a request is asked."""
+        count = self._find_division(service).count
+        key, penalty = shards.find_affinity(ask)
+        shard = self._pressures.choose(service, count, key, penalty, now)
+        return shards.name_pool(service, count, shard)
+
+    def find_better(
+        self, pool: ids.PoolId, ask: messages.SlotRequest, now: float
+    ) -> ids.PoolId | None:
+        """Return the pool to which a request that waits had better go, or None."""
+        service, count, _ = shards.parse_pool(pool)
+        if count == 1 or count != self._find_division(service).count:
+            return None
+        found = self.choose_pool(service, ask, now)
+        gain = self._pressures.read(pool, now) - self._pressures.read(found, now)
+        return found if gain > MOVE_GAIN_SECONDS and found != pool else None
+
+    def is_current(self, pool: ids.PoolId) -> bool:
+        """Whether a service still has as many pools as it had with this one."""
+        service, count, _ = shards.parse_pool(pool)
+        return count == self._find_division(service).count
+
+    def list_servers(
+        self, pool: ids.PoolId, entries: dict[ids.ServerId, catalog.ServerEntry]
+    ) -> list[catalog.ServerEntry]:
+        """Return the backend servers of a pool."""
+        service, count, shard = shards.parse_pool(pool)
+        mine = [name for name, each in entries.items() if each.service == service]
+        found = shards.split(mine, count)
+        return [entries[name] for name in mine if found[name] == shard]
+
+    def note_pressure(self, pool: ids.PoolId, seconds: float, now: float) -> None:
+        """Take in how long requests wait in a pool."""
+        self._pressures.note(pool, seconds, now)
+
+    def pass_over(self, router: ids.RouterId, now: float) -> None:
+        """Ask others in place of a home that is silent, for a while."""
+        until = now + PASSED_OVER_SECONDS
+        self._passed_over = {**self._passed_over, router: until}
+        self._homes = {}
+        events.log(events.Event.HOME_LEFT, peer=router, reason="silent")
+
+    def find_home(self, pool: ids.PoolId) -> ids.RouterId:
+        """Return the home of a pool: this router if no other is left."""
+        service, count, shard = shards.parse_pool(pool)
+        found = self._list_homes(service, count)
+        return found[shard] if shard < len(found) else self._identity.router
+
+    def _list_homes(
+        self, service: ids.ServiceId, count: int
+    ) -> tuple[ids.RouterId, ...]:
+        now = time.monotonic()
+        if any(until <= now for until in self._passed_over.values()):
+            self._passed_over = {
+                router: until
+                for router, until in self._passed_over.items()
+                if until > now
+            }
+            self._homes = {}
+        found = self._homes.get((service, count))
+        if found is None:
+            routers = [r for r in self._routers if r not in self._passed_over]
+            found = shards.find_homes(service, count, routers)
+            self._homes[service, count] = found
+        return found
+
+    def _find_division(self, service: ids.ServiceId) -> shards.Division:
+        return self._divisions.get(service, shards.UNDIVIDED)
+
+    def _set_members(self, members: list[messages.Member]) -> None:
+        """Take those that may be homes: routers that stop hand over."""
+        self._routers = tuple(
+            member.router
+            for member in members
+            if member.state is not states.MemberState.LEAVING
+        )
+        self._homes = {}
+
+    def _follow_members(self, members: list[messages.Member]) -> None:
+        self._set_members(members)
+        self._notify()
+
+    def _follow_servers(self, usable: dict[ids.ServerId, catalog.ServerEntry]) -> None:
+        services: dict[ids.ServiceId, list[ids.ServerId]] = collections.defaultdict(
+            list
+        )
+        for name, entry in usable.items():
+            services[entry.service].append(name)
+        self._divisions = {name: shards.divide(each) for name, each in services.items()}
+        self._notify()
+
+    def _notify(self) -> None:
+        for handler in self._handlers:
+            handler()
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -343,7 +343,7 @@
     """
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
     account: ids.AccountId
     data_centre: ids.DataCentreId
     parts: tuple[PromptPart, ...]
@@ -362,16 +362,23 @@
     """The request needs no place any more."""
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SlotOffer:
-    """A place at a backend server; the router uses it or gives it back."""
+    """A place at a backend server; the router uses it or gives it back.
+
+    Attributes
+    ----------
+    pressure : float
+        How long a request that comes now would wait in this pool, in seconds.
+    """
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
     server: ids.ServerId
+    pressure: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -384,11 +391,15 @@
         Seconds after which a place is likely.
     reason : str
         Stable machine-readable name.
+    pressure : float
+        As in an offer.
     """
 
     request: ids.RequestId
+    pool: ids.PoolId
     retry_after: float
     reason: str
+    pressure: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -402,7 +413,7 @@
     """
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
     account: ids.AccountId
     server: ids.ServerId
     parts: tuple[PromptPart, ...]
@@ -416,7 +427,7 @@
     """The first event of a run has come."""
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
     server: ids.ServerId
 
 
@@ -431,16 +442,49 @@
     """
 
     request: ids.RequestId
-    service: ids.ServiceId
+    pool: ids.PoolId
     server: ids.ServerId
     ending: states.RunEnding
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueAlive:
-    """The home of a pool still holds requests of the receiver."""
+    """The home of a pool still holds requests of the receiver.
 
-    service: ids.ServiceId
+    Attributes
+    ----------
+    pressure : float
+        As in an offer.
+    """
+
+    pool: ids.PoolId
+    pressure: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AccountUnits:
+    """Service that an account has begun to get lately, in tokens."""
+
+    account: ids.AccountId
+    units: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolShares:
+    """What accounts have got in some shards of a service, told to another shard.
+
+    Attributes
+    ----------
+    pool : PoolId
+        The shard that is told.
+    dimension : int
+        The shards differ in this bit of their numbers; the units are those of the
+        sender and of the shards that it hears of in lower dimensions.
+    """
+
+    pool: ids.PoolId
+    dimension: int
+    units: tuple[AccountUnits, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -516,6 +560,7 @@
     | RunBegun
     | RunEnded
     | QueueAlive
+    | PoolShares
     | RelayRequest
     | RelayBatch
 )
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -50,6 +50,7 @@
     queueAlive @30 :QueueAlive;
     relayRequest @31 :RelayRequest;
     relayBatch @32 :RelayBatch;
+    poolShares @33 :PoolShares;
   }
 }
 
@@ -212,7 +213,7 @@
 
 struct SlotRequest {
   request @0 :Text;
-  service @1 :Text;
+  pool @1 :Text;
   account @2 :Text;
   dataCentre @3 :Text;
   parts @4 :List(PromptPart);
@@ -228,24 +229,27 @@
 
 struct SlotCancel {
   request @0 :Text;
-  service @1 :Text;
+  pool @1 :Text;
 }
 
 struct SlotOffer {
   request @0 :Text;
   server @1 :Text;
-  service @2 :Text;
+  pool @2 :Text;
+  pressure @3 :Float32;
 }
 
 struct SlotRefusal {
   request @0 :Text;
   retryAfter @1 :Float32;
   reason @2 :Text;
+  pool @3 :Text;
+  pressure @4 :Float32;
 }
 
 struct RunHeld {
   request @0 :Text;
-  service @1 :Text;
+  pool @1 :Text;
   account @2 :Text;
   server @3 :Text;
   parts @4 :List(PromptPart);
@@ -256,19 +260,31 @@
 
 struct RunBegun {
   request @0 :Text;
-  service @1 :Text;
+  pool @1 :Text;
   server @2 :Text;
 }
 
 struct RunEnded {
   request @0 :Text;
-  service @1 :Text;
+  pool @1 :Text;
   server @2 :Text;
   ending @3 :Text;
 }
 
 struct QueueAlive {
-  service @0 :Text;
+  pool @0 :Text;
+  pressure @1 :Float32;
+}
+
+struct AccountUnits {
+  account @0 :Text;
+  units @1 :Float64;
+}
+
+struct PoolShares {
+  pool @0 :Text;
+  dimension @1 :UInt8;
+  units @2 :List(AccountUnits);
 }
 
 struct RelayRequest {
--- /dev/null
+++ b/tests/decisions/test_shards.py
@@ -0,0 +1,153 @@
+"""A pool of many servers is divided alike by all routers, and no shard stays full."""
+
+from __future__ import annotations
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from bench.engines import loads, site, trial
+from celeryspan.decisions import shards
+
+SERVERS = [f"i-{number:04x}" for number in range(56)]
+ROUTERS = [f"edge-{number}" for number in range(66)]
+
+GROWN = site.Site(engines=56, slots=12, memory_tokens=480_000, stride=10)
+
+
+def make_load(rate: float, **values: object) -> loads.Load:
+    """Return prompts of which the most is shared, as drafts have them."""
+    shape = {
+        "name": "plans",
+        "objective": 0.6,
+        "timeout": 12.0,
+        "gap_max": 0.3,
+        "shared": (500, 4_900),
+        "subjects": 900,
+        "own": 2_500,
+        "own_spread": 1.0,
+        "output": 380,
+    }
+    return loads.Load(rate=rate, **{**shape, **values})
+
+
+def play(
+    parts: list[loads.Load], policy: str = "shards", seconds: float = 6.0
+) -> trial.Result:
+    asked = loads.merge(parts, seconds, random.Random(5))
+    return trial.play(GROWN, asked, seed=5, policy=policy)
+
+
+@pytest.mark.parametrize(
+    ("servers", "count"), [(0, 1), (9, 1), (14, 1), (15, 2), (56, 8), (70, 8)]
+)
+def test_number_of_shards_follows_the_servers(servers: int, count: int) -> None:
+    assert shards.count_shards(servers) == count
+
+
+@hypothesis.given(strategies.sets(strategies.text(min_size=1), max_size=80))
+@hypothesis.settings(derandomize=True, deadline=None)
+def test_shards_hold_each_server_once_and_are_alike_large(servers: set[str]) -> None:
+    count = shards.count_shards(len(servers))
+    found = shards.split(servers, count)
+    assert found.keys() == servers
+    sizes = [list(found.values()).count(shard) for shard in range(count)]
+    assert max(sizes) - min(sizes) <= count.bit_length()
+
+
+def test_all_routers_divide_alike() -> None:
+    assert shards.divide(SERVERS) == shards.divide(SERVERS[::-1])
+
+
+def test_server_that_leaves_moves_few_others() -> None:
+    """Servers are replaced one after the other.
+
+    If each time all the others changed their homes, every engine's kept prompts would
+    be unknown to its new home, and be read again.
+    """
+    before = shards.split(SERVERS, 8)
+    moved = 0
+    for gone in SERVERS:
+        after = shards.split([name for name in SERVERS if name != gone], 8)
+        moved += sum(after[name] != before[name] for name in after)
+    assert moved / len(SERVERS) <= 8
+
+
+def test_fewer_shards_are_the_same_ones_joined() -> None:
+    """A quarter of the servers crash for a moment, and shards are halved."""
+    eight, four = shards.split(SERVERS, 8), shards.split(SERVERS, 4)
+    assert all(four[name] == eight[name] % 4 for name in SERVERS)
+    homes = shards.find_homes("planner", 8, ROUTERS)
+    assert shards.find_homes("planner", 4, ROUTERS) == homes[:4]
+    for key in ("a", "b", "c"):
+        assert shards.rank(key, 4)[0] == shards.rank(key, 8)[0] % 4
+
+
+def test_homes_are_different_routers_while_there_are_enough() -> None:
+    assert len(set(shards.find_homes("planner", 8, ROUTERS))) == 8
+    assert set(shards.find_homes("planner", 8, ROUTERS[:3])) == set(ROUTERS[:3])
+    assert shards.find_homes("planner", 8, []) == ()
+
+
+def test_name_of_a_pool_is_read_back() -> None:
+    name = shards.name_pool("a#service", 8, 3)
+    assert shards.parse_pool(name) == ("a#service", 8, 3)
+    with pytest.raises(ValueError):
+        shards.parse_pool("planner")
+
+
+def test_request_leaves_its_shard_only_for_more_than_it_costs() -> None:
+    found = shards.Pressures()
+    first = shards.rank("part", 8)[0]
+    for shard in range(8):
+        found.note(shards.name_pool("planner", 8, shard), 0.1, 10.0)
+    assert found.choose("planner", 8, "part", 0.4, 10.0) == first
+    found.note(shards.name_pool("planner", 8, first), 0.55, 10.0)
+    assert found.choose("planner", 8, "part", 0.9, 10.0) == first
+    elsewhere = found.choose("planner", 8, "part", 0.4, 10.0)
+    assert elsewhere != first
+    assert found.choose("planner", 8, "part", 0.9, 10.1) == elsewhere
+
+
+def test_old_word_of_a_full_shard_does_not_keep_requests_away() -> None:
+    """A shard was full and has nothing to do now, since nobody asks it any more."""
+    found = shards.Pressures()
+    first = shards.rank("part", 8)[0]
+    found.note(shards.name_pool("planner", 8, first), 5.0, 10.0)
+    assert found.choose("planner", 8, "part", 0.1, 10.0) != first
+    later = 10.0 + shards.PRESSURE_SECONDS
+    assert found.choose("planner", 8, "part", 0.1, later) == first
+
+
+def test_shards_serve_nearly_as_much_as_one_home_would() -> None:
+    usual = [make_load(100), make_load(300, name="notes", shared=(300, 200), output=22)]
+    whole, divided = play(usual, "ledger"), play(usual)
+    for kind in ("plans", "notes"):
+        assert divided.share_in_time(kind) >= whole.share_in_time(kind) - 0.06
+    assert divided.refused <= whole.refused + 0.02 * whole.asked
+
+
+def test_hot_part_overflows_to_other_shards() -> None:
+    """Half of all drafts are suddenly about one subject, whose shard has 7 engines.
+
+    Kept to that shard they are refused while seven eighths of the engines idle.
+    """
+    result = play([make_load(150, hot_share=0.5)])
+    assert result.share_served("plans") >= 0.97
+    assert result.share_in_time("plans") >= 0.75
+    assert result.read_again <= 0.15 * result.read
+
+
+def test_account_of_one_subject_gets_as_much_as_one_of_many() -> None:
+    """Two accounts flood; the prompts of one all belong to one shard.
+
+    Fair in each shard alone, it would get an eighth of what the other gets.
+    """
+    many = make_load(260, accounts=("many",))
+    one = make_load(130, accounts=("one",), subjects=1, subjects_from=5_000)
+    others = make_load(130, accounts=("c", "d"), subjects=400, subjects_from=9_000)
+    result = play([many, one, others], seconds=9.0)
+    got = result.tokens_by_account
+    assert got["one"] >= 0.5 * got["many"]
