Let reading pause within the steps of an event; decide moves of long runs

Cause: engines of the grown deployments make an event in ten steps. A burst of reading that was followed by another one after a single step without reading kept ten steps busy in a row: 12 in 100 plans and 8 in 100 digests paused too long at a calm load. Change: decisions/engines says how long reading must rest so that no ten steps in a row read too much (13 ms; nothing with six steps an event); a burst counts until then. decisions/migration chooses the engine that takes over a long run once its prompt is read; the emulator moves runs. The routers don't yet: the platform's reader does not say that engines can.

--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -79,6 +79,21 @@
         if self.next_at is None:
             self.next_at = now
 
+    def take_out(self, job: Job) -> bool:
+        """Stop a job that makes tokens; returns whether there was one."""
+        if job not in self._making:
+            return False
+        self._making.remove(job)
+        return True
+
+    def take_in(self, job: Job, now: float) -> None:
+        """Go on with a job that was read elsewhere."""
+        job.engine = self.name
+        self._making.append(job)
+        self.runs += 1
+        if self.next_at is None:
+            self.next_at = now
+
     def step(self, known: set[str]) -> tuple[list[Job], list[Job]]:
         """Take one step; returns the jobs that made an event and those that ended."""
         assert self.next_at is not None
--- a/bench/engines/policies.py
+++ b/bench/engines/policies.py
@@ -176,9 +176,15 @@
         pool = self._places[ask.request] = self._pools[shard]
         return self._note(pool.ask(router, ask, now), now)
 
-    def begin(self, request: ids.RequestId, server: ids.ServerId, now: float) -> None:
+    def begin(
+        self, request: ids.RequestId, server: ids.ServerId, now: float
+    ) -> ids.ServerId | None:
         """Note a first event."""
-        self._places[request].begin(request, server, now)
+        return self._places[request].begin(request, server, now)
+
+    def settle_migration(self, moved: messages.RunMoved, now: float) -> None:
+        """Note where a run that was to move is."""
+        self._places[moved.request].settle_migration(moved, now)
 
     def end(
         self,
--- a/bench/engines/site.py
+++ b/bench/engines/site.py
@@ -19,6 +19,10 @@
         Tokens in one event.
     slow : dict
         Engines by index that take so many times as long.
+    moves : bool
+        Whether runs may move between engines.
+    move_seconds, move_token_seconds : float
+        To copy a run, and for each token that it has in memory.
     message_seconds : float
         Between a router and the home of the pool, one way.
     """
@@ -34,3 +38,6 @@
     pair_seconds: float = 0.263e-9
     step_seconds: float = 0.00327
     step_run_seconds: float = 0.0000823
+    moves: bool = False
+    move_seconds: float = 0.002
+    move_token_seconds: float = 8e-7
--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -73,8 +73,10 @@
         outcomes: Sequence[Outcome],
         engines: Sequence[engine.Engine],
         slots: int,
+        moved_tokens: int = 0,
     ) -> None:
         self.outcomes = outcomes
+        self.moved_tokens = moved_tokens
         self.asked = len(outcomes)
         self.refused = sum(outcome.is_refused for outcome in outcomes)
         self.gave_up = sum(outcome.gave_up for outcome in outcomes)
@@ -174,11 +176,12 @@
         self._pool = policies.REGISTRY[policy](random.Random(seed))
         self._pool.set_servers(
             [self._make_entry(name) for name in self._engines],
-            catalog.Engine(place.slots, place.memory_tokens, place.stride),
+            catalog.Engine(place.slots, place.memory_tokens, place.stride, place.moves),
         )
         self._outcomes = {each.ask.request: Outcome(each) for each in asked}
         self._servers: dict[ids.RequestId, ids.ServerId] = {}
         self._known: set[str] = set()
+        self.moved_tokens = 0
         self._order = itertools.count()
         self._agenda: list[tuple] = []
         for each in asked:
@@ -194,7 +197,8 @@
                 break
             getattr(self, f"_do_{kind}")(value, now)
         engines = list(self._engines.values())
-        return Result(list(self._outcomes.values()), engines, self._site.slots)
+        outcomes = list(self._outcomes.values())
+        return Result(outcomes, engines, self._site.slots, self.moved_tokens)
 
     def _plan(self, at: float, kind: str, value: object) -> None:
         heapq.heappush(self._agenda, (at, next(self._order), kind, value))
@@ -232,7 +236,43 @@
             self._plan(at, "step", found)
 
     def _do_begun(self, ask: messages.SlotRequest, now: float) -> None:
-        self._pool.begin(ask.request, self._servers[ask.request], now)
+        target = self._pool.begin(ask.request, self._servers[ask.request], now)
+        if target is not None:
+            self._plan(now + 2 * self._delay(), "stop", (ask.request, target))
+
+    def _do_stop(self, move: tuple[ids.RequestId, ids.ServerId], now: float) -> None:
+        """Stop a run that moves, and copy what it has read."""
+        request, target = move
+        job = self._outcomes[request].job
+        if self._engines[self._servers[request]].take_out(job):
+            self.moved_tokens += job.context
+            copy = self._site.move_seconds + job.context * self._site.move_token_seconds
+            self._plan(now + copy + 2 * self._delay(), "resume", move)
+        else:
+            self._settle(request, target, now, is_moved=False)
+
+    def _do_resume(self, move: tuple[ids.RequestId, ids.ServerId], now: float) -> None:
+        request, target = move
+        found = self._engines[target]
+        is_idle = found.next_at is None
+        found.take_in(self._outcomes[request].job, now)
+        if is_idle:
+            self._plan(now, "step", found)
+        self._settle(request, target, now, is_moved=True)
+        self._servers[request] = target
+
+    def _settle(
+        self,
+        request: ids.RequestId,
+        target: ids.ServerId,
+        now: float,
+        *,
+        is_moved: bool,
+    ) -> None:
+        moved = messages.RunMoved(
+            request, ids.PoolId(""), self._servers[request], target, is_moved
+        )
+        self._pool.settle_migration(moved, now)
 
     def _do_ended(self, ask: messages.SlotRequest, now: float) -> None:
         server = self._servers[ask.request]
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -56,13 +56,19 @@
     memory_tokens: int = pydantic.Field(ge=1)
     stride: int = pydantic.Field(ge=1)
     slow: dict[int, float] = pydantic.Field(default_factory=dict)
+    moves: bool = False
     accounts: int = pydantic.Field(default=4, ge=1)
     kinds: tuple[Kind, ...] = pydantic.Field(min_length=1)
 
     def make_site(self) -> site.Site:
         """Return the engines."""
         return site.Site(
-            self.engines, self.slots, self.memory_tokens, self.stride, self.slow
+            self.engines,
+            self.slots,
+            self.memory_tokens,
+            self.stride,
+            self.slow,
+            moves=self.moves,
         )
 
     def make_loads(self, times: float) -> list[loads.Load]:
--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -102,11 +102,14 @@
         Tokens of running requests and kept prompt parts that fit together.
     stride : int
         Tokens in one event of a stream.
+    moves : bool
+        Whether a run may be moved to another engine with what it has read.
     """
 
     slots: int
     memory_tokens: int
     stride: int
+    moves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/decisions/engines.py
+++ b/celeryspan/decisions/engines.py
@@ -14,6 +14,10 @@
 
 import dataclasses
 import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from celeryspan import catalog
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +66,17 @@
         last = min(unread, chunks * self.chunk_tokens)
         return steps + self.read_seconds(last, kept + unread - last)
 
+    def rest_seconds(self, engine: catalog.Engine, gap_max: float = 0.3) -> float:
+        """Return the pause that reading needs after a burst as long as may be.
+
+        Streams make an event in ``stride`` steps; if more of these read than fit into
+        the longest pause, some of them must not, wherever the event begins.
+        """
+        step = self.step_seconds + self.step_run_seconds * engine.slots
+        chunk = self.chunk_tokens * self.token_seconds
+        reading = math.floor((gap_max - engine.stride * step) / chunk)
+        return max(0, engine.stride - reading) * step
+
 
 class Prompt:
     """What one prompt costs, worked out once for each number of tokens kept.
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -22,6 +22,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Collection, Sequence
 from typing import NamedTuple
@@ -29,7 +30,7 @@
 import xxhash
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import engines, poolservers
+from celeryspan.decisions import engines, migration, poolservers
 from celeryspan.wire import messages
 
 READ_WEIGHT = 10.0
@@ -116,6 +117,7 @@
         self._by_order: list[poolservers.PoolServer] = []
         self._left: dict[ids.ServerId, poolservers.PoolServer] = {}
         self._slots = 0
+        self._rest = 0.0
         self._engine: catalog.Engine | None = None
         self._long_load = 0.0
         self._long_since = 0.0
@@ -135,6 +137,7 @@
             self._servers[entry.server] = server
         self._by_order = sorted(self._servers.values(), key=lambda each: each.order)
         self._slots = sum(entry.slots for entry in entries)
+        self._rest = self._model.rest_seconds(engine) if engine else 0.0
         self._left = {name: server for name, server in known.items() if server.runs}
 
     def is_hopeless(self, ask: messages.SlotRequest) -> bool:
@@ -223,9 +226,19 @@
         due_at = read_until + self._model.first_seconds
         is_long = self._engine is not None and self._is_long(ask, kept, server.speed)
         run = poolservers.Run(
-            router, now, kept, pending, read, server.speed, due_at, end_at, is_long
+            router=router,
+            since=now,
+            kept=kept,
+            pending=pending,
+            read=read,
+            speed=server.speed,
+            due_at=due_at,
+            end_at=end_at,
+            is_long=is_long,
+            output_tokens=ask.output_tokens,
+            parts=ask.parts,
         )
-        server.add(ask.request, run, now)
+        server.add(ask.request, run, now, self._rest)
         server.cache.use(ask.parts)
         return run
 
@@ -236,7 +249,16 @@
             return
         server.cache.use(run.parts)
         held = poolservers.Run(
-            router, now, 0, 0.0, 0.0, 1.0, now, now + run.left, False, run.is_begun
+            router=router,
+            since=now,
+            kept=0,
+            pending=0.0,
+            read=0.0,
+            speed=1.0,
+            due_at=now,
+            end_at=now + run.left,
+            is_long=False,
+            is_begun=run.is_begun,
         )
         server.add(run.request, held, now)
 
@@ -246,6 +268,41 @@
         if server is not None:
             server.begin(request, self._model.first_seconds, now)
 
+    def migrate(
+        self, request: ids.RequestId, name: ids.ServerId, now: float
+    ) -> ids.ServerId | None:
+        """Return where a run that has begun is to go on, and hold a place there."""
+        source = self._servers.get(name)
+        run = source.runs.get(request) if source else None
+        if run is None or self._engine is None or not run.is_long:
+            return None
+        if not migration.pays(self._engine, run.output_tokens):
+            return None
+        apart = self._by_order[: self.count_apart()]
+        if source not in apart:
+            return None
+        target = migration.choose_target(source, self._list_for(False, now), now)
+        if target is None:
+            return None
+        moved = dataclasses.replace(run, read=0.0, is_long=False)
+        target.add(request, moved, now)
+        target.cache.use(run.parts)
+        return target.entry.server
+
+    def settle_migration(
+        self,
+        request: ids.RequestId,
+        name: ids.ServerId,
+        target: ids.ServerId,
+        now: float,
+        *,
+        is_moved: bool,
+    ) -> None:
+        """Give back the place that a moved run has left, or was not taken."""
+        left = self._find(name if is_moved else target)
+        if left is not None:
+            left.remove(request, now)
+
     def end(
         self,
         request: ids.RequestId,
@@ -397,7 +454,7 @@
         if is_long:
             is_ready = not server.reads_long()
         else:
-            is_ready = pending <= 0.0 or self._admits(ask, server, pending, read)
+            is_ready = self._admits(ask, server, pending, read, now)
         return Option(cost, server.entry.server, is_ready)
 
     def _admits(
@@ -406,12 +463,16 @@
         server: poolservers.PoolServer,
         pending: float,
         read: float,
+        now: float,
     ) -> bool:
-        """Whether a server that reads may get one more prompt."""
+        """Whether a server may get one more prompt now."""
+        burst = server.measure_burst(self._rest, now)
+        if burst <= 0.0 and pending <= 0.0:
+            return True
         steps = self._model.gap_seconds(0, 0, ask.stride, len(server.runs))
         longest = ask.gap_max - GAP_MARGIN_SECONDS - steps * server.speed
-        most = poolservers.PENDING_SECONDS
-        return pending + read <= most and server.burst + read <= longest
+        is_soon = pending <= 0.0 or pending + read <= poolservers.PENDING_SECONDS
+        return is_soon and burst + read <= longest
 
     def _make_prompt(self, ask: messages.SlotRequest) -> engines.Prompt:
         assert self._engine is not None
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -162,9 +162,18 @@
                     del self._waiting[account]
                 return
 
-    def begin(self, request: ids.RequestId, server: ids.ServerId, now: float) -> None:
-        """Note the first event of a run."""
+    def begin(
+        self, request: ids.RequestId, server: ids.ServerId, now: float
+    ) -> ids.ServerId | None:
+        """Note the first event of a run; returns where it is to go on, if it moves."""
         self._placing.begin(request, server, now)
+        return self._placing.migrate(request, server, now)
+
+    def settle_migration(self, moved: messages.RunMoved, now: float) -> None:
+        """Take back the place that a run has left, or did not move to."""
+        self._placing.settle_migration(
+            moved.request, moved.server, moved.target, now, is_moved=moved.is_moved
+        )
 
     def end(
         self,
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import TYPE_CHECKING
 
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import promptcache, serverhealth
 
+if TYPE_CHECKING:
+    from celeryspan.wire import messages
+
 PENDING_SECONDS = 0.1
 """Reading pending at one engine beyond which nothing is sent there: a sixth of the
 shortest objective that streams have."""
@@ -62,6 +66,8 @@
     end_at: float
     is_long: bool
     is_begun: bool = False
+    output_tokens: int = 0
+    parts: tuple[messages.PromptPart, ...] = ()
 
 
 class PoolServer:
@@ -96,11 +102,17 @@
         """When all that was sent is predicted to be read."""
         return self._read_until
 
-    def add(self, request: ids.RequestId, run: Run, now: float) -> None:
-        """Take in a run; its reading begins when all before it is done."""
-        if self.pending(now) <= 0.0:
-            self.burst = 0.0
-        self.burst += run.read
+    def add(
+        self, request: ids.RequestId, run: Run, now: float, rest: float = 0.0
+    ) -> None:
+        """Take in a run; its reading begins when all before it is done.
+
+        Parameters
+        ----------
+        rest : float
+            Time without reading after which a new burst begins, in seconds.
+        """
+        self.burst = self.measure_burst(rest, now) + run.read
         self.runs[request] = run
         if not run.is_begun:
             self._unread[request] = run
@@ -158,6 +170,11 @@
                 pending = now - run.due_at
         return pending if pending > 0.0 else 0.0
 
+    def measure_burst(self, rest: float, now: float) -> float:
+        """Return the seconds of reading since the last rest of so many seconds."""
+        rested = now >= self._read_until + rest * self.speed
+        return 0.0 if rested and self.pending(now) <= 0.0 else self.burst
+
     def reads_long(self) -> bool:
         """Whether a long prompt is being read."""
         return any(run.is_long for run in self._unread.values())
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -431,6 +431,33 @@
     server: ids.ServerId
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunMove:
+    """A run is to go on at another backend server, where a place is held for it."""
+
+    request: ids.RequestId
+    pool: ids.PoolId
+    server: ids.ServerId
+    target: ids.ServerId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RunMoved:
+    """A run has moved, or stays where it was.
+
+    Attributes
+    ----------
+    is_moved : bool
+        Whether the place at the server is free; else that at the target is.
+    """
+
+    request: ids.RequestId
+    pool: ids.PoolId
+    server: ids.ServerId
+    target: ids.ServerId
+    is_moved: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunEnded:
     """A place is free again.
@@ -559,6 +586,8 @@
     | RunHeld
     | RunBegun
     | RunEnded
+    | RunMove
+    | RunMoved
     | QueueAlive
     | PoolShares
     | RelayRequest
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -51,6 +51,8 @@
     relayRequest @31 :RelayRequest;
     relayBatch @32 :RelayBatch;
     poolShares @33 :PoolShares;
+    runMove @34 :RunMove;
+    runMoved @35 :RunMoved;
   }
 }
 
@@ -301,3 +303,18 @@
   isAway @5 :Bool;
   body @6 :Data;
 }
+
+struct RunMove {
+  request @0 :Text;
+  pool @1 :Text;
+  server @2 :Text;
+  target @3 :Text;
+}
+
+struct RunMoved {
+  request @0 :Text;
+  pool @1 :Text;
+  server @2 :Text;
+  target @3 :Text;
+  isMoved @4 :Bool;
+}
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -65,6 +65,8 @@
     messages.SlotRefusal("q-1", "planner-llm#1#0", 0.5, "no-place-in-time", 0.25),
     messages.RunHeld("q-1", "planner-llm", "desk", "gpu-1", (), 1210, True, 2.5),
     messages.RunBegun("q-1", "planner-llm", "gpu-1"),
+    messages.RunMove("q-1", "planner-llm#1#0", "gpu-1", "gpu-2"),
+    messages.RunMoved("q-1", "planner-llm#1#0", "gpu-1", "gpu-2", True),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
     messages.QueueAlive("planner-llm#1#0", 0.5),
     messages.PoolShares("planner-llm#8#3", 2, (messages.AccountUnits("desk", 420.0),)),
