Name all routers to callers; make a router's request and its idle time cheaper

Change: decisions/callerlists lists a router that has run for two seconds. A request's head is read by the C library's buffer (services/streams); threads serve one request after the other; messages of a request leave from the thread that sends them, without waking the link's task; the limit of reads is set anew ten times a second at most; log, places, datagrams and directory wake when there is something to do. The gateway imports neither cherrypy's framework (three paths need none) nor the register's models: fields, faults and yamlfiles are modules of their own. Tests: lists of a fleet that has just started; all others as before.

--- a/celeryspan/configuration.py
+++ b/celeryspan/configuration.py
@@ -9,7 +9,7 @@
 
 import pydantic
 
-from celeryspan import ids, register, rules
+from celeryspan import fields, ids, register, rules
 
 DEFAULT_WEIGHT = 1.0
 
@@ -22,7 +22,7 @@
 _Rules = rules.Rules
 
 
-class Configuration(register.Model):
+class Configuration(fields.Model):
     """Register and rules of one generation.
 
     Attributes
--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -6,7 +6,7 @@
 
 from absl import flags
 
-from celeryspan import VERSION, errors, inputs
+from celeryspan import VERSION, errors, yamlfiles
 from celeryspan.daemons import (  # noqa: F401 - modules of commands register them
     demo,
     gateway,
@@ -86,7 +86,7 @@
         code = registry.Exit.FAILED
         if group.subgroup(errors.InputError):
             code = registry.Exit.INVALID
-        return fail(inputs.list_faults(group), code)
+        return fail(yamlfiles.list_faults(group), code)
     except KeyboardInterrupt:
         return fail(["interrupted"], registry.Exit.FAILED)
 
--- a/celeryspan/daemons/gateway.py
+++ b/celeryspan/daemons/gateway.py
@@ -10,10 +10,9 @@
 import sys
 import threading
 
-import cherrypy
 from absl import flags
 
-from celeryspan import events, gateway, inputs, kernel, metrics
+from celeryspan import events, gateway, kernel, metrics, yamlfiles
 from celeryspan.daemons import registry
 from celeryspan.gateway import settings, stopping
 from celeryspan.platform import names
@@ -58,10 +57,9 @@
     path = values["settings"].value or os.environ.get(names.SETTINGS_VARIABLE, "")
     if not path:
         raise registry.UsageError("expected --settings FILE, found nothing")
-    found = inputs.read_file(path, settings.Settings)
+    found = yamlfiles.read_file(path, settings.Settings)
     # Before any thread: a signal that comes during the start must wait.
     signal.pthread_sigmask(signal.SIG_BLOCK, (*STOP_SIGNALS, signal.SIGHUP))
-    cherrypy.log.screen = False  # All logs are events.
     writer = events.open_log(sys.stdout)
     import_services()
     box = kernel.Kernel(found)
@@ -100,7 +98,7 @@
 def check_settings(path: str) -> None:
     """Log whether changed settings are valid; they are in force from the next start."""
     try:
-        inputs.read_file(path, settings.Settings)
+        yamlfiles.read_file(path, settings.Settings)
     except* Exception as error:
         events.log(events.Event.SETTINGS_REFUSED, error=repr(error))
     else:
--- a/celeryspan/decisions/beliefs.py
+++ b/celeryspan/decisions/beliefs.py
@@ -62,6 +62,10 @@
         """Return what is believed about a router, or None."""
         return self._beliefs.get(router)
 
+    def list_all(self) -> list[Belief]:
+        """Return a copy of each belief."""
+        return [dataclasses.replace(belief) for belief in self._beliefs.values()]
+
     def select(self, *chosen: states.MemberState) -> list[messages.Member]:
         """Return the members in the given states; all if none is given."""
         return [
--- /dev/null
+++ b/celeryspan/faults.py
@@ -0,0 +1,77 @@
+"""Faults of a file's values, and the checks of addresses that all files share."""
+
+from __future__ import annotations
+
+import ipaddress
+import re
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+from celeryspan import fields, ids
+
+PORT_MAX = 65535
+
+Data = dict[str, Any]
+Place = tuple[str | int, ...]
+
+
+class Fault(NamedTuple):
+    """One fault: the path of keys and indexes to it, and what is wrong."""
+
+    place: Place
+    message: str
+
+
+def check_settings(data: Data) -> list[Fault]:
+    """Return all faults between the values of a router's settings."""
+    own = [
+        ((key,), get_text(data, key))
+        for key in ("caller_address", "peer_address", "store_address")
+    ]
+    peers = list(read_texts(data, "peers"))
+    return [*find_repeated_addresses(own), *find_bad_addresses([*own, *peers])]
+
+
+def read_texts(data: Data, key: str) -> Iterator[tuple[Place, str]]:
+    """Yield the texts of a list, with their places."""
+    texts = data.get(key)
+    for index, text in enumerate(texts if isinstance(texts, list) else ()):
+        if isinstance(text, str):
+            yield (key, index), text
+
+
+def get_text(entry: Data, key: str) -> str:
+    """Return a text, or nothing where there is none."""
+    value = entry.get(key)
+    return value if isinstance(value, str) else ""
+
+
+def find_bad_addresses(named: Iterable[tuple[Place, str]]) -> Iterator[Fault]:
+    """Yield a fault for each text that looks like an address and is none."""
+    for place, text in named:
+        if re.match(fields.ADDRESS_PATTERN, text) and not _is_address(text):
+            yield Fault(
+                place,
+                f"expected an IP number and a port of 1 to {PORT_MAX}, found {text!r}",
+            )
+
+
+def _is_address(text: str) -> bool:
+    try:
+        address = ids.Address.parse(text)
+        ipaddress.ip_address(address.host.strip("[]"))
+    except ValueError:
+        return False
+    return 0 < address.port <= PORT_MAX
+
+
+def find_repeated_addresses(named: Iterable[tuple[Place, str]]) -> Iterator[Fault]:
+    """Yield a fault for each address that stands a second time."""
+    first: dict[str, str] = {}
+    for place, text in named:
+        if text in first:
+            yield Fault(
+                place, f"expected an address of its own, found that of {first[text]}"
+            )
+        elif text:
+            first[text] = ".".join(str(part) for part in place)
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -47,6 +47,10 @@
 """A request that must not run twice takes a kept connection only if it was idle for
 less: one that the server has dropped meanwhile loses the request for good."""
 
+LIMIT_SECONDS = 0.1
+"""A limit of reads may be this much late: to set it anew for each event of a stream is
+one more system call for each."""
+
 STALE_ANSWERS_MAX = 4
 """Answers of earlier requests that are skipped on one connection."""
 
@@ -91,6 +95,7 @@
         self._socket = sock
         self._reader = sock.makefile("rb")
         self._is_spoilt = False
+        self._until = self._limited_at = 0.0
 
     def send(self, data: bytes, until: float) -> None:
         """Send a whole request, or as much as the server reads before it answers.
@@ -104,7 +109,7 @@
         OSError
             If the connection breaks, or time is over.
         """
-        self._socket.setblocking(False)
+        self._set_blocking(False)
         poll = select.poll()
         poll.register(self._socket, select.POLLIN | select.POLLOUT)
         view = memoryview(data)
@@ -149,17 +154,24 @@
         TimeoutError
             If it has come.
         """
-        left = until - time.monotonic()
+        now = time.monotonic()
+        left = until - now
         if left <= 0:
             raise TimeoutError("time is over")
-        self._socket.settimeout(left)
+        if until != self._until or now - self._limited_at > LIMIT_SECONDS:
+            self._until, self._limited_at = until, now
+            self._socket.settimeout(left)
+
+    def _set_blocking(self, is_blocking: bool) -> None:
+        self._socket.setblocking(is_blocking)
+        self._until = 0.0  # The limit of reads is gone.
 
     def is_clean(self) -> bool:
         """Whether no byte waits that belongs to no request, and it is not closed."""
         if self._is_spoilt:
             return False
         try:
-            self._socket.setblocking(False)
+            self._set_blocking(False)
             return not self._reader.peek(1) and not urllib3_wait.wait_for_read(
                 self._socket, 0
             )
--- a/celeryspan/gateway/directory.py
+++ b/celeryspan/gateway/directory.py
@@ -1,23 +1,26 @@
-"""The kernel service ``directory``: which routers to use, and readiness."""
+"""The kernel service ``directory``: which routers to use, and readiness.
+
+Three paths need no framework: cherrypy's server answers them, and the rest of cherrypy,
+8 MB and 0.12 s of the start of each router, is not imported here.
+"""
 
 from __future__ import annotations
 
 import json
 import random
 import time
-from typing import TYPE_CHECKING
-
-import cherrypy
+import urllib.parse
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-from celeryspan import events, ids, kernel, metrics, states
+from celeryspan import events, ids, kernel, metrics
+from celeryspan.decisions import beliefs, callerlists
+from celeryspan.platform import names
 from celeryspan.services import httpserver
 
 if TYPE_CHECKING:
     from celeryspan.gateway import catalogues, serverlists
     from celeryspan.services import membership
-    from celeryspan.wire import messages
-
-ADDRESSES_MAX = 64
 
 KEEP_SECONDS = 1
 """How long callers keep an answer, in seconds. Some keep it three times as long, and a
@@ -26,43 +29,15 @@
 
 THREADS = 32
 
-APPLICATION_CONFIG = {
-    "/": {
-        "request.show_tracebacks": False,
-        "tools.encode.on": False,
-        "tools.trailing_slash.on": False,
-    }
-}
-
-
-class _Answers:
-    """The paths of one address, as cherrypy walks them."""
-
-    def __init__(self, found: Directory) -> None:
-        self.v1 = self
-        self._found = found
-
-    @cherrypy.expose
-    def resolve(self, **query: str) -> bytes:
-        """Answer which routers to use."""
-        listed = self._found.list_addresses(query.get("region"), query.get("zone"))
-        if not listed:
-            cherrypy.response.status = 503
-        cherrypy.response.headers["Content-Type"] = "application/json"
-        answer = {"addresses": listed, "ttl_s": KEEP_SECONDS} if listed else {}
-        return json.dumps(answer).encode()
-
-    @cherrypy.expose
-    def readyz(self, **_: str) -> bytes:
-        """Answer whether this router is ready."""
-        cherrypy.response.status = 200 if self._found.is_ready() else 503
-        return b""
-
-    @cherrypy.expose
-    def metrics(self, **_: str) -> bytes:
-        """Answer the metrics in the text format."""
-        cherrypy.response.headers["Content-Type"] = metrics.CONTENT_TYPE
-        return self._found.render_metrics()
+STATUSES = {200: "200 OK", 404: "404 Not Found", 503: "503 Service Unavailable"}
+
+
+class Answer(NamedTuple):
+    """What is answered to one question."""
+
+    status: int
+    kind: str = "text/plain"
+    body: bytes = b""
 
 
 @kernel.register("directory", needs=("catalogues", "membership", "metrics", "servers"))
@@ -92,11 +67,9 @@
             host = ids.Address.parse(self._settings.ready_address).host
             addresses.append(f"{host}:{self._settings.metrics_port}")
         for address in dict.fromkeys(addresses):
-            application = cherrypy.Application(_Answers(self), "", APPLICATION_CONFIG)
-            application.log.access_log.disabled = True
             server = httpserver.Server(
                 ids.Address.parse(address),
-                application,
+                self._serve,
                 threads=THREADS,
                 body_bytes_max=1,
                 log=lambda text: events.log(
@@ -106,6 +79,31 @@
             server.open()
             self._open.append(server)
 
+    def _serve(
+        self, environ: dict[str, Any], start: Callable[[str, list], object]
+    ) -> list[bytes]:
+        """Answer one question, as WSGI has it."""
+        answer = self._answer(environ["PATH_INFO"], environ["QUERY_STRING"])
+        headers = [
+            ("Content-Type", answer.kind),
+            ("Content-Length", str(len(answer.body))),
+        ]
+        start(STATUSES[answer.status], headers)
+        return [answer.body]
+
+    def _answer(self, path: str, query: str) -> Answer:
+        if path == names.RESOLVE:
+            asked = dict(urllib.parse.parse_qsl(query))
+            listed = self.list_addresses(asked.get("region"), asked.get("zone"))
+            answer = {"addresses": listed, "ttl_s": KEEP_SECONDS} if listed else {}
+            body = json.dumps(answer).encode()
+            return Answer(200 if listed else 503, "application/json", body)
+        if path == names.READY:
+            return Answer(200 if self.is_ready() else 503)
+        if path == names.METRICS:
+            return Answer(200, metrics.CONTENT_TYPE, self.render_metrics())
+        return Answer(404)
+
     def stop(self) -> None:
         """Stop listening."""
         for server in self._open:
@@ -121,25 +119,12 @@
 
     def list_addresses(self, region: str | None, data_centre: str | None) -> list[str]:
         """Return the addresses of the routers that serve, nearest first."""
-        found = [
-            member for member in self._membership.members() if self._is_usable(member)
-        ]
-        self._random.shuffle(found)
-        found.sort(key=lambda member: member.data_centre != data_centre)
-        return [str(member.caller_address) for member in found[:ADDRESSES_MAX]]
-
-    def _is_usable(self, member: messages.Member) -> bool:
-        """Whether callers may use a router.
-
-        A peer is ready once it shows a configuration. What is asked is the newest
-        belief: the list of those alive is kept until somebody joins or leaves, and
-        would show peers without the configuration that they have got since. Callers
-        near such a router were sent to it alone, and it refused one in two for want of
-        threads.
-        """
-        if str(member.caller_address) == self._settings.caller_address:
-            return self.is_ready()
-        return member.state is states.MemberState.ALIVE and member.generation > 0
+        now = time.monotonic()
+        known = self._membership.list_beliefs()
+        if self.is_ready():
+            known.append(beliefs.Belief(self._membership.own(), 0.0))
+        found = callerlists.choose(known, data_centre, now, self._random)
+        return [str(address) for address in found]
 
     def render_metrics(self) -> bytes:
         """Return the metrics in the text format."""
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -79,6 +79,7 @@
         self._waiters: dict[ids.RequestId, _Waiter] = {}
         self._held: dict[ids.RequestId, Place] = {}
         self._stopped = threading.Event()
+        self._some = threading.Event()
         self._thread = threading.Thread(target=self._run, name="places", daemon=True)
 
     def start(self) -> None:
@@ -92,6 +93,7 @@
     def stop(self) -> None:
         """Refuse whoever still waits."""
         self._stopped.set()
+        self._some.set()
         self._thread.join()
         with self._lock:
             waiters, self._waiters = self._waiters, {}
@@ -116,6 +118,7 @@
         waiter = _Waiter(ask, self._map.find_home(pool), now, now)
         with self._lock:
             self._waiters[ask.request] = waiter
+            self._some.set()
         self._delivery.send(waiter.home, ask)
         waiter.ready.wait()
         if waiter.error is not None:
@@ -251,7 +254,9 @@
         return told
 
     def _run(self) -> None:
-        while not self._stopped.wait(TICK_SECONDS):
+        while not self._stopped.is_set():
+            self._some.wait()
+            self._stopped.wait(TICK_SECONDS)
             try:
                 self._tick(time.monotonic())
             except Exception as error:
@@ -260,6 +265,8 @@
 
     def _tick(self, now: float) -> None:
         with self._lock:
+            if not self._waiters and not self._stopped.is_set():
+                self._some.clear()
             silent = {
                 waiter.home
                 for waiter in self._waiters.values()
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -22,7 +22,7 @@
     from celeryspan.gateway import followers
     from celeryspan.services import identity, links, membership
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.2
 
 ASK_SECONDS = 1.0
 """How often a source is asked again, in case that it has forgotten the asker."""
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -18,7 +18,7 @@
 
 Handler = Callable[[dict[ids.ServerId, catalog.ServerEntry]], None]
 
-TICK_SECONDS = 0.2
+TICK_SECONDS = 0.5
 """How often entries that have lapsed are looked at."""
 
 
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -4,7 +4,7 @@
 
 import pydantic
 
-from celeryspan import register, settings
+from celeryspan import fields, settings
 
 
 class Settings(settings.Settings):
@@ -24,8 +24,8 @@
         and the length of the window in seconds.
     """
 
-    ready_address: register.HostPort
-    directory_address: register.HostPort
+    ready_address: fields.HostPort
+    directory_address: fields.HostPort
     metrics_port: int = pydantic.Field(default=0, ge=0, le=65535)
     grace_seconds: float = pydantic.Field(default=8.0, gt=0)
     retry_ratio: float = pydantic.Field(default=0.2, ge=0)
--- a/celeryspan/logwriter.py
+++ b/celeryspan/logwriter.py
@@ -10,6 +10,7 @@
 import atexit
 import collections
 import threading
+import time
 from typing import IO
 
 # How long a line waits at most before it is written, in seconds: what a process that
@@ -38,6 +39,7 @@
         self._lines: collections.deque[str] = collections.deque()
         self._lock = threading.Lock()
         self._dropped = 0
+        self._some = threading.Event()
         threading.Thread(target=self._run, name="log", daemon=True).start()
         atexit.register(self.write_out)
 
@@ -49,6 +51,8 @@
             self._dropped += 1
         else:
             self._lines.append(text)
+            if not self._some.is_set():
+                self._some.set()
         return len(text)
 
     def flush(self) -> None:
@@ -66,7 +70,8 @@
                 self._file.flush()
 
     def _run(self) -> None:
-        pause = threading.Event()
         while not self._file.closed:
-            pause.wait(FLUSH_SECONDS)
+            self._some.wait()
+            time.sleep(FLUSH_SECONDS)
+            self._some.clear()
             self.write_out()
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -27,6 +27,7 @@
 
 RESOLVE = "/v1/resolve"
 READY = "/v1/readyz"
+METRICS = "/v1/metrics"
 OBJECTS = "/v1/objects"
 
 CONFIGURATION_KIND = "config"
--- a/celeryspan/register.py
+++ b/celeryspan/register.py
@@ -2,46 +2,30 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import pydantic
 
-from celeryspan import states
-
-NAME_PATTERN = r"^[a-z0-9][a-z0-9.-]{0,62}$"
-ADDRESS_PATTERN = r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"
-HASH_PATTERN = r"^[0-9a-f]{64}$"
-
-Name = Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
-HostPort = Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
-KeyHash = Annotated[str, pydantic.Field(pattern=HASH_PATTERN)]
+from celeryspan import fields, states
 
 DEFAULT_SLOTS = 8
 
 
-class Model(pydantic.BaseModel):
-    """Base of all validated input: unknown keys are refused, values are frozen."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class DataCentre(Model):
+class DataCentre(fields.Model):
     """A data centre and the region that it belongs to."""
 
-    name: Name
-    region: Name
+    name: fields.Name
+    region: fields.Name
 
 
-class VM(Model):
+class VM(fields.Model):
     """An entry VM on which a router runs."""
 
-    name: Name
-    data_centre: Name
-    caller_address: HostPort
-    peer_address: HostPort
+    name: fields.Name
+    data_centre: fields.Name
+    caller_address: fields.HostPort
+    peer_address: fields.HostPort
 
 
-class Service(Model):
+class Service(fields.Model):
     """A service that callers name in their requests.
 
     Attributes
@@ -58,7 +42,7 @@
         Adapters that go with the model.
     """
 
-    name: Name
+    name: fields.Name
     kind: states.ServiceKind
     idempotent_paths: tuple[str, ...] = ()
     cost_hint: float = pydantic.Field(default=1.0, gt=0)
@@ -68,7 +52,7 @@
     role: str = ""
 
 
-class Server(Model):
+class Server(fields.Model):
     """A backend server of one service.
 
     Attributes
@@ -79,15 +63,15 @@
         Whether it refuses orders with an old fencing number.
     """
 
-    name: Name
-    service: Name
-    data_centre: Name
-    address: HostPort
+    name: fields.Name
+    service: fields.Name
+    data_centre: fields.Name
+    address: fields.HostPort
     slots: int = pydantic.Field(default=DEFAULT_SLOTS, ge=1)
     checks_fence: bool = False
 
 
-class Account(Model):
+class Account(fields.Model):
     """A client account and the hashes of the keys that prove it.
 
     Attributes
@@ -96,14 +80,14 @@
         SHA-256 of each valid key, in hexadecimal; two while keys are rotated.
     """
 
-    name: Name
-    key_hashes: tuple[KeyHash, ...] = pydantic.Field(min_length=1)
+    name: fields.Name
+    key_hashes: tuple[fields.KeyHash, ...] = pydantic.Field(min_length=1)
 
 
-class Register(Model):
+class Register(fields.Model):
     """The whole register of one firm."""
 
-    firm: Name
+    firm: fields.Name
     data_centres: tuple[DataCentre, ...]
     vms: tuple[VM, ...]
     services: tuple[Service, ...]
--- a/celeryspan/rules.py
+++ b/celeryspan/rules.py
@@ -6,12 +6,12 @@
 
 import pydantic
 
-from celeryspan import register
+from celeryspan import fields
 
 Weight = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 
 
-class Rules(register.Model):
+class Rules(fields.Model):
     """Weights of client accounts, retirements and planned stops.
 
     Attributes
--- a/celeryspan/services/connections.py
+++ b/celeryspan/services/connections.py
@@ -67,8 +67,11 @@
         self._wake_read, self._wake_write = os.pipe()
         os.set_blocking(self._wake_write, False)
         self._closing = threading.Event()
+        self._sending = threading.Lock()
         self._wake_lock = threading.Lock()
         self._released = False
+        self._is_running = False
+        self._spoke = self._used = time.monotonic()
         channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def prove_open(self, keys: Sequence[str], peer: ids.RouterId) -> None:
@@ -119,6 +122,28 @@
             except BlockingIOError:
                 pass  # The pipe is full, so that the task wakes anyway.
 
+    def flush(
+        self, box: outbox.Outbox, lock: threading.Lock, counts: traffic.Traffic
+    ) -> None:
+        """Send what waits from the calling thread; the task sends what is left.
+
+        To wake the task takes four system calls, a switch of threads and the time that
+        it lets messages gather, on each of the four messages of a request.
+        """
+        if not self._sending.acquire(blocking=False):
+            self.wake()
+            return
+        try:
+            if self._is_running and not self._outbound:
+                self._fill(box, lock, counts, False)
+                self._push()
+        except OSError:
+            self._closing.set()  # The task finds out why, and opens another link.
+        finally:
+            self._sending.release()
+        if self._outbound or not self._is_running or self._closing.is_set():
+            self.wake()
+
     def close(self) -> None:
         """Make the task of this connection end."""
         self._closing.set()
@@ -141,7 +166,8 @@
             If the connection breaks.
         """
         self._socket.setblocking(False)
-        heard = spoke = used = time.monotonic()
+        self._is_running = True
+        heard = used = time.monotonic()
         while not self._closing.is_set():
             for frame in self._cut_frames(counts):
                 used = heard if frame.messages else used
@@ -151,10 +177,11 @@
                 return "silent"
             if self.opened_here and now - used > IDLE_SECONDS:
                 return "idle"
-            if not self._outbound:
-                beat = now - spoke > HEARTBEAT_SECONDS
-                used = now if self._fill(box, lock, counts, beat) else used
-                spoke = now if self._outbound else spoke
+            with self._sending:
+                if not self._outbound:
+                    self._fill(box, lock, counts, now - self._spoke > HEARTBEAT_SECONDS)
+                self._push()
+            used = max(used, self._used)
             if self._wait():
                 if not self._read_available():
                     return "closed by the peer"
@@ -168,7 +195,9 @@
             self._released = True
             os.close(self._wake_read)
             os.close(self._wake_write)
-        self._socket.close()
+        with self._sending:
+            self._is_running = False
+            self._socket.close()
 
     def _fill(
         self,
@@ -176,7 +205,7 @@
         lock: threading.Lock,
         counts: traffic.Traffic,
         beat: bool,
-    ) -> tuple[messages.Message, ...]:
+    ) -> None:
         """Make the next frame out of what waits, or of a heartbeat.
 
         Nothing is taken while the frame before is not sent off: what a slow peer has
@@ -184,12 +213,23 @@
         """
         with lock:
             batch = box.take(time.monotonic())
+        now = time.monotonic()
+        if batch:
+            self._used = now
         if batch or beat:
+            self._spoke = now
             frame = batch or (messages.Heartbeat(),)
             data = self._encode(frame)
             counts.count("sent", frame, len(data))
             self._outbound = memoryview(data)
-        return batch
+
+    def _push(self) -> None:
+        """Send as much as the peer takes; the caller holds the lock for sending."""
+        try:
+            while self._outbound:
+                self._outbound = self._outbound[self._socket.send(self._outbound) :]
+        except BlockingIOError:
+            pass  # The rest leaves when the peer has read.
 
     def _wait(self) -> bool:
         """Wait for the peer, for a waking or for the next heartbeat."""
@@ -202,8 +242,6 @@
             time.sleep(BATCH_SECONDS)
             os.read(self._wake_read, READ_BYTES)
         state = ready.get(self._socket.fileno(), 0)
-        if state & select.POLLOUT and self._outbound:
-            self._outbound = self._outbound[self._socket.send(self._outbound) :]
         return bool(state & (select.POLLIN | select.POLLHUP | select.POLLERR))
 
     def _read_available(self) -> bool:
--- a/celeryspan/services/datagrams.py
+++ b/celeryspan/services/datagrams.py
@@ -11,7 +11,8 @@
 from celeryspan.wire import codec, messages, proofs
 
 READ_BYTES = 65_536
-WAIT_SECONDS = 0.2
+WAIT_SECONDS = 0.5
+"""How long the end of the service may wait for its task."""
 
 Handler = Callable[[messages.Frame, ids.Address], None]
 
--- a/celeryspan/services/delivery.py
+++ b/celeryspan/services/delivery.py
@@ -49,7 +49,7 @@
         if router == self._identity.router:
             self._queue.put(message)
         else:
-            self._links.send(router, message)
+            self._links.send(router, message, is_urgent=True)
 
     def _run(self) -> None:
         while (message := self._queue.get()) is not None:
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import queue
 import socket
 import threading
 from collections.abc import Callable, Iterable
@@ -11,7 +12,7 @@
 from cheroot import server as cheroot_server, wsgi
 
 from celeryspan import ids
-from celeryspan.services import framing, sockets
+from celeryspan.services import framing, sockets, streams
 
 # Headers of one request; the usual servers allow 8 to 64 KiB.
 HEADER_BYTES_MAX = 32_768
@@ -37,7 +38,12 @@
 DRAIN_BYTES = 65_536
 
 # How often idle connections are looked at, in seconds; a stop waits for it twice.
-TICK_SECONDS = 0.2
+TICK_SECONDS = 0.5
+
+# Threads that wait for a next request once theirs is done, and for how long: to start
+# one for each request costs 0.1 ms.
+WAITING_THREADS_MAX = 16
+WAITING_SECONDS = 5.0
 
 LISTEN_BACKLOG = 512
 STOP_SECONDS = 2.0
@@ -58,6 +64,9 @@
     overloaded = False
     unread = False
 
+    def __init__(self, server: Server, sock: socket.socket, *_: object) -> None:
+        super().__init__(server, sock, streams.open_stream)
+
     def communicate(self) -> bool:
         """Serve one request; returns whether the connection stays open."""
         self.server.watch.limit(self.socket, READ_SECONDS)
@@ -117,6 +126,8 @@
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._busy = 0
+        self._waiting = 0
+        self._next: queue.SimpleQueue[Connection] = queue.SimpleQueue()
         self._lock = threading.Lock()
         self._idle = threading.Condition(self._lock)
 
@@ -136,8 +147,14 @@
                 return
             connection.overloaded = self._busy >= self._limit
             self._busy += 1
+            is_awaited = self._waiting > 0
+            if is_awaited:
+                self._waiting -= 1
+        if is_awaited:
+            self._next.put(connection)
+            return
         threading.Thread(
-            target=self._serve, args=(connection,), name="caller", daemon=True
+            target=self._run, args=(connection,), name="caller", daemon=True
         ).start()
 
     def stop(self, timeout: float | None = STOP_SECONDS) -> None:
@@ -145,6 +162,27 @@
         with self._idle:
             self._idle.wait_for(lambda: self._busy == 0, timeout)
 
+    def _run(self, connection: Connection | None) -> None:
+        """Serve one request after the other while there are any."""
+        while connection is not None:
+            self._serve(connection)
+            with self._lock:
+                if self._waiting >= WAITING_THREADS_MAX:
+                    return
+                self._waiting += 1
+            connection = self._await_next()
+
+    def _await_next(self) -> Connection | None:
+        try:
+            return self._next.get(timeout=WAITING_SECONDS)
+        except queue.Empty:
+            pass
+        with self._lock:
+            if self._waiting > 0:
+                self._waiting -= 1
+                return None
+        return self._next.get()  # It was given to this thread as its time ended.
+
     def _serve(self, connection: Connection) -> None:
         keep = False
         try:
--- a/celeryspan/services/links.py
+++ b/celeryspan/services/links.py
@@ -96,9 +96,16 @@
         """Call a handler with each message of a kind, in the task of its link."""
         self._handlers[kind].append(handler)
 
-    def send(self, peer: ids.RouterId, message: messages.Message) -> None:
+    def send(
+        self, peer: ids.RouterId, message: messages.Message, *, is_urgent: bool = False
+    ) -> None:
         """Put a message into the outbox of a peer; never waits for the peer.
 
+        Parameters
+        ----------
+        is_urgent : bool
+            Send it from here rather than let it wait for others in the link's task.
+
         Raises
         ------
         ValueError
@@ -112,7 +119,9 @@
             connection = found.connection
             opens = connection is None and not found.opening
             found.opening = found.opening or opens
-        if connection is not None:
+        if connection is not None and is_urgent:
+            connection.flush(found.outbox, self._lock, self._traffic)
+        elif connection is not None:
             connection.wake()
         elif opens:
             self._run_task(f"link-{peer}", self._open, peer)
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Hashable, Iterable
 
 from celeryspan import events, ids, kernel, states
-from celeryspan.decisions import membership, statements
+from celeryspan.decisions import beliefs, membership, statements
 from celeryspan.services import datagrams, identity, links
 from celeryspan.wire import messages
 
@@ -90,6 +90,16 @@
         with self._lock:
             return self._decision.statements()
 
+    def own(self) -> messages.Member:
+        """Return what this router says of itself."""
+        with self._lock:
+            return self._decision.own
+
+    def list_beliefs(self) -> list[beliefs.Belief]:
+        """Return what is believed about all other routers, and since when."""
+        with self._lock:
+            return self._decision.beliefs.list_all()
+
     def subscribe(self, handler: Handler) -> None:
         """Call a handler with the routers that take part whenever they change.
 
--- a/celeryspan/services/sockets.py
+++ b/celeryspan/services/sockets.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 # How often time limits are looked at, in seconds.
-TICK_SECONDS = 0.5
+TICK_SECONDS = 1.0
 
 CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
--- a/celeryspan/settings.py
+++ b/celeryspan/settings.py
@@ -4,10 +4,10 @@
 
 import pydantic
 
-from celeryspan import register
+from celeryspan import fields
 
 
-class Settings(register.Model):
+class Settings(fields.Model):
     """What a router must be told; all else it learns from the store and its peers.
 
     Attributes
@@ -26,14 +26,14 @@
         Peer addresses to join through when the store can't be reached.
     """
 
-    router: register.Name
-    data_centre: register.Name
-    caller_address: register.HostPort
-    peer_address: register.HostPort
-    store_address: register.HostPort
+    router: fields.Name
+    data_centre: fields.Name
+    caller_address: fields.HostPort
+    peer_address: fields.HostPort
+    store_address: fields.HostPort
     fleet_keys: tuple[str, ...] = pydantic.Field(min_length=1, max_length=2)
-    operator_key_hashes: tuple[register.KeyHash, ...] = ()
-    peers: tuple[register.HostPort, ...] = ()
+    operator_key_hashes: tuple[fields.KeyHash, ...] = ()
+    peers: tuple[fields.HostPort, ...] = ()
     address_seconds: float = pydantic.Field(default=5.0, gt=0)
     drain_seconds: float = pydantic.Field(default=600.0, gt=0)
     body_bytes_max: int = pydantic.Field(default=4_194_304, gt=0)
--- /dev/null
+++ b/tests/decisions/test_callerlists.py
@@ -0,0 +1,58 @@
+"""Callers hear of all routers that serve, and of no other."""
+
+from __future__ import annotations
+
+import random
+
+from celeryspan import ids, states
+from celeryspan.decisions import beliefs, callerlists
+from celeryspan.wire import messages
+
+ALIVE = states.MemberState.ALIVE
+
+
+def make(
+    number: int,
+    state: states.MemberState = ALIVE,
+    generation: int = 0,
+    since: float = 0.0,
+) -> beliefs.Belief:
+    address = ids.Address("10.0.0.1", number)
+    place = "hala-a" if number % 2 else "hala-b"
+    member = messages.Member(
+        f"edge-{number}", 1, state, place, address, address, generation, 0
+    )
+    return beliefs.Belief(member, since)
+
+
+def choose(known: list[beliefs.Belief], now: float = 10.0) -> list[int]:
+    """Return the ports of the addresses that a caller in hala-a is told."""
+    found = callerlists.choose(known, "hala-a", now, random.Random(1))
+    return [address.port for address in found]
+
+
+def test_routers_whose_configuration_was_not_heard_of_are_listed() -> None:
+    """A fleet of 82 starts; each router has heard directly from a few others only.
+
+    A list of those few sends all callers nearby to them.
+    """
+    known = [make(number, generation=5 if number < 4 else 0) for number in range(30)]
+    assert sorted(choose(known)) == list(range(30))
+
+
+def test_router_that_has_just_started_is_left_out() -> None:
+    """It has no configuration yet and would refuse what comes."""
+    assert choose([make(1, generation=5, since=9.9), make(3, since=9.0)]) == [1]
+
+
+def test_routers_that_stop_are_suspected_or_dead_are_left_out() -> None:
+    others = [state for state in states.MemberState if state is not ALIVE]
+    known = [make(number, state, 5) for number, state in enumerate(others)]
+    assert choose(known) == []
+
+
+def test_nearest_come_first_and_lists_end() -> None:
+    ports = choose([make(number, generation=1) for number in range(100)])
+    assert len(ports) == callerlists.ADDRESSES_MAX
+    assert all(port % 2 for port in ports[:50])
+    assert not any(port % 2 for port in ports[50:])
--- a/tests/services/fleet.py
+++ b/tests/services/fleet.py
@@ -119,7 +119,9 @@
                 handler(sender.name, sender.incarnation, message)
             self.inbox.task_done()
 
-    def _send(self, peer: str, message: messages.Message) -> None:
+    def _send(
+        self, peer: str, message: messages.Message, *, is_urgent: bool = False
+    ) -> None:
         if peer not in self._network.cut and self.name not in self._network.cut:
             self._network.routers[peer].receive(self, message)
 
--- a/tests/test_inputs.py
+++ b/tests/test_inputs.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from celeryspan import errors, inputs, settings
+from celeryspan import errors, inputs, settings, yamlfiles
 
 HASH = "a" * 64
 OTHER_HASH = "b" * 64
@@ -50,7 +50,7 @@
         inputs.read_register_and_rules(register_path, rules_path)
     except ExceptionGroup as group:
         assert all(isinstance(item, errors.InputError) for item in group.exceptions)
-        lines = inputs.list_faults(group)
+        lines = yamlfiles.list_faults(group)
         return [line.replace(f"{folder}/", "") for line in lines]
     return []
 
@@ -176,7 +176,7 @@
 def test_missing_file_is_one_line(tmp_path: pathlib.Path) -> None:
     with pytest.raises(ExceptionGroup) as caught:
         inputs.read_settings(tmp_path / "none.yaml")
-    (line,) = inputs.list_faults(caught.value)
+    (line,) = yamlfiles.list_faults(caught.value)
     assert line.endswith("expected a file to read, found: No such file or directory")
 
 
@@ -187,6 +187,6 @@
     path.write_text(SETTINGS.replace(":8501", ":8401") + "drain_seconds: 0\n")
     with pytest.raises(ExceptionGroup) as caught:
         inputs.read_settings(path)
-    first, second = inputs.list_faults(caught.value)
+    first, second = yamlfiles.list_faults(caught.value)
     assert "drain_seconds: expected a number above 0" in first
     assert "peer_address: expected an address of its own, found that of call" in second
