--- a/celeryspan/events.py
+++ b/celeryspan/events.py
@@ -48,6 +48,7 @@
     FALLBACK_ENTERED = 309
     FALLBACK_LEFT = 310
     PLACE_REFUSED = 311
+    RUN_MOVED = 312
 
     LINK_OPENED = 401
     LINK_CLOSED = 402
--- /dev/null
+++ b/celeryspan/gateway/budgets.py
@@ -0,0 +1,50 @@
+"""The kernel service ``budgets``: this router's part of the fleet's repeated sends."""
+
+from __future__ import annotations
+
+import threading
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import ids, kernel
+from celeryspan.decisions import retrybudget
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import poolmap
+
+
+@kernel.register("budgets", needs=("poolmap",))
+class Budgets:
+    """Counts requests and repeats of each service."""
+
+    def __init__(self, box: kernel.Kernel) -> None:
+        self._map: poolmap.PoolMap = box.find("poolmap")
+        self._settings = box.settings
+        self._budgets: dict[ids.ServiceId, retrybudget.RetryBudget] = {}
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Nothing to begin."""
+
+    def stop(self) -> None:
+        """Nothing to end."""
+
+    def note_request(self, service: ids.ServiceId) -> None:
+        """Count a request of a caller."""
+        with self._lock:
+            self._find(service).note_request(time.monotonic())
+
+    def take(self, service: ids.ServiceId) -> bool:
+        """Take one repeat from the budget, if one is left."""
+        with self._lock:
+            routers = self._map.count_routers()
+            return self._find(service).take(time.monotonic(), routers)
+
+    def _find(self, service: ids.ServiceId) -> retrybudget.RetryBudget:
+        if service not in self._budgets:
+            self._budgets[service] = retrybudget.RetryBudget(
+                self._settings.retry_ratio,
+                self._settings.retry_slack,
+                self._settings.retry_window,
+            )
+        return self._budgets[service]
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -8,19 +8,24 @@
 
 from __future__ import annotations
 
-import threading
 import time
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import retrybudget
-from celeryspan.gateway import channels, orders, places, replies
-from celeryspan.platform import requests
+from celeryspan.gateway import (
+    channels,
+    migrations,
+    orders,
+    places,
+    replies,
+    requestprogress,
+    sender,
+)
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, poolmap, serverlists
+    from celeryspan.gateway import budgets, catalogues, serverlists
 
 CONNECTS_MAX = 4
 """Servers that one request tries to connect to."""
@@ -36,47 +41,18 @@
 """When to come back after a server was full: its queue drains within this time."""
 
 
-class _Progress:
-    """What has become of one request so far.
-
-    Attributes
-    ----------
-    sends : int
-        Servers that the request was sent to.
-    may_have_run : bool
-        Whether one of them may have run it.
-    is_answering : bool
-        Whether the caller has got the head of an answer.
-    failure : Reply and body, or None
-        A server's own failure, to be passed on if no repeat does better.
-    """
-
-    def __init__(self) -> None:
-        self.sends = 0
-        self.connects = 0
-        self.may_have_run = False
-        self.is_answering = False
-        self.last_event = ""
-        self.excluded: tuple[ids.ServerId, ...] = ()
-        self.failure: tuple[replies.Reply, bytes] | None = None
-        self.timed_out = False
-        self.first_at: float | None = None
-        self.last_at = 0.0
-        self.gap = 0.0
-        self.placed_at = 0.0
-
-    def note_event(self, now: float) -> None:
-        """Note that an event of a stream is passed on."""
-        if self.first_at is None:
-            self.first_at = now
-        else:
-            self.gap = max(self.gap, now - self.last_at)
-        self.last_at = now
-
-
 @kernel.register(
     "carrier",
-    needs=("catalogues", "channels", "metrics", "places", "poolmap", "servers"),
+    needs=(
+        "budgets",
+        "catalogues",
+        "channels",
+        "metrics",
+        "migrations",
+        "places",
+        "sender",
+        "servers",
+    ),
 )
 class Carrier:
     """Carries orders to backend servers and their answers back."""
@@ -85,13 +61,12 @@
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
         self._channels: channels.Channels = box.find("channels")
         self._places: places.Places = box.find("places")
-        self._map: poolmap.PoolMap = box.find("poolmap")
+        self._budgets: budgets.Budgets = box.find("budgets")
+        self._migrations: migrations.Migrations = box.find("migrations")
+        self._sender: sender.Sender = box.find("sender")
         self._servers: serverlists.ServersService = box.find("servers")
         self._meters: metrics.Metrics = box.find("metrics")
-        self._settings = box.settings
         self._data_centre = ids.DataCentreId(box.settings.data_centre)
-        self._budgets: dict[ids.ServiceId, retrybudget.RetryBudget] = {}
-        self._lock = threading.Lock()
 
     def start(self) -> None:
         """Begin to drop connections to servers that have left."""
@@ -112,8 +87,8 @@
         OSError
             If the caller is gone.
         """
-        self._note_request(order.service)
-        progress = _Progress()
+        self._budgets.note_request(order.service)
+        progress = requestprogress.Progress()
         while True:
             place = self._find_place(order, progress)
             if place is None:
@@ -123,7 +98,7 @@
                 return None
 
     def _find_place(
-        self, order: orders.Order, progress: _Progress
+        self, order: orders.Order, progress: requestprogress.Progress
     ) -> places.Place | None:
         """Return a place, or None if a server's own failure is the best answer."""
         order.presence.watch(lambda: self._places.cancel(order.request))
@@ -139,7 +114,7 @@
             raise
 
     def _make_ask(
-        self, order: orders.Order, progress: _Progress
+        self, order: orders.Order, progress: requestprogress.Progress
     ) -> messages.SlotRequest:
         route, incoming = order.route, order.incoming
         current = self._catalogues.current()
@@ -165,7 +140,7 @@
         self,
         order: orders.Order,
         place: places.Place,
-        progress: _Progress,
+        progress: requestprogress.Progress,
         sink: orders.Sink,
     ) -> bool:
         """Send an order to one server; returns whether it has been answered."""
@@ -174,31 +149,42 @@
             return False
         ending = states.RunEnding.FAILED
         order.presence.watch(channel.abort)
+        until = order.deadline
+        if self._may_switch(order, progress):
+            until = min(until, time.monotonic() + self._find_silence(order))
         try:
-            reply = self._send(order, place, progress, channel)
+            reply = self._sender.send(order, place.server, progress, channel, until)
             ending = self._pass_on(order, place, progress, reply, sink)
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
             self._follow_rejection(order, place, progress, declined)
         except backend.AnswerLost as lost:
-            if order.presence.gone:
-                ending = states.RunEnding.CANCELLED
+            ending = states.RunEnding.CANCELLED
+            if not order.presence.gone:
+                if self._sender.go_on(order, place, progress, sink):
+                    ending = states.RunEnding.ANSWERED
+                    return True
+                ending = states.RunEnding.FAILED
             self._follow_loss(order, progress, lost)
         except OSError:
             ending = states.RunEnding.CANCELLED
             raise
         finally:
+            self._migrations.drop(place)
             self._places.end(place, ending)
             progress.excluded = (*progress.excluded, place.server)
-            if ending is states.RunEnding.ANSWERED:
+            if ending is states.RunEnding.ANSWERED and channel.server == place.server:
                 self._channels.keep(channel)
             else:
                 channel.close()
         return ending is states.RunEnding.ANSWERED
 
     def _connect(
-        self, order: orders.Order, place: places.Place, progress: _Progress
+        self,
+        order: orders.Order,
+        place: places.Place,
+        progress: requestprogress.Progress,
     ) -> channels.Channel | None:
         """Return a channel, or None if another server is to be tried."""
         entry = self._servers.usable().get(place.server)
@@ -224,68 +210,11 @@
                 raise self._make_unknown(order, progress, str(error)) from error
             raise
 
-    def _send(
-        self,
-        order: orders.Order,
-        place: places.Place,
-        progress: _Progress,
-        channel: channels.Channel,
-    ) -> replies.Reply:
-        """Send an order and read the head of the answer.
-
-        Raises
-        ------
-        backend.Declined
-            If the server says that it did not run it.
-        backend.AnswerLost
-            If there is no answer that may be passed on.
-        """
-        left = order.left()
-        head = _write_head(order, place.server, left, progress.last_event)
-        until = order.deadline
-        if self._may_switch(order, progress):
-            until = min(until, time.monotonic() + self._find_silence(order))
-        events.log(
-            events.Event.REQUEST_SENT,
-            request=order.request,
-            server=place.server,
-            attempt=progress.sends + 1,
-            left=round(left, 3),
-            reused=not channel.is_new,
-        )
-        progress.sends += 1
-        progress.placed_at = time.monotonic()
-        try:
-            channel.send(head + order.body, until)
-            answer = channel.receive(order.method, order.request, until)
-        except channels.FAULTS as error:
-            progress.timed_out = time.monotonic() >= order.deadline
-            raise backend.AnswerLost(
-                f"no answer: {error!r}", step="read answer", peer=place.server
-            ) from error
-        reply = replies.Reply(order, channel, answer)
-        self._check(reply, place.server)
-        return reply
-
-    def _check(self, reply: replies.Reply, server: ids.ServerId) -> None:
-        if reply.is_not_run:
-            is_gone = reply.status == 421
-            if is_gone:
-                self._servers.drop(server)
-            raise backend.Declined(
-                f"status {reply.status}", leaving=is_gone, step="send", peer=server
-            )
-        if reply.is_success and not reply.is_signed:
-            # Without the signature nobody can tell it from bytes that went astray.
-            raise backend.AnswerLost(
-                "a success without signature", step="read answer", peer=server
-            )
-
     def _pass_on(
         self,
         order: orders.Order,
         place: places.Place,
-        progress: _Progress,
+        progress: requestprogress.Progress,
         reply: replies.Reply,
         sink: orders.Sink,
     ) -> states.RunEnding:
@@ -296,46 +225,20 @@
             return states.RunEnding.FAILED
         is_stream = order.route.kind is catalog.RouteKind.STREAM
         if is_stream and reply.is_success:
-            self._pass_stream(order, place, progress, reply, sink)
+            self._sender.pass_stream(order, place, progress, reply, sink)
         elif progress.is_answering:
             raise reply.make_lost(f"status {reply.status} in the middle of a stream")
         else:
             body = reply.read_whole()
-            _write_whole(sink, reply, body)
+            sender.write_whole(sink, reply, body)
             progress.first_at = time.monotonic()
         return states.RunEnding.ANSWERED
 
-    def _pass_stream(
-        self,
-        order: orders.Order,
-        place: places.Place,
-        progress: _Progress,
-        reply: replies.Reply,
-        sink: orders.Sink,
-    ) -> None:
-        for event in reply.read_events(progress.last_event):
-            progress.note_event(time.monotonic())
-            if not place.is_begun:
-                self._places.begin(place)
-            if not progress.is_answering:
-                progress.is_answering = True
-                headers = [
-                    (name, value)
-                    for name, value in reply.headers
-                    if name.lower() != "content-length" or not order.route.is_resumable
-                ]
-                sink.write_head(reply.status, reply.reason, headers)
-            sink.write(event.data)
-            progress.last_event = event.last_id or progress.last_event
-        if not progress.is_answering:
-            sink.write_head(reply.status, reply.reason, reply.headers)
-        sink.finish()
-
     def _follow_rejection(
         self,
         order: orders.Order,
         place: places.Place,
-        progress: _Progress,
+        progress: requestprogress.Progress,
         declined: backend.Declined,
     ) -> None:
         """Let a request that was not run be sent again, or refuse it."""
@@ -355,7 +258,10 @@
         )
 
     def _follow_loss(
-        self, order: orders.Order, progress: _Progress, lost: backend.AnswerLost
+        self,
+        order: orders.Order,
+        progress: requestprogress.Progress,
+        lost: backend.AnswerLost,
     ) -> None:
         """Let a request whose answer is lost be sent again, or end it."""
         progress.may_have_run = True
@@ -371,7 +277,9 @@
             raise self._make_lost(order, progress, lost.message)
         raise self._make_unknown(order, progress, lost.message)
 
-    def _may_switch(self, order: orders.Order, progress: _Progress) -> bool:
+    def _may_switch(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> bool:
         """Whether a silent server may be left for another one."""
         return (
             order.route.kind is catalog.RouteKind.IDEMPOTENT
@@ -381,7 +289,9 @@
     def _find_silence(self, order: orders.Order) -> float:
         return SILENCE_OBJECTIVES * order.route.target_latency
 
-    def _may_repeat(self, order: orders.Order, progress: _Progress) -> bool:
+    def _may_repeat(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> bool:
         """Whether one more server may get the request; takes it from the budget."""
         if progress.may_have_run and not order.route.is_repeatable:
             return False
@@ -391,33 +301,21 @@
             return False
         if order.left() < SECOND_TRY_SECONDS or order.presence.gone:
             return False
-        with self._lock:
-            budget = self._find_budget(order.service)
-            return budget.take(time.monotonic(), self._map.count_routers())
-
-    def _note_request(self, service: ids.ServiceId) -> None:
-        with self._lock:
-            self._find_budget(service).note_request(time.monotonic())
-
-    def _find_budget(self, service: ids.ServiceId) -> retrybudget.RetryBudget:
-        if service not in self._budgets:
-            self._budgets[service] = retrybudget.RetryBudget(
-                self._settings.retry_ratio,
-                self._settings.retry_slack,
-                self._settings.retry_window,
-            )
-        return self._budgets[service]
+        return self._budgets.take(order.service)
 
     def _give_failure(
-        self, order: orders.Order, progress: _Progress, sink: orders.Sink
+        self, order: orders.Order, progress: requestprogress.Progress, sink: orders.Sink
     ) -> None:
         assert progress.failure is not None
         reply, body = progress.failure
-        _write_whole(sink, reply, body)
+        sender.write_whole(sink, reply, body)
         self._settle(order, progress, ids.ServerId(""))
 
     def _settle(
-        self, order: orders.Order, progress: _Progress, server: ids.ServerId
+        self,
+        order: orders.Order,
+        progress: requestprogress.Progress,
+        server: ids.ServerId,
     ) -> None:
         now = time.monotonic()
         account = order.account or ids.AccountId("")
@@ -447,7 +345,7 @@
         )
 
     def _make_unknown(
-        self, order: orders.Order, progress: _Progress, reason: str
+        self, order: orders.Order, progress: requestprogress.Progress, reason: str
     ) -> errors.OutcomeUnknown:
         timed_out = progress.timed_out or order.left() <= 0
         return errors.OutcomeUnknown(
@@ -458,38 +356,9 @@
         )
 
     def _make_lost(
-        self, order: orders.Order, progress: _Progress, reason: str
+        self, order: orders.Order, progress: requestprogress.Progress, reason: str
     ) -> backend.AnswerLost:
         return backend.AnswerLost(
             f"broke off above event {progress.last_event!r}: {reason}",
             step="pass on",
         )
-
-
-def _write_head(
-    order: orders.Order, server: ids.ServerId, left: float, last_event: str
-) -> bytes:
-    headers = requests.write_headers(
-        order.incoming,
-        server=server,
-        account=order.account,
-        left=left,
-        last_event=last_event,
-    )
-    if order.body or order.method not in ("GET", "HEAD", "DELETE"):
-        headers.append(("Content-Length", str(len(order.body))))
-    lines = [order.method.encode() + b" " + order.target + b" HTTP/1.1"]
-    lines += [f"{name}: {value}".encode("latin-1") for name, value in headers]
-    return b"\r\n".join(lines) + b"\r\n\r\n"
-
-
-def _write_whole(sink: orders.Sink, reply: replies.Reply, body: bytes) -> None:
-    headers = [
-        (name, value)
-        for name, value in reply.headers
-        if name.lower() != "content-length"
-    ]
-    headers.append(("Content-Length", str(len(body))))
-    sink.write_head(reply.status, reply.reason, headers)
-    sink.write(body)
-    sink.finish()
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -17,7 +17,7 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import poolmap
+    from celeryspan.gateway import migrations, poolmap
     from celeryspan.services import delivery, identity
 
 TICK_SECONDS = 0.05
@@ -53,6 +53,7 @@
     home: ids.RouterId
     end_at: float
     is_begun: bool = False
+    migration: migrations.Migration | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -142,6 +143,21 @@
         begun = messages.RunBegun(ask.request, place.pool, place.server)
         self._delivery.send(place.home, begun)
 
+    def find_held(self, request: ids.RequestId) -> Place | None:
+        """Return the place that a request uses, if it has one."""
+        return self._held.get(request)
+
+    def settle_migration(
+        self, place: Place, target: ids.ServerId, *, is_moved: bool
+    ) -> None:
+        """Say where a run that was to move is."""
+        moved = messages.RunMoved(
+            place.ask.request, place.pool, place.server, target, is_moved
+        )
+        if is_moved:
+            place.server = target
+        self._delivery.send(place.home, moved)
+
     def end(self, place: Place, ending: states.RunEnding) -> None:
         """Give a place back."""
         ask = place.ask
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -73,6 +73,7 @@
         self._delivery.subscribe(messages.RunHeld, self._take_held)
         self._delivery.subscribe(messages.RunBegun, self._take_begun)
         self._delivery.subscribe(messages.RunEnded, self._take_ended)
+        self._delivery.subscribe(messages.RunMoved, self._take_moved)
         self._delivery.subscribe(messages.PoolShares, self._take_shares)
         self._map.subscribe(self._set_servers)
         self._catalogues.subscribe(lambda _: self._set_servers())
@@ -119,12 +120,22 @@
             self._note_incarnation(router, incarnation)
             self._find_pool(run.pool).hold(router, run, time.monotonic())
 
+    def _take_moved(
+        self, _: ids.RouterId, __: ids.Incarnation, moved: messages.RunMoved
+    ) -> None:
+        with self._lock:
+            self._find_pool(moved.pool).settle_migration(moved, time.monotonic())
+        self._changed.set()
+
     def _take_begun(
-        self, _: ids.RouterId, __: ids.Incarnation, begun: messages.RunBegun
+        self, router: ids.RouterId, _: ids.Incarnation, begun: messages.RunBegun
     ) -> None:
         with self._lock:
             pool = self._find_pool(begun.pool)
-            pool.begin(begun.request, begun.server, time.monotonic())
+            target = pool.begin(begun.request, begun.server, time.monotonic())
+        if target is not None:
+            move = messages.RunMove(begun.request, begun.pool, begun.server, target)
+            self._delivery.send(router, move)
         self._changed.set()
 
     def _take_ended(
--- /dev/null
+++ b/celeryspan/gateway/requestprogress.py
@@ -0,0 +1,52 @@
+"""What has become of one request so far."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from celeryspan import ids
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import replies
+
+
+class Progress:
+    """What has become of one request so far.
+
+    Attributes
+    ----------
+    sends, connects : int
+        Servers that the request was sent to, and those that did not accept.
+    may_have_run : bool
+        Whether one of them may have run it.
+    is_answering : bool
+        Whether the caller has got the head of an answer.
+    last_event : str
+        Id of the last event that was passed on.
+    failure : Reply and body, or None
+        A server's own failure, to be passed on if no repeat does better.
+    first_at, gap : float
+        When the first event was passed on, and the longest pause since, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.sends = 0
+        self.connects = 0
+        self.may_have_run = False
+        self.is_answering = False
+        self.last_event = ""
+        self.excluded: tuple[ids.ServerId, ...] = ()
+        self.failure: tuple[replies.Reply, bytes] | None = None
+        self.timed_out = False
+        self.first_at: float | None = None
+        self.last_at = 0.0
+        self.gap = 0.0
+        self.placed_at = 0.0
+
+    def note_event(self, now: float) -> None:
+        """Note that an event of a stream is passed on."""
+        if self.first_at is None:
+            self.first_at = now
+        else:
+            self.gap = max(self.gap, now - self.last_at)
+        self.last_at = now
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -90,6 +90,7 @@
         slots=int(item["slots"]),
         memory_tokens=int(item["kv_capacity_tokens"]),
         stride=int(item.get("stride") or 1),
+        moves=bool(item.get("moves")),
     )
 
 
--- /dev/null
+++ b/celeryspan/platform/engines.py
@@ -0,0 +1,104 @@
+"""Calls of model engines beside the requests themselves: moves of running requests."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+
+import urllib3
+
+from celeryspan import errors, ids
+from celeryspan.platform import names
+
+CONNECT_SECONDS = 0.4
+
+POOLS = 32
+POOL_CONNECTIONS = 2
+"""Engines to which connections are kept, and how many to each."""
+
+NO_SUCH_RUN = (404, 409)
+"""The run has ended, or another call moves it already."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """A run that was stopped, with all that it has read.
+
+    Attributes
+    ----------
+    handle : str
+        Names it at the engine where it was; good for one use.
+    is_at_target : bool
+        Whether the other engine has it as well.
+    """
+
+    handle: str
+    is_at_target: bool
+
+
+class EngineClient:
+    """Calls engines; no call is repeated."""
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            POOLS, maxsize=POOL_CONNECTIONS, retries=False, block=False
+        )
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.clear()
+
+    def move(
+        self,
+        source: ids.Address,
+        server: ids.ServerId,
+        request: ids.RequestId,
+        target: ids.Address,
+        seconds: float,
+    ) -> Copy | None:
+        """Stop a run and copy it to another engine; None if it runs on.
+
+        Raises
+        ------
+        errors.OutcomeUnknown
+            If there is no answer: the run may have been stopped.
+        """
+        body = {"id": request, "to": str(target), "last": True}
+        try:
+            answer = self._pool.request(
+                "POST",
+                f"http://{source}{names.MOVE}",
+                body=json.dumps(body).encode(),
+                headers={
+                    "Content-Type": "application/json",
+                    names.EXPECTED_SERVER: server,
+                },
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds),
+            )
+            found = json.loads(answer.data) if answer.data else {}
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            raise errors.OutcomeUnknown(
+                f"no answer to a move: {error!r}",
+                code="move-lost",
+                status=502,
+                step="move",
+                peer=server,
+            ) from error
+        handle = found.get("kv_handle") if isinstance(found, dict) else None
+        if answer.status in NO_SUCH_RUN or not handle:
+            return None
+        return Copy(str(handle), is_at_target=answer.status == 200)
+
+    def free(self, source: ids.Address, handle: str) -> None:
+        """Let both engines forget a copy that nobody goes on with."""
+        try:
+            self._pool.request(
+                "DELETE", f"http://{source}{names.HANDLE}/{handle}", timeout=1.0
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            pass  # The engines forget it by themselves after some seconds.
+
+
+def name_copy(source: ids.Address, copy: Copy) -> str:
+    """Return the header value with which a request goes on from a copy."""
+    return f"{source}/{copy.handle}"
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -28,6 +28,8 @@
 RESOLVE = "/v1/resolve"
 READY = "/v1/readyz"
 METRICS = "/v1/metrics"
+MOVE = "/v1/kv-move"
+HANDLE = "/v1/kv-handle"
 OBJECTS = "/v1/objects"
 
 CONFIGURATION_KIND = "config"
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -99,6 +99,7 @@
     account: ids.AccountId | None,
     left: float,
     last_event: str = "",
+    moved_from: str = "",
 ) -> list[tuple[str, str]]:
     """Return the headers for a backend server.
 
@@ -108,6 +109,8 @@
         Seconds that are left for the answer.
     last_event : str
         Id of the last event that was passed on, to go on behind it.
+    moved_from : str
+        Names the copy of a run that this server is to go on with.
     """
     found = [
         (name, value)
@@ -120,6 +123,8 @@
         found.append((names.ACCOUNT, account))
     if last_event:
         found.append((names.LAST_EVENT, last_event))
+    if moved_from:
+        found.append((names.MOVED_FROM, moved_from))
     return found
 
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -9,6 +9,7 @@
 import collections
 import contextlib
 import dataclasses
+import json
 import socket
 import struct
 import threading
@@ -24,6 +25,9 @@
 REQUEST_ID = "Celeryspan-Request-Id"
 EXPECTED = "Celeryspan-Expect-Instance"
 LAST_EVENT = "Last-Event-Id"
+MOVE = "/v1/kv-move"
+HANDLE = "/v1/kv-handle/"
+COPY = "kv-from"
 
 RESET = struct.pack("ii", 1, 0)
 """Linger option with which closing a socket resets its connection."""
@@ -55,6 +59,12 @@
         All requests that arrived.
     ran, ran_at : list of str, list of float
         Ids of the requests that ran, and when each began.
+    resumed : list of str
+        Ids of the requests that went on here from a copy.
+    freed : list of str
+        Handles of copies that were to be forgotten.
+    move_answer : int
+        Status of the next calls that move a run; 0 resets their connections.
     connections : int
         Connections accepted so far.
     """
@@ -67,6 +77,10 @@
         self.ran: list[str] = []
         self.ran_at: list[float] = []
         self.left_early = threading.Event()
+        self.resumed: list[str] = []
+        self.freed: list[str] = []
+        self.move_answer = 200
+        self._streams: dict[str, threading.Event] = {}
         self.connections = 0
         self.event_seconds = 0.0
         self._listener = socket.create_server(("127.0.0.1", 0))
@@ -132,13 +146,38 @@
 
     def _answer(self, seen: Seen, connection: socket.socket) -> bool:
         """Answer one request; returns whether the connection stays open."""
+        if seen.target.startswith(HANDLE):
+            self.freed.append(seen.target.removeprefix(HANDLE))
+            connection.sendall(self._write_head(seen, 200, 0))
+            return True
+        if seen.target == MOVE:
+            return self._move(seen, connection)
         if seen.headers.get(EXPECTED.lower()) != self.name:
             connection.sendall(self._write_head(seen, 421, 0))
             return True
         word = self.script.popleft() if self.script else "serve"
         return getattr(self, f"_do_{word}")(seen, connection)
 
+    def _move(self, seen: Seen, connection: socket.socket) -> bool:
+        """Stop a stream, and answer that its copy is made."""
+        asked = json.loads(seen.body)
+        stopped = self._streams.get(asked["id"])
+        if self.move_answer == 0:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            return False
+        if stopped is None or self.move_answer == 404:
+            connection.sendall(self._write_head(seen, 404, 0))
+            return True
+        stopped.set()
+        body = json.dumps({"kv_handle": f"copy-{asked['id']}", "created": 1}).encode()
+        head = self._write_head(seen, self.move_answer, len(body))
+        connection.sendall(head + body)
+        return True
+
     def _note_run(self, seen: Seen) -> None:
+        if COPY in seen.headers:
+            self.resumed.append(seen.request)
+            return
         self.ran.append(seen.request)
         self.ran_at.append(time.monotonic())
 
@@ -147,10 +186,13 @@
         if not self.streams:
             connection.sendall(self._write_head(seen, 200, len(BODY)) + BODY)
             return True
+        stopped = self._streams[seen.request] = threading.Event()
         connection.sendall(self._write_head(seen, 200, None))
         for event in self._write_events(seen):
             connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
-            time.sleep(self.event_seconds)
+            if stopped.wait(self.event_seconds):
+                return False  # It goes on at another engine.
+        del self._streams[seen.request]
         connection.sendall(b"0\r\n\r\n")
         return True
 
