Copy kept parts from another engine rather than read them again

Change: the home names the engine that keeps most of a prompt and has read it; the router tells the engine to copy from there. Reading after the copy is what is weighed, and a request waits for a better engine only if that saves 20 ms. Tests: copies in a full pool, moves beside long prompts, parts not read yet, headers.

--- a/bench/engines/engine.py
+++ b/bench/engines/engine.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Sequence
 
 from bench.engines import site
 from celeryspan import ids
@@ -59,6 +60,21 @@
         self._kept: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._kept_tokens = 0
 
+    def count_kept(self, parts: Sequence[messages.PromptPart]) -> int:
+        """Return how many of the leading parts are kept."""
+        kept = 0
+        for part in parts:
+            if part.part not in self._kept:
+                break
+            kept += 1
+        return kept
+
+    def take_parts(self, parts: Sequence[messages.PromptPart]) -> None:
+        """Keep parts that were copied from another engine."""
+        for part in reversed(parts):
+            self._kept_tokens += part.tokens - self._kept.pop(part.part, 0)
+            self._kept[part.part] = part.tokens
+
     def add(self, job: Job, known: set[str], now: float) -> None:
         """Admit a job; ``known`` are the parts that some engine has read."""
         kept, again = 0, 0
--- a/bench/engines/site.py
+++ b/bench/engines/site.py
@@ -19,8 +19,8 @@
         Tokens in one event.
     slow : dict
         Engines by index that take so many times as long.
-    moves : bool
-        Whether runs may move between engines.
+    moves, fetches : bool
+        Whether runs may move between engines, and kept parts be copied.
     move_seconds, move_token_seconds : float
         To copy a run, and for each token that it has in memory.
     message_seconds : float
@@ -41,3 +41,4 @@
     moves: bool = False
     move_seconds: float = 0.002
     move_token_seconds: float = 8e-7
+    fetches: bool = False
--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -74,9 +74,11 @@
         engines: Sequence[engine.Engine],
         slots: int,
         moved_tokens: int = 0,
+        fetched_tokens: int = 0,
     ) -> None:
         self.outcomes = outcomes
         self.moved_tokens = moved_tokens
+        self.fetched_tokens = fetched_tokens
         self.asked = len(outcomes)
         self.refused = sum(outcome.is_refused for outcome in outcomes)
         self.gave_up = sum(outcome.gave_up for outcome in outcomes)
@@ -176,12 +178,18 @@
         self._pool = policies.REGISTRY[policy](random.Random(seed))
         self._pool.set_servers(
             [self._make_entry(name) for name in self._engines],
-            catalog.Engine(place.slots, place.memory_tokens, place.stride, place.moves),
+            catalog.Engine(
+                place.slots,
+                place.memory_tokens,
+                place.stride,
+                place.moves,
+                place.move_token_seconds if place.fetches else 0.0,
+            ),
         )
         self._outcomes = {each.ask.request: Outcome(each) for each in asked}
         self._servers: dict[ids.RequestId, ids.ServerId] = {}
         self._known: set[str] = set()
-        self.moved_tokens = 0
+        self.moved_tokens = self.fetched_tokens = 0
         self._order = itertools.count()
         self._agenda: list[tuple] = []
         for each in asked:
@@ -198,7 +206,8 @@
             getattr(self, f"_do_{kind}")(value, now)
         engines = list(self._engines.values())
         outcomes = list(self._outcomes.values())
-        return Result(outcomes, engines, self._site.slots, self.moved_tokens)
+        copied = (self.moved_tokens, self.fetched_tokens)
+        return Result(outcomes, engines, self._site.slots, *copied)
 
     def _plan(self, at: float, kind: str, value: object) -> None:
         heapq.heappush(self._agenda, (at, next(self._order), kind, value))
@@ -212,6 +221,17 @@
         if any(kind != "tick" for _, _, kind, _ in self._agenda):
             self._plan(now + TICK_SECONDS, "tick", None)
 
+    def _do_fetch(self, offer: messages.SlotOffer, now: float) -> None:
+        """Copy the parts that another engine keeps, then start."""
+        parts = self._outcomes[offer.request].arrival.ask.parts
+        kept = parts[: self._engines[offer.source].count_kept(parts)]
+        have = self._engines[offer.server].count_kept(parts)
+        tokens = sum(part.tokens for part in kept[have:])
+        self.fetched_tokens += tokens
+        self._engines[offer.server].take_parts(kept)
+        copy = self._site.move_seconds + tokens * self._site.move_token_seconds
+        self._plan(now + copy, "start", offer)
+
     def _do_start(self, offer: messages.SlotOffer, now: float) -> None:
         outcome = self._outcomes[offer.request]
         job = engine.Job(outcome.arrival.ask, outcome.arrival.tokens, 0, 0)
@@ -281,7 +301,8 @@
     def _tell(self, answers: Sequence[pools.Answer], now: float) -> None:
         for answer in answers:
             if isinstance(answer.message, messages.SlotOffer):
-                self._plan(now + self._delay(), "start", answer.message)
+                kind = "fetch" if answer.message.source else "start"
+                self._plan(now + self._delay(), kind, answer.message)
             else:
                 self._outcomes[answer.message.request].is_refused = True
 
--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -104,12 +104,15 @@
         Tokens in one event of a stream.
     moves : bool
         Whether a run may be moved to another engine with what it has read.
+    copy_token_seconds : float
+        To copy what was read of one token to another engine; 0 if that can't be done.
     """
 
     slots: int
     memory_tokens: int
     stride: int
     moves: bool = False
+    copy_token_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -11,6 +11,8 @@
   before it gets more, so that a step without reading comes between.
 * A request waits a little for the server that keeps its prompt while others are free:
   reading again costs more, and all who wait there.
+* Where engines can copy from each other, a request whose shared parts another engine
+  keeps brings them along (:class:`Keeper`): 4,870 tokens take 6 ms instead of 45.
 * A prompt whose reading alone makes the streams beside it pause past their limit goes
   to engines set apart, one at a time. How many are set apart follows how much of such
   reading has come lately.
@@ -41,6 +43,10 @@
 its prompt, while others are free: a few ten milliseconds against reading 5,000 tokens
 again, which takes as long and keeps all others at that server waiting as well."""
 
+REGRET_MIN = 0.02
+"""Cost in seconds by which another server must be better to be waited for: that of
+reading some 200 tokens or copying 8,000."""
+
 RUN_SECONDS = 0.002
 """What a run in progress counts for when servers are compared: spreads requests that
 read nothing."""
@@ -51,6 +57,15 @@
 PLACE_SECONDS = 0.002
 """What another data centre counts for, there and back."""
 
+FETCH_TOKENS_MIN = 256
+"""Shorter parts are read in 2 ms, as long as it takes to set up a copy."""
+
+FETCH_SETUP_SECONDS = 0.002
+
+FETCH_WEIGHT = 3.0
+"""Weight of copying kept parts from another engine against waiting: it takes a tenth of
+the time of reading and stops nobody, but uses links that moves need."""
+
 FAILING_SECONDS = 2.0
 """What a server that fails all requests counts for beyond its peers."""
 
@@ -92,6 +107,15 @@
     is_ready: bool
 
 
+class Keeper(NamedTuple):
+    """The engine that keeps most of a prompt, and how many tokens of it."""
+
+    kept: int
+    server: ids.ServerId
+
+
+NO_KEEPER = Keeper(0, ids.ServerId(""))
+
 NOWHERE = Option(math.inf, ids.ServerId(""), False)
 
 
@@ -217,10 +241,11 @@
     ) -> poolservers.Run:
         """Take a place for a request."""
         server = self._servers[name]
-        kept = server.cache.count_kept(ask.parts)
+        kept, fetch, source = self._count_kept(ask, server, self._find_keeper(ask, now))
         read = 0.0
         if self._engine is not None:
             read = self._make_prompt(ask).read(kept, len(server.runs), server.speed)
+            read += fetch
         pending = server.pending(now)
         read_until = max(now, server.read_until) + read
         due_at = read_until + self._model.first_seconds
@@ -237,9 +262,10 @@
             is_long=is_long,
             output_tokens=ask.output_tokens,
             parts=ask.parts,
+            source=source,
         )
         server.add(ask.request, run, now, self._rest)
-        server.cache.use(ask.parts)
+        server.cache.use(ask.parts, due_at)
         return run
 
     def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
@@ -247,7 +273,7 @@
         server = self._find(run.server)
         if server is None:
             return
-        server.cache.use(run.parts)
+        server.cache.use(run.parts, now)
         held = poolservers.Run(
             router=router,
             since=now,
@@ -286,7 +312,7 @@
             return None
         moved = dataclasses.replace(run, read=0.0, is_long=False)
         target.add(request, moved, now)
-        target.cache.use(run.parts)
+        target.cache.use(run.parts, now)
         return target.entry.server
 
     def settle_migration(
@@ -383,6 +409,28 @@
         most = math.floor(len(self._servers) * APART_SHARE_MAX)
         return min(most, math.ceil(self._long_load / APART_USE))
 
+    def _find_keeper(self, ask: messages.SlotRequest, now: float) -> Keeper:
+        """Return the engine that keeps most of a prompt, if engines copy."""
+        best = NO_KEEPER
+        if self._engine is None or not self._engine.copy_token_seconds:
+            return best
+        for server in self._by_order:
+            kept = server.cache.count_ready(ask.parts, now)
+            if kept > best.kept and not server.health.rests(now):
+                best = Keeper(kept, server.entry.server)
+        return best
+
+    def _count_kept(
+        self, ask: messages.SlotRequest, server: poolservers.PoolServer, keeper: Keeper
+    ) -> tuple[int, float, ids.ServerId | None]:
+        """Return what need not be read, the time to copy it, and from where."""
+        kept = server.cache.count_kept(ask.parts)
+        lacking = keeper.kept - kept
+        if lacking < FETCH_TOKENS_MIN or self._engine is None:
+            return kept, 0.0, None
+        seconds = FETCH_SETUP_SECONDS + lacking * self._engine.copy_token_seconds
+        return keeper.kept, seconds, keeper.server
+
     def _find_most_kept(self, ask: messages.SlotRequest) -> int:
         return max((s.cache.count_kept(ask.parts) for s in self._by_order), default=0)
 
@@ -420,36 +468,37 @@
     ) -> Choice | None:
         best = ready = NOWHERE
         prompt = self._make_prompt(ask)
+        keeper = self._find_keeper(ask, now)
         for is_long in (False, True):
             for server in self._list_for(is_long, now):
                 if not server.is_open(now) or server.entry.server in barred:
                     continue
-                kept = server.cache.count_kept(ask.parts)
+                kept, fetch, _ = self._count_kept(ask, server, keeper)
                 if prompt.is_long(kept, server.speed) is not is_long:
                     continue
-                option = self._weigh(ask, prompt, server, kept, is_long, now)
+                read = prompt.read(kept, len(server.runs), server.speed)
+                option = self._weigh(ask, server, read, fetch, is_long, now)
                 best = min(best, option)
                 ready = min(ready, option) if option.is_ready else ready
         if not ready.is_ready:
             return None
         regret = ready.cost - best.cost
-        waits_for_best = ask.waited + waited < AFFINITY_WAIT * ask.objective
-        return None if regret and waits_for_best else Choice(ready.server, regret)
+        patience = AFFINITY_WAIT * ask.objective if regret > REGRET_MIN else 0.0
+        return None if ask.waited + waited < patience else Choice(ready.server, regret)
 
     def _weigh(
         self,
         ask: messages.SlotRequest,
-        prompt: engines.Prompt,
         server: poolservers.PoolServer,
-        kept: int,
+        read: float,
+        fetch: float,
         is_long: bool,
         now: float,
     ) -> Option:
         """Return what it would mean to place a request at a server."""
-        running = len(server.runs)
-        read = prompt.read(kept, running, server.speed)
         pending = server.pending(now)
-        cost = pending + READ_WEIGHT * read + RUN_SECONDS * running
+        cost = pending + READ_WEIGHT * read + RUN_SECONDS * len(server.runs)
+        cost += FETCH_WEIGHT * fetch
         cost += server.health.failing * FAILING_SECONDS + _distance(server, ask)
         if is_long:
             is_ready = not server.reads_long()
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -42,6 +42,8 @@
 has up to this much reading before it. With twice the load that engines can read it
 raised the answers in time from 443 of 786 to 649 of 772 (trial of the emulator)."""
 
+NOWHERE = ids.ServerId("")
+
 LOOK_AHEAD = 10
 """Requests of one account that are weighed against each other: one that fits nowhere
 yet does not hold up the rest, and the choice is bounded in time."""
@@ -306,7 +308,9 @@
         run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
         pressure = self.measure_pressure(now)
-        offer = messages.SlotOffer(task.ask.request, self.name, server, pressure)
+        offer = messages.SlotOffer(
+            task.ask.request, self.name, server, pressure, run.source or NOWHERE
+        )
         return Answer(task.router, offer, now - task.arrived_at, run)
 
     def _expire(self, now: float) -> list[Answer]:
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -54,6 +54,8 @@
         Of the server, as it was believed then.
     due_at : float
         When the first event is predicted.
+    source : ServerId
+        The server from which kept parts are copied, if there is one.
     """
 
     router: ids.RouterId
@@ -68,6 +70,7 @@
     is_begun: bool = False
     output_tokens: int = 0
     parts: tuple[messages.PromptPart, ...] = ()
+    source: ids.ServerId | None = None
 
 
 class PoolServer:
--- a/celeryspan/decisions/promptcache.py
+++ b/celeryspan/decisions/promptcache.py
@@ -26,6 +26,7 @@
     def __init__(self, capacity: int) -> None:
         self._capacity = capacity
         self._parts: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._ready_at: dict[str, float] = {}
         self._tokens = 0
 
     def count_kept(self, parts: Sequence[messages.PromptPart]) -> int:
@@ -40,19 +41,35 @@
             kept += part.tokens
         return kept
 
-    def use(self, parts: Sequence[messages.PromptPart]) -> None:
-        """Note that a prompt is read here.
+    def count_ready(self, parts: Sequence[messages.PromptPart], now: float) -> int:
+        """Return the tokens of the leading parts that can be copied from here now.
+
+        A part that is still to be read is kept for the prompts behind it in this
+        engine's line, but nobody else can have it yet.
+        """
+        ready = 0
+        for part in parts:
+            if part.part not in self._parts or self._ready_at[part.part] > now:
+                break
+            ready += part.tokens
+        return ready
+
+    def use(self, parts: Sequence[messages.PromptPart], ready_at: float) -> None:
+        """Note that a prompt will have been read here at some time.
 
         The last part is touched first, so that the shared ones before it stay longest.
         """
         for part in reversed(parts):
+            self._ready_at.setdefault(part.part, ready_at)
             self._tokens += part.tokens - self._parts.pop(part.part, 0)
             self._parts[part.part] = part.tokens
         while self._tokens > self._capacity and self._parts:
-            _, tokens = self._parts.popitem(last=False)
+            name, tokens = self._parts.popitem(last=False)
+            del self._ready_at[name]
             self._tokens -= tokens
 
     def clear(self) -> None:
         """Forget all: the engine has started anew."""
         self._parts.clear()
+        self._ready_at.clear()
         self._tokens = 0
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -153,7 +153,9 @@
         if self._may_switch(order, progress):
             until = min(until, time.monotonic() + self._find_silence(order))
         try:
-            reply = self._sender.send(order, place.server, progress, channel, until)
+            reply = self._sender.send(
+                order, place.server, progress, channel, until, source=place.source
+            )
             ending = self._pass_on(order, place, progress, reply, sink)
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -45,6 +45,8 @@
     ----------
     home : RouterId
         Who must hear of its end.
+    source : ServerId
+        A server from which kept parts of the prompt are copied, if there is one.
     """
 
     ask: messages.SlotRequest
@@ -53,6 +55,7 @@
     home: ids.RouterId
     end_at: float
     is_begun: bool = False
+    source: ids.ServerId | None = None
     migration: migrations.Migration | None = None
 
 
@@ -176,6 +179,7 @@
             if waiter is not None:
                 end_at = waiter.asked_at + waiter.ask.timeout
                 place = Place(waiter.ask, offer.pool, offer.server, home, end_at)
+                place.source = offer.source or None
                 self._held[offer.request] = waiter.place = place
         if waiter is not None:
             waiter.ready.set()
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -49,6 +49,7 @@
         channel: channels.Channel,
         until: float,
         moved_from: str = "",
+        source: ids.ServerId | None = None,
     ) -> replies.Reply:
         """Send an order and read the head of the answer.
 
@@ -58,6 +59,8 @@
             Until when the head must have come, on the monotonic clock.
         moved_from : str
             Names the copy of a run that the server is to go on with.
+        source : ServerId, optional
+            Another server, from which it is to copy kept parts of the prompt.
 
         Raises
         ------
@@ -67,7 +70,15 @@
             If there is no answer that may be passed on.
         """
         left = order.left()
-        head = write_head(order, server, left, progress.last_event, moved_from)
+        keeper = self._servers.usable().get(source) if source else None
+        head = write_head(
+            order,
+            server,
+            left,
+            progress.last_event,
+            moved_from,
+            str(keeper.address) if keeper else "",
+        )
         events.log(
             events.Event.REQUEST_SENT,
             request=order.request,
@@ -230,6 +241,7 @@
     left: float,
     last_event: str,
     moved_from: str = "",
+    fetched_from: str = "",
 ) -> bytes:
     """Return the head of a request as one server gets it."""
     headers = requests.write_headers(
@@ -239,6 +251,7 @@
         left=left,
         last_event=last_event,
         moved_from=moved_from,
+        fetched_from=fetched_from,
     )
     if order.body or order.method not in ("GET", "HEAD", "DELETE"):
         headers.append(("Content-Length", str(len(order.body))))
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -91,9 +91,16 @@
         memory_tokens=int(item["kv_capacity_tokens"]),
         stride=int(item.get("stride") or 1),
         moves=bool(item.get("moves")),
+        copy_token_seconds=_read_copy_seconds(item),
     )
 
 
+def _read_copy_seconds(item: Mapping) -> float:
+    """Return the time to copy a token: its bytes over the link's bits a second."""
+    link = float(item.get("link_mbps") or 0.0)
+    return float(item.get("kv_bytes") or 0.0) * 8 / (link * 1e6) if link else 0.0
+
+
 def _read_limits(item: Mapping) -> catalog.Limits:
     usual = catalog.Limits()
     return catalog.Limits(
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -100,6 +100,7 @@
     left: float,
     last_event: str = "",
     moved_from: str = "",
+    fetched_from: str = "",
 ) -> list[tuple[str, str]]:
     """Return the headers for a backend server.
 
@@ -111,6 +112,8 @@
         Id of the last event that was passed on, to go on behind it.
     moved_from : str
         Names the copy of a run that this server is to go on with.
+    fetched_from : str
+        Address of a server that keeps parts of the prompt, to be copied first.
     """
     found = [
         (name, value)
@@ -125,6 +128,8 @@
         found.append((names.LAST_EVENT, last_event))
     if moved_from:
         found.append((names.MOVED_FROM, moved_from))
+    if fetched_from:
+        found.append((names.FETCHED_FROM, fetched_from))
     return found
 
 
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -373,12 +373,15 @@
     ----------
     pressure : float
         How long a request that comes now would wait in this pool, in seconds.
+    source : ServerId
+        A server that keeps parts of the prompt, to be copied; empty for none.
     """
 
     request: ids.RequestId
     pool: ids.PoolId
     server: ids.ServerId
     pressure: float
+    source: ids.ServerId
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -239,6 +239,7 @@
   server @1 :Text;
   pool @2 :Text;
   pressure @3 :Float32;
+  source @4 :Text;
 }
 
 struct SlotRefusal {
--- a/tests/decisions/test_engines.py
+++ b/tests/decisions/test_engines.py
@@ -33,7 +33,7 @@
 
 def test_part_is_of_use_only_behind_kept_parts() -> None:
     cache = promptcache.PromptCache(1000)
-    cache.use(make_parts(("a", 100), ("b", 200)))
+    cache.use(make_parts(("a", 100), ("b", 200)), 0.0)
     assert cache.count_kept(make_parts(("a", 100), ("b", 200), ("c", 50))) == 300
     assert cache.count_kept(make_parts(("x", 10), ("b", 200))) == 0
 
@@ -41,7 +41,7 @@
 def test_least_recently_used_parts_yield_and_shared_ones_stay_longest() -> None:
     cache = promptcache.PromptCache(1000)
     for number in range(20):
-        cache.use(make_parts(("shared", 300), (f"own-{number}", 200)))
+        cache.use(make_parts(("shared", 300), (f"own-{number}", 200)), 0.0)
     assert cache.count_kept(make_parts(("shared", 300))) == 300
     assert cache.count_kept(make_parts(("shared", 300), ("own-0", 200))) == 300
     cache.clear()
@@ -75,3 +75,17 @@
         health.fail(0.0)
     assert 0.3 < health.failing < 0.7
     assert not health.rests(0.0)
+
+
+def test_parts_that_are_still_to_be_read_can_not_be_copied() -> None:
+    """Two requests about a new subject come at once and go to two engines.
+
+    The second one would ask the first engine for what it has not read yet, wait for
+    nothing and read it all the same.
+    """
+    cache = promptcache.PromptCache(10_000)
+    parts = make_parts(("a", 100), ("b", 200))
+    cache.use(parts[:1], 1.0)
+    cache.use(parts, 2.0)
+    assert cache.count_kept(parts) == 300
+    assert [cache.count_ready(parts, now) for now in (0.5, 1.5, 2.5)] == [0, 100, 300]
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 
 import pytest
@@ -151,3 +152,28 @@
     loud = result.tokens_by_account[ids.AccountId("loud")]
     quiet = result.tokens_by_account[ids.AccountId("quiet")]
     assert 0.75 <= quiet / loud <= 1.34
+
+
+def test_kept_parts_are_copied_rather_than_read_again() -> None:
+    """More comes than the engines can read, and no engine is always free.
+
+    Each time that the one which keeps a subject is full, another one reads it again:
+    a seventh of all reading when engines do not copy from each other.
+    """
+    roomy = dataclasses.replace(SITE, memory_tokens=2_000_000)
+    copying = dataclasses.replace(roomy, fetches=True)
+    alone = play([make_plans(60)], place=roomy)
+    result = play([make_plans(60)], place=copying)
+    assert result.read_again <= 0.4 * alone.read_again
+    assert result.share_in_time("plans") >= alone.share_in_time("plans")
+
+
+def test_moved_runs_leave_reading_engines_free_of_streams() -> None:
+    """Long prompts come one after the other, each read where the last one streams."""
+    moving = dataclasses.replace(SITE, moves=True)
+    long = make_plans(2.0, own_fixed=40_000)
+    alone = play([make_notes(20), long])
+    result = play([make_notes(20), long], place=moving)
+    assert alone.late_by_pause("plans") >= 0.3
+    assert result.late_by_pause("plans") <= 0.1
+    assert result.late_by_pause("notes") <= alone.late_by_pause("notes") + 0.01
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -112,3 +112,30 @@
 def test_malformed_header_is_named(name: str, value: str) -> None:
     with pytest.raises(errors.InputError, match=name):
         requests.read({name: value})
+
+
+def test_engine_is_told_where_to_copy_kept_parts_from_by_the_router_alone() -> None:
+    """A caller names an address of its own choice from which engines are to copy."""
+    incoming = requests.read({"Kv-Fetch": "10.0.0.9:1", "Kv-From": "10.0.0.9:1/x"})
+    sent = dict(requests.write_headers(incoming, server="s1", account=None, left=1.0))
+    assert "Kv-Fetch" not in sent
+    assert "Kv-From" not in sent
+    sent = dict(
+        requests.write_headers(
+            incoming, server="s1", account=None, left=1.0, fetched_from="10.0.0.5:80"
+        )
+    )
+    assert sent["Kv-Fetch"] == "10.0.0.5:80"
+
+
+def test_time_to_copy_a_token_follows_from_its_bytes_and_the_link() -> None:
+    configuration = support.make_configuration(1)
+    engine = configuration["services"][1]["engine"]
+    engine.update(kv_bytes=35_000, link_mbps=350_000.0, moves=True)
+    service = catalogues.read(store(configuration)).services[ids.ServiceId("planner")]
+    assert service.engine.copy_token_seconds == pytest.approx(8e-7)
+    assert service.engine.moves
+    del engine["link_mbps"], engine["moves"]
+    service = catalogues.read(store(configuration)).services[ids.ServiceId("planner")]
+    assert service.engine.copy_token_seconds == 0.0
+    assert not service.engine.moves
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -61,7 +61,7 @@
         ("gpu-1", "gpu-2"),
     ),
     messages.SlotCancel("q-1", "planner-llm"),
-    messages.SlotOffer("q-1", "planner-llm#1#0", "gpu-1", 0.5),
+    messages.SlotOffer("q-1", "planner-llm#1#0", "gpu-1", 0.5, "gpu-2"),
     messages.SlotRefusal("q-1", "planner-llm#1#0", 0.5, "no-place-in-time", 0.25),
     messages.RunHeld("q-1", "planner-llm", "desk", "gpu-1", (), 1210, True, 2.5),
     messages.RunBegun("q-1", "planner-llm", "gpu-1"),
