Refuse at once what a router's processor can't pass on; list all routers again

Ruled out: a few routers for each caller (the account goes to the same router whatever its callers are told, and comes back to it after a refusal: two trials with a line for each answer); that is taken back. Change: decisions/overload limits the requests in progress by how late a sleeping thread wakes; what comes above is refused with the time to come back. The accepting thread takes in all connections that wait each time that it runs.

--- a/celeryspan/decisions/callerlists.py
+++ b/celeryspan/decisions/callerlists.py
@@ -5,13 +5,6 @@
 that wrote it to a few of them; these drown, can no longer answer who else there is, and
 the callers stay. One router of 82 got two thirds of all requests that way.
 
-Some client accounts send all they have to one of the addresses that their callers are
-told, always the same one. One with seven times its usual load then takes a router of
-its own, whose processor serves 60 requests a second: a third of its requests met no
-connection while 81 routers idled. So each caller is told a few routers only, which its
-own address names by rendezvous hashing: callers of one account get different ones, each
-caller the same ones as long as they live, whichever router it asks.
-
 A router is listed once it has shown a configuration, or has run for a while: routers
 hear each other's configuration only now and then, and one that has none yet refuses,
 which costs its caller a moment.
@@ -19,16 +12,16 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import Iterable
 
 from celeryspan import ids, states
-from celeryspan.decisions import beliefs, homes
+from celeryspan.decisions import beliefs
 
-ADDRESSES_MIN = 4
-ADDRESSES_MAX = 8
-"""Addresses of one answer: half of the fleet, within these bounds. When half of a large
-fleet is killed, one of eight is left to 996 of 1,000 callers; of a fleet of 82 the
-busiest gets a tenth of what an account sends to one address."""
+ADDRESSES_MAX = 64
+"""Addresses of one answer. All are given: callers that are told a few draw from these
+as evenly, but have fewer left when half of the fleet is killed; accounts that send all
+they have to one router go to the same one whatever they are told."""
 
 STARTED_SECONDS = 2.0
 """A router that has run this long has a configuration, from the store or from a peer:
@@ -37,27 +30,23 @@
 
 def choose(
     known: Iterable[beliefs.Belief],
-    caller: str,
     data_centre: str | None,
     now: float,
+    generator: random.Random,
 ) -> list[ids.Address]:
-    """Return the addresses of the routers that a caller is to use, nearest first.
+    """Return the addresses of the routers to use, nearest first.
 
     Parameters
     ----------
     known : iterable of Belief
         What is believed of all routers, the one that answers among them if it is ready.
-    caller : str
-        The host that the caller asks from.
     data_centre : str or None
         That of the caller, if it has said so.
     """
     found = [belief.member for belief in known if is_usable(belief, now)]
-    found.sort(key=lambda member: homes.score(member.router, caller))
-    most = min(max(ADDRESSES_MIN, len(found) // 2), ADDRESSES_MAX)
-    chosen = found[:most]
-    chosen.sort(key=lambda member: member.data_centre != data_centre)
-    return [member.caller_address for member in chosen]
+    generator.shuffle(found)
+    found.sort(key=lambda member: member.data_centre != data_centre)
+    return [member.caller_address for member in found[:ADDRESSES_MAX]]
 
 
 def is_usable(belief: beliefs.Belief, now: float) -> bool:
--- a/celeryspan/gateway/directory.py
+++ b/celeryspan/gateway/directory.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import random
 import time
 import urllib.parse
 from collections.abc import Callable
@@ -55,6 +56,7 @@
         self._membership: membership.MembershipService = box.find("membership")
         self._metrics: metrics.Metrics = box.find("metrics")
         self._servers: serverlists.ServersService = box.find("servers")
+        self._random = random.Random(time.time_ns())
         self.draining = False
         self._open: list[httpserver.Server] = []
 
@@ -81,8 +83,7 @@
         self, environ: dict[str, Any], start: Callable[[str, list], object]
     ) -> list[bytes]:
         """Answer one question, as WSGI has it."""
-        caller = environ.get("REMOTE_ADDR", "")
-        answer = self._answer(environ["PATH_INFO"], environ["QUERY_STRING"], caller)
+        answer = self._answer(environ["PATH_INFO"], environ["QUERY_STRING"])
         headers = [
             ("Content-Type", answer.kind),
             ("Content-Length", str(len(answer.body))),
@@ -90,10 +91,10 @@
         start(STATUSES[answer.status], headers)
         return [answer.body]
 
-    def _answer(self, path: str, query: str, caller: str) -> Answer:
+    def _answer(self, path: str, query: str) -> Answer:
         if path == names.RESOLVE:
             asked = dict(urllib.parse.parse_qsl(query))
-            listed = self.list_addresses(caller, asked.get("zone"))
+            listed = self.list_addresses(asked.get("zone"))
             answer = {"addresses": listed, "ttl_s": KEEP_SECONDS} if listed else {}
             body = json.dumps(answer).encode()
             return Answer(200 if listed else 503, "application/json", body)
@@ -116,13 +117,13 @@
             and bool(self._servers.usable())
         )
 
-    def list_addresses(self, caller: str, data_centre: str | None) -> list[str]:
-        """Return the addresses of the routers for one caller, nearest first."""
+    def list_addresses(self, data_centre: str | None) -> list[str]:
+        """Return the addresses of the routers to use, nearest first."""
         now = time.monotonic()
         known = self._membership.list_beliefs()
         if self.is_ready():
             known.append(beliefs.Belief(self._membership.own(), 0.0))
-        found = callerlists.choose(known, caller, data_centre, now)
+        found = callerlists.choose(known, data_centre, now, self._random)
         return [str(address) for address in found]
 
     def render_metrics(self) -> bytes:
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -16,6 +16,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, states
 from celeryspan.adapters import backend
+from celeryspan.decisions import overload
 from celeryspan.gateway import orders
 from celeryspan.platform import names, requests
 from celeryspan.services import framing, httpserver
@@ -29,6 +30,8 @@
 OVERLOAD_SECONDS = 0.5
 """When to come back to a router that has no thread left."""
 
+LATENESS_TICK_SECONDS = 0.1
+
 IDLE_MARGIN = 1.2
 IDLE_MARGIN_SECONDS = 3.0
 """Callers may use a connection until the idle limit; closing it later by this factor
@@ -155,6 +158,8 @@
         self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
+        self._overload = overload.Overload(self._settings.caller_threads)
+        self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
         self._server = _Server(
@@ -173,14 +178,23 @@
         """Listen; raises OSError if the address is taken."""
         self._server.open()
         self._catalogues.subscribe(self._apply_limits)
+        threading.Thread(
+            target=self._measure_lateness, name="lateness", daemon=True
+        ).start()
 
     def stop(self) -> None:
         """Stop listening."""
+        self._stopped.set()
         self._server.shut()
 
     def report(self) -> dict[str, object]:
         """Return the state for the operator."""
-        return {"in_progress": self.count(), "draining": self.draining}
+        return {
+            "in_progress": self.count(),
+            "in_progress_max": self._overload.limit,
+            "lateness_seconds": round(self._overload.lateness, 3),
+            "draining": self.draining,
+        }
 
     def count(self) -> int:
         """Return how many requests are in progress."""
@@ -296,7 +310,7 @@
                 retry_after=STARTING_SECONDS * (0.5 + self._random.random()),
                 step="accept",
             )
-        if request.conn.overloaded:
+        if request.conn.overloaded or not self._overload.admits(self.count() - 1):
             raise errors.NotRun(
                 "this router has no thread left for the request",
                 code="router-full",
@@ -324,6 +338,25 @@
         except OSError:
             sink.cut()  # The caller has left; there is nobody to tell.
 
+    def _measure_lateness(self) -> None:
+        """Note how much too long this thread sleeps: what all others suffer."""
+        before = self._overload.limit
+        while not self._stopped.is_set():
+            began = time.monotonic()
+            time.sleep(LATENESS_TICK_SECONDS)
+            now = time.monotonic()
+            late = now - began - LATENESS_TICK_SECONDS
+            self._overload.note(late, self.count(), now)
+            limit = self._overload.limit
+            if limit < before:
+                events.log(
+                    events.Event.REQUEST_LIMIT_LOWERED,
+                    limit=limit,
+                    in_progress=self.count(),
+                    lateness=round(self._overload.lateness, 3),
+                )
+            before = limit
+
     def _apply_limits(self, current: catalog.Catalogue) -> None:
         limits = current.limits
         self._server.max_request_header_size = limits.header_bytes
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -46,6 +46,9 @@
 WAITING_SECONDS = 5.0
 
 LISTEN_BACKLOG = 512
+
+# Connections accepted in one go.
+ACCEPTS_MAX = 64
 STOP_SECONDS = 2.0
 
 
@@ -269,6 +272,23 @@
         self._thread = threading.Thread(target=self.serve, name="accept", daemon=True)
         self._thread.start()
 
+    def process_conn(self, conn: Connection) -> None:
+        """Give a connection's request to a thread, and take in all that wait.
+
+        cheroot accepts one connection each time that its thread has the processor.
+        With hundreds of busy threads that is once in a second, and callers meet a
+        full line of connections that nobody accepts.
+        """
+        super().process_conn(conn)
+        if threading.current_thread() is not self._thread:
+            return  # A request that came with the one before it, on its thread.
+        for _ in range(ACCEPTS_MAX):
+            if not sockets.has_connection(self.socket):
+                return
+            accepted = self._connections._from_server_socket(self.socket)
+            if accepted is not None:
+                super().process_conn(accepted)
+
     def stop_listening(self) -> None:
         """Take no new connections; those that are open are served on.
 
--- a/celeryspan/services/sockets.py
+++ b/celeryspan/services/sockets.py
@@ -15,6 +15,16 @@
 CLOSED = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
+def has_connection(listener: socket.socket) -> bool:
+    """Whether a connection waits to be accepted; False once the listener is closed."""
+    try:
+        poll = select.poll()
+        poll.register(listener, select.POLLIN)
+        return bool(poll.poll(0))
+    except (OSError, ValueError):
+        return False
+
+
 class Watch:
     """One thread that notices closed and dawdling callers.
 
