Tell a server that started again from its earlier incarnation; check each entry

Cause: a server may start again under its id, told by the millisecond of its start, and an entry may come from another writer. Nothing read the former: the home kept the earlier incarnation's prompts, places and speed, and connections to one that went dark stayed silent. A malformed object ended a list or a watch whole, and an entry that became malformed stayed in use. Ruled out: ordering entries by the start alone: one that another writer made up with a start in the future would hide the server for good; the store's order still goes first, and only a write of an earlier incarnation that comes late is ignored.

--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -193,6 +193,9 @@
     ----------
     revision : int
         Place of this description in the order of all writes to the store.
+    started_ms : int or None
+        When this incarnation started, in Unix milliseconds; None if it doesn't say. A
+        server may start again under its id, and then holds nothing of before.
     """
 
     server: ids.ServerId
@@ -202,3 +205,13 @@
     slots: int
     is_leaving: bool
     revision: int
+    started_ms: int | None = None
+
+    def succeeds(self, other: ServerEntry) -> bool:
+        """Whether this is a later incarnation of the same server.
+
+        Compared with an entry that does not say when it started nothing is known.
+        """
+        if self.started_ms is None or other.started_ms is None:
+            return False
+        return self.started_ms > other.started_ms
--- a/celeryspan/daemons/platformdemo.py
+++ b/celeryspan/daemons/platformdemo.py
@@ -86,14 +86,7 @@
         server = platformserver.PlatformServer(name, streams=service == "planner")
         server.start()
         stack.callback(server.stop)
-        entry = {
-            "service": service,
-            "address": str(server.address),
-            "zone": "hala-a",
-            "slots": 8,
-            "state": "ready",
-        }
-        self.store.put("servers", name, entry)
+        self.store.put("servers", name, desk.make_entry(service, server.address))
         return server
 
     def _start_router(self, stack: contextlib.ExitStack, name: str) -> kernel.Kernel:
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -156,7 +156,11 @@
         known = {**self._left, **self._servers}
         self._servers = {}
         for entry in entries:
-            server = known.pop(entry.server, None) or _make_server(entry, engine)
+            server = known.pop(entry.server, None)
+            if server is None or entry.succeeds(server.entry):
+                # A server that has started again keeps no prompt and runs nothing; its
+                # earlier incarnation's places and speed would mislead for seconds.
+                server = _make_server(entry, engine)
             server.entry = entry
             self._servers[entry.server] = server
         self._by_order = sorted(self._servers.values(), key=lambda each: each.order)
--- a/celeryspan/decisions/serverlist.py
+++ b/celeryspan/decisions/serverlist.py
@@ -37,9 +37,15 @@
             self._returned_at = now
 
     def put(self, entry: catalog.ServerEntry) -> None:
-        """Take in an entry unless a newer one is known."""
+        """Take in an entry unless a newer one is known.
+
+        A write of a server that has crashed may reach the store after those of its next
+        incarnation: it has the higher revision, and would bring back a dead server.
+        """
         known = self._entries.get(entry.server)
-        if known is not None and known.revision > entry.revision:
+        if known is not None and (
+            known.revision > entry.revision or known.succeeds(entry)
+        ):
             return
         self._entries[entry.server] = entry
         self._missing.pop(entry.server, None)
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -70,7 +70,7 @@
 
     def start(self) -> None:
         """Begin to drop connections to servers that have left."""
-        self._servers.subscribe(lambda usable: self._channels.drop(set(usable)))
+        self._servers.subscribe(self._channels.drop)
 
     def stop(self) -> None:
         """Do nothing: orders end with their callers' threads."""
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -10,6 +10,8 @@
 import socket
 import threading
 import time
+import weakref
+from collections.abc import Mapping
 
 from urllib3.util import connection as urllib3_connection, wait as urllib3_wait
 
@@ -87,8 +89,9 @@
 class Channel:
     """One connection to a backend server, used by one request at a time."""
 
-    def __init__(self, server: ids.ServerId, sock: socket.socket) -> None:
-        self.server = server
+    def __init__(self, entry: catalog.ServerEntry, sock: socket.socket) -> None:
+        self.server = entry.server
+        self.entry = entry
         self.kept_until = 0.0
         self.idle_since = time.monotonic()
         self.is_new = True
@@ -213,6 +216,8 @@
     def __init__(self, box: kernel.Kernel) -> None:
         self._lock = threading.Lock()
         self._idle: dict[ids.ServerId, collections.deque[Channel]] = {}
+        self._open: weakref.WeakSet[Channel] = weakref.WeakSet()
+        self._entries: Mapping[ids.ServerId, catalog.ServerEntry] = {}
         self._opened = 0
         self._reused = 0
 
@@ -261,7 +266,10 @@
                 peer=entry.server,
             ) from error
         self._opened += 1
-        return Channel(entry.server, sock)
+        channel = Channel(entry, sock)
+        with self._lock:
+            self._open.add(channel)
+        return channel
 
     def keep(self, channel: Channel) -> None:
         """Keep a connection whose last answer has been read to its end."""
@@ -270,19 +278,46 @@
             channel.close()
             return
         with self._lock:
+            current = self._entries.get(channel.server)
+            if current is not None and current.succeeds(channel.entry):
+                channel.close()
+                return
             channels = self._idle.setdefault(channel.server, collections.deque())
             channels.append(channel)
             surplus = channels.popleft() if len(channels) > IDLE_MAX else None
         if surplus is not None:
             surplus.close()
 
-    def drop(self, servers: set[ids.ServerId]) -> None:
-        """Close the idle connections to servers that are not among these."""
+    def drop(self, usable: Mapping[ids.ServerId, catalog.ServerEntry]) -> None:
+        """Close the idle connections to servers that are not among these.
+
+        Those to an earlier incarnation of one of them are dead, and with a server that
+        went dark they may stay silent for long: what waits on them is woken, and is
+        repeated or given up at once.
+        """
         with self._lock:
-            gone = [self._idle.pop(server) for server in self._idle.keys() - servers]
+            before, self._entries = self._entries, usable
+            again = {
+                server
+                for server in before.keys() & usable.keys()
+                if usable[server].succeeds(before[server])
+            }
+            gone = [
+                self._idle.pop(server)
+                for server in list(self._idle)
+                if server not in usable or server in again
+            ]
+            cut = [
+                channel
+                for channel in self._open
+                if channel.server in again
+                and usable[channel.server].succeeds(channel.entry)
+            ]
         for channels in gone:
             for channel in channels:
                 channel.close()
+        for channel in cut:
+            channel.abort()
 
     def _take_idle(self, server: ids.ServerId, once_only: bool) -> Channel | None:
         while True:
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -104,7 +104,10 @@
             self._list.remove(ids.ServerId(change.object.name), now)
             return
         entry = _read(change.object)
-        if entry is not None:
+        if entry is None:
+            # Whoever wrote over it, it names no server any more.
+            self._list.remove(ids.ServerId(change.object.name), now)
+        else:
             self._list.put(entry)
 
     def _publish(self) -> None:
@@ -112,10 +115,15 @@
             usable = self._list.usable()
             if usable == self._usable:
                 return
-            left = self._usable.keys() - usable.keys()
-            self._usable = usable
-        for server in left:
+            before, self._usable = self._usable, usable
+        for server in before.keys() - usable.keys():
             events.log(events.Event.SERVER_LEAVING, server=server)
+        for server in before.keys() & usable.keys():
+            if usable[server].succeeds(before[server]):
+                started_ms = usable[server].started_ms
+                events.log(
+                    events.Event.SERVER_RESTARTED, server=server, started_ms=started_ms
+                )
         for handler in list(self._handlers):
             handler(usable)
 
@@ -131,5 +139,10 @@
     try:
         return servers.read(found)
     except errors.InputError as error:
-        events.log(events.Event.TASK_FAILED, task="read server", error=str(error))
+        events.log(
+            events.Event.SERVER_ENTRY_IGNORED,
+            server=str(found.name),
+            revision=found.revision,
+            error=str(error),
+        )
         return None
--- a/standins/desk.py
+++ b/standins/desk.py
@@ -62,6 +62,21 @@
     }
 
 
+def make_entry(service: str, address: object, **values: object) -> dict[str, object]:
+    """Return the entry of a backend server, as it writes it into the store."""
+    return {
+        "service": service,
+        "address": str(address),
+        "zone": "hala-a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "sequence": 1,
+        **values,
+    }
+
+
 def find_ports(count: int) -> list[int]:
     """Return ports that were free a moment ago."""
     with contextlib.ExitStack() as stack:
--- a/tests/gateway/test_carrier.py
+++ b/tests/gateway/test_carrier.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import threading
 
 import pytest
 
@@ -199,3 +200,40 @@
     answer = router.call("/bookings/1", headers={"Celeryspan-Deadline-Ms": "300"})
     assert answer.status == 504
     assert len(server.ran) == 1
+
+
+def test_stream_of_a_server_that_started_again_goes_on_elsewhere_at_once(place) -> None:
+    """An engine goes dark in a stream, and starts again under its id.
+
+    Its old connections stay silent: without the word of its entry the caller would
+    wait for its deadline, though another engine could go on.
+    """
+    first = place.add_server("gpu-1", "planner", born=1_000)
+    router = place.start_router()
+    first.script.append("silent")
+    answers = []
+    headers = {"Celeryspan-Deadline-Ms": "60000", "Celeryspan-Token-Count": "90,6"}
+    asking = threading.Thread(
+        target=lambda: answers.append(router.call("/drafts/1", headers=headers))
+    )
+    asking.start()
+    support.wait_for(lambda: first.seen)
+    second = place.add_server("gpu-2", "planner", born=1_500)
+    support.wait_for(lambda: "gpu-2" in router.box.find("servers").usable())
+    place.enter(first, "planner", born=2_000)
+    asking.join(timeout=support.WAIT_SECONDS)
+    assert answers and answers[0].status == 200
+    assert second.ran == ["r1"]
+
+
+def test_entry_written_over_by_another_writer_names_no_server(place) -> None:
+    """Another writer replaces the entry of a server; its address serves no more."""
+    server = place.add_server("gate-1")
+    other = place.add_server("gate-2")
+    router = place.start_router()
+    place.store.put("servers", "gate-1", {"service": "gate", "address": 7})
+    usable = router.box.find("servers").usable
+    support.wait_for(lambda: set(usable()) == {"gate-2"})
+    for number in range(4):
+        assert router.call("/calls/1", f"r{number}").status == 200
+    assert (len(server.ran), len(other.ran)) == (0, 4)
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -5,7 +5,9 @@
 import threading
 from collections.abc import Iterator
 
+import hypothesis
 import pytest
+from hypothesis import strategies
 
 from celeryspan import errors
 from celeryspan.platform import objects
@@ -101,3 +103,48 @@
     store.faults.refuse_status = 0
     with pytest.raises(errors.NotFound):
         client.get("routers", "edge-1")
+
+
+@pytest.mark.parametrize("broken", [{}, None, {"metadata": {"name": 7}}, "bytes"])
+def test_object_that_cannot_be_read_hides_no_other(store, client, broken) -> None:
+    """Another writer leaves an object that is none at the end of a page.
+
+    If it ended the list, every router would lose all servers behind it.
+    """
+    store.page = 2
+    for number in range(4):
+        store.put("servers", f"s{number}", {"number": number})
+    store._objects["servers"]["s1"] = broken
+    listing = client.list_objects("servers")
+    assert [found.name for found in listing.objects] == ["s0", "s2", "s3"]
+    at = listing.at
+    store._changes.append((at + 1, "servers", broken, False))
+    store._revision = at + 1
+    store.put("servers", "s9", {})
+    changes = client.watch("servers", at, 1.0)
+    assert [change.object.name for change in changes.changes] == ["s9"]
+
+
+def test_page_without_a_readable_object_is_an_error_and_no_end(store, client) -> None:
+    """The list would end early, and all servers behind that page would be gone."""
+    store.page = 1
+    for number in range(3):
+        store.put("servers", f"s{number}", {})
+    store._objects["servers"]["s1"] = {}
+    with pytest.raises(errors.StoreUnavailable, match="readable"):
+        client.list_objects("servers")
+
+
+@hypothesis.given(data=strategies.binary(max_size=60))
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_body_is_read_or_is_an_error_of_the_store(data: bytes) -> None:
+    client = objects.ObjectClient("127.0.0.1:1")
+    try:
+        assert isinstance(client._parse(data, "GET servers"), dict)
+    except errors.StoreUnavailable as error:
+        assert error.step == "GET servers"
+
+
+def test_bytes_that_are_no_text_spoil_their_own_value_only(client) -> None:
+    found = client._parse(b'{"entries":[{"a":"\xff\xfe"},{"b":1}]}', "GET servers")
+    assert found["entries"][1] == {"b": 1}
