Set engines apart for long prompts only where streams pause beside them

Hypothesis: the times of the model are those of one kind of engine. Change: routers tell the longest pause of each stream; the home scales what the model says of long prompts by what was seen beside them (decisions/longprompts).

--- a/bench/engines/loads.py
+++ b/bench/engines/loads.py
@@ -48,6 +48,8 @@
     hot_share: float = 0.0
     own_fixed: int = 0
     subjects_from: int = 0
+    worth: float = 1.0
+    late_worth: float = 0.5
     begins: float = 0.0
     ends: float = math.inf
 
--- a/bench/engines/policies.py
+++ b/bench/engines/policies.py
@@ -44,6 +44,7 @@
         server: ids.ServerId,
         ending: states.RunEnding,
         now: float,
+        pause: float = 0.0,
     ) -> None:
         """Note an end."""
 
@@ -101,6 +102,7 @@
         server: ids.ServerId,
         ending: states.RunEnding,
         now: float,
+        pause: float = 0.0,
     ) -> None:
         """Take the place back."""
         self._free[server] += 1
@@ -192,9 +194,10 @@
         server: ids.ServerId,
         ending: states.RunEnding,
         now: float,
+        pause: float = 0.0,
     ) -> None:
         """Take the place back."""
-        self._places[request].end(request, server, ending, now)
+        self._places[request].end(request, server, ending, now, pause)
 
     def tick(self, now: float) -> list[pools.Answer]:
         """Decide again in each shard, and let them tell each other their shares."""
--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -296,7 +296,8 @@
 
     def _do_ended(self, ask: messages.SlotRequest, now: float) -> None:
         server = self._servers[ask.request]
-        self._pool.end(ask.request, server, states.RunEnding.ANSWERED, now)
+        pause = self._outcomes[ask.request].gap
+        self._pool.end(ask.request, server, states.RunEnding.ANSWERED, now, pause)
 
     def _tell(self, answers: Sequence[pools.Answer], now: float) -> None:
         for answer in answers:
--- a/bench/placing.py
+++ b/bench/placing.py
@@ -44,6 +44,8 @@
     own: int = pydantic.Field(ge=1)
     own_spread: float = pydantic.Field(ge=0)
     output: int = pydantic.Field(ge=1)
+    worth: float = pydantic.Field(default=1.0, gt=0)
+    late_worth: float = pydantic.Field(default=0.5, ge=0)
 
 
 class Deployment(pydantic.BaseModel):
@@ -57,6 +59,8 @@
     stride: int = pydantic.Field(ge=1)
     slow: dict[int, float] = pydantic.Field(default_factory=dict)
     moves: bool = False
+    fetches: bool = False
+    times: dict[str, float] = pydantic.Field(default_factory=dict)
     accounts: int = pydantic.Field(default=4, ge=1)
     kinds: tuple[Kind, ...] = pydantic.Field(min_length=1)
 
@@ -69,6 +73,8 @@
             self.stride,
             self.slow,
             moves=self.moves,
+            fetches=self.fetches,
+            **self.times,
         )
 
     def make_loads(self, times: float) -> list[loads.Load]:
--- a/celeryspan/decisions/engines.py
+++ b/celeryspan/decisions/engines.py
@@ -110,9 +110,13 @@
         step = model.step_seconds + model.step_run_seconds * running
         return (read + steps * step) * speed
 
+    def pause(self, kept: int, speed: float) -> float:
+        """Return the longest pause that reading it causes in streams beside it."""
+        return self._find(kept)[2] * speed
+
     def is_long(self, kept: int, speed: float) -> bool:
         """Whether reading it makes the streams beside it pause for too long."""
-        return self._find(kept)[2] * speed > self._gap_max
+        return self.pause(kept, speed) > self._gap_max
 
     def _find(self, kept: int) -> tuple[float, float, float]:
         """Return reading time, steps that it takes, and the pause that it causes."""
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -14,8 +14,7 @@
 * Where engines can copy from each other, a request whose shared parts another engine
   keeps brings them along (:class:`Keeper`): 4,870 tokens take 6 ms instead of 45.
 * A prompt whose reading alone makes the streams beside it pause past their limit goes
-  to engines set apart, one at a time. How many are set apart follows how much of such
-  reading has come lately.
+  to engines set apart, one at a time (:mod:`longprompts`).
 * Plain services take the server with the shortest expected time.
 
 Sent to any server, 56 in 100 long streams had a pause that was too long; by these rules
@@ -32,7 +31,7 @@
 import xxhash
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import engines, migration, poolservers
+from celeryspan.decisions import engines, longprompts, migration, poolservers
 from celeryspan.wire import messages
 
 READ_WEIGHT = 10.0
@@ -69,16 +68,6 @@
 FAILING_SECONDS = 2.0
 """What a server that fails all requests counts for beyond its peers."""
 
-APART_USE = 0.6
-"""Part of the time that engines set apart shall read: one that reads all the time
-makes the next long prompt wait for as long as the one before it takes."""
-
-APART_SHARE_MAX = 0.34
-"""Part of the engines that may be set apart."""
-
-APART_FADE_SECONDS = 10.0
-"""Time over which the reading of long prompts is averaged."""
-
 EXPIRE_SECONDS = 0.25
 """How often runs are looked through for such as should have ended."""
 
@@ -143,8 +132,7 @@
         self._slots = 0
         self._rest = 0.0
         self._engine: catalog.Engine | None = None
-        self._long_load = 0.0
-        self._long_since = 0.0
+        self._long = longprompts.LongPrompts()
         self._run_seconds = 0.0
         self._expire_at = 0.0
 
@@ -176,13 +164,12 @@
 
     def note_arrival(self, ask: messages.SlotRequest, now: float) -> None:
         """Count the reading of long prompts, so that engines are set apart for it."""
-        elapsed = max(0.0, now - self._long_since)
-        self._long_since = now
-        self._long_load *= math.exp(-elapsed / APART_FADE_SECONDS)
+        if self._engine is None:
+            return
         kept = self._find_most_kept(ask)
-        if self._engine is not None and self._is_long(ask, kept):
-            read = self._model.read_seconds(ask.prompt_tokens - kept, kept)
-            self._long_load += read / APART_FADE_SECONDS
+        pause = self._make_prompt(ask).pause(kept, 1.0)
+        read = self._model.read_seconds(ask.prompt_tokens - kept, kept)
+        self._long.note_arrival(pause, _limit_pause(ask), read, now)
 
     def is_long(self, ask: messages.SlotRequest) -> bool:
         """Whether a prompt is long at the server that keeps most of it."""
@@ -253,7 +240,10 @@
         pending = server.pending(now)
         read_until = max(now, server.read_until) + read
         due_at = read_until + self._model.first_seconds
-        is_long = self._engine is not None and self._is_long(ask, kept, server.speed)
+        pause = 0.0
+        if self._engine is not None:
+            pause = self._make_prompt(ask).pause(kept, server.speed)
+        limit = _limit_pause(ask)
         run = poolservers.Run(
             router=router,
             since=now,
@@ -263,7 +253,8 @@
             speed=server.speed,
             due_at=due_at,
             end_at=end_at,
-            is_long=is_long,
+            is_long=self._long.is_long(pause, limit),
+            pause=pause if pause > limit else 0.0,
             output_tokens=ask.output_tokens,
             parts=ask.parts,
             source=source,
@@ -339,8 +330,15 @@
         name: ids.ServerId,
         ending: states.RunEnding,
         now: float,
+        pause: float = 0.0,
     ) -> None:
-        """Give a place back and learn from how the run ended."""
+        """Give a place back and learn from how the run ended.
+
+        Parameters
+        ----------
+        pause : float
+            Longest time between two events of its stream; 0 if it doesn't tell.
+        """
         server = self._find(name)
         run = server.remove(request, now) if server else None
         if run is None:
@@ -350,6 +348,8 @@
         server.follow(ending, now - run.since, now)
         if ending is states.RunEnding.ANSWERED:
             self._run_seconds += (now - run.since - self._run_seconds) * RUN_MEMORY
+            if run.paused_beside and pause:
+                self._long.learn(run.paused_beside, pause)
 
     def forget_router(self, router: ids.RouterId) -> None:
         """Drop the runs of a router that is dead."""
@@ -361,6 +361,7 @@
         if now < self._expire_at:
             return
         self._expire_at = now + EXPIRE_SECONDS
+        self._long.update(now)
         for server in [*self._servers.values(), *self._left.values()]:
             server.expire(now - OVERDUE_SECONDS)
 
@@ -410,8 +411,7 @@
 
     def count_apart(self) -> int:
         """Return how many engines are set apart for long prompts."""
-        most = math.floor(len(self._servers) * APART_SHARE_MAX)
-        return min(most, math.ceil(self._long_load / APART_USE))
+        return self._long.count_apart(len(self._servers))
 
     def _find_keeper(self, ask: messages.SlotRequest, now: float) -> Keeper:
         """Return the engine that keeps most of a prompt, if engines copy."""
@@ -523,7 +523,7 @@
         if burst <= 0.0 and pending <= 0.0:
             return True
         steps = self._model.gap_seconds(0, 0, ask.stride, len(server.runs))
-        longest = ask.gap_max - GAP_MARGIN_SECONDS - steps * server.speed
+        longest = _limit_pause(ask) - steps * server.speed
         is_soon = pending <= 0.0 or pending + read <= poolservers.PENDING_SECONDS
         return is_soon and burst + read <= longest
 
@@ -532,7 +532,7 @@
         return engines.Prompt(
             self._model,
             ask.prompt_tokens,
-            ask.gap_max - GAP_MARGIN_SECONDS,
+            _limit_pause(ask) / self._long.ratio,
             self._engine.stride,
             self._engine.slots // 2,
         )
@@ -550,5 +550,10 @@
     return poolservers.PoolServer(entry, engine, order)
 
 
+def _limit_pause(ask: messages.SlotRequest) -> float:
+    """Return the longest pause that streams like this may make, in seconds."""
+    return ask.gap_max - GAP_MARGIN_SECONDS
+
+
 def _distance(server: poolservers.PoolServer, ask: messages.SlotRequest) -> float:
     return 0.0 if server.entry.data_centre == ask.data_centre else PLACE_SECONDS
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -183,9 +183,10 @@
         server: ids.ServerId,
         ending: states.RunEnding,
         now: float,
+        pause: float = 0.0,
     ) -> None:
-        """Take a place back."""
-        self._placing.end(request, server, ending, now)
+        """Take a place back; ``pause`` is the longest between two events."""
+        self._placing.end(request, server, ending, now, pause)
 
     def hold(self, router: ids.RouterId, run: messages.RunHeld, now: float) -> None:
         """Take in a run that another home has placed."""
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, ids, states
@@ -56,6 +57,13 @@
         When the first event is predicted.
     source : ServerId
         The server from which kept parts are copied, if there is one.
+    pause : float
+        How long the model says that streams pause beside this prompt, if that is too
+        long; 0 if it is not.
+    begun_at : float
+        When the first event came.
+    paused_beside : float
+        The longest ``pause`` of the prompts that were read while this run made events.
     """
 
     router: ids.RouterId
@@ -71,6 +79,9 @@
     output_tokens: int = 0
     parts: tuple[messages.PromptPart, ...] = ()
     source: ids.ServerId | None = None
+    pause: float = 0.0
+    begun_at: float = math.inf
+    paused_beside: float = 0.0
 
 
 class PoolServer:
@@ -127,10 +138,19 @@
         if run is None:
             return
         run.is_begun = True
+        run.begun_at = now
+        if run.pause:
+            self._note_pause(run)
         predicted = (run.due_at - run.since - first_seconds) / run.speed
         self._learn_speed(predicted, now - run.since - first_seconds)
         self._catch_up(now)
 
+    def _note_pause(self, prompt: Run) -> None:
+        """Note a long prompt that is read at the streams that began before it."""
+        for run in self.runs.values():
+            if run.begun_at <= prompt.since:
+                run.paused_beside = max(run.paused_beside, prompt.pause)
+
     def remove(self, request: ids.RequestId, now: float) -> Run | None:
         """Take out a run that has ended."""
         self._unread.pop(request, None)
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -174,7 +174,8 @@
             raise
         finally:
             self._migrations.drop(place)
-            self._places.end(place, ending)
+            pause = progress.gap if progress.sends == 1 else 0.0
+            self._places.end(place, ending, pause)
             progress.excluded = (*progress.excluded, place.server)
             if ending is states.RunEnding.ANSWERED and channel.server == place.server:
                 self._channels.keep(channel)
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -161,12 +161,12 @@
             place.server = target
         self._delivery.send(place.home, moved)
 
-    def end(self, place: Place, ending: states.RunEnding) -> None:
-        """Give a place back."""
+    def end(self, place: Place, ending: states.RunEnding, pause: float = 0.0) -> None:
+        """Give a place back, and tell the longest pause of its stream."""
         ask = place.ask
         with self._lock:
             self._held.pop(ask.request, None)
-        ended = messages.RunEnded(ask.request, place.pool, place.server, ending)
+        ended = messages.RunEnded(ask.request, place.pool, place.server, ending, pause)
         self._delivery.send(place.home, ended)
 
     def _take_offer(
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -143,7 +143,8 @@
     ) -> None:
         with self._lock:
             pool = self._find_pool(ended.pool)
-            pool.end(ended.request, ended.server, ended.ending, time.monotonic())
+            now = time.monotonic()
+            pool.end(ended.request, ended.server, ended.ending, now, ended.pause)
         self._changed.set()
 
     def _take_shares(
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -469,12 +469,16 @@
     ----------
     ending : RunEnding
         What it tells of the server.
+    pause : float
+        Longest time between two events of the run's stream, in seconds; 0 if there was
+        no stream, or if it came from several servers.
     """
 
     request: ids.RequestId
     pool: ids.PoolId
     server: ids.ServerId
     ending: states.RunEnding
+    pause: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -272,6 +272,7 @@
   pool @1 :Text;
   server @2 :Text;
   ending @3 :Text;
+  pause @4 :Float32;
 }
 
 struct QueueAlive {
