Ask engines what they keep when a home takes a pool over

Hypothesis: after all routers lose power for a second, or the home dies, the new home believes that engines keep nothing. Prompts of which 13,000 of 17,000 tokens are kept then count as long, are read again anywhere, and copied. Change: gateway/keptparts asks each engine that a home meets for the first time for the list of what it keeps; what the home saw itself goes before. An answer of an earlier incarnation counts for nothing.

--- a/celeryspan/decisions/longprompts.py
+++ b/celeryspan/decisions/longprompts.py
@@ -72,7 +72,7 @@
         return pause * self.ratio > limit
 
     def note_arrival(self, pause: float, limit: float, read: float, now: float) -> None:
-        """Count a prompt that takes so many seconds to read, if the model calls it long.
+        """Count a prompt, and the seconds to read it, if the model calls it long.
 
         It counts for nothing while pauses turn out to be shorter, and again when they
         don't any more.
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -25,7 +25,7 @@
 
 import dataclasses
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 import xxhash
@@ -162,6 +162,36 @@
         tokens = ask.prompt_tokens + ask.output_tokens
         return engine is not None and tokens > engine.memory_tokens
 
+    def list_unasked(self) -> list[catalog.ServerEntry]:
+        """Return the engines that are to be asked what they keep; each comes once.
+
+        A home that has just taken a pool over, or has just started, would read all
+        shared parts again, and take prompts of which most is kept for long ones.
+        """
+        if self._engine is None:
+            return []
+        unasked = [server for server in self._by_order if not server.is_listed]
+        for server in unasked:
+            server.is_listed = True
+        return [server.entry for server in unasked]
+
+    def add_kept(
+        self,
+        asked: catalog.ServerEntry,
+        parts: Iterable[messages.PromptPart],
+        now: float,
+    ) -> None:
+        """Take in what an engine says that it keeps.
+
+        Parameters
+        ----------
+        asked : ServerEntry
+            As the engine was asked; what an earlier incarnation says is worth nothing.
+        """
+        server = self._servers.get(asked.server)
+        if server is not None and not server.entry.succeeds(asked):
+            server.cache.add_kept(parts, now)
+
     def note_arrival(self, ask: messages.SlotRequest, now: float) -> None:
         """Count the reading of long prompts, so that engines are set apart for it."""
         if self._engine is None:
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -20,7 +20,7 @@
 
 import dataclasses
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import accountshares, placing, poolservers
@@ -124,6 +124,19 @@
         """Set which servers may get new work."""
         self._placing.set_servers(entries, engine)
 
+    def list_unasked(self) -> list[catalog.ServerEntry]:
+        """Return the engines that are to be asked what they keep; each comes once."""
+        return self._placing.list_unasked()
+
+    def add_kept(
+        self,
+        asked: catalog.ServerEntry,
+        parts: Iterable[messages.PromptPart],
+        now: float,
+    ) -> None:
+        """Take in what an engine says that it keeps."""
+        self._placing.add_kept(asked, parts, now)
+
     def ask(
         self, router: ids.RouterId, ask: messages.SlotRequest, now: float
     ) -> list[Answer]:
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -93,6 +93,8 @@
         Place among the servers when some are set apart; the same for all routers.
     speed : float
         How many times as long as the model says the server takes to read.
+    is_listed : bool
+        Whether the engine was asked what it keeps.
     burst : float
         Reading without a step between that reads nothing, in seconds.
     """
@@ -106,6 +108,7 @@
         self.health = serverhealth.ServerHealth()
         self.cache = promptcache.PromptCache(engine.memory_tokens if engine else 0)
         self.speed = 1.0
+        self.is_listed = False
         self.call_seconds = CALL_SECONDS
         self.burst = 0.0
         self._read_until = 0.0
--- a/celeryspan/decisions/promptcache.py
+++ b/celeryspan/decisions/promptcache.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from celeryspan.wire import messages
 
@@ -68,6 +68,21 @@
             del self._ready_at[name]
             self._tokens -= tokens
 
+    def add_kept(self, parts: Iterable[messages.PromptPart], now: float) -> None:
+        """Take in what the engine itself says that it keeps.
+
+        What was used here since is newer; the rest may go first, as far as it fits.
+        """
+        for part in parts:
+            if part.part in self._parts:
+                continue
+            if self._tokens + part.tokens > self._capacity:
+                return
+            self._parts[part.part] = part.tokens
+            self._parts.move_to_end(part.part, last=False)
+            self._ready_at[part.part] = now
+            self._tokens += part.tokens
+
     def clear(self) -> None:
         """Forget all: the engine has started anew."""
         self._parts.clear()
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -2,18 +2,19 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import threading
 import time
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from celeryspan import events, ids, kernel
+from celeryspan import catalog, events, ids, kernel
 from celeryspan.decisions import pools, shards
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, poolmap, serverlists
+    from celeryspan.gateway import catalogues, keptparts, poolmap, serverlists
     from celeryspan.services import delivery, identity, membership
 
 TICK_SECONDS = 0.005
@@ -39,7 +40,15 @@
 
 @kernel.register(
     "poolhomes",
-    needs=("catalogues", "delivery", "identity", "membership", "poolmap", "servers"),
+    needs=(
+        "catalogues",
+        "delivery",
+        "identity",
+        "keptparts",
+        "membership",
+        "poolmap",
+        "servers",
+    ),
 )
 class PoolHomes:
     """Decides for all routers who gets a place in the pools kept here.
@@ -52,6 +61,7 @@
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
         self._delivery: delivery.DeliveryService = box.find("delivery")
         self._identity: identity.IdentityService = box.find("identity")
+        self._kept: keptparts.KeptParts = box.find("keptparts")
         self._membership: membership.MembershipService = box.find("membership")
         self._map: poolmap.PoolMap = box.find("poolmap")
         self._servers: serverlists.ServersService = box.find("servers")
@@ -177,6 +187,19 @@
         service = current.services.get(service_id) if current else None
         mine = self._map.list_servers(pool.name, self._servers.usable())
         pool.set_servers(mine, service.engine if service else None)
+        for entry in pool.list_unasked():
+            self._kept.ask(entry, functools.partial(self._take_kept, pool.name))
+
+    def _take_kept(
+        self,
+        name: ids.PoolId,
+        asked: catalog.ServerEntry,
+        parts: tuple[messages.PromptPart, ...],
+    ) -> None:
+        with self._lock:
+            pool = self._pools.get(name)
+            if pool is not None:
+                pool.add_kept(asked, parts, time.monotonic())
 
     def _drop_unused(self, now: float) -> None:
         """Forget pools that nobody asks of any more; the caller holds the lock."""
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -9,9 +9,13 @@
 
 from celeryspan import errors, ids
 from celeryspan.platform import names
+from celeryspan.wire import messages
 
 CONNECT_SECONDS = 0.4
 
+LIST_SECONDS = 1.0
+"""Wait for a list of kept parts: later it is of little use, since prompts have told."""
+
 POOLS = 32
 POOL_CONNECTIONS = 2
 """Engines to which connections are kept, and how many to each."""
@@ -89,6 +93,43 @@
             return None
         return Copy(str(handle), is_at_target=answer.status == 200)
 
+    def list_kept(
+        self, address: ids.Address, server: ids.ServerId
+    ) -> tuple[messages.PromptPart, ...]:
+        """Return the parts of prompts that an engine keeps.
+
+        Raises
+        ------
+        errors.NotRun
+            If there is no answer that can be read.
+        """
+        try:
+            answer = self._pool.request(
+                "GET",
+                f"http://{address}{names.KEPT}",
+                headers={names.EXPECTED_SERVER: server},
+                timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=LIST_SECONDS),
+            )
+            if answer.status != 200:
+                raise ValueError(f"status {answer.status}")
+            # Each item holds an empty text, a part, its tokens and a model.
+            held = json.loads(answer.data)["held"]
+            return tuple(messages.PromptPart(str(i[1]), int(i[2])) for i in held)
+        except (
+            urllib3.exceptions.HTTPError,
+            ArithmeticError,
+            LookupError,
+            OSError,
+            TypeError,
+            ValueError,
+        ) as error:
+            raise errors.NotRun(
+                f"no list of kept parts: {error!r}",
+                code="list-failed",
+                step="list kept parts",
+                peer=server,
+            ) from error
+
     def free(self, source: ids.Address, handle: str) -> None:
         """Let both engines forget a copy that nobody goes on with."""
         try:
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -30,6 +30,7 @@
 METRICS = "/v1/metrics"
 MOVE = "/v1/kv-move"
 HANDLE = "/v1/kv-handle"
+KEPT = "/v1/kv-list"
 OBJECTS = "/v1/objects"
 
 CONFIGURATION_KIND = "config"
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -27,6 +27,7 @@
 LAST_EVENT = "Last-Event-Id"
 MOVE = "/v1/kv-move"
 HANDLE = "/v1/kv-handle/"
+KEPT = "/v1/kv-list"
 COPY = "kv-from"
 
 RESET = struct.pack("ii", 1, 0)
@@ -56,13 +57,17 @@
     script : deque of str
         What happens to the next requests, one word each: see the methods ``_do_*``.
     seen : list of Seen
-        All requests that arrived.
+        All requests that arrived, but for questions about what it keeps.
     ran, ran_at : list of str, list of float
         Ids of the requests that ran, and when each began.
     resumed : list of str
         Ids of the requests that went on here from a copy.
     freed : list of str
         Handles of copies that were to be forgotten.
+    kept : dict
+        Tokens of each part of prompts that it says it keeps.
+    lists : int
+        How often it was asked for these.
     move_answer : int
         Status of the next calls that move a run; 0 resets their connections.
     connections : int
@@ -79,6 +84,8 @@
         self.left_early = threading.Event()
         self.resumed: list[str] = []
         self.freed: list[str] = []
+        self.kept: dict[str, int] = {}
+        self.lists = 0
         self.move_answer = 200
         self._streams: dict[str, threading.Event] = {}
         self.connections = 0
@@ -119,7 +126,8 @@
         reader = connection.makefile("rb")
         try:
             while (seen := self._read(reader, connection)) is not None:
-                self.seen.append(seen)
+                if seen.target != KEPT:
+                    self.seen.append(seen)
                 if not self._answer(seen, connection):
                     break
         except OSError:
@@ -150,6 +158,8 @@
             self.freed.append(seen.target.removeprefix(HANDLE))
             connection.sendall(self._write_head(seen, 200, 0))
             return True
+        if seen.target == KEPT:
+            return self._list_kept(seen, connection)
         if seen.target == MOVE:
             return self._move(seen, connection)
         if seen.headers.get(EXPECTED.lower()) != self.name:
@@ -158,6 +168,13 @@
         word = self.script.popleft() if self.script else "serve"
         return getattr(self, f"_do_{word}")(seen, connection)
 
+    def _list_kept(self, seen: Seen, connection: socket.socket) -> bool:
+        self.lists += 1
+        held = [["", part, tokens, "m"] for part, tokens in self.kept.items()]
+        body = json.dumps({"epoch": 1, "next": 1, "held": held}).encode()
+        connection.sendall(self._write_head(seen, 200, len(body)) + body)
+        return True
+
     def _move(self, seen: Seen, connection: socket.socket) -> bool:
         """Stop a stream, and answer that its copy is made."""
         asked = json.loads(seen.body)
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -98,3 +98,23 @@
     assert pool.count_runs() == 1
     pool.set_servers([make_entry(None)], ENGINE)
     assert take(pool, "r2", 2.0).kept == 5_000
+
+
+def test_engine_is_asked_once_for_what_it_keeps_and_its_answer_counts() -> None:
+    """A home takes a pool over; without the answer all shared parts are read again."""
+    pool = placing.Placing()
+    pool.set_servers([make_entry(1_000)], ENGINE)
+    (asked,) = pool.list_unasked()
+    assert pool.list_unasked() == []
+    pool.add_kept(asked, [messages.PromptPart("shared", 5_000)], 1.0)
+    assert take(pool, "r1", 2.0).kept == 5_000
+
+
+def test_answer_of_an_earlier_incarnation_counts_for_nothing() -> None:
+    pool = placing.Placing()
+    pool.set_servers([make_entry(1_000)], ENGINE)
+    (asked,) = pool.list_unasked()
+    pool.set_servers([make_entry(2_000)], ENGINE)
+    pool.add_kept(asked, [messages.PromptPart("shared", 5_000)], 1.0)
+    assert take(pool, "r1", 2.0).kept == 0
+    assert [entry.started_ms for entry in pool.list_unasked()] == [2_000]
