--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -62,9 +62,11 @@
 
 FETCH_SETUP_SECONDS = 0.002
 
-FETCH_WEIGHT = 3.0
+FETCH_WEIGHT = 10.0
 """Weight of copying kept parts from another engine against waiting: it takes a tenth of
-the time of reading and stops nobody, but uses links that moves need."""
+the time of reading and stops nobody, but uses links that moves need, and memory that
+pushes out what other prompts share. At 3 half of all prompts on a full day were sent
+beside their keeper: 134 GB copied in 50 s; at 10 a quarter less."""
 
 FAILING_SECONDS = 2.0
 """What a server that fails all requests counts for beyond its peers."""
