--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -71,16 +71,6 @@
 FAILING_SECONDS = 2.0
 """What a server that fails all requests counts for beyond its peers."""
 
-SLOW_SECONDS = 0.15
-"""Reading that takes longer holds up whoever comes next at that engine by more than a
-quarter of the objectives that streams have."""
-
-SLOW_SHARE_MAX = 0.34
-"""Part of the engines that read such prompts at a time while others wait. With all
-engines at one the shortest prompts waited behind the longest: at 1.2 times the rates of
-engines that read slowly callers got 0.42 of the worth without it and 0.53 with it, at
-engines of the usual kind 0.83 and 0.84 (emulated, two seeds of 20 s, less prices)."""
-
 EXPIRE_SECONDS = 0.25
 """How often runs are looked through for such as should have ended."""
 
@@ -135,17 +125,9 @@
 
 
 class Placing:
-    """The servers of one pool and what runs there.
-
-    Attributes
-    ----------
-    quick_wait : bool
-        Whether requests wait that take little reading. While none does, no engine is
-        kept free of slow ones: capacity must not idle while work waits.
-    """
+    """The servers of one pool and what runs there."""
 
     def __init__(self) -> None:
-        self.quick_wait = False
         self._model = engines.EngineModel()
         self._servers: dict[ids.ServerId, poolservers.PoolServer] = {}
         self._by_order: list[poolservers.PoolServer] = []
@@ -230,14 +212,6 @@
             return False
         return self._is_long(ask, self._find_most_kept(ask))
 
-    def is_slow(self, ask: messages.SlotRequest) -> bool:
-        """Whether reading a prompt holds up those behind it, where most is kept."""
-        if self._engine is None:
-            return False
-        kept = self._find_most_kept(ask)
-        read = self._model.read_seconds(ask.prompt_tokens - kept, kept)
-        return read * self._usual_speed > SLOW_SECONDS
-
     def is_ready(self, is_long: bool, now: float) -> bool:
         """Whether any server may get more now, a long prompt or another request."""
         for server in self._list_for(is_long, now):
@@ -597,25 +571,13 @@
     ) -> bool:
         """Whether a server may get one more prompt now."""
         burst = server.measure_burst(self._rest, now)
-        is_idle = burst <= 0.0 and pending <= 0.0
-        if read > SLOW_SECONDS and (self.quick_wait or not is_idle):
-            if not self._may_read_slowly():
-                return False
-        if is_idle:
+        if burst <= 0.0 and pending <= 0.0:
             return True
         steps = self._model.gap_seconds(0, 0, ask.stride, len(server.runs))
         longest = _limit_pause(ask) - steps * server.speed
         is_soon = pending <= 0.0 or pending + read <= poolservers.PENDING_SECONDS
         return is_soon and burst + read <= longest
 
-    def _may_read_slowly(self) -> bool:
-        """Whether one more engine may read what holds up those behind it."""
-        most = max(1, math.floor(len(self._by_order) * SLOW_SHARE_MAX))
-        reading = sum(
-            server.longest_unread() > SLOW_SECONDS for server in self._by_order
-        )
-        return reading < most
-
     def _make_prompt(self, ask: messages.SlotRequest) -> engines.Prompt:
         assert self._engine is not None
         return engines.Prompt(
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -72,7 +72,6 @@
     give_up_at: float
     end_at: float
     is_long: bool
-    is_slow: bool = False
 
     @property
     def units(self) -> float:
@@ -168,7 +167,6 @@
             give_up_at=arrived + patience - first,
             end_at=arrived + ask.timeout,
             is_long=self._placing.is_long(ask),
-            is_slow=self._placing.is_slow(ask),
         )
 
     def cancel(self, request: ids.RequestId) -> None:
@@ -266,11 +264,6 @@
         other's oldest requests.
         """
         answers: list[Answer] = []
-        self._placing.quick_wait = any(
-            not task.is_slow
-            for tasks in self._waiting.values()
-            for task in tasks.values()
-        )
         for is_late in (False, True):
             for is_long in (False, True):
                 if self._placing.is_ready(is_long, now):
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -213,10 +213,6 @@
         """Whether a long prompt is being read."""
         return any(run.is_long for run in self._unread.values())
 
-    def longest_unread(self) -> float:
-        """Return the longest reading, in seconds, that is not done."""
-        return max((run.read for run in self._unread.values()), default=0.0)
-
     def is_open(self, now: float) -> bool:
         """Whether there is a place, and the server is not at rest."""
         return len(self.runs) < self.entry.slots and not self.health.rests(now)
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -13,7 +13,6 @@
 
 from bench.engines import loads, site, trial
 from celeryspan import ids
-from celeryspan.decisions import longprompts, placing
 
 SITE = site.Site(engines=6, slots=32, memory_tokens=600_000, stride=6)
 
@@ -178,70 +177,3 @@
     assert alone.late_by_pause("plans") >= 0.3
     assert result.late_by_pause("plans") <= 0.1
     assert result.late_by_pause("notes") <= alone.late_by_pause("notes") + 0.01
-
-
-SLOW_READERS = site.Site(
-    engines=6,
-    slots=64,
-    memory_tokens=585_000,
-    stride=3,
-    chunk_tokens=2048,
-    token_seconds=18.3e-6,
-    step_seconds=0.0056,
-    step_run_seconds=0.00012,
-    fetches=True,
-)
-"""Engines that read so little in a step that no stream beside them pauses for long."""
-
-
-def make_sheets(rate: float) -> loads.Load:
-    """Return prompts of 17,000 tokens of which the most is shared."""
-    return loads.Load(
-        name="sheets",
-        rate=rate,
-        objective=0.8,
-        timeout=12.0,
-        gap_max=0.3,
-        shared=(16, 13_300),
-        subjects=30,
-        own=2_000,
-        own_spread=1.1,
-        output=120,
-    )
-
-
-def make_mixed_load() -> list[loads.Load]:
-    """Return prompts that take long to read, beside short ones, from a cold start."""
-    sheets = dataclasses.replace(make_sheets(24.0), subjects=60, own=2_600)
-    return [sheets, make_notes(40.0)]
-
-
-def test_engines_whose_streams_do_not_pause_read_long_prompts_anywhere(
-    monkeypatch,
-) -> None:
-    """Engines of another kind than the model's are set apart for long prompts.
-
-    Two of six stand idle beside a queue, though no stream pauses anywhere: 90 callers
-    are refused, 35 without, and 0.53 of the sheets are in time, 0.66 without.
-    """
-    found = play(make_mixed_load(), place=SLOW_READERS)
-    monkeypatch.setattr(longprompts, "RATIO_FALL", 0.0)
-    monkeypatch.setattr(longprompts, "FIRST_PAUSES", 1e9)
-    before = play(make_mixed_load(), place=SLOW_READERS)
-    assert found.late_by_pause("notes") == found.late_by_pause("sheets") == 0.0
-    assert found.share_in_time("sheets") > before.share_in_time("sheets") + 0.1
-    assert found.refused < before.refused / 2
-
-
-def test_short_prompts_do_not_wait_behind_slow_ones_at_every_engine(
-    monkeypatch,
-) -> None:
-    """All engines begin to read prompts that take 0.4 s, and short ones come behind.
-
-    These are late wherever they go: 0.80 in time, 0.91 with some engines kept free.
-    """
-    found = play(make_mixed_load(), place=SLOW_READERS)
-    monkeypatch.setattr(placing, "SLOW_SHARE_MAX", 2.0)
-    before = play(make_mixed_load(), place=SLOW_READERS)
-    assert found.share_in_time("notes") > before.share_in_time("notes") + 0.08
-    assert found.refused < before.refused
