--- a/celeryspan/decisions/longprompts.py
+++ b/celeryspan/decisions/longprompts.py
@@ -33,8 +33,11 @@
 RATIO_RISE = 0.3
 RATIO_FALL = 0.1
 """Part of the way that the ratio follows one pause, up and down: it settles where one
-pause in four is longer than it says, and a single hiccup of a router is soon forgotten.
-Ten pauses after the start, a third of what the model says is believed to two thirds."""
+pause in four is longer than it says, and one hiccup of a router is soon forgotten."""
+
+FIRST_PAUSES = 5
+"""What the model's word counts for, in pauses: the first ones move the ratio by a sixth,
+a seventh and so on."""
 
 RATIO_RANGE = (0.1, 1.5)
 """How far pauses may differ from the model's."""
@@ -58,6 +61,7 @@
 
     def __init__(self) -> None:
         self.ratio = 1.0
+        self._pauses = 0
         self._arrivals: collections.deque[_Arrival] = collections.deque()
         self._load = 0.0
 
@@ -92,6 +96,8 @@
         low, high = RATIO_RANGE
         found = min(max(seen / pause, low), high)
         part = RATIO_RISE if found > self.ratio else RATIO_FALL
+        self._pauses += 1
+        part = max(part, 1 / (self._pauses + FIRST_PAUSES))
         self.ratio += (found - self.ratio) * part
 
     def update(self, now: float) -> None:
