--- a/celeryspan/decisions/longprompts.py
+++ b/celeryspan/decisions/longprompts.py
@@ -36,7 +36,7 @@
 pause in four is longer than it says, and one hiccup of a router is soon forgotten."""
 
 FIRST_PAUSES = 5
-"""What the model's word counts for, in pauses: the first ones move the ratio by a sixth,
+"""What the model's word counts for, in pauses: the first move the ratio by a sixth,
 a seventh and so on."""
 
 RATIO_RANGE = (0.1, 1.5)
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -13,6 +13,7 @@
 
 from bench.engines import loads, site, trial
 from celeryspan import ids
+from celeryspan.decisions import placing, poolservers
 
 SITE = site.Site(engines=6, slots=32, memory_tokens=600_000, stride=6)
 
@@ -177,3 +178,68 @@
     assert alone.late_by_pause("plans") >= 0.3
     assert result.late_by_pause("plans") <= 0.1
     assert result.late_by_pause("notes") <= alone.late_by_pause("notes") + 0.01
+
+
+SLOW_READERS = site.Site(
+    engines=6,
+    slots=64,
+    memory_tokens=585_000,
+    stride=3,
+    chunk_tokens=2048,
+    token_seconds=18.3e-6,
+    step_seconds=0.0056,
+    step_run_seconds=0.00012,
+    fetches=True,
+)
+"""Engines that take 2.3 times as long to read as those of the model."""
+
+
+def make_sheets(rate: float) -> loads.Load:
+    """Return prompts of 17,000 tokens of which the most is shared."""
+    return loads.Load(
+        name="sheets",
+        rate=rate,
+        objective=0.8,
+        timeout=12.0,
+        gap_max=0.3,
+        shared=(16, 13_300),
+        subjects=40,
+        own=2_600,
+        own_spread=1.1,
+        output=120,
+    )
+
+
+def test_engines_of_another_kind_are_soon_taken_for_as_slow_as_they_are(
+    monkeypatch,
+) -> None:
+    """Engines read in 2.3 times the model's time, and nobody has read yet.
+
+    Each is sent twice what it can read in time until it has shown its speed by itself:
+    61 callers are refused and 0.59 of the sheets in time, against 53 and 0.65.
+    """
+    parts = [make_sheets(24.0), make_notes(40.0)]
+    found = play(parts, place=SLOW_READERS)
+    monkeypatch.setattr(placing.Placing, "_spread_speed", lambda self: None)
+    monkeypatch.setattr(poolservers, "SPEED_FIRST_READINGS", 1e9)
+    before = play(parts, place=SLOW_READERS)
+    assert found.share_in_time("sheets") > before.share_in_time("sheets") + 0.04
+    assert found.share_in_time("notes") > before.share_in_time("notes")
+    assert found.refused < before.refused
+
+
+def test_prompts_wait_for_their_keeper_rather_than_have_it_all_copied(
+    monkeypatch,
+) -> None:
+    """Half of all prompts go beside their keeper, and their parts are copied along.
+
+    Copies fill the memory of other engines: 1.31 million tokens are copied in 12 s and
+    0.60 of the sheets are in time, against 1.01 million and 0.65.
+    """
+    parts = [make_sheets(24.0), make_notes(40.0)]
+    found = play(parts, place=SLOW_READERS)
+    monkeypatch.setattr(placing, "FETCH_WEIGHT", 3.0)
+    before = play(parts, place=SLOW_READERS)
+    assert found.fetched_tokens < 0.85 * before.fetched_tokens
+    assert found.share_in_time("sheets") > before.share_in_time("sheets") + 0.03
+    assert found.refused < before.refused
