Find ports that the kernel does not hand out; keep the logs of a soak that never starts

No logs were kept. Change: standins/ports finds ports below 32,768, in one place for what stood four times; a soak that fails to start keeps its logs.

--- a/bench/faultfleet.py
+++ b/bench/faultfleet.py
@@ -16,6 +16,8 @@
 import urllib3
 import yaml
 
+from standins import ports
+
 BIN = pathlib.Path(sys.executable).parent
 ROUTERS = 6
 ENGINES = 3
@@ -88,9 +90,9 @@
         self.gates = [
             self._start_standin("service", "--work_seconds=0.03") for _ in range(GATES)
         ]
-        ports = [find_free_port() for _ in range(2 * ROUTERS)]
-        self.callers = [f"127.0.0.1:{port}" for port in ports[:ROUTERS]]
-        self.peers = [f"127.0.0.1:{port}" for port in ports[ROUTERS:]]
+        found = ports.find_ports(2 * ROUTERS)
+        self.callers = [f"127.0.0.1:{port}" for port in found[:ROUTERS]]
+        self.peers = [f"127.0.0.1:{port}" for port in found[ROUTERS:]]
         self.routers: list[subprocess.Popen | None] = [None] * ROUTERS
 
     @property
@@ -255,9 +257,3 @@
 def hash_key(key: str) -> str:
     """Return what the register holds of a key."""
     return hashlib.sha256(key.encode()).hexdigest()
-
-
-def find_free_port() -> int:
-    """Return a port of loopback that nobody uses now."""
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        return listening.getsockname()[1]
--- a/bench/overhead.py
+++ b/bench/overhead.py
@@ -20,7 +20,7 @@
 
 from bench import processes
 from celeryspan import register, states
-from standins import fleet
+from standins import fleet, ports
 
 CALLERS = (1, 50)
 CALLS = 2000
@@ -75,8 +75,8 @@
     vm = register.VM(
         name="entry-1",
         data_centre="hala-a",
-        caller_address=f"127.0.0.1:{fleet.find_free_port()}",
-        peer_address=f"127.0.0.1:{fleet.find_free_port()}",
+        caller_address=f"127.0.0.1:{ports.find_port()}",
+        peer_address=f"127.0.0.1:{ports.find_port()}",
     )
     processes.publish(store, make_register(vm, gate, engines))
     running.start_router(vm, store, [])
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -13,7 +13,7 @@
 
 from celeryspan import publishing, register, rules
 from celeryspan.adapters import store as store_adapter
-from standins import fleet
+from standins import fleet, ports
 
 READY_SECONDS = 20.0
 
@@ -49,7 +49,7 @@
 
     def start_standin(self, kind: str, **flags: object) -> str:
         """Start a stand-in and return its address."""
-        port = fleet.find_free_port()
+        port = ports.find_port()
         values = [f"--{name}={value}" for name, value in flags.items()]
         self._start("standins.command", kind, f"--port={port}", *values)
         return f"127.0.0.1:{port}"
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -26,7 +26,7 @@
 from collections.abc import Callable
 
 from bench import soakparts
-from standins import desk, objects, platformserver
+from standins import desk, objects, platformserver, ports
 
 ROUTERS = 3
 CALLERS = 6
@@ -72,11 +72,11 @@
         for service, count in SERVERS.items():
             for _ in range(count):
                 self.add_server(service)
-        ports = desk.find_ports(4 * ROUTERS)
+        found = ports.find_ports(4 * ROUTERS)
         self.routers = []
         for index in range(ROUTERS):
             proxy = self.proxies[f"store-{index}"] = soakparts.Proxy(self.store.address)
-            own = ports[4 * index : 4 * index + 4]
+            own = found[4 * index : 4 * index + 4]
             self.routers.append(
                 soakparts.RouterProcess(f"edge-{index}", proxy.address, own, folder)
             )
@@ -331,6 +331,10 @@
         soak = Soak(seed, pathlib.Path(folder))
         try:
             soak.run(seconds)
+        except BaseException:
+            # What the routers wrote is all that tells why they did not come up.
+            keep_logs(pathlib.Path(folder), seed)
+            raise
         finally:
             soak.close()
         found = soak.judge()
--- a/celeryspan/daemons/platformdemo.py
+++ b/celeryspan/daemons/platformdemo.py
@@ -15,7 +15,7 @@
 from celeryspan import ids, kernel
 from celeryspan.daemons import gateway, registry
 from celeryspan.gateway import settings
-from standins import desk, objects, platformserver
+from standins import desk, objects, platformserver, ports
 
 ROUTERS = 3
 SERVERS = {"gate": 2, "planner": 2}
@@ -90,9 +90,9 @@
         return server
 
     def _start_router(self, stack: contextlib.ExitStack, name: str) -> kernel.Kernel:
-        ports = desk.find_ports(4)
+        found = ports.find_ports(4)
         front, peer, ready, directory = (
-            str(ids.Address("127.0.0.1", port)) for port in ports
+            str(ids.Address("127.0.0.1", port)) for port in found
         )
         box = kernel.Kernel(
             settings.Settings(
--- a/standins/desk.py
+++ b/standins/desk.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import socket
 import time
 from collections.abc import Callable
 
@@ -77,16 +75,6 @@
     }
 
 
-def find_ports(count: int) -> list[int]:
-    """Return ports that were free a moment ago."""
-    with contextlib.ExitStack() as stack:
-        found = [
-            stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-            for _ in range(count)
-        ]
-        return [each.getsockname()[1] for each in found]
-
-
 def wait_for(condition: Callable[[], object]) -> None:
     """Wait until a condition holds; fails if it never does."""
     until = time.monotonic() + WAIT_SECONDS
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import hashlib
-import socket
 import time
 
 from celeryspan import (
@@ -19,7 +18,7 @@
 )
 from celeryspan.adapters import routers, store as store_adapter
 from celeryspan.daemons import router
-from standins import engine, service, store, web
+from standins import engine, ports, service, store, web
 
 FLEET_KEY = "fleet-key-of-the-demo"
 OPERATOR_KEY = "operator-key-of-the-demo"
@@ -216,18 +215,12 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
-def find_free_port() -> int:
-    """Return a port of loopback that nobody uses now."""
-    with socket.create_server(("127.0.0.1", 0)) as listening:
-        return listening.getsockname()[1]
-
-
 def _make_vm(place: int) -> register.VM:
     return register.VM(
         name=f"entry-{place + 1}",
         data_centre=DATA_CENTRES[place % len(DATA_CENTRES)],
-        caller_address=f"127.0.0.1:{find_free_port()}",
-        peer_address=f"127.0.0.1:{find_free_port()}",
+        caller_address=f"127.0.0.1:{ports.find_port()}",
+        peer_address=f"127.0.0.1:{ports.find_port()}",
     )
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -9,14 +9,13 @@
 from celeryspan import kernel
 from celeryspan.daemons import gateway
 from celeryspan.gateway import settings
-from standins import desk, objects, platformserver
+from standins import desk, objects, platformserver, ports
 
 HOST = desk.HOST
 KEY = desk.KEY
 ACCOUNT = desk.ACCOUNT
 WAIT_SECONDS = desk.WAIT_SECONDS
 
-find_ports = desk.find_ports
 make_configuration = desk.make_configuration
 make_route = desk.make_route
 wait_for = desk.wait_for
@@ -63,7 +62,7 @@
     """All services of a router on the platform, on ports of loopback."""
 
     def __init__(self, name: str, store: str) -> None:
-        addresses = [f"127.0.0.1:{port}" for port in find_ports(4)]
+        addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
         self.settings = settings.Settings(
             router=name,
             data_centre="hala-a",
--- a/tests/services/support.py
+++ b/tests/services/support.py
@@ -2,18 +2,12 @@
 
 from __future__ import annotations
 
-import socket
 import time
 from collections.abc import Callable
 
 from celeryspan import ids, kernel, settings
 from celeryspan.daemons import router as daemon
-
-
-def find_port() -> int:
-    """Return a port of 127.0.0.1 that is free for TCP and UDP now."""
-    with socket.create_server(("127.0.0.1", 0)) as listener:
-        return listener.getsockname()[1]
+from standins import ports
 
 
 def make_settings(router: str, **fields: object) -> settings.Settings:
@@ -21,8 +15,8 @@
     values = {
         "router": router,
         "data_centre": "hala-a",
-        "caller_address": f"127.0.0.1:{find_port()}",
-        "peer_address": f"127.0.0.1:{find_port()}",
+        "caller_address": f"127.0.0.1:{ports.find_port()}",
+        "peer_address": f"127.0.0.1:{ports.find_port()}",
         "store_address": "127.0.0.1:1",
         "fleet_keys": ("secret",),
     }
