Say why a listener failed, and count refusals and callers' connections

The line 103 of a listener had no reason and came 105 times in 0.15 s, which pushed all earlier lines out of the 24 KB that were kept; no metric told a router's connections, nor what it refused and why. Change: logthrottle lets a line that repeats be written once a second with its count; httpserver writes the exception; metrics has refusals by code, connections by use and the limit of requests. Nothing that decides is changed. Conclusion: the next failing listener names its error and how often it came.

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -14,7 +14,7 @@
 
 from cheroot import errors as cheroot_errors, server as cheroot_server
 
-from celeryspan import catalog, errors, events, ids, kernel, states
+from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.decisions import overload
 from celeryspan.gateway import orders
@@ -139,7 +139,7 @@
     front: Front
 
 
-@kernel.register("front", needs=("carrier", "catalogues"))
+@kernel.register("front", needs=("carrier", "catalogues", "metrics"))
 class Front:
     """Reads requests, finds route and account, and answers.
 
@@ -155,6 +155,7 @@
         self._settings = box.settings
         self._carrier: carrier.Carrier = box.find("carrier")
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
+        self._meters: metrics.Metrics = box.find("metrics")
         self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
@@ -189,7 +190,9 @@
 
     def report(self) -> dict[str, object]:
         """Return the state for the operator."""
+        idle, _ = self._server.count_connections()
         return {
+            "connections_idle": idle,
             "in_progress": self.count(),
             "in_progress_max": self._overload.limit,
             "lateness_seconds": round(self._overload.lateness, 3),
@@ -321,6 +324,7 @@
         return current
 
     def _refuse(self, sink: CallerSink, name: str, error: errors.RequestError) -> None:
+        self._meters.count_refusal(error.code)
         events.log(
             events.Event.REQUEST_REFUSED,
             request=name,
@@ -347,6 +351,8 @@
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
             self._overload.note(late, self.count(), now)
+            idle, busy = self._server.count_connections()
+            self._meters.set_connections(idle, busy, self._overload.limit)
             limit = self._overload.limit
             if limit < before:
                 events.log(
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -141,6 +141,20 @@
         self._grants = self._make_gauge(
             "grants", "Grants of a backend server that are in use.", ["server"]
         )
+        self._refusals = prometheus_client.Counter(
+            "celeryspan_refusals",
+            "Requests refused by this router, by reason.",
+            ["code"],
+            registry=self.registry,
+        )
+        self._connections = self._make_gauge(
+            "caller_connections", "Connections of callers, by use.", ["use"]
+        )
+        self._requests_max = prometheus_client.Gauge(
+            "celeryspan_requests_max",
+            "Requests that may be in progress now.",
+            registry=self.registry,
+        )
         self.registry.register(ControlTraffic(box))
 
     def start(self) -> None:
@@ -190,6 +204,16 @@
         """
         self._backlog.labels(*self._bound_pair(service, account)).set(waiting)
 
+    def count_refusal(self, code: str) -> None:
+        """Count a refused request; codes are those of the catalogue of outcomes."""
+        self._refusals.labels(code).inc()
+
+    def set_connections(self, idle: int, busy: int, requests_max: int) -> None:
+        """Note the connections of callers, and how many requests are taken at once."""
+        self._connections.labels("idle").set(idle)
+        self._connections.labels("busy").set(busy)
+        self._requests_max.set(requests_max)
+
     def set_window(self, server: ids.ServerId, slots: int) -> None:
         """Note the concurrency window of a backend server whose home this router is."""
         self._window.labels(self._bound_server(server)).set(slots)
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -5,13 +5,15 @@
 import contextlib
 import queue
 import socket
+import sys
 import threading
+import time
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from cheroot import server as cheroot_server, wsgi
 
-from celeryspan import ids
+from celeryspan import ids, logthrottle
 from celeryspan.services import framing, sockets, streams
 
 # Headers of one request; the usual servers allow 8 to 64 KiB.
@@ -134,6 +136,11 @@
         self._lock = threading.Lock()
         self._idle = threading.Condition(self._lock)
 
+    @property
+    def busy(self) -> int:
+        """Requests that are read or served now."""
+        return self._busy
+
     @property
     def idle(self) -> int:
         """Threads that may still be started."""
@@ -251,6 +258,7 @@
         self.requests = _Threads(threads)
         self.watch = sockets.Watch()
         self._log = log
+        self._throttle = logthrottle.Throttle()
         self._thread: threading.Thread | None = None
 
     @property
@@ -259,6 +267,10 @@
         host, port = self.bind_addr[:2]
         return ids.Address(host, port)
 
+    def count_connections(self) -> tuple[int, int]:
+        """Return how many connections wait for a request, and how many are served."""
+        return max(0, self._connections._num_connections), self.requests.busy
+
     def open(self) -> None:
         """Listen, and serve on a thread of its own.
 
@@ -312,5 +324,12 @@
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
-        """Pass an error of cheroot on to the log."""
-        self._log(str(msg))
+        """Pass an error of cheroot on to the log, with its reason.
+
+        A listener that can't accept fails again at once, some thousand times a second.
+        """
+        error = sys.exc_info()[1]
+        text = f"{msg}: {error!r}" if error is not None else str(msg)
+        count = self._throttle.admit(text, time.monotonic())
+        if count:
+            self._log(text if count == 1 else f"{text} ({count} times)")
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from celeryspan.platform import names
 from tests.gateway import support
 
 
@@ -176,3 +177,20 @@
     support.wait_for(lambda: resolve(first) == left and resolve(second) == left)
     assert second.get(second.settings.ready_address, "/v1/readyz")[0] == 503
     assert second.call("/bookings/1").status == 200
+
+
+def test_refusals_and_connections_are_counted(place) -> None:
+    place.add_server("gate-1")
+    router = place.start_router()
+    assert router.call("/elsewhere/1").status == 404
+    kept = router.connect()
+    assert support.ask(kept, "/bookings/1").status == 200
+
+    def read_metrics() -> str:
+        return router.get(router.settings.ready_address, names.METRICS)[1].decode()
+
+    assert 'celeryspan_refusals_total{code="no-route"} 1.0' in read_metrics()
+    support.wait_for(
+        lambda: 'celeryspan_caller_connections{use="idle"} 1.0' in read_metrics()
+    )
+    kept.close()
