--- /dev/null
+++ b/tests/gateway/processes.py
@@ -0,0 +1,113 @@
+"""A router of the platform as a process of its own, with few descriptors."""
+
+from __future__ import annotations
+
+import contextlib
+import http.client
+import pathlib
+import resource
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import yaml
+
+from standins import ports
+from tests.gateway import support
+
+POLL_SECONDS = 0.05
+
+
+class ProcessRouter:
+    """A router that is running as a process.
+
+    Attributes
+    ----------
+    caller_address, ready_address, directory_address : str
+    log : Path
+        What it writes to standard output.
+    """
+
+    def __init__(self, folder: pathlib.Path, store: str, descriptors: int) -> None:
+        addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
+        self.caller_address, peer, self.ready_address, self.directory_address = (
+            addresses
+        )
+        path = folder / "router.yaml"
+        path.write_text(
+            yaml.safe_dump(
+                {
+                    "router": "edge-1",
+                    "data_centre": "hala-a",
+                    "caller_address": self.caller_address,
+                    "peer_address": peer,
+                    "ready_address": self.ready_address,
+                    "directory_address": self.directory_address,
+                    "store_address": store,
+                    "fleet_keys": ["test"],
+                    "grace_seconds": 2.0,
+                }
+            )
+        )
+        self.log = folder / "router.log"
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "celeryspan.daemons.launch",
+                f"--settings={path}",
+            ],
+            stdout=self.log.open("w"),
+            preexec_fn=lambda: resource.setrlimit(
+                resource.RLIMIT_NOFILE, (descriptors, descriptors)
+            ),
+        )
+
+    def get(self, address: str, path: str) -> int:
+        """Ask one of the addresses that the platform asks; returns the status.
+
+        Raises
+        ------
+        OSError
+            If it does not answer within :data:`support.WAIT_SECONDS`.
+        """
+        connection = connect(address)
+        with contextlib.closing(connection):
+            connection.request("GET", path)
+            return connection.getresponse().status
+
+    def wait_ready(self) -> None:
+        """Wait until it is ready and listens to callers; fails if it never does."""
+        until = time.monotonic() + 2 * support.WAIT_SECONDS
+        while time.monotonic() < until:
+            with contextlib.suppress(OSError):
+                self.get(self.caller_address, "/")
+                if self.get(self.ready_address, "/v1/readyz") == 200:
+                    return
+            time.sleep(POLL_SECONDS)
+        raise AssertionError(f"never ready: {self.log.read_text()[-2000:]}")
+
+    def stop(self) -> None:
+        """End the process."""
+        self._process.kill()
+        self._process.wait()
+
+
+def connect(address: str) -> http.client.HTTPConnection:
+    """Return a connection that is opened with its first request."""
+    host, _, port = address.partition(":")
+    return http.client.HTTPConnection(host, int(port), timeout=support.WAIT_SECONDS)
+
+
+@contextlib.contextmanager
+def run_router(
+    folder: pathlib.Path, store: str, descriptors: int
+) -> Iterator[ProcessRouter]:
+    """Yield a router that is ready; it ends with the block."""
+    router = ProcessRouter(folder, store, descriptors)
+    try:
+        router.wait_ready()
+        yield router
+    finally:
+        router.stop()
