Keep a router within its descriptors, and its listeners working at the bound

Cause: a resource that others fill without bound, and a failure that starves its own cure. Callers' idle connections had no bound (cheroot's limit only holds for answers that cheroot writes, and the front writes its own); at the last descriptor accept failed with 'Too many open files', cheroot's loop began anew at once, 130,000 times a second, and never came to closing what is idle for too long. Front, directory, readiness and calls to servers share the descriptors, so all of them ended. Ruled out: the ledger (no ledger in the reproduction); a reset of the process by the platform (it never ended). Change: decisions/descriptors divides the process's descriptors among callers, listeners and idle connections to servers, and chooses which connections are given up; services/ callerconnections holds the bound and answers a failing accept by giving some up, or by a short rest. A connection without a byte holds no thread.

--- a/celeryspan/gateway/directory.py
+++ b/celeryspan/gateway/directory.py
@@ -16,7 +16,7 @@
 from celeryspan import events, ids, kernel, metrics
 from celeryspan.decisions import beliefs, callerlists
 from celeryspan.platform import names
-from celeryspan.services import httpserver
+from celeryspan.services import callerconnections, httpserver
 
 if TYPE_CHECKING:
     from celeryspan.gateway import catalogues, serverlists
@@ -66,6 +66,7 @@
         if self._settings.metrics_port:
             host = ids.Address.parse(self._settings.ready_address).host
             addresses.append(f"{host}:{self._settings.metrics_port}")
+        budget = callerconnections.divide(self._settings.descriptors_max)
         for address in dict.fromkeys(addresses):
             server = httpserver.Server(
                 ids.Address.parse(address),
@@ -75,6 +76,7 @@
                 log=lambda text: events.log(
                     events.Event.TASK_FAILED, task="directory", error=text
                 ),
+                connections_max=budget.listener,
             )
             server.open()
             self._open.append(server)
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -19,7 +19,7 @@
 from celeryspan.decisions import overload
 from celeryspan.gateway import orders
 from celeryspan.platform import names, requests
-from celeryspan.services import framing, httpserver
+from celeryspan.services import callerconnections, framing, httpserver
 
 if TYPE_CHECKING:
     from celeryspan.gateway import carrier, catalogues
@@ -171,6 +171,9 @@
             log=lambda text: events.log(
                 events.Event.TASK_FAILED, task="front", error=text
             ),
+            connections_max=callerconnections.divide(
+                self._settings.descriptors_max
+            ).callers,
         )
         self._server.gateway = _Gateway
         self._server.front = self
@@ -219,7 +222,8 @@
         """Serve one request whose head has been read."""
         key = id(request)
         self._in_progress[key] = None
-        sink = CallerSink(request, closes=self.draining)
+        is_full = not self._server.can_add_keepalive_connection
+        sink = CallerSink(request, closes=self.draining or is_full)
         name = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
         try:
             order = self._accept(request)
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -22,6 +22,8 @@
     retry_ratio, retry_slack, retry_window : float
         Repeats that the fleet may send: for each request, beside these in one window,
         and the length of the window in seconds.
+    descriptors_max : int
+        Files and sockets that the process may have open; 0 asks the system.
     """
 
     ready_address: fields.HostPort
@@ -31,3 +33,4 @@
     retry_ratio: float = pydantic.Field(default=0.2, ge=0)
     retry_slack: float = pydantic.Field(default=50.0, ge=0)
     retry_window: float = pydantic.Field(default=10.0, gt=0)
+    descriptors_max: int = pydantic.Field(default=0, ge=0)
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -14,7 +14,8 @@
 from cheroot import server as cheroot_server, wsgi
 
 from celeryspan import ids, logthrottle
-from celeryspan.services import framing, sockets, streams
+from celeryspan.decisions import descriptors
+from celeryspan.services import callerconnections, framing, sockets, streams
 
 # Headers of one request; the usual servers allow 8 to 64 KiB.
 HEADER_BYTES_MAX = 32_768
@@ -27,9 +28,6 @@
 # Threads kept for answering "overloaded" while all others are busy.
 REFUSAL_THREADS = 32
 
-# Connections that wait for the next request of their caller.
-IDLE_CONNECTIONS_MAX = 1024
-
 # Time in which a whole request must have been sent, in seconds: 4 MiB at 140 KB/s.
 # Without it a caller that sends a byte now and then would hold a thread for good.
 READ_SECONDS = 30.0
@@ -230,11 +228,13 @@
         Greatest body of a request.
     log : callable
         Takes the text of an error that the server itself meets.
+    connections_max : int, optional
+        Greatest number of connections; by default the callers' part of what the system
+        lets the process have.
     """
 
     ConnectionClass = Connection
     max_request_header_size = HEADER_BYTES_MAX
-    keep_alive_conn_limit = IDLE_CONNECTIONS_MAX
     expiration_interval = TICK_SECONDS
 
     def __init__(
@@ -245,6 +245,7 @@
         threads: int,
         body_bytes_max: int,
         log: Callable[[str], None],
+        connections_max: int | None = None,
     ) -> None:
         super().__init__(
             tuple(address),
@@ -257,6 +258,11 @@
         self.max_request_body_size = body_bytes_max
         self.requests = _Threads(threads)
         self.watch = sockets.Watch()
+        if connections_max is None:
+            connections_max = callerconnections.divide().callers
+        self._connections_max = connections_max
+        # Above it answers announce the end of their connections.
+        self.keep_alive_conn_limit = int(connections_max * descriptors.NOTICE_SHARE)
         self._log = log
         self._throttle = logthrottle.Throttle()
         self._thread: threading.Thread | None = None
@@ -284,6 +290,18 @@
         self._thread = threading.Thread(target=self.serve, name="accept", daemon=True)
         self._thread.start()
 
+    def prepare(self) -> None:
+        """Bind and listen; raises OSError if the address can't be listened on."""
+        super().prepare()
+        self._connections.close()  # The one of cheroot has no bound.
+        self._connections = callerconnections.CallerConnections(
+            self, self._connections_max
+        )
+
+    def is_accepting_thread(self) -> bool:
+        """Whether the thread that accepts connections calls."""
+        return threading.current_thread() is self._thread
+
     def process_conn(self, conn: Connection) -> None:
         """Give a connection's request to a thread, and take in all that wait.
 
@@ -292,14 +310,29 @@
         full line of connections that nobody accepts.
         """
         super().process_conn(conn)
-        if threading.current_thread() is not self._thread:
-            return  # A request that came with the one before it, on its thread.
+        if self.is_accepting_thread():
+            self.accept_waiting()
+
+    def accept_waiting(self) -> None:
+        """Take in the connections that wait, up to a number."""
         for _ in range(ACCEPTS_MAX):
             if not sockets.has_connection(self.socket):
                 return
-            accepted = self._connections._from_server_socket(self.socket)
-            if accepted is not None:
-                super().process_conn(accepted)
+            accepted = self._connections.accept()
+            if accepted is None:
+                return
+            self._begin(accepted)
+
+    def _begin(self, connection: Connection) -> None:
+        """Give a new connection to a thread once its caller sends something.
+
+        A caller that connects and sends nothing would hold a thread for half a minute;
+        some hundred of them would leave none for others.
+        """
+        if callerconnections.has_data(connection.socket):
+            super().process_conn(connection)
+        else:
+            self.put_conn(connection)
 
     def stop_listening(self) -> None:
         """Take no new connections; those that are open are served on.
@@ -310,7 +343,7 @@
         manager = self._connections
         manager._selector.unregister(self.socket.fileno())
         self.socket.setblocking(False)
-        while (connection := manager._from_server_socket(self.socket)) is not None:
+        while (connection := manager.accept()) is not None:
             self.process_conn(connection)
         self.socket.close()
 
--- a/tests/services/test_sockets.py
+++ b/tests/services/test_sockets.py
@@ -34,9 +34,10 @@
 
 
 def test_caller_on_a_reused_descriptor_is_not_taken_for_gone() -> None:
-    """A caller reads its answer and closes; the next caller's connection gets the same
-    descriptor at that moment. The closing of the first was told to the second: its
-    request was refused as `caller-left`, or cut after it had been sent, while it waited.
+    """A caller reads its answer and closes; the next one gets its descriptor.
+
+    The closing of the first was told to the second: its request was refused as
+    `caller-left`, or cut after it had been sent, while its caller waited.
     """
     first, first_caller = socket.socketpair()
     second, second_caller = socket.socketpair()
