Bound the idle connections to all backend servers together

Idle connections were bounded for each server (24) and not for all: 60 servers may hold 1,440 of the 4,100 descriptors of a small VM, hundreds of servers all of them. Ruled out: links between routers (a failing accept rests for 0.1 s), the store's client (a few connections). Change: the connections that were idle for longest are closed above a fifth of the descriptors that are not reserved. Figures: 40 servers, 100 descriptors: 40 idle connections kept before, 15 after. Tests: idle connections to many servers; one that is used again counts as used.

--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -5,6 +5,7 @@
 import collections
 import http.client
 import io
+import itertools
 import re
 import select
 import socket
@@ -17,6 +18,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel
 from celeryspan.platform import names
+from celeryspan.services import callerconnections
 
 CONNECT_SECONDS = 0.4
 """A server's port answers within a few milliseconds; one that is dark never does, and
@@ -216,6 +218,10 @@
     def __init__(self, box: kernel.Kernel) -> None:
         self._lock = threading.Lock()
         self._idle: dict[ids.ServerId, collections.deque[Channel]] = {}
+        # All idle ones, the one that was idle for longest first.
+        self._by_age: collections.OrderedDict[Channel, None] = collections.OrderedDict()
+        allowed = getattr(box.settings, "descriptors_max", 0)
+        self._idle_max = callerconnections.divide(allowed).servers
         self._open: weakref.WeakSet[Channel] = weakref.WeakSet()
         self._entries: Mapping[ids.ServerId, catalog.ServerEntry] = {}
         self._opened = 0
@@ -228,6 +234,7 @@
         """Close the idle connections."""
         with self._lock:
             idle, self._idle = self._idle, {}
+            self._by_age.clear()
         for channels in idle.values():
             for channel in channels:
                 channel.close()
@@ -283,9 +290,26 @@
                 return
             channels = self._idle.setdefault(channel.server, collections.deque())
             channels.append(channel)
-            surplus = channels.popleft() if len(channels) > IDLE_MAX else None
-        if surplus is not None:
-            surplus.close()
+            self._by_age[channel] = None
+            surplus = self._take_surplus(channels)
+        for each in surplus:
+            each.close()
+
+    def _take_surplus(self, channels: collections.deque[Channel]) -> list[Channel]:
+        """Take out what is too much for one server, or for all; holds the lock.
+
+        A bound for each server alone is none where there are hundreds of them: the
+        process would have no descriptor left for callers and for the directory.
+        """
+        surplus = []
+        if len(channels) > IDLE_MAX:
+            surplus.append(channels.popleft())
+            del self._by_age[surplus[0]]
+        while len(self._by_age) > self._idle_max:
+            oldest, _ = self._by_age.popitem(last=False)
+            self._idle[oldest.server].remove(oldest)
+            surplus.append(oldest)
+        return surplus
 
     def drop(self, usable: Mapping[ids.ServerId, catalog.ServerEntry]) -> None:
         """Close the idle connections to servers that are not among these.
@@ -297,6 +321,8 @@
         with self._lock:
             self._entries = usable
             gone = [self._idle.pop(name) for name in self._idle.keys() - usable.keys()]
+            for channel in itertools.chain.from_iterable(gone):
+                del self._by_age[channel]
             cut = [channel for channel in self._open if self._is_dead(channel)]
         for channels in gone:
             for channel in channels:
@@ -320,6 +346,7 @@
                 if not channels:
                     return None
                 channel = channels.pop()
+                del self._by_age[channel]
             now = time.monotonic()
             if once_only and now - channel.idle_since > FRESH_SECONDS:
                 self.keep(channel)
--- /dev/null
+++ b/tests/gateway/test_channels.py
@@ -0,0 +1,86 @@
+"""Idle connections to backend servers, within what the process may have open."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import time
+from collections.abc import Iterator
+
+import pytest
+
+from celeryspan import catalog, ids, kernel
+from celeryspan.gateway import channels, settings
+
+DESCRIPTORS = 100
+"""Room for 15 idle connections to backend servers."""
+
+SERVERS = 40
+
+
+@pytest.fixture
+def stack() -> Iterator[contextlib.ExitStack]:
+    with contextlib.ExitStack() as found:
+        yield found
+
+
+def make_channels() -> channels.Channels:
+    values = settings.Settings(
+        router="edge-1",
+        data_centre="hala-a",
+        caller_address="127.0.0.1:1",
+        peer_address="127.0.0.1:2",
+        ready_address="127.0.0.1:3",
+        directory_address="127.0.0.1:4",
+        store_address="127.0.0.1:5",
+        fleet_keys=("test",),
+        descriptors_max=DESCRIPTORS,
+    )
+    return channels.Channels(kernel.Kernel(values))
+
+
+def make_idle(stack: contextlib.ExitStack, server: str) -> channels.Channel:
+    """Return a connection whose last answer has been read."""
+    near, far = socket.socketpair()
+    stack.enter_context(far)
+    entry = catalog.ServerEntry(
+        server=ids.ServerId(server),
+        service=ids.ServiceId("gate"),
+        address=ids.Address("127.0.0.1", 1),
+        data_centre=ids.DataCentreId("hala-a"),
+        slots=8,
+        is_leaving=False,
+        revision=1,
+    )
+    channel = channels.Channel(entry, near)
+    stack.callback(channel.close)
+    channel.kept_until = time.monotonic() + 60
+    return channel
+
+
+def test_idle_connections_to_many_servers_stay_within_the_budget(stack) -> None:
+    """A router sends to hundreds of servers and keeps some connections to each.
+
+    Their number had no bound over all servers: with enough of them the process has no
+    descriptor left, and neither callers nor the directory are answered.
+    """
+    kept = make_channels()
+    used = [make_idle(stack, f"gate-{number}") for number in range(SERVERS)]
+    for channel in used:
+        kept.keep(channel)
+    still_open = [channel for channel in used if channel.is_clean()]
+    assert len(still_open) == 15
+    assert still_open == used[-15:], "the longest idle are to go first"
+
+
+def test_connection_taken_again_counts_as_used(stack) -> None:
+    kept = make_channels()
+    first = make_idle(stack, "gate-0")
+    kept.keep(first)
+    for number in range(1, 15):
+        kept.keep(make_idle(stack, f"gate-{number}"))
+    taken = kept.open(first.entry, once_only=False)
+    assert taken is first
+    kept.keep(first)
+    kept.keep(make_idle(stack, "gate-99"))
+    assert first.is_clean()
