Listen to callers before saying that a router is ready

What callers saw: a connection refused by a router that its directory and the readiness check had named, in the first milliseconds of its life. Cause: the kernel orders services by what they need; the directory needed nothing of the front, and came before it. Found while the incident's test connected to a router as soon as it was ready. Change: the directory needs the front. Tests: the order in which the kernel starts them; failed before.

--- a/celeryspan/gateway/directory.py
+++ b/celeryspan/gateway/directory.py
@@ -40,7 +40,10 @@
     body: bytes = b""
 
 
-@kernel.register("directory", needs=("catalogues", "membership", "metrics", "servers"))
+@kernel.register(
+    "directory",
+    needs=("catalogues", "front", "membership", "metrics", "servers"),
+)
 class Directory:
     """Serves the addresses at which callers and the platform ask.
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -7,6 +7,8 @@
 
 import pytest
 
+from celeryspan import kernel
+from celeryspan.daemons import gateway
 from celeryspan.platform import names
 from tests.gateway import support
 
@@ -194,3 +196,14 @@
         lambda: 'celeryspan_caller_connections{use="idle"} 1.0' in read_metrics()
     )
     kept.close()
+
+
+def test_router_listens_to_callers_before_it_says_that_it_is_ready() -> None:
+    """The platform asks a router that has just started, and is told that it is ready.
+
+    Its front did not listen yet: callers that the directory sent there were refused a
+    connection and held it for failed.
+    """
+    gateway.import_services()
+    order = kernel.Kernel(None)._order(gateway.SERVICES)
+    assert order.index("front") < order.index("directory")
