Let the store's changes gather before watching again; join through an older list

Ruled out: the steady calls (two sources in each of five data centres, two watches a second each: 20 calls a second, flat in the number of routers of a data centre); watches of more than a second would find a silent connection later than a leaving server must be known. Change: after a watch with changes a source waits 0.1 s and any other router 0.5 s before it watches again; the list of routers may be seconds old, for a tenth of the price.

--- a/celeryspan/decisions/relays.py
+++ b/celeryspan/decisions/relays.py
@@ -33,6 +33,15 @@
 """How long a watch waits. A connection that has gone silent is found this much later
 and a little more; a leaving server must be known within two seconds."""
 
+SOURCE_GATHER_SECONDS = 0.1
+"""How long a source lets changes gather before it watches again: a watch ends with the
+first change, and 100 servers that start within seconds would end one for each. Added
+to the time in which a leaving server must be known, two seconds, it is a twentieth."""
+
+GATHER_SECONDS = 0.5
+"""The same for a router that reads only until it hears a source. At the start of a
+fleet all routers do: 82 made some 20 calls each in four seconds without it."""
+
 TELL_SECONDS = 0.4
 """Time between two words of a source that has no news."""
 
@@ -118,6 +127,10 @@
         """Whether the store answers no source that has said anything."""
         return bool(self._words) and all(w.is_away for w in self._words.values())
 
+    def gather_seconds(self) -> float:
+        """Return how long changes may gather before the store is watched again."""
+        return SOURCE_GATHER_SECONDS if self.is_source else GATHER_SECONDS
+
     def must_read(self, now: float) -> bool:
         """Whether this router has to read the store itself."""
         return self.is_source or not self.is_fresh(now)
--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -72,9 +72,14 @@
         self._is_written = True
 
     def _read(self) -> bool:
-        """Read where the others are; returns whether all of them are met."""
+        """Read where the others are; returns whether all of them are met.
+
+        A list that is seconds old is enough to join through, for a tenth of the price:
+        who came since is found by gossip, or at the next look.
+        """
         seeds = []
-        for found in self._client.list_objects(names.ROUTER_KIND).objects:
+        listing = self._client.list_objects(names.ROUTER_KIND, is_stale=True)
+        for found in listing.objects:
             try:
                 address = routers.read(found)
             except errors.InputError as error:
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -186,6 +186,8 @@
         self._note_answer()
         self._lists = False
         self._take(batch)
+        if batch.changes:
+            self._stopped.wait(self.relays.gather_seconds())
 
     def _note_answer(self) -> None:
         if self._failures >= AWAY_FAILURES:
