Divide the platform's front: acceptance, the caller's end, refusals

Cause: front.py had grown to 500 lines with four jobs. Change: acceptance reads a request into an order, callersinks writes to a caller's connection, refusals writes the answer to a request that no server gets; the front is what is left, 313 lines. No behaviour changes. Figures: front.py 500 to 313 lines. Tests: as before.

--- /dev/null
+++ b/celeryspan/gateway/acceptance.py
@@ -0,0 +1,110 @@
+"""From the bytes of a request to an order: body, route, account and deadline."""
+
+from __future__ import annotations
+
+import time
+
+from cheroot import errors as cheroot_errors, server as cheroot_server
+
+from celeryspan import catalog, errors, ids
+from celeryspan.gateway import orders, refusals
+from celeryspan.platform import requests
+
+
+def read_headers(request: cheroot_server.HTTPRequest) -> dict[str, str]:
+    """Return the headers of a request as text."""
+    return {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in request.inheaders.items()
+    }
+
+
+def make_order(
+    request: cheroot_server.HTTPRequest, body: bytes, current: catalog.Catalogue
+) -> orders.Order:
+    """Return the order of a request that has just been read whole.
+
+    Raises
+    ------
+    refusals.Refused
+        If it is not allowed, or not understood.
+    """
+    received_at = time.monotonic()
+    headers = read_headers(request)
+    path = request.uri.partition(b"?")[0].decode("latin-1")
+    route = current.find_route(headers.get("Host", "").lower(), path)
+    if route is None:
+        raise refusals.Refused(
+            "no route for this host and path", code="no-route", status=404
+        )
+    try:
+        incoming = requests.read(headers)
+    except errors.InputError as error:
+        raise refusals.Refused(str(error), code="malformed", status=400) from error
+    account = find_account(current, route, incoming.key)
+    service = route.choose_service(incoming.request)
+    if service is None:
+        raise refusals.Refused(
+            "the route has no service", code="no-service", status=404
+        )
+    seconds = route.timeout
+    if incoming.patience is not None:
+        seconds = min(seconds, incoming.patience)
+    return orders.Order(
+        incoming=incoming,
+        route=route,
+        service=service,
+        account=account,
+        method=request.method.decode("latin-1"),
+        target=request.uri,
+        body=body,
+        received_at=received_at,
+        deadline=received_at + seconds,
+    )
+
+
+def read_body(request: cheroot_server.HTTPRequest) -> bytes:
+    """Return the whole body of a request.
+
+    Raises
+    ------
+    refusals.Refused
+        If it is too long or malformed.
+    ConnectionAbortedError
+        If the caller ends its connection before the end of the body.
+    """
+    if not request.chunked_read:
+        expected = int(request.inheaders.get(b"Content-Length", 0))
+        body = request.rfile.read(expected) if expected else b""
+        if len(body) < expected:
+            raise ConnectionAbortedError("the body is shorter than announced")
+        return body
+    try:
+        body = request.rfile.read()
+        if not request.rfile.closed:
+            raise ConnectionAbortedError("the body has no last chunk")
+        for _ in request.rfile.read_trailer_lines():
+            pass  # Trailers concern this connection only.
+        return body
+    except cheroot_errors.MaxSizeExceeded as error:
+        raise refusals.Refused(
+            "the body is too long", code="too-large", status=413
+        ) from error
+    except ValueError as error:
+        raise refusals.Refused(str(error), code="malformed", status=400) from error
+
+
+def find_account(
+    current: catalog.Catalogue, route: catalog.Route, key: str
+) -> ids.AccountId | None:
+    """Return the client account of a key; None where the route asks for no key.
+
+    Raises
+    ------
+    refusals.Refused
+        If a key is needed and this one is unknown.
+    """
+    account = current.accounts.get(key) if key else None
+    if account is None and current.needs_keys and not route.is_anonymous:
+        raise refusals.Refused("no such key", code="unknown-key", status=401)
+    return account
--- /dev/null
+++ b/celeryspan/gateway/callersinks.py
@@ -0,0 +1,58 @@
+"""Where the answer to one caller goes: its connection."""
+
+from __future__ import annotations
+
+from cheroot import server as cheroot_server
+
+
+class CallerSink:
+    """Writes one answer to a caller's connection."""
+
+    def __init__(self, request: cheroot_server.HTTPRequest, *, closes: bool) -> None:
+        self._request = request
+        self._closes = closes
+        self._is_chunked = False
+        self.is_begun = False
+        self.is_ended = False
+
+    def write_head(
+        self, status: int, reason: str, headers: list[tuple[str, str]]
+    ) -> None:
+        """Begin the answer."""
+        request = self._request
+        found = {name.lower() for name, _ in headers}
+        lines = [f"HTTP/1.1 {status} {reason}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if "content-length" not in found:
+            self._is_chunked = True
+            lines.append("Transfer-Encoding: chunked")
+        if self._closes:
+            request.close_connection = True
+        if request.close_connection:
+            lines.append("Connection: close")
+        self.is_begun = True
+        self._send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+
+    def write(self, data: bytes) -> None:
+        """Write a piece of the body."""
+        if not data:
+            return
+        if self._is_chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._send(data)
+
+    def finish(self) -> None:
+        """End the answer as whole."""
+        if self._is_chunked:
+            self._send(b"0\r\n\r\n")
+        self.is_ended = True
+
+    def cut(self) -> None:
+        """Close the connection without the end of the answer."""
+        self._request.close_connection = True
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._request.conn.wfile.write(data)
+        except ValueError as error:
+            raise ConnectionAbortedError(str(error)) from error
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -6,19 +6,24 @@
 
 from __future__ import annotations
 
-import json
 import random
 import threading
 import time
 from typing import TYPE_CHECKING
 
-from cheroot import errors as cheroot_errors, server as cheroot_server
+from cheroot import server as cheroot_server
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.decisions import overload
-from celeryspan.gateway import orders, quickrefusals
-from celeryspan.platform import names, requests
+from celeryspan.gateway import (
+    acceptance,
+    callersinks,
+    orders,
+    quickrefusals,
+    refusals,
+)
+from celeryspan.platform import names
 from celeryspan.services import callerconnections, framing, httpserver
 
 if TYPE_CHECKING:
@@ -39,77 +44,6 @@
 """Callers may use a connection until the idle limit; closing it later by this factor
 and time never crosses a request on its way, also when a clock is stepped."""
 
-REASONS = {
-    400: "Bad Request",
-    401: "Unauthorized",
-    404: "Not Found",
-    413: "Content Too Large",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-class Refused(errors.RequestError):
-    """The request is not allowed, or not understood; it was not sent anywhere."""
-
-    outcome = states.Outcome.NOT_RUN
-
-
-class CallerSink:
-    """Writes one answer to a caller's connection."""
-
-    def __init__(self, request: cheroot_server.HTTPRequest, *, closes: bool) -> None:
-        self._request = request
-        self._closes = closes
-        self._is_chunked = False
-        self.is_begun = False
-        self.is_ended = False
-
-    def write_head(
-        self, status: int, reason: str, headers: list[tuple[str, str]]
-    ) -> None:
-        """Begin the answer."""
-        request = self._request
-        found = {name.lower() for name, _ in headers}
-        lines = [f"HTTP/1.1 {status} {reason}"]
-        lines += [f"{name}: {value}" for name, value in headers]
-        if "content-length" not in found:
-            self._is_chunked = True
-            lines.append("Transfer-Encoding: chunked")
-        if self._closes:
-            request.close_connection = True
-        if request.close_connection:
-            lines.append("Connection: close")
-        self.is_begun = True
-        self._send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
-
-    def write(self, data: bytes) -> None:
-        """Write a piece of the body."""
-        if not data:
-            return
-        if self._is_chunked:
-            data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._send(data)
-
-    def finish(self) -> None:
-        """End the answer as whole."""
-        if self._is_chunked:
-            self._send(b"0\r\n\r\n")
-        self.is_ended = True
-
-    def cut(self) -> None:
-        """Close the connection without the end of the answer."""
-        self._request.close_connection = True
-
-    def _send(self, data: bytes) -> None:
-        try:
-            self._request.conn.wfile.write(data)
-        except ValueError as error:
-            raise ConnectionAbortedError(str(error)) from error
-
 
 class _Gateway(cheroot_server.Gateway):
     """Hands a request to the front instead of to an application."""
@@ -127,9 +61,9 @@
         self.conn.unread = True
         self.sent_headers = True
         code = int(str(status)[:3])
-        error = Refused(str(msg or status), code="malformed", status=code)
-        sink = CallerSink(self, closes=True)
-        write_refusal(sink, "", error)
+        error = refusals.Refused(str(msg or status), code="malformed", status=code)
+        sink = callersinks.CallerSink(self, closes=True)
+        refusals.write_refusal(sink, "", error)
 
 
 class _Connection(httpserver.Connection):
@@ -232,10 +166,13 @@
         key = id(request)
         self._in_progress[key] = None
         is_full = not self._server.can_add_keepalive_connection
-        sink = CallerSink(request, closes=self.draining or is_full)
+        sink = callersinks.CallerSink(request, closes=self.draining or is_full)
         name = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
         try:
-            order = self._accept(request)
+            body = acceptance.read_body(request)
+            request.conn.end_reading()
+            current = self._check_ready(request)
+            order = acceptance.make_order(request, body, current)
             with self._lock:
                 self._in_progress[key] = order
             self._server.watch.add(request.conn.socket, order.presence.leave)
@@ -258,7 +195,7 @@
             with self._lock:
                 del self._in_progress[key]
 
-    def _carry(self, order: orders.Order, sink: CallerSink) -> None:
+    def _carry(self, order: orders.Order, sink: callersinks.CallerSink) -> None:
         try:
             self._carrier.carry(order, sink)
         except backend.AnswerLost as lost:
@@ -275,47 +212,6 @@
                 lost.message, code="answer-lost", status=502, step=lost.step
             ) from lost
 
-    def _accept(self, request: cheroot_server.HTTPRequest) -> orders.Order:
-        """Read a whole request; raises Refused or NotRun."""
-        headers = {
-            name.decode("latin-1"): value.decode("latin-1")
-            for name, value in request.inheaders.items()
-        }
-        body = read_body(request)
-        request.conn.end_reading()
-        received_at = time.monotonic()
-        current = self._check_ready(request)
-        target = request.uri
-        path = target.partition(b"?")[0].decode("latin-1")
-        host = headers.get("Host", "").lower()
-        route = current.find_route(host, path)
-        if route is None:
-            raise Refused(
-                "no route for this host and path", code="no-route", status=404
-            )
-        try:
-            incoming = requests.read(headers)
-        except errors.InputError as error:
-            raise Refused(str(error), code="malformed", status=400) from error
-        account = find_account(current, route, incoming.key)
-        service = route.choose_service(incoming.request)
-        if service is None:
-            raise Refused("the route has no service", code="no-service", status=404)
-        seconds = route.timeout
-        if incoming.patience is not None:
-            seconds = min(seconds, incoming.patience)
-        return orders.Order(
-            incoming=incoming,
-            route=route,
-            service=service,
-            account=account,
-            method=request.method.decode("latin-1"),
-            target=target,
-            body=body,
-            received_at=received_at,
-            deadline=received_at + seconds,
-        )
-
     def refuse_quickly(self, connection: _Connection) -> bool:
         """Refuse a request that is above the limit; returns whether it was.
 
@@ -334,7 +230,7 @@
         self._note_refusal(name, error)
         try:
             quickrefusals.send_answer(
-                connection.socket, write_refusal_bytes(name, error)
+                connection.socket, refusals.write_refusal_bytes(name, error)
             )
         except OSError:
             pass  # The caller has left, or does not read; its request has not run.
@@ -375,13 +271,15 @@
             error=str(error),
         )
 
-    def _refuse(self, sink: CallerSink, name: str, error: errors.RequestError) -> None:
+    def _refuse(
+        self, sink: callersinks.CallerSink, name: str, error: errors.RequestError
+    ) -> None:
         self._note_refusal(name, error)
         if sink.is_begun:
             sink.cut()
             return
         try:
-            write_refusal(sink, name, error)
+            refusals.write_refusal(sink, name, error)
         except OSError:
             sink.cut()  # The caller has left; there is nobody to tell.
 
@@ -413,88 +311,3 @@
         idle = limits.idle_seconds * IDLE_MARGIN + IDLE_MARGIN_SECONDS
         # Never shorter than before: callers may go by an earlier version still.
         self._server.timeout = max(self._server.timeout, idle)
-
-
-def read_body(request: cheroot_server.HTTPRequest) -> bytes:
-    """Return the whole body of a request.
-
-    Raises
-    ------
-    Refused
-        If it is too long or malformed.
-    ConnectionAbortedError
-        If the caller ends its connection before the end of the body.
-    """
-    if not request.chunked_read:
-        expected = int(request.inheaders.get(b"Content-Length", 0))
-        body = request.rfile.read(expected) if expected else b""
-        if len(body) < expected:
-            raise ConnectionAbortedError("the body is shorter than announced")
-        return body
-    try:
-        body = request.rfile.read()
-        if not request.rfile.closed:
-            raise ConnectionAbortedError("the body has no last chunk")
-        for _ in request.rfile.read_trailer_lines():
-            pass  # Trailers concern this connection only.
-        return body
-    except cheroot_errors.MaxSizeExceeded as error:
-        raise Refused("the body is too long", code="too-large", status=413) from error
-    except ValueError as error:
-        raise Refused(str(error), code="malformed", status=400) from error
-
-
-def find_account(
-    current: catalog.Catalogue, route: catalog.Route, key: str
-) -> ids.AccountId | None:
-    """Return the client account of a key; None where the route asks for no key.
-
-    Raises
-    ------
-    Refused
-        If a key is needed and this one is unknown.
-    """
-    account = current.accounts.get(key) if key else None
-    if account is None and current.needs_keys and not route.is_anonymous:
-        raise Refused("no such key", code="unknown-key", status=401)
-    return account
-
-
-def write_refusal(sink: orders.Sink, name: str, error: errors.RequestError) -> None:
-    """Write the answer to a request that gets none from a server."""
-    headers, body = make_refusal(name, error)
-    sink.write_head(error.status, REASONS.get(error.status, "Refused"), headers)
-    sink.write(body)
-    sink.finish()
-
-
-def write_refusal_bytes(name: str, error: errors.RequestError) -> bytes:
-    """Return the same answer as one that ends its connection."""
-    headers, body = make_refusal(name, error)
-    lines = [f"HTTP/1.1 {error.status} {REASONS.get(error.status, 'Refused')}"]
-    lines += [f"{name}: {value}" for name, value in headers]
-    lines.append("Connection: close")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
-
-
-def make_refusal(
-    name: str, error: errors.RequestError
-) -> tuple[list[tuple[str, str]], bytes]:
-    """Return headers and body of the answer to a request that gets none."""
-    body = json.dumps(
-        {
-            "error": {
-                "code": error.code,
-                "message": error.message,
-                "outcome": error.outcome.value,
-                "step": error.step,
-                "peer": error.peer,
-            }
-        }
-    ).encode()
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
-    if name:
-        headers.append((names.REQUEST_ID, name))
-    if error.retry_after is not None:
-        headers.append((names.RETRY_AFTER, f"{error.retry_after:.3f}"))
-    return headers, body
--- /dev/null
+++ b/celeryspan/gateway/refusals.py
@@ -0,0 +1,67 @@
+"""The answer to a request that gets none from a server."""
+
+from __future__ import annotations
+
+import json
+
+from celeryspan import errors, states
+from celeryspan.gateway import orders
+from celeryspan.platform import names
+
+REASONS = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class Refused(errors.RequestError):
+    """The request is not allowed, or not understood; it was not sent anywhere."""
+
+    outcome = states.Outcome.NOT_RUN
+
+
+def write_refusal(sink: orders.Sink, name: str, error: errors.RequestError) -> None:
+    """Write the answer to a request that gets none from a server."""
+    headers, body = make_refusal(name, error)
+    sink.write_head(error.status, REASONS.get(error.status, "Refused"), headers)
+    sink.write(body)
+    sink.finish()
+
+
+def write_refusal_bytes(name: str, error: errors.RequestError) -> bytes:
+    """Return the same answer as one that ends its connection."""
+    headers, body = make_refusal(name, error)
+    lines = [f"HTTP/1.1 {error.status} {REASONS.get(error.status, 'Refused')}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    lines.append("Connection: close")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
+
+
+def make_refusal(
+    name: str, error: errors.RequestError
+) -> tuple[list[tuple[str, str]], bytes]:
+    """Return headers and body of the answer to a request that gets none."""
+    body = json.dumps(
+        {
+            "error": {
+                "code": error.code,
+                "message": error.message,
+                "outcome": error.outcome.value,
+                "step": error.step,
+                "peer": error.peer,
+            }
+        }
+    ).encode()
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(body)))]
+    if name:
+        headers.append((names.REQUEST_ID, name))
+    if error.retry_after is not None:
+        headers.append((names.RETRY_AFTER, f"{error.retry_after:.3f}"))
+    return headers, body
