--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -1,4 +1,4 @@
-"""A router of the platform as a process of its own, with few descriptors."""
+"""A router of the platform as a process of its own, with little to live on."""
 
 from __future__ import annotations
 
@@ -29,7 +29,9 @@
         What it writes to standard output.
     """
 
-    def __init__(self, folder: pathlib.Path, store: str, descriptors: int) -> None:
+    def __init__(
+        self, folder: pathlib.Path, store: str, descriptors: int, threads: int
+    ) -> None:
         addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
         self.caller_address, peer, self.ready_address, self.directory_address = (
             addresses
@@ -47,6 +49,7 @@
                     "store_address": store,
                     "fleet_keys": ["test"],
                     "grace_seconds": 2.0,
+                    "caller_threads": threads,
                 }
             )
         )
@@ -102,10 +105,10 @@
 
 @contextlib.contextmanager
 def run_router(
-    folder: pathlib.Path, store: str, descriptors: int
+    folder: pathlib.Path, store: str, descriptors: int = 1024, threads: int = 256
 ) -> Iterator[ProcessRouter]:
     """Yield a router that is ready; it ends with the block."""
-    router = ProcessRouter(folder, store, descriptors)
+    router = ProcessRouter(folder, store, descriptors, threads)
     try:
         router.wait_ready()
         yield router
