Let callers of the soak leave their connections open, at routers with few descriptors

Cause: the soak missed the incident because its callers close their connections and its routers may open as much as the machine allows. Change: each router of the soak may have 200 descriptors; beside the seeded faults, whose order stays as it was, one caller a router opens 33 connections a second and closes none. A router that does not say that it is ready at the end counts as locked out, which must be 0.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,8 +6,9 @@
 stand-ins behind proxies. Faults come in series and overlap: processes are killed,
 paused, stopped and sent SIGHUP; connections are delayed, reset, silenced or cut one
 way; the store is silent or refuses; servers drain, fail and answer twice;
-configurations change. Callers and servers are then held against each other: what ran
-twice, what was promised and ran, what was mixed up, who got work after it had left.
+configurations change; some callers leave every connection open. Callers and servers are
+then held against each other: what ran twice, what was promised and ran, what was mixed
+up, who got work after it had left, which router answers nobody any more.
 """
 
 from __future__ import annotations
@@ -18,7 +19,6 @@
 import random
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import threading
@@ -63,6 +63,7 @@
         self.left: dict[str, float] = {}
         self.events: list[str] = []
         self.own_ends = 0
+        self.locked_out = 0
         self.proxies: dict[str, soakparts.Proxy] = {}
         self._began = time.monotonic()
         self._tasks: list[threading.Thread] = []
@@ -80,6 +81,7 @@
             self.routers.append(
                 soakparts.RouterProcess(f"edge-{index}", proxy.address, own, folder)
             )
+        self.hoarders = [soakparts.Hoarder(router) for router in self.routers]
         self.callers = [
             soakparts.Caller(f"c{index}", self.routers, f"{seed}-{index}")
             for index in range(CALLERS)
@@ -121,9 +123,9 @@
         """Start all, disturb for some seconds, let it settle, stop all."""
         for router in self.routers:
             router.start()
-        desk.wait_for(lambda: all(self._is_ready(r) for r in self.routers))
-        for caller in self.callers:
-            caller.start()
+        desk.wait_for(lambda: all(router.is_ready() for router in self.routers))
+        for each in (*self.callers, *self.hoarders):
+            each.start()
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             name = self.random.choice(sorted(FAULTS))
@@ -133,8 +135,9 @@
         for task in self._tasks:
             task.join()
         time.sleep(SETTLE_SECONDS)
-        for caller in self.callers:
-            caller.stop()
+        self.locked_out = sum(not router.is_ready() for router in self.routers)
+        for each in (*self.callers, *self.hoarders):
+            each.stop()
         self.own_ends = sum(router.ends_by_itself() for router in self.routers)
 
     def close(self) -> None:
@@ -144,6 +147,8 @@
                 router.signal(signal.SIGCONT)
                 router.signal(signal.SIGKILL)
                 router.wait(5.0)
+        for hoarder in self.hoarders:
+            hoarder.close()
         for proxy in self.proxies.values():
             proxy.stop()
         for server in self.servers:
@@ -169,6 +174,7 @@
             "mixed": sum(bool(each.fault) for each in told),
             "after_leaving": self._count_after_leaving(),
             "own_ends": self.own_ends,
+            "locked_out": self.locked_out,
         }
         for each in told:
             if each.fault:
@@ -183,17 +189,6 @@
             for at in server.ran_at
         )
 
-    def _is_ready(self, router: soakparts.RouterProcess) -> bool:
-        with contextlib.suppress(OSError):
-            return b"200" in _ask_ready(router)
-        return False
-
-
-def _ask_ready(router: soakparts.RouterProcess) -> bytes:
-    with socket.create_connection(router.ready, timeout=1.0) as sock:
-        sock.sendall(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        return sock.recv(64)
-
 
 @fault
 def kill(soak: Soak) -> None:
@@ -320,7 +315,7 @@
     soak.left[server.name] = time.monotonic()
 
 
-PROMISED = ("ran_twice", "false_promise", "mixed", "own_ends")
+PROMISED = ("ran_twice", "false_promise", "mixed", "own_ends", "locked_out")
 """Counts that must be 0 whatever happens. Work after leaving is counted, and allowed
 while the store was out of a router's reach."""
 
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -9,6 +9,7 @@
 import json
 import pathlib
 import random
+import resource
 import signal
 import socket
 import subprocess
@@ -19,8 +20,16 @@
 from celeryspan import ids
 from standins import desk, platformserver
 
+DESCRIPTORS = 200
+"""What a router's process may have open: few enough that callers who leave their
+connections open come to the bound within a short run."""
+
+HOARD_SECONDS = 0.03
+"""Time between two connections of a hoarder."""
+
 PIECE = 65_536
 CALL_SECONDS = 4.0
+READY_SECONDS = 5.0
 PROMISES = (408, 421, 429, 503)
 """Statuses that say that a request has not run and never will."""
 
@@ -158,6 +167,7 @@
                 ],
                 stdout=log,
                 stderr=log,
+                preexec_fn=_limit_descriptors,
             )
 
     @property
@@ -185,11 +195,59 @@
         except subprocess.TimeoutExpired:
             return None
 
+    def is_ready(self) -> bool:
+        """Whether it says that it is ready."""
+        question = b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        with contextlib.suppress(OSError):
+            with socket.create_connection(self.ready, timeout=READY_SECONDS) as sock:
+                sock.sendall(question)
+                return b"200" in sock.recv(64)
+        return False
+
     def ends_by_itself(self) -> bool:
         """Whether the process has ended though nothing asked it to."""
         return self._process is not None and self._process.poll() is not None
 
 
+def _limit_descriptors() -> None:
+    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+
+
+class Hoarder:
+    """Opens a connection for each request at one router, and leaves all of them open.
+
+    It runs beside the seeded faults and draws nothing, so that they stay as they are.
+    """
+
+    def __init__(self, router: RouterProcess) -> None:
+        self._router = router
+        self._open: list[socket.socket] = []
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin to open connections."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Open nothing more; what is open stays so."""
+        self._stopped.set()
+        self._thread.join()
+
+    def close(self) -> None:
+        """Close all connections."""
+        for sock in self._open:
+            sock.close()
+
+    def _run(self) -> None:
+        question = f"GET /calls/1 HTTP/1.1\r\nHost: {desk.HOST}\r\n\r\n".encode()
+        while not self._stopped.wait(HOARD_SECONDS):
+            with contextlib.suppress(OSError):
+                sock = socket.create_connection(self._router.front, timeout=1.0)
+                self._open.append(sock)
+                sock.sendall(question)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Told:
     """What a caller was told of one request.
