Measure what a request, an event and a refusal cost a router of the platform

Change: bench/routercost (refusing before) plays calls, streams of two lengths and refusals at the real process; the stand-in's streams may have any number of events.

--- a/bench/refusing.py
+++ b/bench/routercost.py
@@ -1,4 +1,4 @@
-"""What an accepted request and a refused one cost a router of the platform.
+"""What a request, an event of a stream and a refusal cost a router of the platform.
 
 The router is a process of its own; an account sends it more than it takes, each request
 on a connection of its own. Processor time is the router's, as the system counts it.
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import pathlib
+import re
 import socket
 import tempfile
 import time
@@ -24,8 +25,12 @@
 HELD_SECONDS = 600
 """Timeout of the routes: longer than the measurement."""
 
-SENDERS = 4
+SENDERS = 16
 REQUESTS = 4_000
+STREAM_REQUESTS = 400
+EVENT_SECONDS = 0.01
+"""Time between two events: each is passed on by itself, as engines make them."""
+
 WARMUP = 200
 REFUSED_IN_A_ROW = 20
 """Refusals after which all that the router takes is held."""
@@ -34,6 +39,19 @@
 """As long as the body of the commonest request of the users' sheets."""
 
 
+STREAMS = (2, 30)
+"""Events of a short and of a usual stream; their difference tells what one costs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """One kind of request, and the status that each must get."""
+
+    name: str
+    path: str
+    status: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Cost:
     """Figures of one kind of request.
@@ -51,14 +69,16 @@
     rate: float
 
 
+Running = tuple[soakparts.RouterProcess, int, platformserver.PlatformServer]
+
+
 @contextlib.contextmanager
-def run_router(folder: pathlib.Path) -> Iterator[tuple[soakparts.RouterProcess, int]]:
-    """Yield a router that takes few requests, and its process."""
+def run_router(folder: pathlib.Path) -> Iterator[Running]:
+    """Yield a router that takes few requests, its process, and its engine."""
     store = objects.ObjectStore()
     store.start()
     quick = platformserver.PlatformServer("gate-1")
     slow = platformserver.PlatformServer("planner-1", streams=True)
-    slow.event_seconds = float(HELD_SECONDS)
     with contextlib.ExitStack() as stack:
         stack.callback(store.stop)
         for server, service in ((quick, "gate"), (slow, "planner")):
@@ -76,7 +96,7 @@
         router.start()
         stack.callback(router.end)
         wait_ready(router)
-        yield router, router.process
+        yield router, router.process, slow
 
 
 def wait_ready(router: soakparts.RouterProcess) -> None:
@@ -109,30 +129,43 @@
     """Send one request on a connection of its own; returns the whole answer."""
     with socket.create_connection(tuple(router.front), 10.0) as caller:
         caller.sendall(write(path, request))
-        answer = caller.recv(65_536)
-        expected = int(answer.lower().partition(b"content-length: ")[2].split()[0])
-        while len(answer.partition(b"\r\n\r\n")[2]) < expected:
-            answer += caller.recv(65_536)
+        answer = b""
+        while not is_whole(answer):
+            piece = caller.recv(65_536)
+            if not piece:
+                raise RuntimeError(f"expected a whole answer, found {answer!r}")
+            answer += piece
     return answer
 
 
+def is_whole(answer: bytes) -> bool:
+    """Whether an answer has come to its end."""
+    head, found, body = answer.partition(b"\r\n\r\n")
+    if not found:
+        return False
+    length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
+    if length is None:
+        return body.endswith(b"0\r\n\r\n")
+    return len(body) >= int(length.group(1))
+
+
 def measure(
-    name: str, router: soakparts.RouterProcess, process: int, status: bytes
+    load: Load, router: soakparts.RouterProcess, process: int, count: int
 ) -> Cost:
-    """Send plain calls and return what each cost."""
+    """Send requests of one kind and return what each cost."""
 
     def call(number: int) -> None:
-        answer = send(router, desk.CALLS, f"{name}-{number}")
-        if not answer.startswith(b"HTTP/1.1 " + status):
-            raise RuntimeError(f"expected {status!r}, found {answer!r}")
+        answer = send(router, load.path, f"{load.name}-{number}".replace(" ", "-"))
+        if not answer.startswith(b"HTTP/1.1 " + load.status):
+            raise RuntimeError(f"expected {load.status!r}, found {answer!r}")
 
     with concurrent.futures.ThreadPoolExecutor(SENDERS) as pool:
         list(pool.map(call, range(WARMUP)))
         before, began = passing.read_usage(process), time.monotonic()
-        list(pool.map(call, range(REQUESTS)))
+        list(pool.map(call, range(count)))
         took = time.monotonic() - began
     used = passing.read_usage(process).seconds - before.seconds
-    return Cost(name, used / REQUESTS, REQUESTS / took)
+    return Cost(load.name, used / count, count / took)
 
 
 def hold_threads(router: soakparts.RouterProcess, stack: contextlib.ExitStack) -> None:
@@ -153,15 +186,24 @@
 
 
 def run(_: list[str]) -> int:
-    """Print the cost of a plain call and of a refusal."""
+    """Print the cost of calls, of streams of two lengths and of a refusal."""
     with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
-        router, process = stack.enter_context(run_router(pathlib.Path(folder)))
-        costs = [measure("plain call", router, process, b"200")]
+        router, process, engine = stack.enter_context(run_router(pathlib.Path(folder)))
+        call = Load("plain call", desk.CALLS, b"200")
+        costs = [measure(call, router, process, REQUESTS)]
+        engine.event_seconds = EVENT_SECONDS
+        for engine.events in STREAMS:
+            stream = Load(f"stream of {engine.events} events", desk.NOTES, b"200")
+            costs.append(measure(stream, router, process, STREAM_REQUESTS))
+        engine.event_seconds = float(HELD_SECONDS)
         hold_threads(router, stack)
-        costs.append(measure("refusal", router, process, b"503"))
+        refusal = Load("refusal", desk.CALLS, b"503")
+        costs.append(measure(refusal, router, process, REQUESTS))
     for cost in costs:
         print(
             f"{cost.name}: {cost.seconds * 1e3:.2f} ms of a core, "
             f"{1 / cost.seconds:.0f} a second and core; {cost.rate:.0f} a second seen"
         )
+    event = (costs[2].seconds - costs[1].seconds) / (STREAMS[1] - STREAMS[0])
+    print(f"event: {event * 1e6:.0f} us of a core")
     return 0
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -72,6 +72,8 @@
         Status of the next calls that move a run; 0 resets their connections.
     connections : int
         Connections accepted so far.
+    events : int
+        Events of each stream.
     """
 
     def __init__(self, name: str, *, streams: bool = False) -> None:
@@ -90,6 +92,7 @@
         self._streams: dict[str, threading.Event] = {}
         self.connections = 0
         self.event_seconds = 0.0
+        self.events = EVENTS
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.address = ids.Address(*self._listener.getsockname())
         self._stopping = threading.Event()
@@ -289,5 +292,5 @@
 
     def _write_events(self, seen: Seen) -> Iterator[bytes]:
         last = int(seen.headers.get(LAST_EVENT.lower(), 0))
-        for number in range(last + 1, EVENTS + 1):
+        for number in range(last + 1, self.events + 1):
             yield f"id: {number}\ndata: piece {number}\n\n".encode()
