Explain one request from the logs of many routers

Change: celeryspan explain REQUEST LOG... reads the logs (cut, doubled, interleaved, with a collector's prefix), puts the lines in order, says each in words, and ends with the outcome and the step that decided it. Read by the command only; no router imports it. Tests: a golden file of a session of two routers with seven requests; a log cut at any place of its first 400 bytes; lines that run into each other; any text; each reason of a late answer. Seen on the way, open: a request that no server could ever run is refused with a time to return of 0.06 s, which invites a return in vain.

--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -14,6 +14,7 @@
     platformdemo,
     registry,
     router,
+    tracing,
 )
 
 HELP_NAMES = ("help", "--help", "-h", "-help")
@@ -60,7 +61,7 @@
         rest = values([PROGRAM, *arguments])[1:]
     except flags.Error as error:
         return refuse(f"{found.name}: {' '.join(str(error).split())}")
-    if len(rest) != len(found.arguments):
+    if not found.takes(len(rest)):
         expected = " ".join(found.arguments) or "no arguments"
         return refuse(
             f"{found.name}: expected {expected}, found {' '.join(rest) or 'none'}"
--- a/celeryspan/daemons/registry.py
+++ b/celeryspan/daemons/registry.py
@@ -44,7 +44,8 @@
     Attributes
     ----------
     arguments : tuple of str
-        Names of the arguments, as the help shows them.
+        Names of the arguments, as the help shows them; one that ends with three dots
+        stands for one or more.
     summary : str
         One line for the list of commands.
     text : str
@@ -60,6 +61,12 @@
     run: Runner
     define: Definer
 
+    def takes(self, count: int) -> bool:
+        """Whether so many arguments fit."""
+        if self.arguments and self.arguments[-1].endswith("..."):
+            return count >= len(self.arguments)
+        return count == len(self.arguments)
+
 
 COMMANDS: dict[str, Command] = {}
 
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -30,17 +30,22 @@
     """
 
     def __init__(
-        self, folder: pathlib.Path, store: str, descriptors: int, threads: int
+        self,
+        folder: pathlib.Path,
+        store: str,
+        descriptors: int,
+        threads: int,
+        name: str,
     ) -> None:
         addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
         self.caller_address, peer, self.ready_address, self.directory_address = (
             addresses
         )
-        path = folder / "router.yaml"
+        path = folder / f"{name}.yaml"
         path.write_text(
             yaml.safe_dump(
                 {
-                    "router": "edge-1",
+                    "router": name,
                     "data_centre": "hala-a",
                     "caller_address": self.caller_address,
                     "peer_address": peer,
@@ -53,7 +58,7 @@
                 }
             )
         )
-        self.log = folder / "router.log"
+        self.log = folder / f"{name}.log"
         self._process = subprocess.Popen(
             [
                 sys.executable,
@@ -105,10 +110,14 @@
 
 @contextlib.contextmanager
 def run_router(
-    folder: pathlib.Path, store: str, descriptors: int = 1024, threads: int = 256
+    folder: pathlib.Path,
+    store: str,
+    descriptors: int = 1024,
+    threads: int = 256,
+    name: str = "edge-1",
 ) -> Iterator[ProcessRouter]:
     """Yield a router that is ready; it ends with the block."""
-    router = ProcessRouter(folder, store, descriptors, threads)
+    router = ProcessRouter(folder, store, descriptors, threads, name)
     try:
         router.wait_ready()
         yield router
