--- a/tests/gateway/test_quickrefusals.py
+++ b/tests/gateway/test_quickrefusals.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import socket
 import threading
@@ -75,13 +76,32 @@
 def test_refused_caller_is_told_that_nothing_ran_and_when_to_return(full) -> None:
     router, server = full
     answer = router.call("/bookings/1", "r9")
+    check_refusal(answer, "r9")
+    assert json.loads(answer.text)["error"]["code"] == "router-full"
+    assert server.seen == []
+
+
+def test_request_that_comes_in_one_piece_ends_its_connection(full) -> None:
+    """Refused where it lies, a request's connection ends: nothing behind it is read."""
+    router, server = full
+    host, _, port = router.settings.caller_address.partition(":")
+    with socket.create_connection((host, int(port)), support.WAIT_SECONDS) as caller:
+        caller.sendall(WHOLE)
+        answer = http.client.HTTPResponse(caller)
+        answer.begin()
+        check_refusal(answer, "r7")
+        assert answer.getheader("Connection") == "close"
+        error = json.loads(answer.read())["error"]
+        assert (error["code"], error["outcome"]) == ("router-full", "not-run")
+        assert caller.recv(1) == b""
+    assert server.seen == []
+
+
+def check_refusal(answer: http.client.HTTPResponse, request: str) -> None:
+    """Check what every refusal says, whichever way it was written."""
     assert answer.status == 503
-    assert answer.getheader("Celeryspan-Request-Id") == "r9"
-    assert answer.getheader("Connection") == "close"
+    assert answer.getheader("Celeryspan-Request-Id") == request
     assert float(answer.getheader("Retry-After")) > 0
-    error = json.loads(answer.text)["error"]
-    assert (error["code"], error["outcome"]) == ("router-full", "not-run")
-    assert server.seen == []
 
 
 def test_request_that_comes_in_two_parts_is_refused_too(full) -> None:
