--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -16,6 +16,7 @@
 import sys
 import threading
 import time
+from collections.abc import Sequence
 
 from celeryspan import ids
 from standins import desk, platformserver
@@ -131,6 +132,8 @@
         folder: pathlib.Path,
         *,
         threads: int = 256,
+        data_centre: str = "hala-a",
+        seeds: Sequence[str] = (),
     ) -> None:
         self.name = name
         self.front, self.peer, self.ready, self.directory = (
@@ -140,13 +143,14 @@
         self._log = folder / f"{name}.log"
         values = {
             "router": name,
-            "data_centre": "hala-a",
+            "data_centre": data_centre,
             "caller_address": str(self.front),
             "peer_address": str(self.peer),
             "ready_address": str(self.ready),
             "directory_address": str(self.directory),
             "store_address": str(store),
             "fleet_keys": ["soak"],
+            "peers": list(seeds),
             "grace_seconds": 8.0,
             "caller_threads": threads,
         }
--- a/standins/objects.py
+++ b/standins/objects.py
@@ -40,13 +40,18 @@
     ----------
     calls : Counter
         Calls by method, watches apart.
+    calls_by_kind : Counter
+        The same by method and kind of objects.
     page : int
         Objects in one answer of a list.
     """
 
-    def __init__(self, *, port: int = 0, host: str = "127.0.0.1") -> None:
-        super().__init__(port=port, host=host, threads=64)
+    def __init__(
+        self, *, port: int = 0, host: str = "127.0.0.1", threads: int = 64
+    ) -> None:
+        super().__init__(port=port, host=host, threads=threads)
         self.calls: collections.Counter[str] = collections.Counter()
+        self.calls_by_kind: collections.Counter[str] = collections.Counter()
         self.faults = ObjectFaults()
         self.page = PAGE
         self._revision = 1
@@ -80,7 +85,9 @@
         """Answer one call of the object API."""
         kind, _, name = request.path.removeprefix("/v1/objects/").partition("/")
         is_watch = "watch" in request.query
-        self.calls["WATCH" if is_watch else request.method] += 1
+        method = "WATCH" if is_watch else request.method
+        self.calls[method] += 1
+        self.calls_by_kind[f"{method} {kind}"] += 1
         if self.faults.silent:
             self.keep_silent(request)
         if self.faults.refuse_status:
