Let two routers read the store for the whole fleet, and starts ask peers first

Cause: two readers in each data centre and for each of two kinds make 20 watches a second in five data centres, and each router that starts took itself for a reader until it had met the others: some 16 calls, and three more to write an entry that was there. Ruled out: longer watches (a connection that goes silent would be found too late); reads that may be old for the watches (a leaving server must be known within two seconds). Change: two readers for the fleet, in two data centres; two relays in each pass on what they hear at once, also that the store has answered, so that a word two hops away is hardly older than one hop was. Readers hear each other, so that one cut off from the store follows. A router that starts goes by the store's list of routers and leaves the reading to its peers for two seconds; relays read before the others when all readers are silent. An entry of a router is the same for each of its lives and is written only if the list lacks it. Calls no longer grow with data centres.

--- a/celeryspan/decisions/relays.py
+++ b/celeryspan/decisions/relays.py
@@ -1,68 +1,138 @@
-"""Which routers read the store for those beside them, and when a router reads itself.
+"""Which routers read the store for the fleet, and when a router reads it itself.
 
-Load answered: each watch of the store is a paid call that ends with every change. A
-fleet of 66 routers that each watched two kinds made 12,000 calls in 50 calm seconds;
-one rolling replacement of 25 backend servers would end 66 watches at each of its 75
-changes, and 1,300 routers would be above the store's rate without any change.
+Load answered: each watch of the store is a paid call that ends with every change, and
+each router that starts needs what the store says. 195 routers in five data centres that
+had two readers in each made 20 calls a second at rest, and 20 for each start.
 
-In each data centre the same two routers watch: those with the lowest hash among the
-routers there. They pass on what they read, and say every few tenths of a second how
-old it is. What can go wrong with that, and how it shows:
+Two routers watch for the whole fleet: those with the lowest hash, in two data centres
+if there are several. In each data centre two routers relay what they tell to the rest
+there, so that nothing crosses between data centres more than a few times and no router
+tells hundreds. Everybody says with the news how old it is. What can go wrong with that,
+and how it shows:
 
-* A source dies, is paused or is cut off from its peers: it says nothing.
-* A source is cut off from the store: its word grows old.
+* A reader or relay dies, is paused or is cut off from its peers: it says nothing.
+* A reader is cut off from the store: its word grows old.
 
-Either way the other source's word stays fresh. Without any fresh word a router reads
-the store itself until there is one again, so that it is never without news for longer
-than :data:`FRESH_SECONDS` and its own call.
+Either way the word of another one stays fresh. Without any fresh word a router reads
+the store itself until there is one again: relays first, the others only if that does
+not help them, so that the loss of both readers makes few routers read.
 """
 
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Mapping
 
 from celeryspan import ids
 from celeryspan.decisions import watchers
 
-SOURCES = 2
-"""Routers of a data centre that read the store: one that is paused or cut off leaves
-one."""
+READERS = 2
+"""Routers that read the store for all: if one is paused or cut off, one is left."""
+
+RELAYS = 2
+"""Routers of a data centre that hear the readers, for the same reason."""
 
 WATCH_SECONDS = 1.0
 """How long a watch waits. A connection that has gone silent is found this much later
 and a little more; a leaving server must be known within two seconds."""
 
-SOURCE_GATHER_SECONDS = 0.1
-"""How long a source lets changes gather before it watches again: a watch ends with the
+READER_GATHER_SECONDS = 0.1
+"""How long a reader lets changes gather before it watches again: a watch ends with the
 first change, and 100 servers that start within seconds would end one for each. Added
 to the time in which a leaving server must be known, two seconds, it is a twentieth."""
 
 GATHER_SECONDS = 0.5
-"""The same for a router that reads only until it hears a source. At the start of a
-fleet all routers do: 82 made some 20 calls each in four seconds without it."""
+"""The same for a router that reads only until it hears others."""
 
-TELL_SECONDS = 0.4
-"""Time between two words of a source that has no news."""
+TELL_SECONDS = 0.8
+"""Time after which somebody who was told nothing is told so: the word is that the store
+does not answer, since each answer is told at once."""
 
 FRESH_SECONDS = 1.8
-"""A word about the store is fresh for this long: a watch, one word and four tenths of
-a second for slow answers. Leaving servers must be known within two seconds."""
+"""A relay takes a word for fresh this long: a watch, and eight tenths of a second for
+slow answers. Leaving servers must be known within two seconds."""
+
+FRESH_SECONDS_OTHERS = 2.6
+"""The same for routers that hear relays, which read meanwhile and need a moment."""
+
+FRESHER_SECONDS = 0.3
+"""A word without news is passed on if it is this much fresher than the last one: of
+two readers that watch in step one is enough."""
 
 FORGET_SECONDS = 10.0
 """A word this old tells nothing about the router that gave it."""
 
+SETTLE_SECONDS = 1.0
+"""How long a router that knows no other one waits before it takes itself for a reader:
+at the first start of a fleet nobody knows anybody, and all would read."""
+
+PATIENCE_SECONDS = (1.5, 2.5)
+"""How long a router that has just started leaves it to others to tell it. Drawn between
+the two: those that wait in vain must not come to the store together."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Duties:
+    """Who reads the store, and whom one router hears.
+
+    Attributes
+    ----------
+    readers : tuple of RouterId
+        Those that read the store for the fleet.
+    sources : tuple of RouterId
+        Those that this router asks for news; the other readers if it is one itself.
+    is_reader, is_relay : bool
+        Whether this router reads for the fleet, or tells those of its data centre.
+    """
+
+    readers: tuple[ids.RouterId, ...]
+    sources: tuple[ids.RouterId, ...]
+    is_reader: bool
+    is_relay: bool
+
+
+def choose_duties(
+    own: ids.RouterId, routers: Mapping[ids.RouterId, ids.DataCentreId]
+) -> Duties:
+    """Return the duties as one router sees them.
+
+    Parameters
+    ----------
+    routers : mapping of RouterId to DataCentreId
+        Where each router is that takes part and stays, the own one among them.
+    """
+    readers = choose_readers(routers)
+    beside = [router for router in routers if routers[router] == routers[own]]
+    relays = watchers.choose("relay", beside, RELAYS)
+    is_reader, is_relay = own in readers, own in relays
+    heard = readers if is_reader or is_relay else relays
+    sources = tuple(router for router in heard if router != own)
+    return Duties(readers, sources, is_reader, is_relay)
+
+
+def choose_readers(
+    routers: Mapping[ids.RouterId, ids.DataCentreId],
+) -> tuple[ids.RouterId, ...]:
+    """Return the readers, of as many data centres as may be."""
+    ordered = watchers.choose("read the store", routers, len(routers))
+    seen: set[ids.DataCentreId] = set()
+    first, others = [], []
+    for router in ordered:
+        (others if routers[router] in seen else first).append(router)
+        seen.add(routers[router])
+    return tuple([*first, *others][:READERS])
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Word:
-    """What a source has said of the store.
+    """What another router has said of the store.
 
     Attributes
     ----------
     read_at : float
-        When it had its last answer of the store, on this router's clock, in seconds.
+        When the store last answered, on this router's clock, in seconds.
     is_away : bool
-        Whether the store does not answer it.
+        Whether the store answers neither it nor those that it hears.
     """
 
     read_at: float
@@ -70,36 +140,39 @@
 
 
 class Relays:
-    """Who reads the store for whom, as one router sees it.
+    """Whom one router hears, what they said last, and whether it reads itself.
 
     Attributes
     ----------
-    sources : tuple of RouterId
-        The routers of this data centre that read the store.
+    duties : Duties
+
+    Parameters
+    ----------
+    own : RouterId
+    now : float
+        When this router starts, in seconds.
+    patience : float
+        Seconds that it leaves it to others to tell it, one of PATIENCE_SECONDS.
     """
 
-    def __init__(self, own: ids.RouterId) -> None:
-        self._own = own
+    def __init__(self, own: ids.RouterId, now: float, patience: float) -> None:
         self._words: dict[ids.RouterId, Word] = {}
-        self.sources: tuple[ids.RouterId, ...] = (own,)
-
-    @property
-    def is_source(self) -> bool:
-        """Whether this router reads the store for the others beside it."""
-        return self._own in self.sources
+        self._settled_at = now + SETTLE_SECONDS
+        self._patient_until = now + patience
+        self.duties = Duties((own,), (), is_reader=True, is_relay=True)
 
-    def set_routers(self, place: str, routers: Iterable[ids.RouterId]) -> bool:
-        """Set which routers are in this data centre; returns whether sources change.
+    def set_duties(self, duties: Duties, *, is_settled: bool = False) -> None:
+        """Set who does what.
 
         Parameters
         ----------
-        place : str
-            Name of the data centre; other places get other sources.
+        is_settled : bool
+            Whether the store's list of routers says so, or there is nobody to meet: no
+            need to wait for others.
         """
-        before = self.sources
-        found = watchers.choose(f"store {place}", {*routers, self._own}, SOURCES)
-        self.sources = found
-        return found != before
+        self.duties = duties
+        if is_settled:
+            self._settled_at = float("-inf")
 
     def note_word(
         self, source: ids.RouterId, age: float, now: float, *, is_away: bool
@@ -121,7 +194,8 @@
 
     def is_fresh(self, now: float) -> bool:
         """Whether some source knows the store's present state."""
-        return now - self.read_at() <= FRESH_SECONDS
+        limit = FRESH_SECONDS if self.duties.is_relay else FRESH_SECONDS_OTHERS
+        return now - self.read_at() <= limit
 
     def is_away(self) -> bool:
         """Whether the store answers no source that has said anything."""
@@ -129,8 +203,10 @@
 
     def gather_seconds(self) -> float:
         """Return how long changes may gather before the store is watched again."""
-        return SOURCE_GATHER_SECONDS if self.is_source else GATHER_SECONDS
+        return READER_GATHER_SECONDS if self.duties.is_reader else GATHER_SECONDS
 
     def must_read(self, now: float) -> bool:
         """Whether this router has to read the store itself."""
-        return self.is_source or not self.is_fresh(now)
+        if self.duties.is_reader:
+            return now >= self._settled_at
+        return now >= self._patient_until and not self.is_fresh(now)
--- a/celeryspan/decisions/storelog.py
+++ b/celeryspan/decisions/storelog.py
@@ -80,6 +80,10 @@
         """Whether a batch shows that changes are missing here."""
         return not batch.is_whole and (self.at is None or batch.above > self.at)
 
+    def has_news(self, above: int) -> bool:
+        """Whether anything has changed above a revision."""
+        return self.at is not None and above < self._changed_at
+
     def since(self, above: int) -> Batch | None:
         """Return what leads from a revision to the present; None without a list."""
         if self.at is None:
--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -1,7 +1,8 @@
 """The kernel service ``fleet``: routers find each other through the store.
 
-Each router writes one object that says where its peers reach it, and reads those of
-the others until it has met some; who is alive is then the membership's to find out.
+Each router reads the objects of the others until it has met them, and writes its own if
+it is not there as it should be: one that starts again writes nothing. Who is alive is
+then the membership's to find out.
 """
 
 from __future__ import annotations
@@ -11,11 +12,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import errors, events, ids, kernel
+from celeryspan import errors, events, ids, kernel, storedobjects
 from celeryspan.platform import names, routers
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import objectstore
+    from celeryspan.gateway import objectstore, relays
     from celeryspan.services import identity, membership
 
 PAUSE_FIRST = 0.25
@@ -25,16 +26,20 @@
 by its own."""
 
 
-@kernel.register("fleet", needs=("identity", "objects", "membership"))
+@kernel.register("fleet", needs=("identity", "objects", "membership", "relays"))
 class FleetService:
-    """Writes this router's object and seeds the membership with the others'."""
+    """Writes this router's object and seeds membership and relays with the others'."""
 
     def __init__(self, box: kernel.Kernel) -> None:
         store: objectstore.ObjectStore = box.find("objects")
         self._client = store.client
         self._identity: identity.IdentityService = box.find("identity")
         self._membership: membership.MembershipService = box.find("membership")
-        self._address = ids.Address.parse(box.settings.peer_address)
+        self._relays: relays.RelayService = box.find("relays")
+        self._own = routers.RouterEntry(
+            ids.Address.parse(box.settings.peer_address),
+            ids.DataCentreId(box.settings.data_centre),
+        )
         self._is_written = False
         self._random = random.Random(time.time_ns())
         self._stopped = threading.Event()
@@ -52,43 +57,52 @@
         pause = PAUSE_FIRST
         while not self._stopped.is_set():
             try:
-                self._write()
-                pause = PAUSE_MAX if self._read() else min(pause * 2, PAUSE_MAX)
+                pause = PAUSE_MAX if self._look() else min(pause * 2, PAUSE_MAX)
             except errors.StoreError as error:
                 events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
             self._stopped.wait(pause * self._random.uniform(0.7, 1.0))
 
+    def _look(self) -> bool:
+        """Read where the others are, and write where this one is if the list errs.
+
+        A list that is seconds old is enough to join through, for a tenth of the price:
+        who came since is found by gossip, or at the next look.
+
+        Returns
+        -------
+        bool
+            Whether all listed routers are met.
+        """
+        listing = self._client.list_objects(names.ROUTER_KIND, is_stale=True)
+        listed = dict(filter(None, map(_read, listing.objects)))
+        self._is_written |= listed.get(self._identity.router) == self._own
+        self._relays.note_listed(listed)
+        listed.pop(self._identity.router, None)
+        seeds = [entry.peer_address for entry in listed.values()]
+        self._membership.set_seeds(seeds)
+        self._write()
+        met = {member.peer_address for member in self._membership.members()}
+        return bool(seeds) and met.issuperset(seeds)
+
     def _write(self) -> None:
-        """Write the object, over that of an earlier life if there is one."""
+        """Write the object, over that of an earlier life if it says something else."""
         if self._is_written:
             return
-        spec = routers.write(self._address, self._identity.incarnation)
-        name = self._identity.router
+        name, spec = self._identity.router, routers.write(self._own)
         try:
             self._client.create(names.ROUTER_KIND, name, spec)
         except errors.Conflict:
             found = self._client.get(names.ROUTER_KIND, name)
-            self._client.replace(names.ROUTER_KIND, name, spec, found.revision)
+            if found.spec != spec:
+                self._client.replace(names.ROUTER_KIND, name, spec, found.revision)
         self._is_written = True
 
-    def _read(self) -> bool:
-        """Read where the others are; returns whether all of them are met.
 
-        A list that is seconds old is enough to join through, for a tenth of the price:
-        who came since is found by gossip, or at the next look.
-        """
-        seeds = []
-        listing = self._client.list_objects(names.ROUTER_KIND, is_stale=True)
-        for found in listing.objects:
-            try:
-                address = routers.read(found)
-            except errors.InputError as error:
-                events.log(
-                    events.Event.TASK_FAILED, task="read router", error=str(error)
-                )
-                continue
-            if address != self._address:
-                seeds.append(address)
-        self._membership.set_seeds(seeds)
-        met = {member.peer_address for member in self._membership.members()}
-        return bool(seeds) and met.issuperset(seeds)
+def _read(
+    found: storedobjects.StoredObject,
+) -> tuple[ids.RouterId, routers.RouterEntry] | None:
+    try:
+        return ids.RouterId(found.name), routers.read(found)
+    except errors.InputError as error:
+        events.log(events.Event.TASK_FAILED, task="read router", error=str(error))
+        return None
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -20,11 +20,11 @@
 
 PAUSE_FIRST = 0.05
 PAUSE_MAX = 0.5
-"""Pauses of a source between attempts while the store does not answer."""
+"""Pauses of a reader between attempts while the store does not answer."""
 
 PAUSE_MAX_OTHERS = 2.0
 """The same for all other routers, which are many: they only try in case the store
-answers them and not their sources."""
+answers them and not the readers."""
 
 AWAY_FAILURES = 2
 """Failures in a row that count as an outage: a single one may be a connection that has
@@ -51,7 +51,7 @@
     """Passes on to other routers what a follower has taken in."""
 
     def publish(self, kind: str) -> None:
-        """Pass on news."""
+        """Pass on what is new, or that the store has answered."""
 
 
 class Follower:
@@ -75,7 +75,9 @@
         depth: int = storelog.BATCHES_MAX,
     ) -> None:
         self.kind = kind
-        self.relays = relays.Relays(router)
+        self._random = random.Random(f"{kind}{time.time_ns()}")
+        patience = self._random.uniform(*relays.PATIENCE_SECONDS)
+        self.relays = relays.Relays(router, time.monotonic(), patience)
         self.log = storelog.StoreLog(depth)
         self._client = client
         self._reader = reader
@@ -83,7 +85,6 @@
         self._lists = True
         self._read_at = float("-inf")
         self._failures = 0
-        self._random = random.Random(f"{kind}{time.time_ns()}")
         self._lock = threading.RLock()
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -104,11 +105,11 @@
         """Whether the store answers neither this router nor those that it hears."""
         if self._failures:
             return self._failures >= AWAY_FAILURES
-        return self.relays.is_away() and not self.relays.is_source
+        return self.relays.is_away() and not self.relays.duties.is_reader
 
-    def measure_age(self, now: float) -> float:
-        """Return how old the knowledge of the store's state is, in seconds."""
-        return now - max(self._read_at, self.relays.read_at())
+    def answered_at(self) -> float:
+        """Return when the store last answered this router or those that it hears."""
+        return max(self._read_at, self.relays.read_at())
 
     def hear(
         self,
@@ -122,11 +123,11 @@
         now = time.monotonic()
         with self._lock:
             self.relays.note_word(source, age, now, is_away=is_away)
-            if self._failures == 0 and not self.relays.is_source:
+            if self._failures == 0 and not self.relays.duties.is_reader:
                 self._note_store()
-            if self._take(batch):
-                return False
-            return self.log.is_behind(batch)
+            is_taken = self._take(batch)
+        self._publish()
+        return not is_taken and self.log.is_behind(batch)
 
     def _note_store(self) -> None:
         """Tell the reader what the sources say of the store."""
@@ -136,7 +137,7 @@
             self._reader.regain()
 
     def _take(self, batch: storelog.Batch) -> bool:
-        """Take in a batch from wherever it comes, and pass it on."""
+        """Take in a batch from wherever it comes; returns whether it says more."""
         with self._lock:
             if not self.log.take(batch):
                 return False
@@ -145,10 +146,13 @@
                 self._reader.replace(storedobjects.Listing(listed, batch.at))
             elif batch.changes:
                 self._reader.apply(storedobjects.Changes(batch.changes, batch.at))
-        if self._relayer is not None and (batch.is_whole or batch.changes):
-            self._relayer.publish(self.kind)
         return True
 
+    def _publish(self) -> None:
+        """Pass on what is new, or that the store has answered."""
+        if self._relayer is not None:
+            self._relayer.publish(self.kind)
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             if not self.relays.must_read(time.monotonic()):
@@ -186,6 +190,7 @@
         self._note_answer()
         self._lists = False
         self._take(batch)
+        self._publish()
         if batch.changes:
             self._stopped.wait(self.relays.gather_seconds())
 
@@ -211,6 +216,6 @@
                 kind=self.kind,
                 error=str(error),
             )
-        most = PAUSE_MAX if self.relays.is_source else PAUSE_MAX_OTHERS
+        most = PAUSE_MAX if self.relays.duties.is_reader else PAUSE_MAX_OTHERS
         longest = min(most, PAUSE_FIRST * 2 ** min(self._failures, 6))
         self._stopped.wait(longest * self._random.uniform(0.5, 1.0))
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -1,7 +1,9 @@
 """The kernel service ``relays``: what the store says, passed between routers.
 
-A router that does not read the store asks its sources, again every second; they tell
-it what changes, and how old their knowledge is.
+A router asks its sources, again every second; they tell it what changes, and how old
+their knowledge is. Who is a source of whom is worked out anew when the membership
+changes; a router that has just started goes by the store's list of routers until it
+has met the others.
 """
 
 from __future__ import annotations
@@ -17,9 +19,10 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from celeryspan.gateway import followers
+    from celeryspan.platform import routers
     from celeryspan.services import identity, links, membership
 
 TICK_SECONDS = 0.2
@@ -30,6 +33,10 @@
 SERVED_SECONDS = 3.5
 """How long a router that has asked is told news: three lost questions."""
 
+LISTED_SECONDS = 4.0
+"""How long after its start a router also counts those that the store lists: by then it
+has met those that live."""
+
 
 @dataclasses.dataclass(slots=True)
 class _Listener:
@@ -41,11 +48,14 @@
         Revision up to which it was told.
     until, told_at : float
         When it is no longer told unless it asks again; the last word to it.
+    answered_at : float
+        The last answer of the store that it was told of.
     """
 
     above: int
     until: float
     told_at: float = float("-inf")
+    answered_at: float = float("-inf")
 
 
 @kernel.register("relays", needs=("identity", "links", "membership"))
@@ -56,7 +66,13 @@
         self._identity: identity.IdentityService = box.find("identity")
         self._links: links.LinksService = box.find("links")
         self._membership: membership.MembershipService = box.find("membership")
-        self._data_centre = box.settings.data_centre
+        self._data_centre = ids.DataCentreId(box.settings.data_centre)
+        own_address = box.settings.peer_address
+        self._has_seeds = any(peer != own_address for peer in box.settings.peers)
+        self._listed: dict[ids.RouterId, ids.DataCentreId] = {}
+        self._is_settled = False
+        self._listed_until = time.monotonic() + LISTED_SECONDS
+        self._is_changed = True
         self._followers: dict[str, followers.Follower] = {}
         self._listeners: dict[tuple[ids.RouterId, str], _Listener] = {}
         self._asked_at: dict[tuple[ids.RouterId, str], float] = {}
@@ -68,6 +84,7 @@
         """Begin to ask and to tell."""
         self._links.subscribe(messages.RelayRequest, self._take_request)
         self._links.subscribe(messages.RelayBatch, self._take_batch)
+        self._membership.subscribe(lambda _: self._note_change())
         self._thread.start()
 
     def stop(self) -> None:
@@ -80,9 +97,10 @@
         now = time.monotonic()
         return {
             kind: {
-                "sources": list(follower.relays.sources),
+                "readers": list(follower.relays.duties.readers),
+                "sources": list(follower.relays.duties.sources),
                 "revision": follower.log.at,
-                "age": round(follower.measure_age(now), 2),
+                "age": round(now - follower.answered_at(), 2),
                 "is_away": follower.is_away,
             }
             for kind, follower in self._followers.items()
@@ -92,12 +110,29 @@
         """Pass on what a follower takes in, and tell it what others know."""
         self._followers[follower.kind] = follower
 
+    def note_listed(self, listed: Mapping[ids.RouterId, routers.RouterEntry]) -> None:
+        """Take in the routers that the store lists, which may long be gone."""
+        for router, entry in listed.items():
+            if self._membership.find(router) is None:
+                self._links.learn(router, entry.peer_address)
+        self._listed = {router: entry.data_centre for router, entry in listed.items()}
+        self._is_settled |= not self._has_seeds or len(listed) > 1
+        self._note_change()
+
     def publish(self, kind: str) -> None:
-        """Tell news to all who listen."""
+        """Tell those who listen what is new, or that the store has answered."""
+        now = time.monotonic()
+        follower = self._followers[kind]
+        answered_at = follower.answered_at()
         with self._lock:
             for (router, listened), listener in self._listeners.items():
-                if listened == kind:
-                    self._tell(router, kind, listener, time.monotonic())
+                if listened != kind:
+                    continue
+                fresher = answered_at - listener.answered_at
+                if fresher >= relays.FRESHER_SECONDS or follower.log.has_news(
+                    listener.above
+                ):
+                    self._tell(router, kind, listener, now)
 
     def _tell(
         self, router: ids.RouterId, kind: str, listener: _Listener, now: float
@@ -108,12 +143,13 @@
         if batch is None:
             return
         listener.above, listener.told_at = batch.at, now
+        listener.answered_at = follower.answered_at()
         message = messages.RelayBatch(
             kind=kind,
             above=batch.above,
             at=batch.at,
             is_whole=batch.is_whole,
-            age=follower.measure_age(now),
+            age=now - listener.answered_at,
             is_away=follower.is_away,
             body=pack(batch.changes) if batch.changes else b"",
         )
@@ -139,7 +175,7 @@
         changes = unpack(message.body) if message.body else ()
         batch = storelog.Batch(message.above, message.at, changes, message.is_whole)
         lacks = follower.hear(peer, batch, message.age, is_away=message.is_away)
-        if lacks and peer in follower.relays.sources:
+        if lacks and peer in follower.relays.duties.sources:
             self._ask(peer, follower, time.monotonic())
 
     def _ask(
@@ -159,30 +195,48 @@
                 events.log(events.Event.TASK_FAILED, task="relays", error=repr(error))
 
     def _tick(self, now: float) -> None:
-        beside = self._list_beside()
+        if self._is_changed or self._listed:
+            self._is_changed = False
+            self._divide(now)
         for follower in self._followers.values():
-            if follower.relays.set_routers(self._data_centre, beside):
+            follower.relays.forget(now)
+            self._ask_again(follower, now)
+        self._tell_again(now)
+
+    def _note_change(self) -> None:
+        self._is_changed = True
+
+    def _divide(self, now: float) -> None:
+        """Work out who reads the store and who relays."""
+        if now >= self._listed_until:
+            self._listed = {}
+        own = self._identity.router
+        duties = relays.choose_duties(
+            own, self._list_staying() | {own: self._data_centre}
+        )
+        for follower in self._followers.values():
+            if follower.relays.duties != duties:
                 events.log(
                     events.Event.STORE_READERS_CHANGED,
                     kind=follower.kind,
-                    readers=list(follower.relays.sources),
+                    readers=list(duties.readers),
+                    sources=list(duties.sources),
                 )
-            follower.relays.forget(now)
-            if not follower.relays.is_source:
-                self._ask_again(follower, now)
-        self._tell_again(now)
+            follower.relays.set_duties(duties, is_settled=self._is_settled)
 
-    def _list_beside(self) -> list[ids.RouterId]:
-        """Return the routers of this data centre that take part and stay."""
+    def _list_staying(self) -> dict[ids.RouterId, ids.DataCentreId]:
+        """Return the routers that take part and stay, or may, and where they are."""
         staying = (states.MemberState.ALIVE, states.MemberState.SUSPECT)
-        return [
-            member.router
-            for member in self._membership.members()
-            if member.data_centre == self._data_centre and member.state in staying
-        ]
+        found = dict(self._listed)
+        for member in self._membership.members():
+            if member.state in staying:
+                found[member.router] = member.data_centre
+            else:
+                found.pop(member.router, None)
+        return found
 
     def _ask_again(self, follower: followers.Follower, now: float) -> None:
-        for source in follower.relays.sources:
+        for source in follower.relays.duties.sources:
             asked_at = self._asked_at.get((source, follower.kind), float("-inf"))
             if now - asked_at >= ASK_SECONDS:
                 self._ask(source, follower, now)
--- a/tests/gateway/test_followers.py
+++ b/tests/gateway/test_followers.py
@@ -89,10 +89,10 @@
 
 
 @pytest.mark.parametrize(
-    ("is_source", "calls_max"), [(True, 1 + 10 + 3), (False, 1 + 2 + 3)]
+    ("is_reader", "calls_max"), [(True, 1 + 10 + 3), (False, 1 + 2 + 3)]
 )
 def test_servers_that_start_in_a_row_cost_few_calls(
-    is_source: bool, calls_max: int
+    is_reader: bool, calls_max: int
 ) -> None:
     """A hundred servers start within a second; each start ended a paid call.
 
@@ -101,20 +101,15 @@
     """
     clock = Clock()
     store, known = ChangingStore(clock), Known()
-    follower = followers.Follower(store, "servers", known, ids.RouterId("edge-1"))
-    if not is_source:
-        # Two of the others read for this one; it has not heard them yet.
-        others = [ids.RouterId(f"edge-{number}") for number in range(1, 30)]
-        own = next(each for each in others if not _is_source(each, others))
-        follower.relays = relays.Relays(own)
-        follower.relays.set_routers("hala-a", others)
+    own = ids.RouterId("edge-1")
+    follower = followers.Follower(store, "servers", known, own)
+    # The router has waited for a word of others in vain.
+    follower.relays = relays.Relays(own, -10.0, 2.0)
+    if not is_reader:
+        follower.relays.set_duties(
+            relays.Duties(("edge-2",), ("edge-2",), is_reader=False, is_relay=True)
+        )
     follower._stopped = VirtualEvent(clock, 3.0)
     follower._run()
     assert len(known.servers) == CHANGES
     assert store.calls <= calls_max
-
-
-def _is_source(router: ids.RouterId, routers: list[ids.RouterId]) -> bool:
-    found = relays.Relays(router)
-    found.set_routers("hala-a", routers)
-    return found.is_source
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -61,9 +61,17 @@
 
 def test_router_entry_is_read_as_it_was_written() -> None:
     address = ids.Address("10.0.0.1", 8785)
-    assert routers.read(store(routers.write(address, ids.Incarnation(5)))) == address
+    entry = routers.RouterEntry(address, ids.DataCentreId("hala-a"))
+    assert routers.read(store(routers.write(entry))) == entry
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [{}, {"peer_address": "10.0.0.1:8785"}, {"peer_address": 5, "data_centre": "a"}],
+)
+def test_malformed_router_entry_names_the_object(spec: object) -> None:
     with pytest.raises(errors.InputError):
-        routers.read(store({}, "edge-1"))
+        routers.read(store(spec, "edge-1"))
 
 
 def test_headers_of_a_request_become_typed_values() -> None:
