--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Iterable, Sequence
 
+import msgspec
+
 from bench.engines import engine, loads, policies, site
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import pools
@@ -193,7 +195,7 @@
         self._order = itertools.count()
         self._agenda: list[tuple] = []
         for each in asked:
-            ask = dataclasses.replace(each.ask, stride=place.stride)
+            ask = msgspec.structs.replace(each.ask, stride=place.stride)
             self._plan(each.at + place.message_seconds, "ask", ask)
 
     def play(self, until: float) -> Result:
@@ -213,7 +215,7 @@
         heapq.heappush(self._agenda, (at, next(self._order), kind, value))
 
     def _do_ask(self, ask: messages.SlotRequest, now: float) -> None:
-        asked = dataclasses.replace(ask, waited=self._site.message_seconds)
+        asked = msgspec.structs.replace(ask, waited=self._site.message_seconds)
         self._tell(self._pool.ask(ROUTER, asked, now), now)
 
     def _do_tick(self, _: None, now: float) -> None:
--- a/bench/one_router.py
+++ b/bench/one_router.py
@@ -14,6 +14,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from celeryspan import dispatch, ids
 from celeryspan.decisions import admission, outliers, queueing, retries, routing
 
@@ -355,7 +357,7 @@
         """Let a prompt go to the rendezvous of its prefix only."""
         best = max(self.servers, key=lambda name: routing.rank(name, work.prefix[0]))
         others = frozenset(name for name in self.servers if name != best)
-        return dataclasses.replace(work, excluded=others)
+        return msgspec.structs.replace(work, excluded=others)
 
     def _send(self, server: Server, entry: queueing.Entry) -> None:
         record, attempt = self._by_request.pop(entry.work.request)
--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable, Iterator
 from typing import Protocol, TypeVar
 
+import msgspec
 from urllib3 import connection as urllib3_connection, response as urllib3_response
 
 from celeryspan import calls, errors, ids, states
@@ -38,16 +38,14 @@
     """The backend server has no such stream to give; asking again won't help."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Head:
+class Head(msgspec.Struct, frozen=True):
     """Status and headers of an answer."""
 
     status: int
     headers: tuple[tuple[str, str], ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Tokens:
+class Tokens(msgspec.Struct, frozen=True):
     """Some tokens of a stream.
 
     Attributes
@@ -60,8 +58,7 @@
     texts: tuple[str, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finished:
+class Finished(msgspec.Struct, frozen=True):
     """The end of a whole stream.
 
     Attributes
--- a/celeryspan/adapters/routers.py
+++ b/celeryspan/adapters/routers.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 from typing import Any
 
+import msgspec
 import urllib3
 
 from celeryspan import errors
@@ -14,16 +14,14 @@
 """Greatest wait for a router's answer; one that takes longer is shown as silent."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AddressAnswer:
+class AddressAnswer(msgspec.Struct, frozen=True):
     """Which addresses callers should use, nearest first, and for how long."""
 
     addresses: tuple[str, ...]
     keep_seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """What one router believes about another.
 
     Attributes
@@ -37,8 +35,7 @@
     address: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Report:
+class Report(msgspec.Struct, frozen=True):
     """What one router says of itself.
 
     Attributes
--- a/celeryspan/adapters/vmlist.py
+++ b/celeryspan/adapters/vmlist.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 
+import msgspec
 import urllib3
 
 from celeryspan import errors, states
@@ -13,8 +13,7 @@
 """As for the object API, which stands at the same address."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ListedVM:
+class ListedVM(msgspec.Struct, frozen=True):
     """One VM as the platform lists it."""
 
     name: str
--- a/celeryspan/calls.py
+++ b/celeryspan/calls.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import threading
 from collections.abc import Callable
 
+import msgspec
+
 from celeryspan import ids
 
 # Methods that RFC 9110 calls safe. PUT and DELETE are idempotent by the RFC, but
@@ -71,8 +72,7 @@
             callback()
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Call:
+class Call(msgspec.Struct, frozen=True, kw_only=True):
     """One request of a client account to a service.
 
     Attributes
@@ -102,11 +102,10 @@
     body: bytes = b""
     hint: float | None = None
     prefix: tuple[int, ...] = ()
-    presence: Presence = dataclasses.field(default_factory=Presence)
+    presence: Presence = msgspec.field(default_factory=Presence)
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ChatCall(Call):
+class ChatCall(Call, frozen=True, kw_only=True):
     """A request to a model engine.
 
     Attributes
--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -6,10 +6,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 import functools
 
+import msgspec
 import xxhash
 
 from celeryspan import ids
@@ -26,16 +26,14 @@
     STREAM = "stream"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Target:
+class Target(msgspec.Struct, frozen=True):
     """A service that gets a share of the requests of a route."""
 
     service: ids.ServiceId
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Route:
+class Route(msgspec.Struct, frozen=True):
     """Where requests of one host and path prefix go, and how they are treated.
 
     Attributes
@@ -90,8 +88,7 @@
         return self.targets[-1].service
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Engine:
+class Engine(msgspec.Struct, frozen=True):
     """What is known of the model engines of a service.
 
     Attributes
@@ -115,8 +112,7 @@
     copy_token_seconds: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Service:
+class Service(msgspec.Struct, frozen=True):
     """A service; ``engine`` is None for plain services."""
 
     name: ids.ServiceId
@@ -124,8 +120,7 @@
     engine: Engine | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(msgspec.Struct, frozen=True):
     """Bounds on what callers send.
 
     Attributes
@@ -143,8 +138,7 @@
     tokens_per_second: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Catalogue:
+class Catalogue(msgspec.Struct, frozen=True, dict=True):
     """One version of the configuration.
 
     Attributes
@@ -185,8 +179,7 @@
         return None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerEntry:
+class ServerEntry(msgspec.Struct, frozen=True):
     """A backend server as it last described itself.
 
     Attributes
--- a/celeryspan/client.py
+++ b/celeryspan/client.py
@@ -8,13 +8,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import random
 import time
 from collections.abc import Iterator, Sequence
 from typing import Any
 
+import msgspec
 import urllib3
 
 from celeryspan import addressbook, calls, errors, states
@@ -48,8 +48,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(msgspec.Struct, frozen=True):
     """A whole answer.
 
     Attributes
@@ -68,8 +67,7 @@
         return json.loads(self.body)
 
 
-@dataclasses.dataclass(slots=True)
-class _Request:
+class _Request(msgspec.Struct):
     """One request while it is being asked for.
 
     Attributes
--- a/celeryspan/daemons/demo.py
+++ b/celeryspan/daemons/demo.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import json
 import os
 import statistics
 import time
 
+import msgspec
 import rich.console
 import rich.live
 import rich.table
@@ -69,8 +69,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
+class Verdict(msgspec.Struct, frozen=True):
     """What the demo has found; the last line of its output."""
 
     asked: int
@@ -185,7 +184,7 @@
         for line in faults:
             console.print(line)
         verdict = demo.judge()
-        print(json.dumps(dataclasses.asdict(verdict)), flush=True)
+        print(json.dumps(msgspec.structs.asdict(verdict)), flush=True)
     return registry.Exit.FAILED if faults else registry.Exit.DONE
 
 
--- a/celeryspan/daemons/registry.py
+++ b/celeryspan/daemons/registry.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 from collections.abc import Callable
 
+import msgspec
 from absl import flags
 
 from celeryspan import errors
@@ -37,8 +37,7 @@
 Definer = Callable[[flags.FlagValues], None]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Command:
+class Command(msgspec.Struct, frozen=True):
     """One command of the command line.
 
     Attributes
--- a/celeryspan/decisions/admission.py
+++ b/celeryspan/decisions/admission.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from celeryspan import dispatch, errors, ids
 from celeryspan.decisions import queueing
 
@@ -65,8 +66,7 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Refused:
+class Refused(msgspec.Struct, frozen=True):
     """A request that was not run and will not be.
 
     Attributes
@@ -90,8 +90,7 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Admitted:
+class Admitted(msgspec.Struct, frozen=True):
     """A request that waits now.
 
     Attributes
@@ -107,8 +106,7 @@
 Verdict = Admitted | Refused
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Bounds:
+class Bounds(msgspec.Struct, frozen=True):
     """How much may wait at one router."""
 
     waiting: int = MAX_WAITING
--- a/celeryspan/decisions/beliefs.py
+++ b/celeryspan/decisions/beliefs.py
@@ -9,8 +9,7 @@
 
 from __future__ import annotations
 
-import dataclasses
-
+import msgspec
 import xxhash
 
 from celeryspan import ids, states
@@ -31,8 +30,7 @@
 """States in which a router answers: one that is leaving still finishes its work."""
 
 
-@dataclasses.dataclass(slots=True)
-class Belief:
+class Belief(msgspec.Struct):
     """The winning statement about one router.
 
     Attributes
@@ -64,7 +62,7 @@
 
     def list_all(self) -> list[Belief]:
         """Return a copy of each belief."""
-        return [dataclasses.replace(belief) for belief in self._beliefs.values()]
+        return [msgspec.structs.replace(belief) for belief in self._beliefs.values()]
 
     def select(self, *chosen: states.MemberState) -> list[messages.Member]:
         """Return the members in the given states; all if none is given."""
@@ -94,7 +92,7 @@
         if rank(member) == rank(belief.member):
             generation = max(member.generation, belief.member.generation)
             if generation != belief.member.generation:
-                belief.member = dataclasses.replace(
+                belief.member = msgspec.structs.replace(
                     belief.member, generation=generation
                 )
         return False
--- a/celeryspan/decisions/claims.py
+++ b/celeryspan/decisions/claims.py
@@ -13,11 +13,12 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import enum
 import hashlib
 from typing import NamedTuple
 
+import msgspec
+
 from celeryspan import ids, states
 from celeryspan.decisions import tickets
 
@@ -62,8 +63,7 @@
     text: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """An answer as it was given, to be given again."""
 
     status: int
@@ -78,8 +78,7 @@
     incarnation: ids.Incarnation
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
+class Claim(msgspec.Struct, frozen=True):
     """What stands in the object API for a key.
 
     Attributes
@@ -115,8 +114,7 @@
     SETTLED = "settled"
 
 
-@dataclasses.dataclass(slots=True)
-class Record:
+class Record(msgspec.Struct):
     """What is known about one name.
 
     Attributes
--- a/celeryspan/decisions/demand.py
+++ b/celeryspan/decisions/demand.py
@@ -10,9 +10,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.wire import messages
 
@@ -24,8 +25,7 @@
 FORGET_SECONDS = 60.0
 
 
-@dataclasses.dataclass(slots=True)
-class Waiting:
+class Waiting(msgspec.Struct):
     """The last report of a router for one service and account.
 
     Attributes
--- a/celeryspan/decisions/descriptors.py
+++ b/celeryspan/decisions/descriptors.py
@@ -16,9 +16,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 from collections.abc import Hashable, Sequence
 
+import msgspec
+
 RESERVED = 200
 """For files, the log, the store and the poll objects: the platform counts as many."""
 
@@ -44,8 +45,7 @@
 0.23 ms of a core at 1,365 of them and 3.5 ms at 20,000."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Budget:
+class Budget(msgspec.Struct, frozen=True):
     """Greatest numbers of connections of one process, by use.
 
     What is left, 35 of 100 and at least 1,300 where there are 4,100, is for links to
--- a/celeryspan/decisions/engines.py
+++ b/celeryspan/decisions/engines.py
@@ -12,16 +12,16 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 if TYPE_CHECKING:
     from celeryspan import catalog
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineModel:
+class EngineModel(msgspec.Struct, frozen=True):
     """Times of one engine.
 
     Attributes
--- a/celeryspan/decisions/generations.py
+++ b/celeryspan/decisions/generations.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from celeryspan import ids
 
 NONE = ids.Generation(0)
@@ -29,8 +30,7 @@
     OLD = "old"
 
 
-@dataclasses.dataclass(slots=True)
-class Generations:
+class Generations(msgspec.Struct):
     """The generation in force on one router.
 
     Attributes
--- a/celeryspan/decisions/grants.py
+++ b/celeryspan/decisions/grants.py
@@ -14,10 +14,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from celeryspan import ids
@@ -55,8 +55,7 @@
 OWED_COSTS = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Issued:
+class Issued(msgspec.Struct, frozen=True):
     """A grant and the router that it must be sent to."""
 
     router: ids.RouterId
--- a/celeryspan/decisions/homes.py
+++ b/celeryspan/decisions/homes.py
@@ -15,10 +15,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import heapq
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from celeryspan import ids
@@ -36,8 +36,7 @@
 SAMPLE_SIZE = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Move:
+class Move(msgspec.Struct, frozen=True):
     """A backend server whose home changes."""
 
     server: ids.ServerId
--- a/celeryspan/decisions/leases.py
+++ b/celeryspan/decisions/leases.py
@@ -25,11 +25,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import json
 import math
 
+import msgspec
+
 from celeryspan import errors
 
 LEASE_SECONDS = 15.0
@@ -57,8 +58,7 @@
     UPDATE = "update"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Record:
+class Record(msgspec.Struct, frozen=True):
     """The value of a lease object.
 
     Attributes
@@ -77,7 +77,7 @@
 
     def encode(self) -> bytes:
         """Return the value of the object."""
-        return json.dumps(dataclasses.asdict(self)).encode()
+        return json.dumps(msgspec.structs.asdict(self)).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> Record:
@@ -97,8 +97,7 @@
             raise errors.InputError(f"not a lease: {error!r}") from error
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Call:
+class Call(msgspec.Struct, frozen=True):
     """One call of the store; ``version`` is what an update replaces."""
 
     step: Step
--- a/celeryspan/decisions/limits.py
+++ b/celeryspan/decisions/limits.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.decisions import pacing
 
@@ -47,8 +48,7 @@
 """Weight kept by earlier streams in the mean time between tokens."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(msgspec.Struct, frozen=True):
     """What a backend server says about itself.
 
     Attributes
--- a/celeryspan/decisions/loading.py
+++ b/celeryspan/decisions/loading.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 LOAD_SECONDS = 10.0
 """Least time between the beginnings of two loads."""
 
@@ -29,8 +30,7 @@
     ROLE = "role"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Wanted:
+class Wanted(msgspec.Struct, frozen=True):
     """What an engine should have loaded and be; empty texts are no wish."""
 
     model: str
@@ -39,8 +39,7 @@
     role: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineState:
+class EngineState(msgspec.Struct, frozen=True):
     """What an engine reports of itself."""
 
     model: str
--- a/celeryspan/decisions/membership.py
+++ b/celeryspan/decisions/membership.py
@@ -20,11 +20,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import random
 from collections.abc import Iterable
 
+import msgspec
+
 from celeryspan import ids, states
 from celeryspan.decisions import beliefs, probing, statements
 from celeryspan.wire import messages
@@ -157,7 +158,7 @@
             return []
         leaving = target.state is states.MemberState.LEAVING
         state = states.MemberState.DEAD if leaving else states.MemberState.SUSPECT
-        doubted = dataclasses.replace(target, state=state)
+        doubted = msgspec.structs.replace(target, state=state)
         self.learn(doubted, now, self.own.router)
         return [self._send(doubted)]
 
@@ -166,7 +167,7 @@
         limit = suspicion_seconds(len(self.beliefs))
         for member in self.beliefs.select(states.MemberState.SUSPECT):
             if now - self.beliefs.find(member.router).since >= limit:
-                dead = dataclasses.replace(member, state=states.MemberState.DEAD)
+                dead = msgspec.structs.replace(member, state=states.MemberState.DEAD)
                 self.learn(dead, now, self.own.router)
         for member in self.beliefs.select(states.MemberState.DEAD):
             if now - self.beliefs.find(member.router).since >= FORGET_SECONDS:
--- a/celeryspan/decisions/outages.py
+++ b/celeryspan/decisions/outages.py
@@ -12,9 +12,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 
+import msgspec
+
 RATE = 1.0
 """Background calls a second that one router may make for long: 1,300 of them stay
 under the two thousand reads a second that the store takes."""
@@ -29,8 +30,7 @@
 """Greatest wait between two attempts of one router, in seconds."""
 
 
-@dataclasses.dataclass(slots=True)
-class Budget:
+class Budget(msgspec.Struct):
     """Token bucket of the calls of one router.
 
     Attributes
@@ -43,8 +43,8 @@
 
     rate: float = RATE
     burst: float = BURST
-    _saved: float = dataclasses.field(default=-1.0, init=False)
-    _since: float = dataclasses.field(default=0.0, init=False)
+    _saved: float = -1.0
+    _since: float = 0.0
 
     def take(self, now: float) -> bool:
         """Take one call if one is left."""
@@ -59,8 +59,7 @@
         return True
 
 
-@dataclasses.dataclass(slots=True)
-class Breaker:
+class Breaker(msgspec.Struct):
     """Holds calls back while the store does not answer.
 
     One call after each wait goes through to try the store; all others are refused at
@@ -74,7 +73,7 @@
     """
 
     failures: int = 0
-    _closed_until: float = dataclasses.field(default=0.0, init=False)
+    _closed_until: float = 0.0
 
     def admits(self, now: float) -> bool:
         """Whether a call may be sent; while failing, reserves the one attempt."""
--- a/celeryspan/decisions/outliers.py
+++ b/celeryspan/decisions/outliers.py
@@ -14,10 +14,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import statistics
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.decisions import pacing
 
@@ -63,8 +64,7 @@
     TRIAL = "trial"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """A server's standing changed."""
 
     server: ids.ServerId
@@ -72,8 +72,7 @@
     reason: str
 
 
-@dataclasses.dataclass(slots=True)
-class _Server:
+class _Server(msgspec.Struct):
     standing: Standing = Standing.GOOD
     samples: float = 0.0
     failures: float = 0.0
--- a/celeryspan/decisions/pacing.py
+++ b/celeryspan/decisions/pacing.py
@@ -13,12 +13,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pace:
+
+class Pace(msgspec.Struct, frozen=True):
     """Rate limit of one loop.
 
     Attributes
--- a/celeryspan/decisions/placement.py
+++ b/celeryspan/decisions/placement.py
@@ -18,10 +18,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from collections.abc import Mapping
 
+import msgspec
+
 from celeryspan import ids
 
 STEADY_SECONDS = 20.0
@@ -41,8 +42,7 @@
 """Work waits for want of servers if more than this many requests wait for each slot."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pressure:
+class Pressure(msgspec.Struct, frozen=True):
     """What the fleet reports of one service.
 
     Attributes
@@ -70,16 +70,14 @@
         return self.waiting == 0 and left > 0 and self.busy <= left * (1 - SPARE_PART)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placed:
+class Placed(msgspec.Struct, frozen=True):
     """A model server as it is placed now."""
 
     service: ids.ServiceId
     slots: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Move:
+class Move(msgspec.Struct, frozen=True):
     """Let a server load the model of another service."""
 
     server: ids.ServerId
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -23,12 +23,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 import statistics
 from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
+import msgspec
 import xxhash
 
 from celeryspan import catalog, ids, states
@@ -356,7 +356,7 @@
         target = migration.choose_target(source, self._list_for(False, now), now)
         if target is None:
             return None
-        moved = dataclasses.replace(run, read=0.0, is_long=False)
+        moved = msgspec.structs.replace(run, read=0.0, is_long=False)
         target.add(request, moved, now)
         target.cache.use(run.parts, now)
         return target.entry.server
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -18,10 +18,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections.abc import Iterable, Sequence
 
+import msgspec
+
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import accountshares, placing, poolservers
 from celeryspan.wire import messages
@@ -54,8 +55,7 @@
 RETRY_SECONDS_MIN = 0.05
 
 
-@dataclasses.dataclass(slots=True)
-class Task:
+class Task(msgspec.Struct):
     """A request that waits.
 
     Attributes
@@ -80,8 +80,7 @@
         return ask.prompt_tokens + OUTPUT_WEIGHT * ask.output_tokens or 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Answer:
+class Answer(msgspec.Struct, frozen=True):
     """What a router is told, and what decided it.
 
     Attributes
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -7,10 +7,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import promptcache, serverhealth
 
@@ -47,8 +48,7 @@
 CALL_MEMORY = 0.1
 
 
-@dataclasses.dataclass(slots=True)
-class Run:
+class Run(msgspec.Struct):
     """A place in use.
 
     Attributes
--- a/celeryspan/decisions/preemption.py
+++ b/celeryspan/decisions/preemption.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import ids
 
 if TYPE_CHECKING:
@@ -30,8 +31,7 @@
 PACE_SECONDS = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stream:
+class Stream(msgspec.Struct, frozen=True):
     """A request in progress whose stream can be cancelled and resumed.
 
     Attributes
--- a/celeryspan/decisions/probing.py
+++ b/celeryspan/decisions/probing.py
@@ -11,10 +11,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.wire import messages
 
@@ -33,8 +34,7 @@
 misses all of two direct and three indirect probes once in 40 million."""
 
 
-@dataclasses.dataclass(slots=True)
-class Probe:
+class Probe(msgspec.Struct):
     """A probe under way; ``target`` is None towards an address never heard."""
 
     target: messages.Member | None
@@ -42,8 +42,7 @@
     helped: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Relay:
+class Relay(msgspec.Struct, frozen=True):
     """A probe sent for another router."""
 
     asker: ids.Address
@@ -52,8 +51,7 @@
     sent_at: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Overdue:
+class Overdue(msgspec.Struct, frozen=True):
     """Probes that need help now, and targets that did not answer at all."""
 
     unanswered: tuple[tuple[int, messages.Member], ...]
--- a/celeryspan/decisions/queueing.py
+++ b/celeryspan/decisions/queueing.py
@@ -17,10 +17,11 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import heapq
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from celeryspan import dispatch, ids
 from celeryspan.decisions import drain
 from celeryspan.wire import messages
@@ -53,8 +54,7 @@
 """Cost units saved if a request ran on the granted server rather than elsewhere."""
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
+class Entry(msgspec.Struct):
     """A request that waits or holds a grant.
 
     Attributes
@@ -162,7 +162,7 @@
         queue = self._queues.get((service, account))
         for entry in queue.entries.values() if queue else ():
             left = entry.work.excluded - {server}
-            entry.work = dataclasses.replace(entry.work, excluded=left)
+            entry.work = msgspec.structs.replace(entry.work, excluded=left)
 
     def restore(self, request: ids.RequestId, now: float) -> None:
         """Put a picked request back in front: its grant ended before it was sent."""
--- a/celeryspan/decisions/relays.py
+++ b/celeryspan/decisions/relays.py
@@ -20,9 +20,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Mapping
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.decisions import watchers
 
@@ -71,8 +72,7 @@
 the two: those that wait in vain must not come to the store together."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Duties:
+class Duties(msgspec.Struct, frozen=True):
     """Who reads the store, and whom one router hears.
 
     Attributes
@@ -123,8 +123,7 @@
     return tuple([*first, *others][:READERS])
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Word:
+class Word(msgspec.Struct, frozen=True):
     """What another router has said of the store.
 
     Attributes
--- a/celeryspan/decisions/retries.py
+++ b/celeryspan/decisions/retries.py
@@ -13,9 +13,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 
+import msgspec
+
 from celeryspan import ids, states
 
 MAX_ATTEMPTS = 3
@@ -39,8 +40,7 @@
     MAYBE = "maybe"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Attempt:
+class Attempt(msgspec.Struct, frozen=True):
     """A failed attempt.
 
     Attributes
@@ -64,15 +64,13 @@
     answering: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Retry:
+class Retry(msgspec.Struct, frozen=True):
     """Try again on another server after a wait, in seconds."""
 
     delay: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GiveUp:
+class GiveUp(msgspec.Struct, frozen=True):
     """Answer the caller now, with what is known about the outcome."""
 
     outcome: states.Outcome
--- a/celeryspan/decisions/routing.py
+++ b/celeryspan/decisions/routing.py
@@ -18,10 +18,10 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import random
 from collections.abc import Callable, Iterable, Sequence
 
+import msgspec
 import xxhash
 
 from celeryspan import dispatch, ids
@@ -46,8 +46,7 @@
 window is full: about the time in which the next slot falls free."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CacheEvent:
+class CacheEvent(msgspec.Struct, frozen=True):
     """A block of a prompt that a server has stored or evicted."""
 
     sequence: int
@@ -55,8 +54,7 @@
     block: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
+class Candidate(msgspec.Struct, frozen=True):
     """A server with room for a request.
 
     Attributes
--- a/celeryspan/decisions/serverhealth.py
+++ b/celeryspan/decisions/serverhealth.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 ROW_MAX = 3
 """Failures in a row that rest a server: by chance, with one in seven failing as some
@@ -24,8 +24,7 @@
 """Weight of the newest answer in the share of failures: about the last ten count."""
 
 
-@dataclasses.dataclass(slots=True)
-class ServerHealth:
+class ServerHealth(msgspec.Struct):
     """What the last answers of a server say.
 
     Attributes
--- a/celeryspan/decisions/shards.py
+++ b/celeryspan/decisions/shards.py
@@ -23,11 +23,11 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import math
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import TYPE_CHECKING
 
+import msgspec
 import xxhash
 
 from celeryspan import ids
@@ -68,8 +68,7 @@
     return 2 ** max(0, round(math.log2(servers / SERVERS_PER_SHARD)))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Division:
+class Division(msgspec.Struct, frozen=True):
     """How the servers of one service are divided now.
 
     Attributes
@@ -178,8 +177,7 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pressure:
+class Pressure(msgspec.Struct, frozen=True):
     """What a home has said of its shard.
 
     Attributes
--- a/celeryspan/decisions/sharing.py
+++ b/celeryspan/decisions/sharing.py
@@ -17,10 +17,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import ids
 from celeryspan.wire import messages
 
@@ -39,8 +40,7 @@
 Pending = messages.Pending
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(msgspec.Struct, frozen=True):
     """Everything that a router without state must learn from one peer.
 
     Attributes
--- a/celeryspan/decisions/slots.py
+++ b/celeryspan/decisions/slots.py
@@ -8,10 +8,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import math
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import ids
 
 if TYPE_CHECKING:
@@ -22,8 +23,7 @@
 RETURNED_SECONDS = 0.1
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class Held:
+class Held(msgspec.Struct, eq=False):
     """One slot in use, or granted and not yet used.
 
     Attributes
@@ -45,8 +45,7 @@
         return math.isinf(self.expires)
 
 
-@dataclasses.dataclass(slots=True)
-class Entry:
+class Entry(msgspec.Struct):
     """The slots of one server.
 
     Attributes
@@ -63,7 +62,7 @@
     window: int
     awaited: set[ids.RouterId]
     recovered_at: float
-    held: list[Held] = dataclasses.field(default_factory=list)
+    held: list[Held] = msgspec.field(default_factory=list)
     returned_at: float = -math.inf
 
     def is_open(self, now: float) -> bool:
--- a/celeryspan/decisions/statements.py
+++ b/celeryspan/decisions/statements.py
@@ -8,11 +8,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 import math
 import random
 
+import msgspec
+
 from celeryspan import ids, states
 from celeryspan.decisions import beliefs, gossip
 from celeryspan.wire import messages
@@ -40,16 +41,14 @@
     OUTDONE = "outdone"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Send:
+class Send(msgspec.Struct, frozen=True):
     """Send a datagram."""
 
     address: ids.Address
     batch: tuple[messages.Message, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Exchange:
+class Exchange(msgspec.Struct, frozen=True):
     """Exchange all beliefs with a peer over a link."""
 
     peer: ids.RouterId
@@ -85,7 +84,7 @@
 
     def set_generation(self, generation: ids.Generation) -> None:
         """Set the generation that this router has in force."""
-        self.own = dataclasses.replace(self.own, generation=generation)
+        self.own = msgspec.structs.replace(self.own, generation=generation)
 
     def alive(self) -> list[messages.Member]:
         """Return the routers that run, this one first; some may be leaving."""
@@ -97,7 +96,7 @@
 
     def leave(self, state: states.MemberState) -> list[Action]:
         """Say that this router is leaving, or is gone (``DEAD``)."""
-        self.own = dataclasses.replace(
+        self.own = msgspec.structs.replace(
             self.own, state=state, refutations=self.own.refutations + 1
         )
         return self.spread_now()
@@ -165,7 +164,7 @@
             return member
         if beliefs.rank(member)[:2] != beliefs.rank(before)[:2]:
             return member
-        return dataclasses.replace(member, state=states.MemberState.SUSPECT)
+        return msgspec.structs.replace(member, state=states.MemberState.SUSPECT)
 
     def _hear_of_self(
         self, member: messages.Member, now: float, sender: ids.RouterId
@@ -178,7 +177,7 @@
         if member.incarnation > self.own.incarnation:
             return self._hear_of_successor(member)
         refutations = member.refutations + 1
-        self.own = dataclasses.replace(self.own, refutations=refutations)
+        self.own = msgspec.structs.replace(self.own, refutations=refutations)
         self.changes.append((Change.REFUTED, self.own))
         self.gossip.put(self.own.router, self.own)
         known = self.beliefs.find(sender)
@@ -194,12 +193,14 @@
         """
         if member.peer_address == self.own.peer_address:
             incarnation = ids.Incarnation(member.incarnation + 1)
-            self.own = dataclasses.replace(self.own, incarnation=incarnation)
+            self.own = msgspec.structs.replace(self.own, incarnation=incarnation)
             self.changes.append((Change.OUTDONE, self.own))
             self.gossip.put(self.own.router, self.own)
             return self.spread_now()
         if self.own.state is states.MemberState.ALIVE:
-            self.own = dataclasses.replace(self.own, state=states.MemberState.LEAVING)
+            self.own = msgspec.structs.replace(
+                self.own, state=states.MemberState.LEAVING
+            )
             self.changes.append((Change.LEAVING, self.own))
         return []
 
--- a/celeryspan/decisions/storelog.py
+++ b/celeryspan/decisions/storelog.py
@@ -10,7 +10,8 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
+
+import msgspec
 
 from celeryspan import storedobjects
 
@@ -19,8 +20,7 @@
 second. A router that is further behind gets all objects."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
+class Batch(msgspec.Struct, frozen=True):
     """Changes that lead from one revision to another.
 
     Attributes
@@ -105,6 +105,6 @@
         """Add a batch; one without changes makes the one before it reach further."""
         last = self._batches[-1] if self._batches else None
         if last is not None and not batch.changes and batch.above <= last.at:
-            self._batches[-1] = dataclasses.replace(last, at=batch.at)
+            self._batches[-1] = msgspec.structs.replace(last, at=batch.at)
         else:
             self._batches.append(batch)
--- a/celeryspan/decisions/tickets.py
+++ b/celeryspan/decisions/tickets.py
@@ -11,11 +11,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 import hmac
 from collections.abc import Sequence
 
+import msgspec
+
 from celeryspan import errors, ids
 
 # How long a ticket may be used, in seconds. A caller asks for addresses, and with
@@ -35,8 +36,7 @@
 FORWARD = "f1"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ticket:
+class Ticket(msgspec.Struct, frozen=True):
     """Leave to run one request.
 
     Attributes
@@ -55,8 +55,7 @@
         return now - self.issued > VALID_SECONDS
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Forwarded:
+class Forwarded(msgspec.Struct, frozen=True):
     """Proof that a request was passed on by another router of the fleet."""
 
     router: ids.RouterId
--- a/celeryspan/dispatch.py
+++ b/celeryspan/dispatch.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import enum
 from typing import Protocol
 
+import msgspec
+
 from celeryspan import ids
 
 
@@ -23,8 +24,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class Work(msgspec.Struct, frozen=True):
     """A request as far as scheduling needs to know it.
 
     Attributes
--- a/celeryspan/documents.py
+++ b/celeryspan/documents.py
@@ -9,11 +9,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import hashlib
 import json
 import zlib
 
+import msgspec
 import pydantic
 
 from celeryspan import configuration, errors, ids
@@ -29,8 +29,7 @@
 10,000 servers; a small hostile value can't fill the memory."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Index:
+class Index(msgspec.Struct, frozen=True):
     """The index object.
 
     Attributes
@@ -51,7 +50,7 @@
 
     def encode(self) -> bytes:
         """Return the value of the index object."""
-        return json.dumps(dataclasses.asdict(self)).encode()
+        return json.dumps(msgspec.structs.asdict(self)).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> Index:
--- a/celeryspan/explanations.py
+++ b/celeryspan/explanations.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Callable, Iterable, Mapping
 
+import msgspec
+
 from celeryspan import errors, events, loglines
 
 Fields = Mapping[str, object]
@@ -133,8 +134,7 @@
     return [*told, f"so: {conclude(lines)}"]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Story:
+class _Story(msgspec.Struct, frozen=True):
     """The lines of one request by what they tell."""
 
     settled: loglines.Line | None
--- a/celeryspan/gateway/orders.py
+++ b/celeryspan/gateway/orders.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from typing import Protocol
 
+import msgspec
+
 from celeryspan import calls, catalog, ids
 from celeryspan.platform import requests
 
@@ -28,8 +29,7 @@
         """End the answer so that nobody takes it for whole."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Order:
+class Order(msgspec.Struct, frozen=True):
     """One request of a caller.
 
     Attributes
@@ -52,7 +52,7 @@
     body: bytes
     received_at: float
     deadline: float
-    presence: calls.Presence = dataclasses.field(default_factory=calls.Presence)
+    presence: calls.Presence = msgspec.field(default_factory=calls.Presence)
 
     @property
     def request(self) -> ids.RequestId:
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import errors, events, ids, kernel, states
 from celeryspan.decisions import shards
 from celeryspan.wire import messages
@@ -37,8 +38,7 @@
 """How long after its time a request is refused here if no home has done so."""
 
 
-@dataclasses.dataclass(slots=True)
-class Place:
+class Place(msgspec.Struct):
     """Leave to send one request to one server.
 
     Attributes
@@ -59,14 +59,13 @@
     migration: migrations.Migration | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
+class _Waiter(msgspec.Struct):
     ask: messages.SlotRequest
     home: ids.RouterId
     asked_at: float
     heard_at: float
     moves: int = 0
-    ready: threading.Event = dataclasses.field(default_factory=threading.Event)
+    ready: threading.Event = msgspec.field(default_factory=threading.Event)
     place: Place | None = None
     error: errors.NotRun | None = None
 
@@ -118,7 +117,7 @@
         """
         now = time.monotonic()
         pool = self._map.choose_pool(service, ask, now)
-        ask = dataclasses.replace(ask, pool=pool)
+        ask = msgspec.structs.replace(ask, pool=pool)
         waiter = _Waiter(ask, self._map.find_home(pool), now, now)
         with self._lock:
             self._waiters[ask.request] = waiter
@@ -240,10 +239,10 @@
             return []
         cancel = messages.SlotCancel(waiter.ask.request, waiter.ask.pool)
         before = (waiter.home, cancel)
-        waiter.ask = dataclasses.replace(waiter.ask, pool=pool)
+        waiter.ask = msgspec.structs.replace(waiter.ask, pool=pool)
         waiter.home, waiter.heard_at = home, now
         waited = waiter.ask.waited + now - waiter.asked_at
-        return [before, (home, dataclasses.replace(waiter.ask, waited=waited))]
+        return [before, (home, msgspec.structs.replace(waiter.ask, waited=waited))]
 
     def _move_place(
         self, place: Place, now: float
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -8,12 +8,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import events, ids, kernel, states, storedobjects
 from celeryspan.decisions import relays, storelog
 from celeryspan.wire import messages
@@ -38,8 +39,7 @@
 has met those that live."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Listener:
+class _Listener(msgspec.Struct):
     """A router that is told news of one kind.
 
     Attributes
--- a/celeryspan/loglines.py
+++ b/celeryspan/loglines.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 import pathlib
 import re
 from collections.abc import Iterable, Iterator, Mapping
 
+import msgspec
+
 from celeryspan import errors
 
 PREFIX = re.compile(r"^\s*(?:[-\d.]+\s+)?(\S+)\s+$")
@@ -22,8 +23,7 @@
 """Where one object ends and the next line begins, with what stands before it."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Line:
+class Line(msgspec.Struct, frozen=True):
     """One event as a router wrote it.
 
     Attributes
@@ -48,11 +48,10 @@
         return found if isinstance(found, str) else ""
 
 
-@dataclasses.dataclass(slots=True)
-class Log:
+class Log(msgspec.Struct):
     """Lines of several routers, and how many could not be read."""
 
-    lines: list[Line] = dataclasses.field(default_factory=list)
+    lines: list[Line] = msgspec.field(default_factory=list)
     unreadable: int = 0
 
 
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import dataclasses
 import json
 
+import msgspec
 import urllib3
 
 from celeryspan import errors, ids
@@ -24,8 +24,7 @@
 """The run has ended, or another call moves it already."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Copy:
+class Copy(msgspec.Struct, frozen=True):
     """A run that was stopped, with all that it has read.
 
     Attributes
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from collections.abc import Iterable, Mapping
 
+import msgspec
+
 from celeryspan import errors, ids
 from celeryspan.platform import names
 from celeryspan.wire import messages
@@ -43,8 +44,7 @@
 """Headers that this system sets; a caller's own are dropped."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Incoming:
+class Incoming(msgspec.Struct, frozen=True):
     """What a caller's headers say.
 
     Attributes
--- a/celeryspan/publishing.py
+++ b/celeryspan/publishing.py
@@ -7,11 +7,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import secrets
 import time
 from typing import Protocol
 
+import msgspec
+
 from celeryspan import configuration, documents, errors, ids, register, rules
 
 READ_BACK_TRIES = 5
@@ -37,8 +38,7 @@
         """Replace the value at a version; raise errors.Conflict."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Standing:
+class Standing(msgspec.Struct, frozen=True):
     """The configuration that stands in the object API.
 
     Attributes
--- a/celeryspan/services/claims.py
+++ b/celeryspan/services/claims.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-import dataclasses
 import itertools
 import threading
 import time
 from collections.abc import Callable, Iterator
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import calls, errors, ids, kernel, states
 from celeryspan.decisions import claims, tickets
 from celeryspan.services import answers, claimstore, exchange, forwarding, repeats
@@ -266,7 +267,7 @@
         finally:
             body.close()
             kept = body.whole and size <= claims.ANSWER_BYTES_MAX
-            answer = dataclasses.replace(answer, body=b"".join(pieces))
+            answer = msgspec.structs.replace(answer, body=b"".join(pieces))
             self._settle(name, states.Outcome.RAN, answer if kept else None)
 
     def _publish(
--- a/celeryspan/services/claimstore.py
+++ b/celeryspan/services/claimstore.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import base64
-import dataclasses
 import json
 import random
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import errors, events
 from celeryspan.decisions import claims
 
@@ -75,7 +76,7 @@
         """Put an answer beside its claim, so that it outlives this router."""
         if not claim.place or len(answer.body) > PUBLISHED_BYTES_MAX:
             return
-        value = write_claim(dataclasses.replace(claim, answer=answer))
+        value = write_claim(msgspec.structs.replace(claim, answer=answer))
         try:
             self._store.update(claim.place, value, claim.version, background=True)
         except errors.StoreError:
@@ -91,7 +92,7 @@
         except errors.StoreUnavailable as error:
             return self._read_back(key, error)
         events.log(events.Event.CLAIM_WON, key=key)
-        return dataclasses.replace(mine, place=key, version=version)
+        return msgspec.structs.replace(mine, place=key, version=version)
 
     def _read_winner(self, key: str) -> claims.Claim:
         events.log(events.Event.CLAIM_LOST, key=key)
@@ -117,7 +118,9 @@
         events.log(events.Event.STORE_ANSWER_LOST, key=key)
         try:
             value, version = self._store.get(key)
-            return dataclasses.replace(read_claim(value), place=key, version=version)
+            return msgspec.structs.replace(
+                read_claim(value), place=key, version=version
+            )
         except (errors.StoreError, ValueError) as error:
             raise make_unreachable(lost) from error
 
--- a/celeryspan/services/dispatch.py
+++ b/celeryspan/services/dispatch.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-import dataclasses
 import random
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import dispatch, errors, events, ids, kernel
 from celeryspan.decisions import (
     admission,
@@ -51,8 +52,7 @@
 entry and its headers."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Waiter:
+class _Waiter(msgspec.Struct):
     """A thread that waits for a slot.
 
     Attributes
@@ -61,7 +61,7 @@
         Exactly one of them is set before ``ready``.
     """
 
-    ready: threading.Event = dataclasses.field(default_factory=threading.Event)
+    ready: threading.Event = msgspec.field(default_factory=threading.Event)
     slot: slots.HeldSlot | None = None
     error: errors.NotRun | None = None
 
@@ -193,7 +193,7 @@
             for server, entry in servers
             if entry.service == work.service and server not in work.excluded
         }
-        return work if left else dataclasses.replace(work, excluded=frozenset())
+        return work if left else msgspec.structs.replace(work, excluded=frozenset())
 
     def _estimate(self, work: dispatch.Work) -> float:
         current = self._configuration.current()
--- a/celeryspan/services/drains.py
+++ b/celeryspan/services/drains.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import errors, ids, register
 from celeryspan.adapters import load
 from celeryspan.decisions import loading
@@ -23,8 +24,7 @@
 fact spread is used within a second."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Drain:
+class _Drain(msgspec.Struct):
     quiet_since: float | None = None
     ordered: bool = False
 
--- a/celeryspan/services/homes.py
+++ b/celeryspan/services/homes.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-import dataclasses
 import threading
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import events, ids, kernel
 from celeryspan.decisions import fallback, grants, homes, limits
 from celeryspan.services import votes, windows
@@ -43,8 +44,7 @@
 seconds: longer than the routers take to agree about a death."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Early:
+class _Early(msgspec.Struct, frozen=True):
     held: messages.SlotsHeld
     at: float
 
--- a/celeryspan/services/moves.py
+++ b/celeryspan/services/moves.py
@@ -9,10 +9,11 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from celeryspan import configuration, events, ids, publishing, register
 from celeryspan.adapters import store
 from celeryspan.decisions import placement
@@ -27,8 +28,7 @@
 """A server that has not loaded by then is left to operators."""
 
 
-@dataclasses.dataclass(slots=True)
-class Progress:
+class Progress(msgspec.Struct):
     """How far the move under way has come."""
 
     move: placement.Move
--- a/celeryspan/services/windows.py
+++ b/celeryspan/services/windows.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
+
+import msgspec
 
 from celeryspan import events, ids
 from celeryspan.decisions import limits
@@ -13,8 +14,7 @@
 lag of any load report seen."""
 
 
-@dataclasses.dataclass(slots=True)
-class _Entry:
+class _Entry(msgspec.Struct):
     window: limits.Window
     used: collections.deque[tuple[float, int]]
     load: limits.LoadReport | None = None
--- a/celeryspan/storedobjects.py
+++ b/celeryspan/storedobjects.py
@@ -2,11 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoredObject:
+class StoredObject(msgspec.Struct, frozen=True):
     """One object of the store.
 
     Attributes
@@ -26,24 +25,21 @@
     is_deleting: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Listing:
+class Listing(msgspec.Struct, frozen=True):
     """All objects of a kind, and the revision at which they were read."""
 
     objects: tuple[StoredObject, ...]
     at: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Change:
+class Change(msgspec.Struct, frozen=True):
     """An object that was written or deleted."""
 
     object: StoredObject
     is_deleted: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(msgspec.Struct, frozen=True):
     """What has changed, and the revision from which to watch on."""
 
     changes: tuple[Change, ...]
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from celeryspan import ids, states
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Demand:
+class Demand(msgspec.Struct, frozen=True):
     """What waits at a router for one service and client account.
 
     The newest report replaces all older ones of the same router, service and account.
@@ -38,8 +37,7 @@
     cost_estimate: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Grant:
+class Grant(msgspec.Struct, frozen=True):
     """One slot of a backend server, given to a client account at a router.
 
     Attributes
@@ -57,8 +55,7 @@
     valid_seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GrantUsed:
+class GrantUsed(msgspec.Struct, frozen=True):
     """The router sends a request with this grant now."""
 
     grant: ids.GrantId
@@ -67,8 +64,7 @@
     cost_estimate: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class GrantEnded:
+class GrantEnded(msgspec.Struct, frozen=True):
     """The slot is free again; ``cost`` is the true cost, 0 if it was not used."""
 
     grant: ids.GrantId
@@ -77,8 +73,7 @@
     cost: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotsHeld:
+class SlotsHeld(msgspec.Struct, frozen=True):
     """All grants in use at a router for one server: lets a new home take over.
 
     Attributes
@@ -91,8 +86,7 @@
     grants: tuple[tuple[ids.AccountId, float], ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Counter:
+class Counter(msgspec.Struct, frozen=True):
     """Service given by one router incarnation to an account, in cost units so far.
 
     Counters only grow, so that merging by maximum makes late, doubled and reordered
@@ -106,8 +100,7 @@
     units: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Lift:
+class Lift(msgspec.Struct, frozen=True):
     """The start that an account was given when it became backlogged.
 
     Attributes
@@ -122,8 +115,7 @@
     level: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pending:
+class Pending(msgspec.Struct, frozen=True):
     """What the slots held under the grants of one home are charged.
 
     Attributes
@@ -140,8 +132,7 @@
     sequence: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Total:
+class Total(msgspec.Struct, frozen=True):
     """Units that an account received from incarnations that are gone."""
 
     service: ids.ServiceId
@@ -149,16 +140,14 @@
     units: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gone:
+class Gone(msgspec.Struct, frozen=True):
     """The highest incarnation of a router whose counters are in the totals."""
 
     router: ids.RouterId
     incarnation: ids.Incarnation
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(msgspec.Struct, frozen=True):
     """What a new home must know about service received, from one peer."""
 
     counters: tuple[Counter, ...]
@@ -167,8 +156,7 @@
     gone: tuple[Gone, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
+class Member(msgspec.Struct, frozen=True):
     """What the sender believes about one router; rides on probes."""
 
     router: ids.RouterId
@@ -181,8 +169,7 @@
     refutations: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Probe:
+class Probe(msgspec.Struct, frozen=True):
     """Ask a member whether it is alive.
 
     Attributes
@@ -195,24 +182,21 @@
     digest: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProbeRequest:
+class ProbeRequest(msgspec.Struct, frozen=True):
     """Ask a member to probe a third one that did not answer."""
 
     sequence: int
     target: ids.RouterId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Ack:
+class Ack(msgspec.Struct, frozen=True):
     """Answer to a probe, direct or passed on for ``subject``."""
 
     sequence: int
     subject: ids.RouterId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServerFact:
+class ServerFact(msgspec.Struct, frozen=True):
     """A backend server is leaving, or is back; spreads faster than the VM list."""
 
     server: ids.ServerId
@@ -220,8 +204,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Vote:
+class Vote(msgspec.Struct, frozen=True):
     """What a router tells a home about the answers of a backend server.
 
     Attributes
@@ -234,30 +217,26 @@
     is_failing: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationOffer:
+class ConfigurationOffer(msgspec.Struct, frozen=True):
     """The generation that the sender has in force."""
 
     generation: ids.Generation
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationRequest:
+class ConfigurationRequest(msgspec.Struct, frozen=True):
     """Ask a peer for its configuration because its generation is higher."""
 
     above: ids.Generation
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConfigurationValue:
+class ConfigurationValue(msgspec.Struct, frozen=True):
     """A whole configuration, as it stands in the object API."""
 
     generation: ids.Generation
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Hello:
+class Hello(msgspec.Struct, frozen=True):
     """First message of each side of a link.
 
     Attributes
@@ -272,25 +251,21 @@
     nonce: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Proof:
+class Proof(msgspec.Struct, frozen=True):
     """Keyed hash over both nonces: the sender knows a fleet key."""
 
     digest: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Heartbeat:
+class Heartbeat(msgspec.Struct, frozen=True):
     """Nothing to say; the link works."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class MembersRequest:
+class MembersRequest(msgspec.Struct, frozen=True):
     """Ask for a :class:`Member` of each router that the receiver knows."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Pressure:
+class Pressure(msgspec.Struct, frozen=True):
     """What one router sees of one service, for the placement of model servers.
 
     Attributes
@@ -307,8 +282,7 @@
     slots: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromptPart:
+class PromptPart(msgspec.Struct, frozen=True):
     """A part of a prompt that requests may share.
 
     Attributes
@@ -321,8 +295,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotRequest:
+class SlotRequest(msgspec.Struct, frozen=True):
     """Ask the home of a pool for a place of one request at a backend server.
 
     Attributes
@@ -357,16 +330,14 @@
     excluded: tuple[ids.ServerId, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotCancel:
+class SlotCancel(msgspec.Struct, frozen=True):
     """The request needs no place any more."""
 
     request: ids.RequestId
     pool: ids.PoolId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotOffer:
+class SlotOffer(msgspec.Struct, frozen=True):
     """A place at a backend server; the router uses it or gives it back.
 
     Attributes
@@ -384,8 +355,7 @@
     source: ids.ServerId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SlotRefusal:
+class SlotRefusal(msgspec.Struct, frozen=True):
     """There is no place for the request in time.
 
     Attributes
@@ -405,8 +375,7 @@
     pressure: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunHeld:
+class RunHeld(msgspec.Struct, frozen=True):
     """A request runs at a backend server; tells a new home of the pool.
 
     Attributes
@@ -425,8 +394,7 @@
     left: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunBegun:
+class RunBegun(msgspec.Struct, frozen=True):
     """The first event of a run has come."""
 
     request: ids.RequestId
@@ -434,8 +402,7 @@
     server: ids.ServerId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunMove:
+class RunMove(msgspec.Struct, frozen=True):
     """A run is to go on at another backend server, where a place is held for it."""
 
     request: ids.RequestId
@@ -444,8 +411,7 @@
     target: ids.ServerId
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunMoved:
+class RunMoved(msgspec.Struct, frozen=True):
     """A run has moved, or stays where it was.
 
     Attributes
@@ -461,8 +427,7 @@
     is_moved: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunEnded:
+class RunEnded(msgspec.Struct, frozen=True):
     """A place is free again.
 
     Attributes
@@ -481,8 +446,7 @@
     pause: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class QueueAlive:
+class QueueAlive(msgspec.Struct, frozen=True):
     """The home of a pool still holds requests of the receiver.
 
     Attributes
@@ -495,16 +459,14 @@
     pressure: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AccountUnits:
+class AccountUnits(msgspec.Struct, frozen=True):
     """Service that an account has begun to get lately, in tokens."""
 
     account: ids.AccountId
     units: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolShares:
+class PoolShares(msgspec.Struct, frozen=True):
     """What accounts have got in some shards of a service, told to another shard.
 
     Attributes
@@ -521,8 +483,7 @@
     units: tuple[AccountUnits, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayRequest:
+class RelayRequest(msgspec.Struct, frozen=True):
     """Asks a router to pass on objects of one kind for a while.
 
     Attributes
@@ -535,8 +496,7 @@
     above: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RelayBatch:
+class RelayBatch(msgspec.Struct, frozen=True):
     """Objects of one kind that changed between two revisions, or only a word of life.
 
     Attributes
@@ -602,8 +562,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Frame:
+class Frame(msgspec.Struct, frozen=True):
     """Messages of one sender to one receiver.
 
     Attributes
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import stateful, strategies
 
@@ -158,7 +159,7 @@
     fleet = virtual.Fleet(4, 5)
     old = fleet.routers["router-0001"]
     later = virtual.make_member(9, 2)
-    later = virtual.dataclasses.replace(later, router="router-0001")
+    later = msgspec.structs.replace(later, router="router-0001")
     actions = old.decision.learn(later, 1.0, "router-0002")
     assert actions == []
     assert old.decision.own.state is states.MemberState.LEAVING
--- a/tests/decisions/test_placing.py
+++ b/tests/decisions/test_placing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import dataclasses
+import msgspec
 
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import placing, poolservers
@@ -93,7 +93,7 @@
     pool = placing.Placing()
     pool.set_servers([make_entry(1_000)], ENGINE)
     take(pool, "r1", 1.0)
-    again = dataclasses.replace(make_entry(1_000), revision=9)
+    again = msgspec.structs.replace(make_entry(1_000), revision=9)
     pool.set_servers([again], ENGINE)
     assert pool.count_runs() == 1
     pool.set_servers([make_entry(None)], ENGINE)
--- a/tests/services/test_requests.py
+++ b/tests/services/test_requests.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import dataclasses
 import time
 
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
@@ -173,7 +173,7 @@
     """
     world = World([])
     dispatch = Dispatch(world)
-    call = dataclasses.replace(make_call(False), deadline=time.monotonic() - 1)
+    call = msgspec.structs.replace(make_call(False), deadline=time.monotonic() - 1)
     with pytest.raises(errors.NotRun, match="nobody waits"):
         make_service(world, dispatch).call_plain(call)
     assert world.exposures == 0
