--- a/celeryspan/daemons/launch.py
+++ b/celeryspan/daemons/launch.py
@@ -5,9 +5,9 @@
 change. Blocked before anything else is imported, signals wait until the daemon takes
 them; what is left is the start of the interpreter.
 
-What is imported lives as long as the process. The collector of cyclic garbage would look
-through it again and again, first while it grows, then with each full collection, in
-which all streams of the router pause.
+What is imported lives as long as the process. The collector of cyclic garbage would
+look through it again and again, first while it grows, then with each full collection,
+in which all streams of the router pause.
 """
 
 from __future__ import annotations
