Ask sources seldom while they tell, and count connections once a second

Cause: at rest each router asks two sources for two kinds every second, passes on the words of both readers, looks at its own state five times a second for each kind and counts the callers' connections ten times. Change: a source that tells is asked every three seconds; of two readers' words one is passed on; connections are counted once a second, or when the limit changes.

--- a/celeryspan/decisions/relays.py
+++ b/celeryspan/decisions/relays.py
@@ -56,9 +56,18 @@
 FRESH_SECONDS_OTHERS = 2.6
 """The same for routers that hear relays, which read meanwhile and need a moment."""
 
-FRESHER_SECONDS = 0.3
-"""A word without news is passed on if it is this much fresher than the last one: of
-two readers that watch in step one is enough."""
+FRESHER_SECONDS = 0.7
+"""A word without news is passed on if it is this much fresher than the last one: one
+of the two readers is enough, and each hears from the store once a second."""
+
+ASK_SECONDS = 3.0
+"""How often a source is asked again, in case that it has forgotten the asker."""
+
+ASK_SECONDS_SILENT = 1.0
+"""The same while it says nothing."""
+
+SERVED_SECONDS = 10.0
+"""How long a router that has asked is told news: three lost questions."""
 
 FORGET_SECONDS = 10.0
 """A word this old tells nothing about the router that gave it."""
@@ -132,10 +141,13 @@
         When the store last answered, on this router's clock, in seconds.
     is_away : bool
         Whether the store answers neither it nor those that it hears.
+    heard_at : float
+        When the word came.
     """
 
     read_at: float
     is_away: bool
+    heard_at: float
 
 
 class Relays:
@@ -177,7 +189,7 @@
         self, source: ids.RouterId, age: float, now: float, *, is_away: bool
     ) -> None:
         """Note what a source says; ``age`` is the age of its knowledge, in seconds."""
-        self._words[source] = Word(now - age, is_away)
+        self._words[source] = Word(now - age, is_away, now)
 
     def forget(self, now: float) -> None:
         """Drop what was said long ago."""
@@ -196,6 +208,12 @@
         limit = FRESH_SECONDS if self.duties.is_relay else FRESH_SECONDS_OTHERS
         return now - self.read_at() <= limit
 
+    def must_ask(self, source: ids.RouterId, asked_at: float, now: float) -> bool:
+        """Whether a source is due to be asked, after it was at a moment."""
+        word = self._words.get(source)
+        is_silent = word is None or now - word.heard_at > FRESH_SECONDS
+        return now - asked_at >= (ASK_SECONDS_SILENT if is_silent else ASK_SECONDS)
+
     def is_away(self) -> bool:
         """Whether the store answers no source that has said anything."""
         return bool(self._words) and all(w.is_away for w in self._words.values())
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -15,7 +15,7 @@
 from celeryspan.decisions import relays, storelog
 from celeryspan.platform import objects
 
-CHECK_SECONDS = 0.2
+CHECK_SECONDS = 0.4
 """How often a router that hears others looks whether it still does."""
 
 PAUSE_FIRST = 0.05
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -37,6 +37,9 @@
 
 LATENESS_TICK_SECONDS = 0.1
 
+COUNT_SECONDS = 1.0
+"""Time between two counts of the connections for the metrics."""
+
 ID_HEADER = names.REQUEST_ID.lower().encode()
 
 IDLE_MARGIN = 1.2
@@ -285,16 +288,18 @@
 
     def _measure_lateness(self) -> None:
         """Note how much too long this thread sleeps: what all others suffer."""
-        before = self._overload.limit
+        before, counted_at = self._overload.limit, float("-inf")
         while not self._stopped.is_set():
             began = time.monotonic()
             time.sleep(LATENESS_TICK_SECONDS)
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
             self._overload.note(late, self.count(), now)
-            idle, busy = self._server.count_connections()
-            self._meters.set_connections(idle, busy, self._overload.limit)
             limit = self._overload.limit
+            if limit != before or now - counted_at >= COUNT_SECONDS:
+                counted_at = now
+                idle, busy = self._server.count_connections()
+                self._meters.set_connections(idle, busy, limit)
             if limit < before:
                 events.log(
                     events.Event.REQUEST_LIMIT_LOWERED,
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -28,12 +28,6 @@
 
 TICK_SECONDS = 0.2
 
-ASK_SECONDS = 1.0
-"""How often a source is asked again, in case that it has forgotten the asker."""
-
-SERVED_SECONDS = 3.5
-"""How long a router that has asked is told news: three lost questions."""
-
 LISTED_SECONDS = 4.0
 """How long after its start a router also counts those that the store lists: by then it
 has met those that live."""
@@ -161,7 +155,7 @@
         if request.kind not in self._followers:
             return
         now = time.monotonic()
-        listener = _Listener(request.above, now + SERVED_SECONDS)
+        listener = _Listener(request.above, now + relays.SERVED_SECONDS)
         with self._lock:
             self._listeners[peer, request.kind] = listener
             self._tell(peer, request.kind, listener, now)
@@ -238,7 +232,7 @@
     def _ask_again(self, follower: followers.Follower, now: float) -> None:
         for source in follower.relays.duties.sources:
             asked_at = self._asked_at.get((source, follower.kind), float("-inf"))
-            if now - asked_at >= ASK_SECONDS:
+            if follower.relays.must_ask(source, asked_at, now):
                 self._ask(source, follower, now)
 
     def _tell_again(self, now: float) -> None:
--- a/tests/decisions/test_relays.py
+++ b/tests/decisions/test_relays.py
@@ -160,6 +160,20 @@
     assert first.must_read(now)
 
 
+def test_source_that_tells_is_asked_seldom() -> None:
+    """195 routers ask two sources for two kinds of objects each second.
+
+    A third of the messages of a fleet at rest were such questions.
+    """
+    found = make(find_leaf())
+    source = found.duties.sources[0]
+    assert found.must_ask(source, 10.0 - relays.ASK_SECONDS_SILENT, 10.0)
+    found.note_word(source, 0.1, 10.0, is_away=False)
+    assert not found.must_ask(source, 9.0, 10.0 + relays.ASK_SECONDS_SILENT)
+    assert found.must_ask(source, 9.0, 9.0 + relays.ASK_SECONDS)
+    assert found.must_ask(source, 10.0, 10.1 + relays.FRESH_SECONDS)
+
+
 def test_old_words_are_forgotten() -> None:
     found = make(find_leaf())
     found.note_word("gone", 0.0, 0.0, is_away=True)
