Send nothing on whose caller has left or whose time is over

Cause: on a VM with too much to do the thread that notices closed connections does not run for most of a second, and a request's time began when a thread had read it. Ruled out: a thread of its own for each watch (it would starve as well). Change: in the last step before bytes leave, the time and the caller's connection itself are looked at; the time of a request begins when it is handed to the line of threads.

--- a/celeryspan/calls.py
+++ b/celeryspan/calls.py
@@ -26,9 +26,15 @@
         Whether the caller has closed its connection.
     cut : bool
         Whether a stop has reached its greatest time.
+
+    Parameters
+    ----------
+    is_closed : callable, optional
+        Looks whether the caller has closed its connection by now.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_closed: Callable[[], bool] = lambda: False) -> None:
+        self._is_closed = is_closed
         self._lock = threading.Lock()
         self._callback: Callable[[], None] | None = None
         self._must_end = False
@@ -55,6 +61,16 @@
         if ends:
             callback()
 
+    def look(self) -> bool:
+        """Return whether nobody waits any more, by a look at the connection itself.
+
+        The thread that notices closed connections may not have run for most of a
+        second on a VM that has too much to do; what was sent meanwhile ran for nobody.
+        """
+        if not self.gone and self._is_closed():
+            self.leave()
+        return self.gone
+
     def leave(self) -> None:
         """Say that the caller has left."""
         with self._lock:
--- a/celeryspan/gateway/acceptance.py
+++ b/celeryspan/gateway/acceptance.py
@@ -6,9 +6,10 @@
 
 from cheroot import errors as cheroot_errors, server as cheroot_server
 
-from celeryspan import catalog, errors, ids
+from celeryspan import calls, catalog, errors, ids
 from celeryspan.gateway import orders, refusals
 from celeryspan.platform import requests
+from celeryspan.services import sockets
 
 
 def read_headers(request: cheroot_server.HTTPRequest) -> dict[str, str]:
@@ -29,7 +30,8 @@
     refusals.Refused
         If it is not allowed, or not understood.
     """
-    received_at = time.monotonic()
+    # The caller's time runs while its request waits in line for a thread.
+    received_at = min(time.monotonic(), request.conn.came_at)
     headers = read_headers(request)
     path = request.uri.partition(b"?")[0].decode("latin-1")
     route = current.find_route(headers.get("Host", "").lower(), path)
@@ -60,9 +62,16 @@
         body=body,
         received_at=received_at,
         deadline=received_at + seconds,
+        presence=calls.Presence(lambda: has_left(request)),
     )
 
 
+def has_left(request: cheroot_server.HTTPRequest) -> bool:
+    """Whether the caller of a request has closed its connection by now."""
+    descriptor = request.conn.socket.fileno()
+    return descriptor < 0 or sockets.is_closed(descriptor)
+
+
 def read_body(request: cheroot_server.HTTPRequest) -> bytes:
     """Return the whole body of a request.
 
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -107,11 +107,7 @@
         except errors.NotRun as refusal:
             if progress.failure is not None:
                 return None
-            if progress.is_answering:
-                raise self._make_lost(order, progress, str(refusal)) from refusal
-            if progress.may_have_run:
-                raise self._make_unknown(order, progress, str(refusal)) from refusal
-            raise
+            raise self._make_refusal(order, progress, refusal) from refusal
 
     def _make_ask(
         self, order: orders.Order, progress: requestprogress.Progress
@@ -147,6 +143,7 @@
         channel = self._connect(order, place, progress)
         if channel is None:
             return False
+        self._check_wanted(order, place, progress, channel)
         ending = states.RunEnding.FAILED
         order.presence.watch(channel.make_abort())
         until = order.deadline
@@ -213,6 +210,35 @@
                 raise self._make_unknown(order, progress, str(error)) from error
             raise
 
+    def _check_wanted(
+        self,
+        order: orders.Order,
+        place: places.Place,
+        progress: requestprogress.Progress,
+        channel: channels.Channel,
+    ) -> None:
+        """Give up in the last step before anything is sent if nobody waits any more.
+
+        What is sent after the caller has left, or after its time, runs for nobody and
+        takes a place from those who wait.
+        """
+        is_late = order.left() <= 0
+        if not is_late and not order.presence.look():
+            return
+        channel.close()
+        self._places.end(place, states.RunEnding.UNUSED)
+        if not is_late:
+            raise ConnectionAbortedError("the caller has left")
+        refusal = errors.NotRun(
+            "the time of the request is over",
+            code="no-place-in-time",
+            status=503,
+            retry_after=REJECTED_RETRY_SECONDS,
+            step="send",
+            peer=place.server,
+        )
+        raise self._make_refusal(order, progress, refusal)
+
     def _pass_on(
         self,
         order: orders.Order,
@@ -347,6 +373,19 @@
             outcome=states.Outcome.RAN.value,
         )
 
+    def _make_refusal(
+        self,
+        order: orders.Order,
+        progress: requestprogress.Progress,
+        refusal: errors.NotRun,
+    ) -> Exception:
+        """Return a refusal, or what may be said instead after something was sent."""
+        if progress.is_answering:
+            return self._make_lost(order, progress, str(refusal))
+        if progress.may_have_run:
+            return self._make_unknown(order, progress, str(refusal))
+        return refusal
+
     def _make_unknown(
         self, order: orders.Order, progress: requestprogress.Progress, reason: str
     ) -> errors.OutcomeUnknown:
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -61,6 +61,8 @@
         All threads are busy; the application should refuse at once.
     unread : bool
         The caller may still be sending when the connection is closed.
+    came_at : float
+        When the request in progress began to come, on the monotonic clock, in seconds.
     """
 
     RequestHandlerClass = framing.Request
@@ -69,6 +71,7 @@
 
     def __init__(self, server: Server, sock: socket.socket, *_: object) -> None:
         super().__init__(server, sock, streams.open_stream)
+        self.came_at = time.monotonic()
 
     def communicate(self) -> bool:
         """Serve one request; returns whether the connection stays open."""
@@ -315,6 +318,7 @@
 
     def hand_over(self, connection: Connection) -> None:
         """Give the request that has come on a connection to a thread."""
+        connection.came_at = time.monotonic()
         super().process_conn(connection)
 
     def accept_waiting(self) -> None:
--- a/celeryspan/services/sockets.py
+++ b/celeryspan/services/sockets.py
@@ -25,6 +25,13 @@
         return False
 
 
+def is_closed(descriptor: int) -> bool:
+    """Whether the other end of a connection has closed its side by now."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class Watch:
     """One thread that notices closed and dawdling callers.
 
@@ -97,7 +104,7 @@
         """
         with self._lock:
             callback = self._callbacks.get(descriptor)
-            if callback is None or not _is_closed(descriptor):
+            if callback is None or not is_closed(descriptor):
                 return None
         return callback
 
@@ -111,10 +118,3 @@
                     sock.shutdown(socket.SHUT_RD)
                 except OSError:
                     pass  # The caller has gone meanwhile.
-
-
-def _is_closed(descriptor: int) -> bool:
-    """Whether the other end of a connection has closed its side by now."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLRDHUP)
-    return bool(poll.poll(0))
--- a/tests/gateway/test_carrier.py
+++ b/tests/gateway/test_carrier.py
@@ -4,6 +4,7 @@
 
 import http.client
 import threading
+import time
 
 import pytest
 
@@ -193,6 +194,56 @@
     support.wait_for(lambda: places.report()["held"] == 0)
 
 
+def test_request_of_a_caller_that_has_just_left_is_not_sent(place) -> None:
+    """A router has far more to do than its processor can, and a caller gives up.
+
+    The thread that notices closed connections had not run for most of a second; the
+    request got its place meanwhile and was sent for nobody, after its caller's time.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    front, carrier = router.box.find("front"), router.box.find("carrier")
+    front._server.watch.add = lambda *_: None  # It does not come to look.
+    connects, left = carrier._connect, threading.Event()
+
+    def connect_late(order, found, progress):
+        left.wait(support.WAIT_SECONDS)
+        return connects(order, found, progress)
+
+    carrier._connect = connect_late
+    caller = router.connect()
+    headers = {"Host": support.HOST, "Celeryspan-Credential": support.KEY}
+    caller.request("POST", "/bookings/1", body=b"", headers=headers)
+    places = router.box.find("places")
+    support.wait_for(lambda: places.report()["held"] == 1)
+    caller.close()
+    left.set()
+    support.wait_for(lambda: front.count() == 0)
+    assert places.report()["held"] == 0
+    assert server.seen == []
+
+
+def test_request_whose_time_ends_while_a_server_is_reached_is_not_sent(place) -> None:
+    """A server takes so long to accept a connection that the caller's time is over.
+
+    The request was sent all the same, and its caller was told that it may have run.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    channels = router.box.find("channels")
+    opens = channels.open
+
+    def open_late(entry, *, once_only):
+        time.sleep(0.3)
+        return opens(entry, once_only=once_only)
+
+    channels.open = open_late
+    answer = router.call("/bookings/1", headers={"Celeryspan-Deadline-Ms": "200"})
+    assert answer.status == 503
+    assert answer.getheader("Retry-After")
+    assert server.seen == []
+
+
 def test_caller_gets_an_answer_at_the_end_of_its_time(place) -> None:
     server = place.add_server("gate-1")
     server.script.append("silent")
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import time
 
 import pytest
 
@@ -29,6 +30,26 @@
     assert 0 < int(seen.headers["celeryspan-deadline-ms"]) <= 2000
 
 
+def test_time_in_line_for_a_thread_is_the_callers(place) -> None:
+    """A request waits for a thread of a busy router until its caller's time is over.
+
+    Its time began when the thread read it: it was sent on after its caller had left.
+    """
+    server = place.add_server("gate-1")
+    router = place.start_router()
+    front = router.box.find("front")
+    serves = front.serve
+
+    def serve_late(request):
+        time.sleep(0.3)
+        serves(request)
+
+    front.serve = serve_late
+    answer = router.call("/bookings/7", headers={"Celeryspan-Deadline-Ms": "200"})
+    assert answer.status == 503
+    assert server.seen == []
+
+
 def test_headers_that_the_system_sets_are_not_the_callers(place) -> None:
     """A caller names another account, a place in a server's memory and a server.
 
