--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -15,6 +15,7 @@
 from celeryspan.adapters import backend
 from celeryspan.gateway import (
     channels,
+    endings,
     migrations,
     orders,
     places,
@@ -94,7 +95,7 @@
             if place is None:
                 return self._give_failure(order, progress, sink)
             if self._try_once(order, place, progress, sink):
-                self._settle(order, progress, place.server)
+                endings.settle(self._meters, order, progress, place.server)
                 return None
 
     def _find_place(
@@ -107,7 +108,7 @@
         except errors.NotRun as refusal:
             if progress.failure is not None:
                 return None
-            raise self._make_refusal(order, progress, refusal) from refusal
+            raise endings.make_refusal(order, progress, refusal) from refusal
 
     def _make_ask(
         self, order: orders.Order, progress: requestprogress.Progress
@@ -207,7 +208,7 @@
             if progress.connects < CONNECTS_MAX and order.left() > SECOND_TRY_SECONDS:
                 return None
             if progress.may_have_run:
-                raise self._make_unknown(order, progress, str(error)) from error
+                raise endings.make_unknown(order, progress, str(error)) from error
             raise
 
     def _check_wanted(
@@ -237,7 +238,7 @@
             step="send",
             peer=place.server,
         )
-        raise self._make_refusal(order, progress, refusal)
+        raise endings.make_refusal(order, progress, refusal)
 
     def _pass_on(
         self,
@@ -274,9 +275,9 @@
         if self._may_repeat(order, progress):
             return
         if progress.failure is not None or progress.is_answering:
-            raise self._make_lost(order, progress, declined.message)
+            raise endings.make_lost(progress, declined.message)
         if progress.may_have_run:
-            raise self._make_unknown(order, progress, declined.message)
+            raise endings.make_unknown(order, progress, declined.message)
         raise errors.NotRun(
             f"rejected: {declined.message}",
             code="server-full",
@@ -303,8 +304,8 @@
                 events.log(event, request=order.request, above=progress.last_event)
             return
         if progress.is_answering:
-            raise self._make_lost(order, progress, lost.message)
-        raise self._make_unknown(order, progress, lost.message)
+            raise endings.make_lost(progress, lost.message)
+        raise endings.make_unknown(order, progress, lost.message)
 
     def _may_switch(
         self, order: orders.Order, progress: requestprogress.Progress
@@ -338,69 +339,4 @@
         assert progress.failure is not None
         reply, body = progress.failure
         sender.write_whole(sink, reply, body)
-        self._settle(order, progress, ids.ServerId(""))
-
-    def _settle(
-        self,
-        order: orders.Order,
-        progress: requestprogress.Progress,
-        server: ids.ServerId,
-    ) -> None:
-        now = time.monotonic()
-        account = order.account or ids.AccountId("")
-        took = now - order.received_at
-        first = None
-        if progress.first_at is not None:
-            first = round(progress.first_at - order.received_at, 3)
-            self._meters.observe_first_token(order.service, account, first)
-        cost = float(order.incoming.prompt_tokens or 1)
-        self._meters.observe_request(
-            order.service, account, states.Outcome.RAN, took, cost
-        )
-        events.log(
-            events.Event.REQUEST_SETTLED,
-            request=order.request,
-            server=server,
-            account=account,
-            attempts=progress.sends,
-            waited=round(progress.placed_at - order.received_at, 3),
-            first=first,
-            objective=order.route.target_latency,
-            gap=round(progress.gap, 3),
-            gap_max=order.route.gap_max,
-            seconds=round(took, 3),
-            prompt=order.incoming.prompt_tokens,
-            outcome=states.Outcome.RAN.value,
-        )
-
-    def _make_refusal(
-        self,
-        order: orders.Order,
-        progress: requestprogress.Progress,
-        refusal: errors.NotRun,
-    ) -> Exception:
-        """Return a refusal, or what may be said instead after something was sent."""
-        if progress.is_answering:
-            return self._make_lost(order, progress, str(refusal))
-        if progress.may_have_run:
-            return self._make_unknown(order, progress, str(refusal))
-        return refusal
-
-    def _make_unknown(
-        self, order: orders.Order, progress: requestprogress.Progress, reason: str
-    ) -> errors.OutcomeUnknown:
-        timed_out = progress.timed_out or order.left() <= 0
-        return errors.OutcomeUnknown(
-            f"sent {progress.sends} times, no whole answer: {reason}",
-            code="answer-lost",
-            status=504 if timed_out else 502,
-            step="read answer",
-        )
-
-    def _make_lost(
-        self, order: orders.Order, progress: requestprogress.Progress, reason: str
-    ) -> backend.AnswerLost:
-        return backend.AnswerLost(
-            f"broke off above event {progress.last_event!r}: {reason}",
-            step="pass on",
-        )
+        endings.settle(self._meters, order, progress, ids.ServerId(""))
--- /dev/null
+++ b/celeryspan/gateway/endings.py
@@ -0,0 +1,80 @@
+"""How a carried request ends: what its caller may be told, and what is noted of it."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from celeryspan import errors, events, ids, states
+from celeryspan.adapters import backend
+
+if TYPE_CHECKING:
+    from celeryspan import metrics
+    from celeryspan.gateway import orders, requestprogress
+
+
+def settle(
+    meters: metrics.Metrics,
+    order: orders.Order,
+    progress: requestprogress.Progress,
+    server: ids.ServerId,
+) -> None:
+    """Measure and log a request that was answered, last by this server."""
+    now = time.monotonic()
+    account = order.account or ids.AccountId("")
+    took = now - order.received_at
+    first = None
+    if progress.first_at is not None:
+        first = round(progress.first_at - order.received_at, 3)
+        meters.observe_first_token(order.service, account, first)
+    cost = float(order.incoming.prompt_tokens or 1)
+    meters.observe_request(order.service, account, states.Outcome.RAN, took, cost)
+    events.log(
+        events.Event.REQUEST_SETTLED,
+        request=order.request,
+        server=server,
+        account=account,
+        attempts=progress.sends,
+        waited=round(progress.placed_at - order.received_at, 3),
+        first=first,
+        objective=order.route.target_latency,
+        gap=round(progress.gap, 3),
+        gap_max=order.route.gap_max,
+        seconds=round(took, 3),
+        prompt=order.incoming.prompt_tokens,
+        outcome=states.Outcome.RAN.value,
+    )
+
+
+def make_refusal(
+    order: orders.Order,
+    progress: requestprogress.Progress,
+    refusal: errors.NotRun,
+) -> Exception:
+    """Return a refusal, or what may be said instead after something was sent."""
+    if progress.is_answering:
+        return make_lost(progress, str(refusal))
+    if progress.may_have_run:
+        return make_unknown(order, progress, str(refusal))
+    return refusal
+
+
+def make_unknown(
+    order: orders.Order, progress: requestprogress.Progress, reason: str
+) -> errors.OutcomeUnknown:
+    """Return what is said of a request that was sent and may have run."""
+    timed_out = progress.timed_out or order.left() <= 0
+    return errors.OutcomeUnknown(
+        f"sent {progress.sends} times, no whole answer: {reason}",
+        code="answer-lost",
+        status=504 if timed_out else 502,
+        step="read answer",
+    )
+
+
+def make_lost(progress: requestprogress.Progress, reason: str) -> backend.AnswerLost:
+    """Return what ends an answer that was begun and can't be gone on with."""
+    return backend.AnswerLost(
+        f"broke off above event {progress.last_event!r}: {reason}",
+        step="pass on",
+    )
