--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -22,9 +22,10 @@
         "transfer-encoding",
         "upgrade",
         "expect",
+        names.HANDED_OVER.lower(),
     }
 )
-"""Headers that concern one connection only (RFC 9110)."""
+"""Headers that concern one connection only (RFC 9110), and one between routers."""
 
 OWN_HEADERS = frozenset(
     name.lower()
