--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -15,11 +15,10 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import handovers as handover_decisions, overload
+from celeryspan.decisions import overload
 from celeryspan.gateway import (
     acceptance,
     callersinks,
-    handovers,
     orders,
     quickrefusals,
     refusals,
@@ -79,12 +78,14 @@
     front: Front
 
     def hand_over(self, connection: _Connection) -> None:
-        """Hand over or refuse what is above the limit; give the rest to a thread."""
-        if not self.is_accepting_thread() or not self.front.relieve(connection):
+        """Refuse at once what this router can't take; give the rest to a thread."""
+        if self.is_accepting_thread() and self.front.refuse_quickly(connection):
+            connection.close()
+        else:
             super().hand_over(connection)
 
 
-@kernel.register("front", needs=("carrier", "catalogues", "membership", "metrics"))
+@kernel.register("front", needs=("carrier", "catalogues", "metrics"))
 class Front:
     """Reads requests, finds route and account, and answers.
 
@@ -105,7 +106,6 @@
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
         self._overload = overload.Overload(self._settings.caller_threads)
-        self._handovers = handovers.Handovers(box.find("membership"))
         self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
@@ -126,7 +126,6 @@
 
     def start(self) -> None:
         """Listen; raises OSError if the address is taken."""
-        self._handovers.start()
         self._server.open()
         self._catalogues.subscribe(self._apply_limits)
         threading.Thread(
@@ -137,7 +136,6 @@
         """Stop listening."""
         self._stopped.set()
         self._server.shut()
-        self._handovers.stop()
 
     def report(self) -> dict[str, object]:
         """Return the state for the operator."""
@@ -151,8 +149,8 @@
         }
 
     def count(self) -> int:
-        """Return how many requests are in progress, here or handed over."""
-        return len(self._in_progress) + self._handovers.count()
+        """Return how many requests are in progress."""
+        return len(self._in_progress)
 
     def stop_listening(self) -> None:
         """Take no new connections."""
@@ -217,14 +215,12 @@
                 lost.message, code="answer-lost", status=502, step=lost.step
             ) from lost
 
-    def relieve(self, connection: _Connection) -> bool:
-        """Hand over or refuse a request above the limit; returns whether it was one.
+    def refuse_quickly(self, connection: _Connection) -> bool:
+        """Refuse a request that is above the limit; returns whether it was.
 
         False also if it has not come whole yet, or is none: it goes the usual way then.
         """
-        if self._overload.admits(len(self._in_progress)):
-            return False
-        if connection.rfile.has_data():
+        if self._overload.admits(self.count()) or connection.rfile.has_data():
             return False
         try:
             found = quickrefusals.take_request(connection.socket, ID_HEADER)
@@ -233,31 +229,15 @@
         if found is None:
             return False
         name = found.request.decode("latin-1")
-        if not self._hand_over(connection, name, found.data):
-            answer = self._make_refusal(name, self._make_full())
-            try:
-                quickrefusals.send_answer(connection.socket, answer)
-            except OSError:
-                pass  # The caller has left, or does not read; its request has not run.
-            connection.close()
-        return True
-
-    def _hand_over(self, connection: _Connection, name: str, data: bytes) -> bool:
-        """Hand a request over to another router if there is one that may take it."""
-        if self.refusing or not self._handovers.can_take():
-            return False
-        marked = handover_decisions.mark(data, names.HANDED_OVER.encode())
-        if marked is None:
-            return False
-        self._handovers.take(
-            connection, name, marked, lambda error: self._make_refusal(name, error)
-        )
-        return True
-
-    def _make_refusal(self, name: str, error: errors.RequestError) -> bytes:
-        """Return the bytes that refuse a request, after noting it."""
+        error = self._make_full()
         self._note_refusal(name, error)
-        return refusals.write_refusal_bytes(name, error)
+        try:
+            quickrefusals.send_answer(
+                connection.socket, refusals.write_refusal_bytes(name, error)
+            )
+        except OSError:
+            pass  # The caller has left, or does not read; its request has not run.
+        return True
 
     def _make_full(self) -> errors.NotRun:
         return errors.NotRun(
@@ -278,9 +258,7 @@
                 retry_after=STARTING_SECONDS * (0.5 + self._random.random()),
                 step="accept",
             )
-        if request.conn.overloaded or not self._overload.admits(
-            len(self._in_progress) - 1
-        ):
+        if request.conn.overloaded or not self._overload.admits(self.count() - 1):
             raise self._make_full()
         return current
 
@@ -316,7 +294,7 @@
             time.sleep(LATENESS_TICK_SECONDS)
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
-            self._overload.note(late, len(self._in_progress), now)
+            self._overload.note(late, self.count(), now)
             limit = self._overload.limit
             if limit != before or now - counted_at >= COUNT_SECONDS:
                 counted_at = now
--- a/celeryspan/gateway/quickrefusals.py
+++ b/celeryspan/gateway/quickrefusals.py
@@ -34,13 +34,10 @@
         Bytes of head and body.
     request : bytes
         The request's id; empty if it has none.
-    data : bytes
-        Head and body.
     """
 
     size: int
     request: bytes
-    data: bytes = b""
 
 
 def find_request(data: bytes, id_header: bytes) -> Glimpse | None:
@@ -87,10 +84,9 @@
     except BlockingIOError:
         return None
     found = find_request(data, id_header)
-    if found is None:
-        return None
-    sock.recv(found.size, socket.MSG_DONTWAIT)
-    return found._replace(data=data)
+    if found is not None:
+        sock.recv(found.size, socket.MSG_DONTWAIT)
+    return found
 
 
 def send_answer(sock: socket.socket, answer: bytes) -> None:
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -25,9 +25,6 @@
 MOVED_FROM = "Kv-From"
 FETCHED_FROM = "Kv-Fetch"
 
-# Set by a router on a request that it hands over to another one.
-HANDED_OVER = "Celeryspan-Handed-Over"
-
 RESOLVE = "/v1/resolve"
 READY = "/v1/readyz"
 METRICS = "/v1/metrics"
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -22,10 +22,9 @@
         "transfer-encoding",
         "upgrade",
         "expect",
-        names.HANDED_OVER.lower(),
     }
 )
-"""Headers that concern one connection only (RFC 9110), and one between routers."""
+"""Headers that concern one connection only (RFC 9110)."""
 
 OWN_HEADERS = frozenset(
     name.lower()
