--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -1,7 +1,7 @@
 """The kernel service ``relays``: what the store says, passed between routers.
 
-A router asks its sources, again every second; they tell it what changes, and how old
-their knowledge is. Who is a source of whom is worked out anew when the membership
+A router asks its sources, again every few seconds; they tell it what changes, and how
+old their knowledge is. Who is a source of whom is worked out anew when the membership
 changes; a router that has just started goes by the store's list of routers until it
 has met the others.
 """
