--- /dev/null
+++ b/tests/bench/test_resting.py
@@ -0,0 +1,18 @@
+"""The measurement of a fleet at rest says what was used between two moments."""
+
+from __future__ import annotations
+
+import collections
+
+from bench import resting
+
+
+def test_line_tells_use_of_each_router_and_calls_by_kind() -> None:
+    before = resting.Sample(10.0, 4.0, collections.Counter({"GET config": 2}))
+    calls = collections.Counter({"GET config": 5, "WATCH servers": 20})
+    after = resting.Sample(20.0, 6.0, calls)
+    line = resting.describe("at rest", before, after, 4)
+    assert line == (
+        "at rest: 10.0 s, 0.500 s of a core each (5.00%), 23 calls to the store "
+        "(2.30 a second: GET config 3, WATCH servers 20)"
+    )
