--- a/celeryspan/decisions/membership.py
+++ b/celeryspan/decisions/membership.py
@@ -14,8 +14,6 @@
   answer that it was held dead; the refutation brings it back.
 * Dead routers are probed at a slow rate. When a cut heals, the first datagram across
   it starts an exchange of all beliefs, and the refutations go through both halves.
-
-Grounds of the figures stand beside them; measured by ``make bench NAME=fleet``.
 """
 
 from __future__ import annotations
--- a/celeryspan/decisions/routing.py
+++ b/celeryspan/decisions/routing.py
@@ -29,7 +29,7 @@
 
 MAX_BLOCKS = 20_000
 """Pairs of block and server that are remembered: 8 MB at the 409 bytes of a block with
-one holder (`make bench NAME=slopes`), a quarter of a node's memory for control."""
+one holder, a quarter of a node's memory for control."""
 
 GAP_TRUST = 0.7
 """Trust kept after a gap: what it hid is a small part of what a server has stored."""
--- a/celeryspan/gateway/catalogues.py
+++ b/celeryspan/gateway/catalogues.py
@@ -166,6 +166,6 @@
             revision=value.generation,
             spec=json.loads(value.body),
             status=None,
-            is_deleting=False,
+            is_terminating=False,
         )
         self._take(found, peer)
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -254,7 +254,7 @@
                 change.object.revision,
                 change.object.spec,
                 change.object.status,
-                change.object.is_deleting,
+                change.object.is_terminating,
                 change.is_deleted,
             ]
             for change in changes
@@ -266,8 +266,8 @@
     """Return the changes out of bytes; raises ValueError."""
     return tuple(
         storedobjects.Change(
-            storedobjects.StoredObject(name, revision, spec, status, is_deleting),
+            storedobjects.StoredObject(name, revision, spec, status, is_terminating),
             is_deleted,
         )
-        for name, revision, spec, status, is_deleting, is_deleted in json.loads(body)
+        for name, revision, spec, status, is_terminating, is_deleted in json.loads(body)
     )
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -239,5 +239,5 @@
         revision=meta["revision"],
         spec=found.get("spec"),
         status=found.get("status"),
-        is_deleting=bool(meta.get("is_deleting")),
+        is_terminating=bool(meta.get("is_deleting")),
     )
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -56,7 +56,7 @@
         address=_read_address(spec, "address"),
         data_centre=ids.DataCentreId(_read_text(spec, "zone")),
         slots=slots,
-        is_leaving=STATES[_read_text(spec, "state")] or found.is_deleting,
+        is_leaving=STATES[_read_text(spec, "state")] or found.is_terminating,
         revision=found.revision,
         # Deployments whose servers always get a new id when they start don't say it.
         started_ms=_read_whole(spec, "born") if "born" in spec else None,
--- a/celeryspan/storedobjects.py
+++ b/celeryspan/storedobjects.py
@@ -14,7 +14,7 @@
         Of its last change.
     spec, status : object
         What its writer put there, as decoded JSON.
-    is_deleting : bool
+    is_terminating : bool
         Whether it only waits for its finalizers.
     """
 
@@ -22,7 +22,7 @@
     revision: int
     spec: object
     status: object
-    is_deleting: bool
+    is_terminating: bool
 
 
 class Listing(msgspec.Struct, frozen=True):
