Log which account a request is of, how long it was held, and who waits at a home

Cause: the record can't tell the hypotheses about the short account apart. A refusal named neither account nor time, a home's decision neither account nor whether the request could still be in time, and nothing said what an account that waits had got. Change: 301 and 311 lines name account, pool, time at the router before the home was asked and whether it was late; 202 lines name account and time held once the request was read; 203 lines the account; a new line 317, once a second and pool, what waits of the eight accounts with most waiting and what they have begun of late. No decision changes.

--- a/bench/engines/policies.py
+++ b/bench/engines/policies.py
@@ -126,7 +126,7 @@
             self._line.popleft()
             self._free[server] -= 1
             offer = messages.SlotOffer(ask.request, ask.pool, server, 0.0, "")
-            answers.append(pools.Answer(router, offer, 0.0))
+            answers.append(pools.Answer(router, ask, offer, 0.0))
         return answers
 
 
--- a/celeryspan/decisions/accountshares.py
+++ b/celeryspan/decisions/accountshares.py
@@ -77,6 +77,10 @@
         heard = (units.get(account, 0.0) for units in self._heard.values())
         return self._own.get(account, 0.0) + sum(heard)
 
+    def measure(self, account: ids.AccountId, now: float) -> float:
+        """Return what an account got in all shards of late, in units as of now."""
+        return self.level(account) / self._weigh(now)
+
     def _weigh(self, now: float) -> float:
         """Return what a unit that begins now counts for."""
         if now - self._base > REBASE_SECONDS:
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -87,16 +87,37 @@
     ----------
     waited : float
         Time that the request waited here, in seconds.
+    is_late : bool
+        Whether it can no longer be in time.
     run : Run or None
         The place taken; None for a refusal.
     """
 
     router: ids.RouterId
+    ask: messages.SlotRequest
     message: messages.SlotOffer | messages.SlotRefusal
     waited: float
+    is_late: bool = False
     run: poolservers.Run | None = None
 
 
+class Backlog(msgspec.Struct, frozen=True):
+    """What waits of one account.
+
+    Attributes
+    ----------
+    late : int
+        Requests among those that wait which can no longer be in time.
+    level : float
+        Service that the account has begun to get of late in all shards, in tokens.
+    """
+
+    account: ids.AccountId
+    waiting: int
+    late: int
+    level: float
+
+
 Candidates = dict[ids.AccountId, list[Task]]
 
 
@@ -226,6 +247,19 @@
         """Return how many requests wait."""
         return sum(len(tasks) for tasks in self._waiting.values())
 
+    def list_backlogs(self, now: float) -> list[Backlog]:
+        """Return what waits of each account, those with most waiting first."""
+        found = [
+            Backlog(
+                account,
+                len(tasks),
+                sum(task.start_by < now for task in tasks.values()),
+                self._shares.measure(account, now),
+            )
+            for account, tasks in self._waiting.items()
+        ]
+        return sorted(found, key=lambda each: -each.waiting)
+
     def count_runs(self) -> int:
         """Return how many places are taken."""
         return self._placing.count_runs()
@@ -324,7 +358,7 @@
         offer = messages.SlotOffer(
             task.ask.request, self.name, server, pressure, run.source or NOWHERE
         )
-        return Answer(task.router, offer, now - task.arrived_at, run)
+        return _make_answer(task, offer, now, run)
 
     def _expire(self, now: float) -> list[Answer]:
         late = [
@@ -346,9 +380,19 @@
         refusal = messages.SlotRefusal(
             task.ask.request, self.name, retry_after, reason, self.measure_pressure(now)
         )
-        return Answer(task.router, refusal, now - task.arrived_at)
+        return _make_answer(task, refusal, now)
 
     def _estimate_wait(self) -> float:
         """Return the time in which what waits now will have been placed, in seconds."""
         asks = [task.ask for tasks in self._waiting.values() for task in tasks.values()]
         return self._placing.estimate_wait(asks)
+
+
+def _make_answer(
+    task: Task,
+    message: messages.SlotOffer | messages.SlotRefusal,
+    now: float,
+    run: poolservers.Run | None = None,
+) -> Answer:
+    waited = now - task.arrived_at
+    return Answer(task.router, task.ask, message, waited, task.start_by < now, run)
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -171,6 +171,7 @@
         is_full = not self._server.can_add_keepalive_connection
         sink = callersinks.CallerSink(request, closes=self.draining or is_full)
         name = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
+        order = None
         try:
             body = acceptance.read_body(request)
             request.conn.end_reading()
@@ -181,7 +182,7 @@
             self._server.watch.add(request.conn.socket, order.presence.leave)
             self._carry(order, sink)
         except errors.RequestError as error:
-            self._refuse(sink, name.decode("latin-1"), error)
+            self._refuse(sink, name.decode("latin-1"), error, order)
         except OSError:
             events.log(events.Event.CALLER_LEFT, request=name.decode("latin-1"))
             request.close_connection = True
@@ -193,7 +194,7 @@
             internal = errors.OutcomeUnknown(
                 f"internal error: {type(error).__name__}", code="internal", status=500
             )
-            self._refuse(sink, name.decode("latin-1"), internal)
+            self._refuse(sink, name.decode("latin-1"), internal, order)
         finally:
             with self._lock:
                 del self._in_progress[key]
@@ -262,8 +263,15 @@
             raise self._make_full()
         return current
 
-    def _note_refusal(self, name: str, error: errors.RequestError) -> None:
+    def _note_refusal(
+        self, name: str, error: errors.RequestError, order: orders.Order | None = None
+    ) -> None:
+        """Count and log a refusal; without an order if it was not read whole."""
         self._meters.count_refusal(error.code)
+        known: dict[str, object] = {}
+        if order is not None:
+            took = time.monotonic() - order.received_at
+            known = {"account": order.account or "", "waited": round(took, 3)}
         events.log(
             events.Event.REQUEST_REFUSED,
             request=name,
@@ -272,12 +280,17 @@
             outcome=error.outcome.value,
             retry_after=error.retry_after,
             error=str(error),
+            **known,
         )
 
     def _refuse(
-        self, sink: callersinks.CallerSink, name: str, error: errors.RequestError
+        self,
+        sink: callersinks.CallerSink,
+        name: str,
+        error: errors.RequestError,
+        order: orders.Order | None = None,
     ) -> None:
-        self._note_refusal(name, error)
+        self._note_refusal(name, error, order)
         if sink.is_begun:
             sink.cut()
             return
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -33,6 +33,10 @@
 """How often homes of one service tell each other what accounts have begun: with eight
 shards each knows the total after 0.75 s, while shares count for six seconds."""
 
+BACKLOGS_SECONDS = 1.0
+BACKLOGS_MAX = 8
+"""How often, and of how many accounts, a home logs what waits in a pool."""
+
 UNUSED_SECONDS = 10.0
 """A pool without requests for this long is forgotten: the service has another number
 of pools now, or this router is no longer its home."""
@@ -72,6 +76,7 @@
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._told_at = 0.0
         self._shares_at = 0.0
+        self._logged_at = 0.0
         self._changed = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="poolhomes", daemon=True)
@@ -274,6 +279,7 @@
     def _tick(self, now: float) -> bool:
         """Decide again in all pools; returns whether anything waits."""
         self._tell_shares(now)
+        self._log_backlogs(now)
         with self._lock:
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
             waits = any(pool.count_waiting() for pool in self._pools.values())
@@ -285,6 +291,24 @@
         self._tell(answers)
         return waits
 
+    def _log_backlogs(self, now: float) -> None:
+        """Log which accounts wait, and what each has got of late."""
+        if now - self._logged_at < BACKLOGS_SECONDS:
+            return
+        self._logged_at = now
+        with self._lock:
+            found = {
+                name: pool.list_backlogs(now) for name, pool in self._pools.items()
+            }
+        for name, backlogs in found.items():
+            if backlogs:
+                events.log(
+                    events.Event.ACCOUNTS_WAIT,
+                    pool=name,
+                    accounts=len(backlogs),
+                    most=[list_fields(each) for each in backlogs[:BACKLOGS_MAX]],
+                )
+
     def _list_alive(self, now: float) -> list[tuple[ids.RouterId, messages.QueueAlive]]:
         return [
             (router, messages.QueueAlive(name, pool.measure_pressure(now)))
@@ -293,23 +317,34 @@
         ]
 
 
+def list_fields(backlog: pools.Backlog) -> list[object]:
+    """Return account, requests that wait, late ones among them, and what it got."""
+    return [backlog.account, backlog.waiting, backlog.late, round(backlog.level)]
+
+
 def log_answer(answer: pools.Answer) -> None:
     """Log one decision of a pool and what it was made by."""
-    message, run = answer.message, answer.run
+    message, run, ask = answer.message, answer.run, answer.ask
+    common = {
+        "request": message.request,
+        "pool": message.pool,
+        "account": ask.account,
+        "before": round(ask.waited, 3),
+        "waited": round(answer.waited, 3),
+        "is_late": answer.is_late,
+    }
     if run is None:
         events.log(
             events.Event.PLACE_REFUSED,
-            request=message.request,
+            **common,
             reason=message.reason,
-            waited=round(answer.waited, 3),
             retry_after=round(message.retry_after, 3),
         )
         return
     events.log(
         events.Event.GRANT_ISSUED,
-        request=message.request,
+        **common,
         server=message.server,
-        waited=round(answer.waited, 3),
         kept=run.kept,
         pending=round(run.pending, 3),
         read=round(run.read, 3),
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -82,6 +82,7 @@
         events.log(
             events.Event.REQUEST_SENT,
             request=order.request,
+            account=order.account or "",
             server=server,
             attempt=progress.sends + 1,
             left=round(left, 3),
