--- a/bench/engines/loads.py
+++ b/bench/engines/loads.py
@@ -32,6 +32,8 @@
         Part of the requests that are about the first subject.
     begins, ends : float
         When the load lasts, in seconds.
+    held : float
+        How long each request waits at its router before the home is asked, in seconds.
     """
 
     name: str
@@ -52,6 +54,7 @@
     late_worth: float = 0.5
     begins: float = 0.0
     ends: float = math.inf
+    held: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,7 +104,7 @@
         parts=parts,
         prompt_tokens=sum(part.tokens for part in parts),
         output_tokens=load.output,
-        waited=0.0,
+        waited=load.held,
         objective=load.objective,
         timeout=load.timeout,
         gap_max=load.gap_max,
--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -160,7 +160,7 @@
     return sum(used) / len(used)
 
 
-class _Trial:
+class Trial:
     """The state of one trial: a clock, engines, and the home of their pool."""
 
     def __init__(
@@ -196,7 +196,7 @@
         self._agenda: list[tuple] = []
         for each in asked:
             ask = msgspec.structs.replace(each.ask, stride=place.stride)
-            self._plan(each.at + place.message_seconds, "ask", ask)
+            self._plan(each.at + ask.waited + place.message_seconds, "ask", ask)
 
     def play(self, until: float) -> Result:
         """Play until all is done, at most for a time after the last arrival."""
@@ -215,7 +215,8 @@
         heapq.heappush(self._agenda, (at, next(self._order), kind, value))
 
     def _do_ask(self, ask: messages.SlotRequest, now: float) -> None:
-        asked = msgspec.structs.replace(ask, waited=self._site.message_seconds)
+        waited = ask.waited + self._site.message_seconds
+        asked = msgspec.structs.replace(ask, waited=waited)
         self._tell(self._pool.ask(ROUTER, asked, now), now)
 
     def _do_tick(self, _: None, now: float) -> None:
@@ -333,4 +334,4 @@
     policy: str = "ledger",
 ) -> Result:
     """Play requests at a deployment; the same seed gives the same result."""
-    return _Trial(place, asked, seed, policy).play(until)
+    return Trial(place, asked, seed, policy).play(until)
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -155,6 +155,20 @@
     assert 0.75 <= quiet / loud <= 1.34
 
 
+def test_account_whose_requests_come_late_gets_its_share() -> None:
+    """Guards against accounts that starve since their router has little time."""
+    result = play(
+        [
+            make_plans(120, accounts=("loud",), subjects_from=0),
+            make_plans(40, accounts=("held",), subjects_from=1000, held=0.5),
+        ],
+        seconds=16.0,
+    )
+    loud = result.tokens_by_account[ids.AccountId("loud")]
+    held = result.tokens_by_account[ids.AccountId("held")]
+    assert held >= 0.5 * loud
+
+
 def test_kept_parts_are_copied_rather_than_read_again() -> None:
     """More comes than the engines can read, and no engine is always free.
 
