Keep the ledgers of pools on the largest VMs

What callers saw: an account gets less than half of what it asks while a flooding one gets three times as much; engines begin less under the flood than before it. Cause: the home of a shard was chosen by a hash of names alone. A home's work grows with everybody's flood (14 to 34% of a core at the usual load, all of it in the flood). Change: members say how much processor time their VM has; a shard's home is the router whose VM is least used up by one more shard, of equal ones that of the hash. Equal VMs keep the homes that they had.

--- a/bench/engines/smallvms.py
+++ b/bench/engines/smallvms.py
@@ -121,7 +121,7 @@
 
 def find_home(cores: Mapping[ids.RouterId, float]) -> ids.RouterId:
     """Return the home of the pool."""
-    return shards.find_homes(SERVICE, 1, tuple(cores))[0]
+    return shards.find_homes(SERVICE, 1, tuple(cores), cores)[0]
 
 
 def play(
--- a/celeryspan/decisions/shards.py
+++ b/celeryspan/decisions/shards.py
@@ -15,6 +15,8 @@
 * Any router works out the same shards from the list of servers, and the same homes from
   the membership. Where lists differ for a moment two homes may place at one server:
   order is lost then, outcomes are not.
+* Homes are on the largest VMs: the ledger's work grows with what the whole fleet is
+  asked for, and a small VM has little left beside its own callers.
 * A hot part fills the engines of its shard. Homes say with each answer how long
   requests wait there, and a router sends a request elsewhere when that is worth reading
   its shared parts again, so that no engine idles while requests wait for another.
@@ -56,6 +58,10 @@
 KEPT_MAX = 4_000
 """Parts whose shards are remembered: those of five seconds at 800 requests a second."""
 
+CORES_STEP = 0.25
+
+NO_CORES: Mapping[ids.RouterId, float] = {}
+
 ORDER_SEEDS = (0, 1)
 """A part's first and second shard; hot parts overflow to the second before others, so
 that they are read again in one more shard and not in all."""
@@ -137,22 +143,40 @@
 
 
 def find_homes(
-    service: ids.ServiceId, count: int, routers: Collection[ids.RouterId]
+    service: ids.ServiceId,
+    count: int,
+    routers: Collection[ids.RouterId],
+    cores: Mapping[ids.RouterId, float] = NO_CORES,
 ) -> tuple[ids.RouterId, ...]:
-    """Return the home of each shard: different routers while there are enough.
+    """Return the home of each shard, on the VMs that are least used up by it.
 
+    Of equal VMs each is home once before one is home twice; a hash chooses among them.
     The home of a shard does not hang on the number of shards.
+
+    Parameters
+    ----------
+    cores : mapping
+        Processor time of each router's VM, in cores; one core where it is not known.
     """
+    sizes = {router: round_cores(cores.get(router, 1.0)) for router in routers}
+    held: collections.Counter[ids.RouterId] = collections.Counter()
     found: list[ids.RouterId] = []
-    for shard in range(count):
-        left = [router for router in routers if router not in found]
+    for shard in range(count if sizes else 0):
+        uses = {router: (held[router] + 1) / size for router, size in sizes.items()}
+        least = min(uses.values())
         name = ids.ServerId(f"{service}#{shard}" if shard else service)
-        home = homes.find_home(name, left or routers)
-        if home is not None:
-            found.append(home)
+        home = homes.find_home(name, [each for each in uses if uses[each] == least])
+        assert home is not None
+        held[home] += 1
+        found.append(home)
     return tuple(found)
 
 
+def round_cores(cores: float) -> float:
+    """Return a VM's size; VMs that hardly differ are alike."""
+    return max(CORES_STEP, round(cores / CORES_STEP) * CORES_STEP)
+
+
 def rank(key: str, count: int) -> tuple[int, ...]:
     """Return the shards that a prompt's shared parts belong to, the first one first."""
     mask = count - 1
--- a/celeryspan/gateway/poolmap.py
+++ b/celeryspan/gateway/poolmap.py
@@ -37,7 +37,7 @@
         self._servers: serverlists.ServersService = box.find("servers")
         self._pressures = shards.Pressures()
         self._passed_over: dict[ids.RouterId, float] = {}
-        self._routers: tuple[ids.RouterId, ...] = (self._identity.router,)
+        self._routers: dict[ids.RouterId, float] = {self._identity.router: 1.0}
         self._divisions: dict[ids.ServiceId, shards.Division] = {}
         self._homes: dict[tuple[ids.ServiceId, int], tuple[ids.RouterId, ...]] = {}
         self._handlers: list[Callable[[], None]] = []
@@ -141,7 +141,7 @@
         found = self._homes.get((service, count))
         if found is None:
             routers = [r for r in self._routers if r not in self._passed_over]
-            found = shards.find_homes(service, count, routers)
+            found = shards.find_homes(service, count, routers, self._routers)
             self._homes[service, count] = found
         return found
 
@@ -150,11 +150,11 @@
 
     def _set_members(self, members: list[messages.Member]) -> None:
         """Take those that may be homes: routers that stop hand over."""
-        self._routers = tuple(
-            member.router
+        self._routers = {
+            member.router: member.cores
             for member in members
             if member.state is not states.MemberState.LEAVING
-        )
+        }
         self._homes = {}
 
     def _follow_members(self, members: list[messages.Member]) -> None:
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -26,6 +26,8 @@
         and the length of the window in seconds.
     descriptors_max : int
         Files and sockets that the process may have open; 0 asks the system.
+    processor_share, processor_speed : float
+        Part of a core that the VM has, and how many times as fast as a usual one.
     """
 
     ready_address: structs.HostPort
@@ -36,3 +38,10 @@
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     retry_window: Annotated[float, msgspec.Meta(gt=0)] = 10.0
     descriptors_max: Annotated[int, msgspec.Meta(ge=0)] = 0
+    processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+
+    @property
+    def cores(self) -> float:
+        """Processor time of the VM, in usual cores."""
+        return self.processor_share * self.processor_speed
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -167,6 +167,7 @@
             peer_address=ids.Address.parse(settings.peer_address),
             generation=ids.Generation(0),
             refutations=0,
+            cores=getattr(settings, "cores", 1.0),
         )
 
     def _tick(self) -> None:
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -157,7 +157,13 @@
 
 
 class Member(msgspec.Struct, frozen=True):
-    """What the sender believes about one router; rides on probes."""
+    """What the sender believes about one router; rides on probes.
+
+    Attributes
+    ----------
+    cores : float
+        Processor time of its VM.
+    """
 
     router: ids.RouterId
     incarnation: ids.Incarnation
@@ -167,6 +173,7 @@
     peer_address: ids.Address
     generation: ids.Generation
     refutations: int
+    cores: float = 1.0
 
 
 class Probe(msgspec.Struct, frozen=True):
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -145,6 +145,7 @@
   peerAddress @5 :Text;
   generation @6 :UInt64;
   refutations @7 :UInt64;
+  cores @8 :Float64 = 1.0;
 }
 
 struct Probe {
--- a/tests/decisions/test_shards.py
+++ b/tests/decisions/test_shards.py
@@ -91,6 +91,27 @@
     assert shards.find_homes("planner", 8, []) == ()
 
 
+def test_homes_are_on_the_largest_vms() -> None:
+    """Guards against ledgers on small VMs that their own callers use up."""
+    cores = dict.fromkeys(ROUTERS, 0.516) | dict.fromkeys(ROUTERS[:3], 2.151)
+    found = shards.find_homes("planner", 8, ROUTERS, cores)
+    assert set(found) == set(ROUTERS[:3])
+    assert max(found.count(router) for router in ROUTERS[:3]) == 3
+    assert shards.find_homes("planner", 4, ROUTERS, cores) == found[:4]
+
+
+def test_vms_that_hardly_differ_are_alike() -> None:
+    cores = {router: 1.0 + 0.001 * index for index, router in enumerate(ROUTERS)}
+    found = shards.find_homes("planner", 8, ROUTERS, cores)
+    assert found == shards.find_homes("planner", 8, ROUTERS)
+
+
+def test_loss_of_a_home_moves_no_other_one() -> None:
+    before = shards.find_homes("planner", 8, ROUTERS)
+    left = [router for router in ROUTERS if router != before[-1]]
+    assert shards.find_homes("planner", 8, left)[:-1] == before[:-1]
+
+
 def test_name_of_a_pool_is_read_back() -> None:
     name = shards.name_pool("a#service", 8, 3)
     assert shards.parse_pool(name) == ("a#service", 8, 3)
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -24,6 +24,9 @@
     messages.Member(
         "r-1", 5, states.MemberState.SUSPECT, "hala-a", ADDRESS, ADDRESS, 4, 1
     ),
+    messages.Member(
+        "r-2", 5, states.MemberState.ALIVE, "hala-a", ADDRESS, ADDRESS, 4, 1, 2.151
+    ),
     messages.Probe(1, 2**63),
     messages.ProbeRequest(1, "r-2"),
     messages.Ack(1, "r-2"),
