Refuse what an account's backlog can't get places for as it comes

What callers saw: a flooding account's requests wait 0.2 s and more at a home only to be refused; the homes of the logged flood had up to 1,100 requests of one account waiting in a shard that placed some 35 a second, and were late for everybody. Cause: the queue of an account had no bound but time; a home looks through all that waits at each decision. Change: decisions/paces measures how many places a second an account gets; an account that has more waiting than it gets in three latency objectives, and more than 16 a server, is refused at once, with the time to come back as before. Ruled out: a bound by the time that reading takes, which is three times too high where most of a prompt is kept.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -416,6 +416,10 @@
         for server in [*self._servers.values(), *self._left.values()]:
             server.expire(now - OVERDUE_SECONDS)
 
+    def count_servers(self) -> int:
+        """Return how many servers may get new work."""
+        return len(self._servers)
+
     def count_runs(self) -> int:
         """Return how many places are taken."""
         return sum(
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -15,7 +15,8 @@
 * Where a request goes is chosen by :mod:`placing`; what no server can take yet waits
   here, never in an engine's queue.
 * What can't be served in a sensible time is refused at once, with the time after which
-  a place is likely.
+  a place is likely. An account that has more waiting than it gets places for in time
+  (:mod:`paces`) has no room in the queue.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
 import msgspec
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import accountshares, placing, poolservers
+from celeryspan.decisions import accountshares, paces, placing, poolservers
 from celeryspan.wire import messages
 
 OUTPUT_WEIGHT = 2.0
@@ -50,6 +51,13 @@
 """What service counts for when an account has only late requests: two thirds of what
 others get, where fairness asks for half."""
 
+QUEUE_OBJECTIVES = 3.0
+"""Latency objectives of work that one account may have waiting at its pace: as long as
+a request waits at most."""
+
+QUEUE_SERVER_MIN = 16
+"""Requests of one account that may wait for each server, whatever its pace."""
+
 NOWHERE = ids.ServerId("")
 
 LOOK_AHEAD = 10
@@ -126,7 +134,7 @@
 
 
 class Turn(NamedTuple):
-    """Requests that are weighed against each other: those of one account, in time or not.
+    """Requests of one account that are weighed against each other.
 
     Those in time go before the late ones of the same account: its level counts less.
     """
@@ -152,6 +160,7 @@
         self._generator = generator
         self._placing = placing.Placing()
         self._shares = accountshares.AccountShares()
+        self._paces = paces.Paces()
         self._waiting: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
         self._waiting_seconds = 0.0
 
@@ -186,10 +195,20 @@
         if self._placing.is_hopeless(ask):
             return [self._refuse(task, "too-large", now)]
         self._placing.note_arrival(ask, now)
+        if self._is_full(ask, now):
+            return [self._refuse(task, "no-place-in-time", now)]
         others_wait = bool(self._waiting)
         self._waiting.setdefault(ask.account, {})[ask.request] = task
         return [] if others_wait else self.decide(now)
 
+    def _is_full(self, ask: messages.SlotRequest, now: float) -> bool:
+        """Whether more of an account waits than gets places in time."""
+        waiting = len(self._waiting.get(ask.account, ()))
+        if waiting < QUEUE_SERVER_MIN * self._placing.count_servers():
+            return False
+        pace = self._paces.measure(ask.account, now)
+        return waiting >= pace * ask.objective * QUEUE_OBJECTIVES
+
     def _make_task(
         self, router: ids.RouterId, ask: messages.SlotRequest, now: float
     ) -> Task:
@@ -373,6 +392,7 @@
         self.cancel(task.ask.request)
         run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
+        self._paces.note(task.ask.account, now)
         pressure = self.measure_pressure(now)
         offer = messages.SlotOffer(
             task.ask.request, self.name, server, pressure, run.source or NOWHERE
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -13,7 +13,7 @@
 
 from bench.engines import loads, site, trial
 from celeryspan import ids
-from celeryspan.decisions import placing, poolservers
+from celeryspan.decisions import placing, pools, poolservers
 
 SITE = site.Site(engines=6, slots=32, memory_tokens=600_000, stride=6)
 
@@ -155,6 +155,32 @@
     assert 0.75 <= quiet / loud <= 1.34
 
 
+def test_flood_is_refused_as_it_comes_and_costs_others_nothing(monkeypatch) -> None:
+    """Guards against a queue of requests that will be refused in the end."""
+    asked = [
+        make_notes(1500, accounts=("flood",)),
+        make_notes(100, accounts=("calm",), subjects_from=1000),
+    ]
+    place = dataclasses.replace(SITE, engines=2)
+    most = 0
+    tick = pools.Pool.tick
+
+    def watch(pool: pools.Pool, now: float) -> list[pools.Answer]:
+        nonlocal most
+        most = max(most, pool.count_waiting())
+        return tick(pool, now)
+
+    monkeypatch.setattr(pools.Pool, "tick", watch)
+    found = play(asked, seconds=6.0, place=place)
+    bounded, most = most, 0
+    monkeypatch.setattr(pools.Pool, "_is_full", lambda *_: False)
+    unbounded = play(asked, seconds=6.0, place=place)
+    assert bounded <= 0.5 * most
+    for account, least in (("calm", 0.97), ("flood", 0.85)):
+        got = found.tokens_by_account[ids.AccountId(account)]
+        assert got >= least * unbounded.tokens_by_account[ids.AccountId(account)]
+
+
 def test_account_whose_requests_come_late_gets_its_share() -> None:
     """Guards against accounts that starve since their router has little time."""
     result = play(
