Let routers whose processors have no time left hand their ledgers over

Cause: which router is home hung on names, and now on sizes, not on what a VM has left. The budget of repeats still counts all routers. Ruled out: processor time as the sign (what a process may use differs from VM to VM).

--- a/celeryspan/decisions/shards.py
+++ b/celeryspan/decisions/shards.py
@@ -32,7 +32,7 @@
 import msgspec
 import xxhash
 
-from celeryspan import ids
+from celeryspan import ids, states
 from celeryspan.decisions import engines, homes, placing
 
 if TYPE_CHECKING:
@@ -60,6 +60,9 @@
 
 CORES_STEP = 0.25
 
+CALM_SHARE_MIN = 0.5
+"""Part of all cores that routers which are not busy must have to keep all ledgers."""
+
 NO_CORES: Mapping[ids.RouterId, float] = {}
 
 ORDER_SEEDS = (0, 1)
@@ -172,6 +175,25 @@
     return tuple(found)
 
 
+def list_running(members: Iterable[messages.Member]) -> list[messages.Member]:
+    """Return the routers that take part; those that stop hand over."""
+    leaving = states.MemberState.LEAVING
+    return [member for member in members if member.state is not leaving]
+
+
+def list_hosts(running: Collection[messages.Member]) -> dict[ids.RouterId, float]:
+    """Return the routers that may be homes, and how many cores each has.
+
+    Those whose processors have no time left hand over too, unless they are so many
+    that the others would be used up as well.
+    """
+    calm = [member for member in running if not member.is_busy]
+    enough = sum(member.cores for member in running) * CALM_SHARE_MIN
+    if sum(member.cores for member in calm) < enough:
+        calm = list(running)
+    return {member.router: member.cores for member in calm}
+
+
 def round_cores(cores: float) -> float:
     """Return a VM's size; VMs that hardly differ are alike."""
     return max(CORES_STEP, round(cores / CORES_STEP) * CORES_STEP)
--- a/celeryspan/decisions/statements.py
+++ b/celeryspan/decisions/statements.py
@@ -37,6 +37,7 @@
     SUSPECTED = "suspected"
     LEAVING = "leaving"
     DEAD = "dead"
+    LOAD = "load"
     REFUTED = "refuted"
     OUTDONE = "outdone"
 
@@ -86,6 +87,15 @@
         """Set the generation that this router has in force."""
         self.own = msgspec.structs.replace(self.own, generation=generation)
 
+    def set_busy(self, is_busy: bool) -> list[Action]:
+        """Say that this router's processor has no time left, or has some again."""
+        self.own = msgspec.structs.replace(
+            self.own, is_busy=is_busy, refutations=self.own.refutations + 1
+        )
+        self.changes.append((Change.LOAD, self.own))
+        self.gossip.put(self.own.router, self.own)
+        return self.spread_now()
+
     def alive(self) -> list[messages.Member]:
         """Return the routers that run, this one first; some may be leaving."""
         return [self.own, *self.beliefs.select(*beliefs.REACHABLE)]
@@ -235,6 +245,8 @@
         if member.state is states.MemberState.ALIVE:
             if was in (None, states.MemberState.DEAD, states.MemberState.LEAVING):
                 self.changes.append((Change.JOINED, member))
+            elif before is not None and before.is_busy is not member.is_busy:
+                self.changes.append((Change.LOAD, member))
         elif member.state is states.MemberState.SUSPECT:
             self.changes.append((Change.SUSPECTED, member))
         elif member.state is states.MemberState.LEAVING:
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -15,7 +15,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import overload
+from celeryspan.decisions import busyness, overload
 from celeryspan.gateway import (
     acceptance,
     callersinks,
@@ -28,6 +28,7 @@
 
 if TYPE_CHECKING:
     from celeryspan.gateway import carrier, catalogues
+    from celeryspan.services import membership
 
 STARTING_SECONDS = 0.5
 """When to come back to a router that knows no configuration yet."""
@@ -85,7 +86,7 @@
             super().hand_over(connection)
 
 
-@kernel.register("front", needs=("carrier", "catalogues", "metrics"))
+@kernel.register("front", needs=("carrier", "catalogues", "membership", "metrics"))
 class Front:
     """Reads requests, finds route and account, and answers.
 
@@ -101,11 +102,13 @@
         self._settings = box.settings
         self._carrier: carrier.Carrier = box.find("carrier")
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
+        self._membership: membership.MembershipService = box.find("membership")
         self._meters: metrics.Metrics = box.find("metrics")
         self._random = random.Random(f"{box.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
         self._overload = overload.Overload(self._settings.caller_threads)
+        self._busyness = busyness.Busyness()
         self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
@@ -308,6 +311,8 @@
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
             self._overload.note(late, self.count(), now)
+            if self._busyness.note(self._overload.lateness, now):
+                self._membership.set_busy(self._busyness.is_busy)
             limit = self._overload.limit
             if limit != before or now - counted_at >= COUNT_SECONDS:
                 counted_at = now
--- a/celeryspan/gateway/poolmap.py
+++ b/celeryspan/gateway/poolmap.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from celeryspan import events, ids, kernel, states
+from celeryspan import events, ids, kernel
 from celeryspan.decisions import shards
 from celeryspan.wire import messages
 
@@ -37,7 +37,8 @@
         self._servers: serverlists.ServersService = box.find("servers")
         self._pressures = shards.Pressures()
         self._passed_over: dict[ids.RouterId, float] = {}
-        self._routers: dict[ids.RouterId, float] = {self._identity.router: 1.0}
+        self._running = 1
+        self._hosts: dict[ids.RouterId, float] = {self._identity.router: 1.0}
         self._divisions: dict[ids.ServiceId, shards.Division] = {}
         self._homes: dict[tuple[ids.ServiceId, int], tuple[ids.RouterId, ...]] = {}
         self._handlers: list[Callable[[], None]] = []
@@ -64,7 +65,7 @@
 
     def count_routers(self) -> int:
         """Return how many routers take part."""
-        return max(1, len(self._routers))
+        return self._running
 
     def find_pool_of(
         self, service: ids.ServiceId, server: ids.ServerId
@@ -140,8 +141,8 @@
             self._homes = {}
         found = self._homes.get((service, count))
         if found is None:
-            routers = [r for r in self._routers if r not in self._passed_over]
-            found = shards.find_homes(service, count, routers, self._routers)
+            routers = [r for r in self._hosts if r not in self._passed_over]
+            found = shards.find_homes(service, count, routers, self._hosts)
             self._homes[service, count] = found
         return found
 
@@ -149,12 +150,10 @@
         return self._divisions.get(service, shards.UNDIVIDED)
 
     def _set_members(self, members: list[messages.Member]) -> None:
-        """Take those that may be homes: routers that stop hand over."""
-        self._routers = {
-            member.router: member.cores
-            for member in members
-            if member.state is not states.MemberState.LEAVING
-        }
+        """Take those that may be homes."""
+        running = shards.list_running(members)
+        self._running = max(1, len(running))
+        self._hosts = shards.list_hosts(running)
         self._homes = {}
 
     def _follow_members(self, members: list[messages.Member]) -> None:
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -24,6 +24,7 @@
     statements.Change.SUSPECTED: events.Event.MEMBER_SUSPECTED,
     statements.Change.LEAVING: events.Event.MEMBER_LEAVING,
     statements.Change.DEAD: events.Event.MEMBER_DEAD,
+    statements.Change.LOAD: events.Event.MEMBER_LOAD_CHANGED,
     statements.Change.REFUTED: events.Event.SELF_REFUTED,
     statements.Change.OUTDONE: events.Event.SELF_REFUTED,
 }
@@ -125,6 +126,13 @@
         with self._lock:
             self._decision.set_generation(generation)
 
+    def set_busy(self, is_busy: bool) -> None:
+        """Say that this router's processor has no time left, or has some again."""
+        with self._lock:
+            actions = self._decision.set_busy(is_busy)
+            self._refresh()
+        self._carry_out(actions)
+
     def announce(self) -> None:
         """Show this router's generation to a few random routers at once."""
         with self._lock:
@@ -234,7 +242,12 @@
             self._links.forget(member.router)
         elif member.router != self._identity.router:
             self._links.learn(member.router, member.peer_address)
-        events.log(EVENTS[change], router=member.router, incarnation=member.incarnation)
+        events.log(
+            EVENTS[change],
+            router=member.router,
+            incarnation=member.incarnation,
+            is_busy=member.is_busy,
+        )
 
     def _notify(self) -> None:
         if not self._changed:
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -163,6 +163,8 @@
     ----------
     cores : float
         Processor time of its VM.
+    is_busy : bool
+        Whether its processor has no time left.
     """
 
     router: ids.RouterId
@@ -174,6 +176,7 @@
     generation: ids.Generation
     refutations: int
     cores: float = 1.0
+    is_busy: bool = False
 
 
 class Probe(msgspec.Struct, frozen=True):
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -146,6 +146,7 @@
   generation @6 :UInt64;
   refutations @7 :UInt64;
   cores @8 :Float64 = 1.0;
+  isBusy @9 :Bool;
 }
 
 struct Probe {
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -150,6 +150,20 @@
     assert len(leaving) == 5
 
 
+def test_all_hear_that_a_router_is_busy_and_that_it_is_calm_again() -> None:
+    """Guards against routers that ask different homes for as long as a flood lasts."""
+    fleet = virtual.Fleet(60, 4, loss=0.1, disorder=0.2)
+    fleet.run(20.0)
+    names = list(fleet.routers)
+    router = fleet.routers[names[7]]
+    for is_busy in (True, False):
+        fleet._carry_out(names[7], router, router.decision.set_busy(is_busy))
+        fleet.run(3.0)
+        for name in names[:7] + names[8:]:
+            belief = fleet.routers[name].decision.beliefs.find(names[7])
+            assert belief.member.is_busy is is_busy
+
+
 def test_name_taken_by_another_vm_is_given_up_by_the_paused_one() -> None:
     """A VM is paused and replaced by another of its name, then wakes.
 
--- a/tests/decisions/test_shards.py
+++ b/tests/decisions/test_shards.py
@@ -9,7 +9,9 @@
 from hypothesis import strategies
 
 from bench.engines import loads, site, trial
+from celeryspan import ids, states
 from celeryspan.decisions import shards
+from celeryspan.wire import messages
 
 SERVERS = [f"i-{number:04x}" for number in range(56)]
 ROUTERS = [f"edge-{number}" for number in range(66)]
@@ -100,6 +102,30 @@
     assert shards.find_homes("planner", 4, ROUTERS, cores) == found[:4]
 
 
+def make_members(busy: int) -> list[messages.Member]:
+    """Return routers of which the first few are busy."""
+    address = ids.Address("10.0.0.1", 1)
+    alive = states.MemberState.ALIVE
+    return [
+        messages.Member(
+            router, 1, alive, "hala-a", address, address, 1, 0, 1.0, index < busy
+        )
+        for index, router in enumerate(ROUTERS)
+    ]
+
+
+def test_busy_routers_hand_their_ledgers_over() -> None:
+    """Guards against a home on the VM that a flood uses up."""
+    hosts = shards.list_hosts(make_members(3))
+    assert set(hosts) == set(ROUTERS[3:])
+
+
+def test_ledgers_stay_where_nobody_has_time() -> None:
+    """Guards against all ledgers on the few routers that nobody asks."""
+    hosts = shards.list_hosts(make_members(len(ROUTERS) - 2))
+    assert set(hosts) == set(ROUTERS)
+
+
 def test_vms_that_hardly_differ_are_alike() -> None:
     cores = {router: 1.0 + 0.001 * index for index, router in enumerate(ROUTERS)}
     found = shards.find_homes("planner", 8, ROUTERS, cores)
