Add up what waits at a home as it changes, and let it wait while no server is known

Cause: each refusal and each tick of a home summed up the reading time of all that waits. And an account's bound on waiting requests held before the home knew any server: there is no pace then, so that all of them were refused at once. Change: each request brings its work, and the pool keeps the sum; without servers the bound does not hold. Ruled out: a change of what is decided; the sums are the same but for rounding, and all loads of tests/decisions/test_pools.py give their verdicts as before. Shown by: test_requests_wait_while_no_server_is_known_yet (fails on the code before).

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -445,13 +445,19 @@
         lacking = waiting + 1 - (self._slots - taken)
         return max(0, lacking) * self._run_seconds / max(1, self._slots)
 
-    def estimate_wait(self, asks: Sequence[messages.SlotRequest]) -> float:
-        """Return the time in which all these requests will have been placed."""
-        servers = max(1, len(self._servers))
+    def estimate_work(self, ask: messages.SlotRequest) -> float:
+        """Return the time that a request takes of one server, if nothing is kept.
+
+        For plain calls, of one place.
+        """
         if self._engine is None:
-            return len(asks) * poolservers.CALL_SECONDS / max(1, self._slots)
-        read = sum(self._model.read_seconds(ask.prompt_tokens, 0) for ask in asks)
-        return read / servers
+            return poolservers.CALL_SECONDS
+        return self._model.read_seconds(ask.prompt_tokens, 0)
+
+    def estimate_wait(self, work: float) -> float:
+        """Return the time in which so much work will have been placed, in seconds."""
+        parts = self._slots if self._engine is None else len(self._servers)
+        return work / max(1, parts)
 
     def estimate_first(self, ask: messages.SlotRequest) -> float:
         """Return the time from a place to the first event, if the best server is free.
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -78,6 +78,8 @@
     start_by, give_up_at, end_at : float
         Until when the request must be placed to be in time, when waiting ends, and when
         the request must have ended; on the home's clock, in seconds.
+    work : float
+        What it takes of a server, in seconds.
     """
 
     ask: messages.SlotRequest
@@ -87,6 +89,7 @@
     give_up_at: float
     end_at: float
     is_long: bool
+    work: float
 
     @property
     def units(self) -> float:
@@ -163,6 +166,7 @@
         self._paces = paces.Paces()
         self._waiting: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
         self._waiting_seconds = 0.0
+        self._work = 0.0
 
     def set_servers(
         self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
@@ -198,13 +202,17 @@
         if self._is_full(ask, now):
             return [self._refuse(task, "no-place-in-time", now)]
         others_wait = bool(self._waiting)
-        self._waiting.setdefault(ask.account, {})[ask.request] = task
+        self._add(task)
         return [] if others_wait else self.decide(now)
 
     def _is_full(self, ask: messages.SlotRequest, now: float) -> bool:
-        """Whether more of an account waits than gets places in time."""
+        """Whether more of an account waits than gets places in time.
+
+        Without a server there is no pace to go by: the list may be late.
+        """
+        servers = self._placing.count_servers()
         waiting = len(self._waiting.get(ask.account, ()))
-        if waiting < QUEUE_SERVER_MIN * self._placing.count_servers():
+        if not servers or waiting < QUEUE_SERVER_MIN * servers:
             return False
         pace = self._paces.measure(ask.account, now)
         return waiting >= pace * ask.objective * QUEUE_OBJECTIVES
@@ -223,14 +231,13 @@
             give_up_at=arrived + patience - first,
             end_at=arrived + ask.timeout,
             is_long=self._placing.is_long(ask),
+            work=self._placing.estimate_work(ask),
         )
 
     def cancel(self, request: ids.RequestId) -> None:
         """Take a request out of the queue."""
-        for account, tasks in self._waiting.items():
-            if tasks.pop(request, None) is not None:
-                if not tasks:
-                    del self._waiting[account]
+        for account in list(self._waiting):
+            if self._remove(account, request):
                 return
 
     def begin(
@@ -263,14 +270,14 @@
 
     def forget_router(self, router: ids.RouterId) -> None:
         """Drop the requests and runs of a router that is dead."""
-        for account in list(self._waiting):
-            tasks = self._waiting[account]
-            for request in [
-                key for key, task in tasks.items() if task.router == router
-            ]:
-                del tasks[request]
-            if not tasks:
-                del self._waiting[account]
+        lost = [
+            task
+            for tasks in self._waiting.values()
+            for task in tasks.values()
+            if task.router == router
+        ]
+        for task in lost:
+            self._remove(task.ask.account, task.ask.request)
         self._placing.forget_router(router)
 
     def list_routers(self) -> set[ids.RouterId]:
@@ -389,7 +396,7 @@
         return self._offer(tasks.pop(best[1]), best[2], now)
 
     def _offer(self, task: Task, server: ids.ServerId, now: float) -> Answer:
-        self.cancel(task.ask.request)
+        self._remove(task.ask.account, task.ask.request)
         run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
         self._paces.note(task.ask.account, now)
@@ -408,7 +415,7 @@
         ]
         answers = []
         for task in late:
-            self.cancel(task.ask.request)
+            self._remove(task.ask.account, task.ask.request)
             answers.append(self._refuse(task, "no-place-in-time", now))
         return answers
 
@@ -423,8 +430,23 @@
 
     def _estimate_wait(self) -> float:
         """Return the time in which what waits now will have been placed, in seconds."""
-        asks = [task.ask for tasks in self._waiting.values() for task in tasks.values()]
-        return self._placing.estimate_wait(asks)
+        return self._placing.estimate_wait(self._work)
+
+    def _add(self, task: Task) -> None:
+        self._waiting.setdefault(task.ask.account, {})[task.ask.request] = task
+        self._work += task.work
+
+    def _remove(self, account: ids.AccountId, request: ids.RequestId) -> bool:
+        """Take out a request if it waits; returns whether it did."""
+        tasks = self._waiting.get(account, {})
+        task = tasks.pop(request, None)
+        if task is None:
+            return False
+        if not tasks:
+            del self._waiting[account]
+        # Rounding errors of many sums and differences end with the queue.
+        self._work = self._work - task.work if self._waiting else 0.0
+        return True
 
 
 def _make_answer(
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -181,6 +181,14 @@
         assert got >= least * unbounded.tokens_by_account[ids.AccountId(account)]
 
 
+def test_requests_wait_while_no_server_is_known_yet() -> None:
+    """Guards against refusals by a home that has not heard of its servers."""
+    pool = pools.Pool(ids.PoolId("engines#1#0"), random.Random(7))
+    asked = loads.merge([make_notes(100)], 1.0, random.Random(7))
+    assert not any(pool.ask(trial.ROUTER, each.ask, 0.0) for each in asked)
+    assert pool.count_waiting() == len(asked)
+
+
 def test_account_whose_requests_come_late_gets_its_share() -> None:
     """Guards against accounts that starve since their router has little time."""
     result = play(
