Log lost runs with a fingerprint, and servers that crashed under them

The record of the incident can't tell copies of one request from other requests, nor a server that crashed from an answer that was lost, nor which runs ended together.

Nothing is decided by it yet.

Ruled out: taking the end of one connection for a crash.

--- a/celeryspan/explanations.py
+++ b/celeryspan/explanations.py
@@ -90,6 +90,15 @@
     return f"the stream is to go on{where} above event {fields.get('above')!r}"
 
 
+@sentence(events.Event.RUN_LOST)
+def _explain_lost_run(fields: Fields) -> str:
+    since = "the first part of the answer" if fields.get("is_begun") else "sending it"
+    return (
+        f"lost at {fields.get('server')} {seconds(fields, 'seconds')} after {since}"
+        f" (fingerprint {fields.get('fingerprint')})"
+    )
+
+
 @sentence(events.Event.CALLER_LEFT)
 def _explain_left(_: Fields) -> str:
     return "the caller closed its connection"
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -26,7 +26,7 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import budgets, catalogues, serverlists
+    from celeryspan.gateway import budgets, catalogues, crashwatch, serverlists
 
 CONNECTS_MAX = 4
 """Servers that one request tries to connect to."""
@@ -48,6 +48,7 @@
         "budgets",
         "catalogues",
         "channels",
+        "crashwatch",
         "metrics",
         "migrations",
         "places",
@@ -61,6 +62,7 @@
     def __init__(self, box: kernel.Kernel) -> None:
         self._catalogues: catalogues.CataloguesService = box.find("catalogues")
         self._channels: channels.Channels = box.find("channels")
+        self._crashwatch: crashwatch.CrashWatch = box.find("crashwatch")
         self._places: places.Places = box.find("places")
         self._budgets: budgets.Budgets = box.find("budgets")
         self._migrations: migrations.Migrations = box.find("migrations")
@@ -166,6 +168,7 @@
                     ending = states.RunEnding.ANSWERED
                     return True
                 ending = states.RunEnding.FAILED
+                self._crashwatch.note_loss(order, channel.entry, progress, lost)
             self._follow_loss(order, progress, lost)
         except OSError:
             ending = states.RunEnding.CANCELLED
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -27,6 +27,10 @@
         A server's own failure, to be passed on if no repeat does better.
     first_at, gap : float
         When the first event was passed on, and the longest pause since, in seconds.
+    placed_at, begun_at : float
+        When it was last sent, and when the first part of that answer came.
+    strikes : int
+        Crashes in a row under this request that were known when it was last sent.
     """
 
     def __init__(self) -> None:
@@ -42,9 +46,19 @@
         self.last_at = 0.0
         self.gap = 0.0
         self.placed_at = 0.0
+        self.begun_at: float | None = None
+        self.strikes = 0
+
+    def note_sent(self, now: float) -> None:
+        """Note that the request is sent to one more server."""
+        self.sends += 1
+        self.placed_at = now
+        self.begun_at = None
 
     def note_event(self, now: float) -> None:
         """Note that an event of a stream is passed on."""
+        if self.begun_at is None:
+            self.begun_at = now
         if self.first_at is None:
             self.first_at = now
         else:
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -88,8 +88,7 @@
             left=round(left, 3),
             reused=not channel.is_new,
         )
-        progress.sends += 1
-        progress.placed_at = time.monotonic()
+        progress.note_sent(time.monotonic())
         try:
             channel.send(head + order.body, until)
             answer = channel.receive(order.method, order.request, until)
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -55,6 +55,11 @@
         """Return the servers that may get new work."""
         return self._usable
 
+    def find(self, server: ids.ServerId) -> catalog.ServerEntry | None:
+        """Return the entry of a server, also of one that is leaving, or None."""
+        with self._lock:
+            return self._list.find(server)
+
     def subscribe(self, handler: Handler) -> None:
         """Call a handler with the usable servers whenever they change."""
         self._handlers.append(handler)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -30,6 +30,9 @@
 KEPT = "/v1/kv-list"
 COPY = "kv-from"
 
+FATAL_SECONDS = 0.03
+"""From the beginning of a run that crashes the server to the crash."""
+
 RESET = struct.pack("ii", 1, 0)
 """Linger option with which closing a socket resets its connection."""
 
@@ -42,6 +45,7 @@
     target: str
     headers: dict[str, str]
     body: bytes
+    at: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
     def request(self) -> str:
@@ -74,9 +78,18 @@
         Connections accepted so far.
     events : int
         Events of each stream.
+    fatal : set of bytes
+        Bodies of requests that crash it once they have begun to run.
+    crashed : Event
+        Set once it has crashed.
+
+    Parameters
+    ----------
+    port : int
+        Where it listens; 0 for any free port.
     """
 
-    def __init__(self, name: str, *, streams: bool = False) -> None:
+    def __init__(self, name: str, *, streams: bool = False, port: int = 0) -> None:
         self.name = name
         self.streams = streams
         self.script: collections.deque[str] = collections.deque()
@@ -93,7 +106,9 @@
         self.connections = 0
         self.event_seconds = 0.0
         self.events = EVENTS
-        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.fatal: set[bytes] = set()
+        self.crashed = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", port))
         self.address = ids.Address(*self._listener.getsockname())
         self._stopping = threading.Event()
         self._open: set[socket.socket] = set()
@@ -113,6 +128,14 @@
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
 
+    def crash(self) -> None:
+        """Reset all connections and refuse new ones, as a process that ends."""
+        for connection in list(self._open):
+            with contextlib.suppress(OSError):
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self.stop()
+        self.crashed.set()
+
     def _accept(self) -> None:
         while not self._stopping.is_set():
             try:
@@ -168,6 +191,8 @@
         if seen.headers.get(EXPECTED.lower()) != self.name:
             connection.sendall(self._write_head(seen, 421, 0))
             return True
+        if seen.body and seen.body in self.fatal:
+            return self._run_fatal(seen, connection)
         word = self.script.popleft() if self.script else "serve"
         return getattr(self, f"_do_{word}")(seen, connection)
 
@@ -216,6 +241,15 @@
         connection.sendall(b"0\r\n\r\n")
         return True
 
+    def _run_fatal(self, seen: Seen, connection: socket.socket) -> bool:
+        """Begin to run a request and crash; a stream has got the head of an answer."""
+        self._note_run(seen)
+        if self.streams:
+            connection.sendall(self._write_head(seen, 200, None))
+        time.sleep(FATAL_SECONDS)
+        self.crash()
+        return False
+
     def _do_full(self, seen: Seen, connection: socket.socket) -> bool:
         connection.sendall(self._write_head(seen, 503, 0, {NOT_RUN: "1"}))
         return True
--- /dev/null
+++ b/tests/decisions/test_crashes.py
@@ -0,0 +1,95 @@
+"""Which lost runs count as crashes of their servers."""
+
+from __future__ import annotations
+
+from celeryspan import catalog, ids
+from celeryspan.decisions import crashes, fingerprints
+
+
+def make_entry(name: str = "engine", **values: object) -> catalog.ServerEntry:
+    """Return the entry of a server."""
+    fields = {
+        "server": ids.ServerId(name),
+        "service": ids.ServiceId("planner"),
+        "address": ids.Address("127.0.0.1", 1),
+        "data_centre": ids.DataCentreId("here"),
+        "slots": 8,
+        "is_leaving": False,
+        "revision": 1,
+        **values,
+    }
+    return catalog.ServerEntry(**fields)
+
+
+def make_loss(entry: catalog.ServerEntry, request: str = "r1") -> crashes.LostRun:
+    """Return a run that was lost at a server."""
+    fingerprint = fingerprints.Fingerprint(1, 2)
+    return crashes.LostRun(ids.RequestId(request), entry, fingerprint, 0.1, False)
+
+
+def test_refused_connection_shows_the_crash_under_all_runs_lost_before() -> None:
+    detector = crashes.CrashDetector()
+    entry = make_entry()
+    assert detector.add_loss(make_loss(entry, "r1"), 0.0) is None
+    assert detector.add_loss(make_loss(entry, "r2"), 0.01) is None
+    name = crashes.name_incarnation(entry)
+    crash = detector.confirm(name, crashes.Evidence.REFUSED, 0.02)
+    assert [run.request for run in crash.runs] == ["r1", "r2"]
+    late = detector.add_loss(make_loss(entry, "r3"), 0.5)
+    assert [run.request for run in late.runs] == ["r3"]
+    assert late.name == crash.name
+
+
+def test_reset_connection_of_a_server_that_accepts_is_no_crash() -> None:
+    """Guards against innocents that are suspected when answers are lost."""
+    detector = crashes.CrashDetector()
+    entry = make_entry()
+    detector.add_loss(make_loss(entry), 0.0)
+    detector.accept(entry, 0.02)
+    detector.add_loss(make_loss(entry), 0.03)
+    assert not detector.is_pending(entry)
+    assert detector.follow(lambda _: None, 1.0) == []
+
+
+def test_entry_that_lapses_shows_the_crash_of_a_silent_server() -> None:
+    detector = crashes.CrashDetector()
+    entry = make_entry()
+    detector.add_loss(make_loss(entry), 0.0)
+    assert detector.follow(lambda _: entry, 1.0) == []
+    (crash,) = detector.follow(lambda _: None, 4.0)
+    assert crash.evidence is crashes.Evidence.LAPSED
+
+
+def test_entry_of_a_later_incarnation_shows_the_crash() -> None:
+    detector = crashes.CrashDetector()
+    entry = make_entry(started_ms=10)
+    detector.add_loss(make_loss(entry), 0.0)
+    (crash,) = detector.follow(lambda _: make_entry(started_ms=20), 2.0)
+    assert crash.evidence is crashes.Evidence.RESTARTED
+    assert crash.name == "engine@10"
+
+
+def test_planned_end_of_a_server_is_no_crash() -> None:
+    """Guards against innocents that are suspected when servers are replaced."""
+    detector = crashes.CrashDetector()
+    entry = make_entry()
+    detector.add_loss(make_loss(entry), 0.0)
+    assert detector.follow(lambda _: make_entry(is_leaving=True), 1.0) == []
+    assert detector.follow(lambda _: None, 2.0) == []
+
+
+def test_loss_without_evidence_is_forgotten() -> None:
+    detector = crashes.CrashDetector()
+    detector.add_loss(make_loss(make_entry()), 0.0)
+    late = crashes.PENDING_SECONDS + 0.1
+    assert detector.follow(lambda _: None, late) == []
+
+
+def test_crash_that_a_peer_reports_covers_the_runs_lost_here() -> None:
+    detector = crashes.CrashDetector()
+    entry = make_entry()
+    detector.add_loss(make_loss(entry), 0.0)
+    name = crashes.name_incarnation(entry)
+    crash = detector.confirm(name, crashes.Evidence.REPORTED, 0.1)
+    assert len(crash.runs) == 1
+    assert detector.confirm(name, crashes.Evidence.REFUSED, 0.2) is None
--- /dev/null
+++ b/tests/gateway/test_crashwatch.py
@@ -0,0 +1,68 @@
+"""Which lost answers a router takes for crashed servers."""
+
+from __future__ import annotations
+
+import pytest
+
+from celeryspan import events
+from standins import crashing
+from tests.gateway import support
+
+FATAL = b"divide by zero"
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, object]]:
+    """Return the fields of what is logged from now on."""
+    found: list[dict[str, object]] = []
+    monkeypatch.setattr(
+        events, "log", lambda event, **fields: found.append({"event": event, **fields})
+    )
+    return found
+
+
+def select(lines: list[dict], event: events.Event) -> list[dict]:
+    """Return the lines of one event."""
+    return [line for line in list(lines) if line["event"] is event]
+
+
+@pytest.mark.parametrize(
+    "path, service", [("/bookings/1", "gate"), ("/notes/1", "planner")]
+)
+def test_crash_is_logged_with_the_fingerprint_of_what_ran(
+    place, lines, path: str, service: str
+) -> None:
+    """Guards against a record that can't tell copies of one request from others."""
+    servers = crashing.CrashingServers(place.store, service, 2, {FATAL})
+    try:
+        router = place.start_router()
+        answer = router.call(path, "r1", body=FATAL)
+        assert answer.status == 502
+        support.wait_for(lambda: select(lines, events.Event.SERVER_CRASHED))
+        (crash,) = select(lines, events.Event.SERVER_CRASHED)
+        (lost,) = select(lines, events.Event.RUN_LOST)
+        assert crash["fingerprints"] == [lost["fingerprint"]]
+        assert crash["evidence"] == "connection refused"
+        router.call(path, "r2", body=FATAL)
+        support.wait_for(lambda: len(select(lines, events.Event.SERVER_CRASHED)) == 2)
+        assert (
+            len({line["fingerprint"] for line in select(lines, events.Event.RUN_LOST)})
+            == 1
+        )
+    finally:
+        servers.stop()
+
+
+@pytest.mark.parametrize("failure", ["reset", "cut"])
+def test_lost_answer_of_a_server_that_lives_is_no_crash(
+    place, lines, failure: str
+) -> None:
+    """Guards against innocents that are suspected when answers are lost."""
+    server = place.add_server("gate-1")
+    server.script.append(failure)
+    router = place.start_router()
+    assert router.call("/bookings/1").status == 502
+    watch = router.box.find("crashwatch")
+    support.wait_for(lambda: not watch._probes)
+    assert len(select(lines, events.Event.RUN_LOST)) == 1
+    assert not select(lines, events.Event.SERVER_CRASHED)
