--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -12,6 +12,7 @@
     gateway,
     operations,
     platformdemo,
+    quarantine,
     registry,
     router,
     tracing,
--- a/celeryspan/daemons/gateway.py
+++ b/celeryspan/daemons/gateway.py
@@ -31,6 +31,7 @@
     "servers",
     "poolhomes",
     "places",
+    "quarantinestore",
     "carrier",
     "front",
     "directory",
--- /dev/null
+++ b/celeryspan/daemons/quarantine.py
@@ -0,0 +1,136 @@
+"""Commands of operators about requests that crash servers: quarantine, release."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Iterable
+
+import rich.console
+import rich.table
+from absl import flags
+
+from celeryspan import errors
+from celeryspan.daemons import registry
+from celeryspan.decisions import fingerprints, quarantine
+from celeryspan.platform import names, objects, quarantine as records
+from celeryspan.wire import messages
+
+
+def _define(values: flags.FlagValues) -> None:
+    flags.DEFINE_string(
+        "store", None, "HOST:PORT of the platform's store.", flag_values=values
+    )
+
+
+def _define_list(values: flags.FlagValues) -> None:
+    _define(values)
+    flags.DEFINE_boolean(
+        "all", False, "Show requests that are only suspected, too.", flag_values=values
+    )
+
+
+@registry.command("quarantine", define=_define_list)
+def show(arguments: list[str], values: flags.FlagValues) -> registry.Exit:
+    """Show the requests that crash servers and are not sent to any more.
+
+    One line a request: its fingerprint, which lines 210 of the routers' logs name
+    beside the request's id, how it is treated, since when, how long it ran before each
+    crash, and the servers that crashed. With --all also those under which too few
+    servers have crashed to blame them.
+    """
+    client = objects.ObjectClient(registry.require(values, "store", "HOST:PORT"))
+    known = quarantine.Quarantine()
+    known.merge(read_suspects(client)[0], 0)
+    shown = [
+        suspect
+        for suspect in known.list_suspects()
+        if known.find_standing(suspect.whole)
+        in (tuple(quarantine.Standing) if values.all else SHOWN)
+    ]
+    if not shown:
+        print("no request is in quarantine")
+        return registry.Exit.DONE
+    rich.console.Console(highlight=False).print(make_table(known, shown))
+    return registry.Exit.DONE
+
+
+SHOWN = (quarantine.Standing.QUARANTINED, quarantine.Standing.ISOLATED)
+"""Standings that are shown without --all."""
+
+
+@registry.command("release", "FINGERPRINT", define=_define)
+def release(arguments: list[str], values: flags.FlagValues) -> registry.Exit:
+    """Let a request be sent to servers again.
+
+    The crashes that are known by now no longer count against it. Routers follow within
+    some ten seconds; if it crashes three more servers it is held again.
+    """
+    client = objects.ObjectClient(registry.require(values, "store", "HOST:PORT"))
+    suspects, revision = read_suspects(client)
+    known = quarantine.Quarantine()
+    known.merge(suspects, 0)
+    word = known.acquit(parse_fingerprint(arguments[0]))
+    if word is None:
+        print(f"no crash counts against {arguments[0]}")
+        return registry.Exit.FAILED
+    known.merge([word], 0)
+    spec = records.write(known.list_suspects())
+    kind, name = names.QUARANTINE_KIND, names.QUARANTINE_NAME
+    try:
+        client.replace(kind, name, spec, revision)
+    except errors.Conflict:
+        print("a router was faster; nothing was written, try again")
+        return registry.Exit.CONFLICT
+    print(f"{arguments[0]} is released")
+    return registry.Exit.DONE
+
+
+def read_suspects(client: objects.ObjectClient) -> tuple[list[messages.Suspect], int]:
+    """Return what the store holds, and its revision; nothing if it holds none."""
+    try:
+        found = client.get(names.QUARANTINE_KIND, names.QUARANTINE_NAME)
+    except errors.NotFound:
+        return [], 0
+    return records.read(found), found.revision
+
+
+def parse_fingerprint(text: str) -> int:
+    """Return a fingerprint as it is written in logs.
+
+    Raises
+    ------
+    UsageError
+        If it is none.
+    """
+    digits = 2 * fingerprints.FINGERPRINT_BYTES
+    try:
+        if len(text) != digits:
+            raise ValueError
+        return int(text, 16)
+    except ValueError:
+        raise registry.UsageError(
+            f"expected a fingerprint of {digits} hexadecimal digits, found {text!r}"
+        ) from None
+
+
+def make_table(
+    known: quarantine.Quarantine, shown: Iterable[messages.Suspect]
+) -> rich.table.Table:
+    """Return a table with one line for each request."""
+    table = rich.table.Table(title="requests that crash servers", title_justify="left")
+    table.add_column("fingerprint", no_wrap=True)
+    for column in ("treated as", "since", "ran for ms", "servers"):
+        table.add_column(column)
+    for suspect in shown:
+        strikes = quarantine.list_strikes(suspect) or suspect.strikes
+        since = datetime.datetime.fromtimestamp(
+            max(strike.at_ms for strike in strikes) / 1000, datetime.UTC
+        )
+        table.add_row(
+            fingerprints.format_whole(suspect.whole),
+            known.find_standing(suspect.whole).value,
+            f"{since:%Y-%m-%d %H:%M:%S} UTC",
+            ", ".join(str(strike.run_ms) for strike in strikes),
+            ", ".join(strike.crash.partition("@")[0] for strike in strikes),
+        )
+    return table
--- a/celeryspan/decisions/crashes.py
+++ b/celeryspan/decisions/crashes.py
@@ -99,9 +99,9 @@
         case.runs.append(run)
         return None
 
-    def is_pending(self, entry: catalog.ServerEntry) -> bool:
-        """Whether losses at a server wait for evidence."""
-        return name_incarnation(entry) in self._cases
+    def is_pending(self, name: str) -> bool:
+        """Whether losses at an incarnation of a server wait for evidence."""
+        return name in self._cases
 
     def accept(self, entry: catalog.ServerEntry, now: float) -> None:
         """Note that a server has accepted a connection: it has not crashed."""
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -253,10 +253,33 @@
         barred: Collection[ids.ServerId] = ask.excluded
         if len(barred) >= len(self._servers):
             barred = ()  # One that has failed the request may still be all there is.
+        if ask.isolation:
+            if not self.can_isolate(ask):
+                return None
+            barred = {*barred, *self._list_isolating()}
         if self._engine is None:
             return self._choose_plain(ask, barred, now)
         return self._choose_engine(ask, barred, waited, now)
 
+    def can_isolate(self, ask: messages.SlotRequest) -> bool:
+        """Whether a request that must run apart could get a place now.
+
+        It runs once at a time, and beside no other such request: if its server
+        crashes, no other one can be the cause.
+        """
+        running = self._list_isolating()
+        is_alone = all(ask.isolation not in found for found in running.values())
+        return is_alone and not self._servers.keys() <= running.keys()
+
+    def _list_isolating(self) -> dict[ids.ServerId, set[int]]:
+        """Return the servers at which requests run apart, and which ones."""
+        found: dict[ids.ServerId, set[int]] = {}
+        for server in [*self._servers.values(), *self._left.values()]:
+            apart = {run.isolation for run in server.runs.values() if run.isolation}
+            if apart:
+                found[server.entry.server] = apart
+        return found
+
     def take(
         self,
         ask: messages.SlotRequest,
@@ -293,6 +316,7 @@
             output_tokens=ask.output_tokens,
             parts=ask.parts,
             source=source,
+            isolation=ask.isolation,
         )
         server.add(ask.request, run, now, self._rest)
         server.cache.use(ask.parts, due_at)
@@ -315,6 +339,7 @@
             end_at=now + run.left,
             is_long=False,
             is_begun=run.is_begun,
+            isolation=run.isolation,
         )
         server.add(run.request, held, now)
 
@@ -346,7 +371,7 @@
         """Return where a run that has begun is to go on, and hold a place there."""
         source = self._servers.get(name)
         run = source.runs.get(request) if source else None
-        if run is None or self._engine is None or not run.is_long:
+        if run is None or self._engine is None or not run.is_long or run.isolation:
             return None
         if not migration.pays(self._engine, run.output_tokens):
             return None
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -351,13 +351,17 @@
         found: Candidates = {}
         for account, tasks in self._waiting.items():
             for task in tasks.values():
-                if task.is_long == is_long:
+                if task.is_long == is_long and self._can_run(task.ask):
                     turn = Turn(task.start_by < now, account)
                     found.setdefault(turn, []).append(task)
         for fitting in found.values():
             fitting.sort(key=lambda task: task.arrived_at)
         return found
 
+    def _can_run(self, ask: messages.SlotRequest) -> bool:
+        """Whether a request need not wait for others that run apart, as it must."""
+        return not ask.isolation or self._placing.can_isolate(ask)
+
     def _decide_for(
         self, candidates: Candidates, is_long: bool, now: float
     ) -> list[Answer]:
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -70,6 +70,8 @@
         When the first event came.
     paused_beside : float
         The longest ``pause`` of the prompts that were read while this run made events.
+    isolation : int
+        Fingerprint of a request that runs apart from others of its kind; 0 for none.
     """
 
     router: ids.RouterId
@@ -88,6 +90,7 @@
     pause: float = 0.0
     begun_at: float = math.inf
     paused_beside: float = 0.0
+    isolation: int = 0
 
 
 class PoolServer:
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
+import functools
 import time
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
+from celeryspan.decisions import quarantine
 from celeryspan.gateway import (
     channels,
     endings,
@@ -26,7 +28,13 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import budgets, catalogues, crashwatch, serverlists
+    from celeryspan.gateway import (
+        budgets,
+        catalogues,
+        crashwatch,
+        quarantines,
+        serverlists,
+    )
 
 CONNECTS_MAX = 4
 """Servers that one request tries to connect to."""
@@ -52,6 +60,7 @@
         "metrics",
         "migrations",
         "places",
+        "quarantine",
         "sender",
         "servers",
     ),
@@ -64,6 +73,7 @@
         self._channels: channels.Channels = box.find("channels")
         self._crashwatch: crashwatch.CrashWatch = box.find("crashwatch")
         self._places: places.Places = box.find("places")
+        self._quarantine: quarantines.QuarantineService = box.find("quarantine")
         self._budgets: budgets.Budgets = box.find("budgets")
         self._migrations: migrations.Migrations = box.find("migrations")
         self._sender: sender.Sender = box.find("sender")
@@ -92,6 +102,16 @@
         """
         self._budgets.note_request(order.service)
         progress = requestprogress.Progress()
+        refuse = functools.partial(self._places.refuse, order.request)
+        self._quarantine.watch(order, progress, refuse)
+        try:
+            self._carry(order, progress, sink)
+        finally:
+            self._quarantine.unwatch(order)
+
+    def _carry(
+        self, order: orders.Order, progress: requestprogress.Progress, sink: orders.Sink
+    ) -> None:
         while True:
             place = self._find_place(order, progress)
             if place is None:
@@ -106,6 +126,7 @@
         """Return a place, or None if a server's own failure is the best answer."""
         order.presence.watch(lambda: self._places.cancel(order.request))
         try:
+            self._quarantine.check(order, progress)
             return self._places.acquire(order.service, self._make_ask(order, progress))
         except errors.NotRun as refusal:
             if progress.failure is not None:
@@ -133,8 +154,18 @@
             gap_max=route.gap_max,
             stride=engine.stride if engine else 1,
             excluded=progress.excluded,
+            isolation=self._find_isolation(order, progress),
         )
 
+    def _find_isolation(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> int:
+        """Return the fingerprint of a request that must run apart, or 0."""
+        standing = self._quarantine.find_standing(order, progress)
+        if standing is quarantine.Standing.ISOLATED:
+            return progress.fingerprint.whole
+        return 0
+
     def _try_once(
         self,
         order: orders.Order,
@@ -157,6 +188,7 @@
                 order, place.server, progress, channel, until, source=place.source
             )
             ending = self._pass_on(order, place, progress, reply, sink)
+            self._quarantine.note_answered(order, progress)
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
@@ -166,9 +198,10 @@
             if not order.presence.gone:
                 if self._sender.go_on(order, place, progress, sink):
                     ending = states.RunEnding.ANSWERED
+                    self._quarantine.note_answered(order, progress)
                     return True
                 ending = states.RunEnding.FAILED
-                self._crashwatch.note_loss(order, channel.entry, progress, lost)
+                self._note_loss(order, channel, progress, lost)
             self._follow_loss(order, progress, lost)
         except OSError:
             ending = states.RunEnding.CANCELLED
@@ -221,27 +254,37 @@
         progress: requestprogress.Progress,
         channel: channels.Channel,
     ) -> None:
-        """Give up in the last step before anything is sent if nobody waits any more.
+        """Give up in the last step before anything is sent if it must not be.
 
         What is sent after the caller has left, or after its time, runs for nobody and
-        takes a place from those who wait.
+        takes a place from those who wait; what has come into quarantine since it was
+        placed crashes one more server.
         """
-        is_late = order.left() <= 0
-        if not is_late and not order.presence.look():
-            return
+        try:
+            if order.left() <= 0:
+                raise errors.NotRun(
+                    "the time of the request is over",
+                    code="no-place-in-time",
+                    status=503,
+                    retry_after=REJECTED_RETRY_SECONDS,
+                    step="send",
+                    peer=place.server,
+                )
+            if order.presence.look():
+                raise ConnectionAbortedError("the caller has left")
+            self._quarantine.check(order, progress)
+        except errors.NotRun as refusal:
+            self._give_back(place, channel)
+            raise endings.make_refusal(order, progress, refusal) from refusal
+        except ConnectionAbortedError:
+            self._give_back(place, channel)
+            raise
+        self._quarantine.note_sent(order, progress)
+
+    def _give_back(self, place: places.Place, channel: channels.Channel) -> None:
+        """Close a connection on which nothing was sent, and free its place."""
         channel.close()
         self._places.end(place, states.RunEnding.UNUSED)
-        if not is_late:
-            raise ConnectionAbortedError("the caller has left")
-        refusal = errors.NotRun(
-            "the time of the request is over",
-            code="no-place-in-time",
-            status=503,
-            retry_after=REJECTED_RETRY_SECONDS,
-            step="send",
-            peer=place.server,
-        )
-        raise endings.make_refusal(order, progress, refusal)
 
     def _pass_on(
         self,
@@ -290,6 +333,22 @@
             peer=declined.peer,
         )
 
+    def _note_loss(
+        self,
+        order: orders.Order,
+        channel: channels.Channel,
+        progress: requestprogress.Progress,
+        lost: backend.AnswerLost,
+    ) -> None:
+        """Let it be found out whether the server has crashed under a request.
+
+        One that is suspected waits for that before it may be sent again.
+        """
+        self._crashwatch.note_loss(order, channel.entry, progress, lost)
+        standing = self._quarantine.find_standing(order, progress)
+        if standing is not quarantine.Standing.CLEAR:
+            self._crashwatch.wait_settled(channel.entry)
+
     def _follow_loss(
         self,
         order: orders.Order,
--- a/celeryspan/gateway/crashwatch.py
+++ b/celeryspan/gateway/crashwatch.py
@@ -89,7 +89,7 @@
         run = crashes.LostRun(
             request=order.request,
             entry=entry,
-            fingerprint=self.make_fingerprint(order),
+            fingerprint=progress.fingerprint or self.make_fingerprint(order),
             seconds=now - since,
             is_begun=progress.begun_at is not None,
             trial=progress.strikes + 1,
@@ -108,7 +108,7 @@
             return  # It leaves, and ends when it has finished.
         with self._lock:
             crash = self._detector.add_loss(run, now)
-            if crash is None and self._detector.is_pending(entry):
+            if crash is None:
                 self._begin_probe(entry)
         self._publish(crash)
 
@@ -122,14 +122,17 @@
     def confirm(self, name: str) -> None:
         """Take in that a server has crashed, by the word of another router."""
         with self._lock:
-            crash = self._detector.confirm(
-                name, crashes.Evidence.REPORTED, time.monotonic()
-            )
+            if not self._detector.is_pending(name):
+                return
+            evidence = crashes.Evidence.REPORTED
+            crash = self._detector.confirm(name, evidence, time.monotonic())
         self._publish(crash)
 
     def _begin_probe(self, entry: catalog.ServerEntry) -> None:
         """Ask a server for a connection unless it is being asked; holds the lock."""
         name = crashes.name_incarnation(entry)
+        if not self._detector.is_pending(name):
+            return
         if name in self._probes or len(self._probes) >= PROBES_MAX:
             return
         self._probes[name] = threading.Event()
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -131,12 +131,16 @@
 
     def cancel(self, request: ids.RequestId) -> None:
         """Give up waiting: the caller has left."""
+        self.refuse(request, make_refusal("caller-left", 0.0))
+
+    def refuse(self, request: ids.RequestId, error: errors.NotRun) -> None:
+        """End the waiting of a request with an error, if it waits."""
         with self._lock:
             waiter = self._waiters.pop(request, None)
         if waiter is not None:
             cancel = messages.SlotCancel(request, waiter.ask.pool)
             self._delivery.send(waiter.home, cancel)
-            self._refuse(waiter, make_refusal("caller-left", 0.0))
+            self._refuse(waiter, error)
 
     def begin(self, place: Place) -> None:
         """Say that the first event has come."""
@@ -267,6 +271,7 @@
             ask.prompt_tokens,
             place.is_begun,
             max(0.0, place.end_at - now),
+            ask.isolation,
         )
         told = [(place.home, before), (home, held)]
         place.home, place.pool = home, pool
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -7,6 +7,7 @@
 from celeryspan import ids
 
 if TYPE_CHECKING:
+    from celeryspan.decisions import fingerprints
     from celeryspan.gateway import replies
 
 
@@ -31,6 +32,8 @@
         When it was last sent, and when the first part of that answer came.
     strikes : int
         Crashes in a row under this request that were known when it was last sent.
+    fingerprint : Fingerprint or None
+        Set once it was needed.
     """
 
     def __init__(self) -> None:
@@ -48,6 +51,7 @@
         self.placed_at = 0.0
         self.begun_at: float | None = None
         self.strikes = 0
+        self.fingerprint: fingerprints.Fingerprint | None = None
 
     def note_sent(self, now: float) -> None:
         """Note that the request is sent to one more server."""
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -22,15 +22,27 @@
 from celeryspan.platform import engines, requests
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import serverlists
+    from celeryspan.gateway import crashwatch, quarantines, serverlists
 
 
-@kernel.register("sender", needs=("channels", "migrations", "places", "servers"))
+@kernel.register(
+    "sender",
+    needs=(
+        "channels",
+        "crashwatch",
+        "migrations",
+        "places",
+        "quarantine",
+        "servers",
+    ),
+)
 class Sender:
     """Carries a request to one server and its answer back."""
 
     def __init__(self, box: kernel.Kernel) -> None:
         self._channels: channels.Channels = box.find("channels")
+        self._crashwatch: crashwatch.CrashWatch = box.find("crashwatch")
+        self._quarantine: quarantines.QuarantineService = box.find("quarantine")
         self._migrations: migrations.Migrations = box.find("migrations")
         self._places: places.Places = box.find("places")
         self._servers: serverlists.ServersService = box.find("servers")
@@ -162,7 +174,11 @@
         for entry in (target, source) if migration.copy.is_at_target else (source,):
             try:
                 reply, channel = self._ask_on(order, entry, progress, moved_from)
-            except (backend.Declined, backend.AnswerLost, errors.NotRun) as error:
+            except backend.AnswerLost as lost:
+                self._crashwatch.note_loss(order, entry, progress, lost)
+                log_resumption(order, progress, entry.server, str(lost))
+                continue
+            except (backend.Declined, errors.NotRun) as error:
                 log_resumption(order, progress, entry.server, str(error))
                 continue
             is_moved = entry is target
@@ -179,8 +195,18 @@
         progress: requestprogress.Progress,
         moved_from: str,
     ) -> tuple[replies.Reply, channels.Channel]:
-        """Ask one engine to go on with a run; returns the head of its answer."""
+        """Ask one engine to go on with a run; returns the head of its answer.
+
+        Raises
+        ------
+        errors.NotRun
+            If the engine can't be reached, or the request is in quarantine by now.
+        backend.Declined, backend.AnswerLost
+            If it does not go on.
+        """
+        self._quarantine.check(order, progress)
         channel = self._channels.open(entry, once_only=True)
+        self._quarantine.note_sent(order, progress)
         order.presence.watch(channel.make_abort())
         try:
             reply = self.send(
@@ -210,6 +236,7 @@
             self.pass_stream(order, place, progress, reply, sink)
             is_whole = True
         except backend.AnswerLost as lost:
+            self._crashwatch.note_loss(order, channel.entry, progress, lost)
             log_resumption(order, progress, channel.server, str(lost))
         finally:
             if is_whole:
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -8,7 +8,7 @@
 
 import collections
 import threading
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import prometheus_client
 from prometheus_client import core, exposition, registry
@@ -155,6 +155,17 @@
             "Requests that may be in progress now.",
             registry=self.registry,
         )
+        self._crashes = prometheus_client.Counter(
+            "celeryspan_server_crashes",
+            "Backend servers that crashed under runs of this router, by evidence.",
+            ["evidence"],
+            registry=self.registry,
+        )
+        self._suspects = self._make_gauge(
+            "suspects",
+            "Requests under which servers crashed, by standing.",
+            ["standing"],
+        )
         self.registry.register(ControlTraffic(box))
 
     def start(self) -> None:
@@ -208,6 +219,15 @@
         """Count a refused request; codes are those of the catalogue of outcomes."""
         self._refusals.labels(code).inc()
 
+    def count_server_crash(self, evidence: str) -> None:
+        """Count a crash of a backend server, by what showed it."""
+        self._crashes.labels(evidence).inc()
+
+    def set_suspects(self, counts: Mapping[str, int]) -> None:
+        """Note how many requests are suspected, isolated and in quarantine."""
+        for standing, count in counts.items():
+            self._suspects.labels(standing).set(count)
+
     def set_connections(self, idle: int, busy: int, requests_max: int) -> None:
         """Note the connections of callers, and how many requests are taken at once."""
         self._connections.labels("idle").set(idle)
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -37,5 +37,7 @@
 CONFIGURATION_NAME = "main"
 SERVER_KIND = "servers"
 ROUTER_KIND = "celeryspan-routers"
+QUARANTINE_KIND = "celeryspan-quarantine"
+QUARANTINE_NAME = "main"
 
 SETTINGS_VARIABLE = "CELERYSPAN_CONFIG"
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -323,6 +323,9 @@
         Tokens in one event.
     excluded : tuple of ServerId
         Servers that have failed the request.
+    isolation : int
+        Fingerprint of a request under which servers have crashed: it runs once at a
+        time, and at no server beside another such request. 0 for all others.
     """
 
     request: ids.RequestId
@@ -338,6 +341,7 @@
     gap_max: float
     stride: int
     excluded: tuple[ids.ServerId, ...]
+    isolation: int = 0
 
 
 class SlotCancel(msgspec.Struct, frozen=True):
@@ -392,6 +396,8 @@
     ----------
     is_begun : bool
         Whether its first event has come.
+    isolation : int
+        As in its request.
     """
 
     request: ids.RequestId
@@ -402,6 +408,7 @@
     prompt_tokens: int
     is_begun: bool
     left: float
+    isolation: int = 0
 
 
 class RunBegun(msgspec.Struct, frozen=True):
@@ -493,6 +500,69 @@
     units: tuple[AccountUnits, ...]
 
 
+class Strike(msgspec.Struct, frozen=True):
+    """A server crashed while a suspect ran there.
+
+    Attributes
+    ----------
+    crash : str
+        Names the incarnation of the server.
+    at_ms : int
+        When the crash was noticed first, in Unix milliseconds.
+    trial : int
+        One more than the crashes in a row that were known when the run was sent.
+    run_ms : int
+        From the beginning of the run to the crash, in milliseconds.
+    is_prompt : bool
+        Whether the crash followed soon after the beginning.
+    """
+
+    crash: str
+    at_ms: int
+    trial: int
+    run_ms: int
+    is_prompt: bool
+
+
+class Suspect(msgspec.Struct, frozen=True):
+    """What is known of one request under which servers have crashed.
+
+    Two of these about one request are merged; the order does not matter, nor whether
+    one comes twice.
+
+    Attributes
+    ----------
+    scope, whole : int
+        Its fingerprint.
+    acquitted_ms : int
+        Crashes up to then do not count against it, in Unix milliseconds.
+    """
+
+    scope: int
+    whole: int
+    acquitted_ms: int
+    strikes: tuple[Strike, ...]
+
+
+class SuspectsDigest(msgspec.Struct, frozen=True):
+    """A hash of all suspects that the sender knows.
+
+    Attributes
+    ----------
+    is_answer : bool
+        Whether it answers another one, so that no further one is due.
+    """
+
+    digest: int
+    is_answer: bool
+
+
+class SuspectsStored(msgspec.Struct, frozen=True):
+    """The suspects with this digest are in the store."""
+
+    digest: int
+
+
 class RelayRequest(msgspec.Struct, frozen=True):
     """Asks a router to pass on objects of one kind for a while.
 
@@ -569,6 +639,9 @@
     | PoolShares
     | RelayRequest
     | RelayBatch
+    | Suspect
+    | SuspectsDigest
+    | SuspectsStored
 )
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -53,6 +53,9 @@
     poolShares @33 :PoolShares;
     runMove @34 :RunMove;
     runMoved @35 :RunMoved;
+    suspect @36 :Suspect;
+    suspectsDigest @37 :SuspectsDigest;
+    suspectsStored @38 :SuspectsStored;
   }
 }
 
@@ -229,6 +232,7 @@
   gapMax @10 :Float32;
   stride @11 :UInt16;
   excluded @12 :List(Text);
+  isolation @13 :UInt64;
 }
 
 struct SlotCancel {
@@ -261,6 +265,7 @@
   promptTokens @5 :UInt32;
   isBegun @6 :Bool;
   left @7 :Float32;
+  isolation @8 :UInt64;
 }
 
 struct RunBegun {
@@ -322,3 +327,27 @@
   target @3 :Text;
   isMoved @4 :Bool;
 }
+
+struct Strike {
+  crash @0 :Text;
+  atMs @1 :UInt64;
+  trial @2 :UInt8;
+  runMs @3 :UInt32;
+  isPrompt @4 :Bool;
+}
+
+struct Suspect {
+  scope @0 :UInt64;
+  whole @1 :UInt64;
+  acquittedMs @2 :UInt64;
+  strikes @3 :List(Strike);
+}
+
+struct SuspectsDigest {
+  digest @0 :UInt64;
+  isAnswer @1 :Bool;
+}
+
+struct SuspectsStored {
+  digest @0 :UInt64;
+}
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -10,6 +10,7 @@
 import contextlib
 import dataclasses
 import json
+import math
 import socket
 import struct
 import threading
@@ -82,6 +83,8 @@
         Bodies of requests that crash it once they have begun to run.
     crashed : Event
         Set once it has crashed.
+    crashed_by, crashed_at : bytes, float
+        The body that did it, if one did, and when, on the monotonic clock.
 
     Parameters
     ----------
@@ -108,6 +111,8 @@
         self.events = EVENTS
         self.fatal: set[bytes] = set()
         self.crashed = threading.Event()
+        self.crashed_by = b""
+        self.crashed_at = math.inf
         self._listener = socket.create_server(("127.0.0.1", port))
         self.address = ids.Address(*self._listener.getsockname())
         self._stopping = threading.Event()
@@ -134,6 +139,7 @@
             with contextlib.suppress(OSError):
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.stop()
+        self.crashed_at = time.monotonic()
         self.crashed.set()
 
     def _accept(self) -> None:
@@ -247,6 +253,7 @@
         if self.streams:
             connection.sendall(self._write_head(seen, 200, None))
         time.sleep(FATAL_SECONDS)
+        self.crashed_by = seen.body
         self.crash()
         return False
 
--- a/tests/decisions/test_crashes.py
+++ b/tests/decisions/test_crashes.py
@@ -47,7 +47,7 @@
     detector.add_loss(make_loss(entry), 0.0)
     detector.accept(entry, 0.02)
     detector.add_loss(make_loss(entry), 0.03)
-    assert not detector.is_pending(entry)
+    assert not detector.is_pending(crashes.name_incarnation(entry))
     assert detector.follow(lambda _: None, 1.0) == []
 
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -70,6 +70,17 @@
     messages.RunBegun("q-1", "planner-llm", "gpu-1"),
     messages.RunMove("q-1", "planner-llm#1#0", "gpu-1", "gpu-2"),
     messages.RunMoved("q-1", "planner-llm#1#0", "gpu-1", "gpu-2", True),
+    messages.Suspect(
+        2**63,
+        2**64 - 1,
+        2**41,
+        (
+            messages.Strike("gpu-1@0", 2**41, 2, 150, True),
+            messages.Strike("gpu-2@1784366053363", 2**41 + 9, 3, 9_000, False),
+        ),
+    ),
+    messages.SuspectsDigest(2**64 - 1, True),
+    messages.SuspectsStored(2**64 - 1),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
     messages.QueueAlive("planner-llm#1#0", 0.5),
     messages.PoolShares("planner-llm#8#3", 2, (messages.AccountUnits("desk", 420.0),)),
