--- a/bench/soak.py
+++ b/bench/soak.py
@@ -6,9 +6,10 @@
 stand-ins behind proxies. Faults come in series and overlap: processes are killed,
 paused, stopped and sent SIGHUP; connections are delayed, reset, silenced or cut one
 way; the store is silent or refuses; servers drain, fail and answer twice;
-configurations change; some callers leave every connection open. Callers and servers are
-then held against each other: what ran twice, what was promised and ran, what was mixed
-up, who got work after it had left, which router answers nobody any more.
+configurations change; some callers leave every connection open; some requests crash the
+servers that run them. Callers and servers are then held against each other: what ran
+twice, what was promised and ran, what was mixed up, who got work after it had left,
+which router answers nobody any more, which request went on to crash servers.
 """
 
 from __future__ import annotations
@@ -25,7 +26,7 @@
 import time
 from collections.abc import Callable
 
-from bench import soakparts
+from bench import soakfatal, soakparts
 from standins import desk, objects, platformserver, ports
 
 ROUTERS = 3
@@ -60,6 +61,8 @@
         self.version = 1
         self.stopping = threading.Event()
         self.servers: list[platformserver.PlatformServer] = []
+        self.crashed: list[platformserver.PlatformServer] = []
+        self.born: dict[str, int] = {}
         self.left: dict[str, float] = {}
         self.events: list[str] = []
         self.own_ends = 0
@@ -86,6 +89,7 @@
             soakparts.Caller(f"c{index}", self.routers, f"{seed}-{index}")
             for index in range(CALLERS)
         ]
+        self.fatal = soakfatal.FatalCaller(self, seed)
 
     def note(self, text: str) -> None:
         """Keep a line on what was done, with its time."""
@@ -94,18 +98,31 @@
     def add_server(self, service: str) -> None:
         """Start a backend server and enter it in the store."""
         name = f"{service}-{len(self.servers)}"
-        server = platformserver.PlatformServer(name, streams=service == "planner")
-        server.event_seconds = 0.02
-        server.start()
+        server = self.start_server(name, service)
         proxy = self.proxies[name] = soakparts.Proxy(server.address)
         self.servers.append(server)
         self.enter(name, service, proxy)
 
+    def start_server(self, name: str, service: str) -> platformserver.PlatformServer:
+        """Start an incarnation of a backend server."""
+        server = platformserver.PlatformServer(name, streams=service == "planner")
+        server.event_seconds = 0.02
+        server.fatal = soakfatal.BODIES
+        server.start()
+        self.born[name] = time.time_ns() // 1_000_000
+        return server
+
+    def list_incarnations(self) -> list[platformserver.PlatformServer]:
+        """Return all backend servers that there are and were."""
+        return [*self.servers, *self.crashed]
+
     def enter(
         self, name: str, service: str, proxy: soakparts.Proxy, state: str = "ready"
     ) -> None:
         """Write the entry of a backend server."""
-        spec = desk.make_entry(service, proxy.address, state=state)
+        spec = desk.make_entry(
+            service, proxy.address, state=state, born=self.born[name]
+        )
         self.store.put("servers", name, spec)
 
     def later(self, seconds: float, act: Callable[[], None]) -> None:
@@ -124,7 +141,7 @@
         for router in self.routers:
             router.start()
         desk.wait_for(lambda: all(router.is_ready() for router in self.routers))
-        for each in (*self.callers, *self.hoarders):
+        for each in (*self.callers, *self.hoarders, self.fatal):
             each.start()
         until = time.monotonic() + seconds
         while time.monotonic() < until:
@@ -134,6 +151,7 @@
         self.stopping.set()
         for task in self._tasks:
             task.join()
+        self.fatal.stop()
         time.sleep(SETTLE_SECONDS)
         self.locked_out = sum(not router.is_ready() for router in self.routers)
         for each in (*self.callers, *self.hoarders):
@@ -157,7 +175,8 @@
 
     def judge(self) -> dict[str, int]:
         """Hold what callers were told against what servers did."""
-        runs = collections.Counter(name for s in self.servers for name in s.ran)
+        servers = self.list_incarnations()
+        runs = collections.Counter(name for s in servers for name in s.ran)
         told = [each for caller in self.callers for each in caller.told]
         once = [each for each in told if each.path.startswith(("/bookings", "/notes"))]
         found = {
@@ -166,13 +185,19 @@
             "refused": sum(each.status in soakparts.PROMISES for each in told),
             "unknown": sum(each.status in (502, 504) for each in told),
             "unanswered": sum(each.status == 0 for each in told),
-            "ran_twice": sum(runs[each.request] > 1 for each in once),
+            "ran_twice": sum(
+                runs[name] > 1
+                for name in [*(each.request for each in once), *self.fatal.bookings]
+            ),
             "false_promise": sum(
                 each.status in soakparts.PROMISES and runs[each.request] > 0
                 for each in once
             ),
             "mixed": sum(bool(each.fault) for each in told),
             "after_leaving": self._count_after_leaving(),
+            "crashes": len(self.crashed),
+            "crashed_too_often": self.fatal.count_excess(servers),
+            "held_innocents": sum(each.status == 429 for each in told),
             "own_ends": self.own_ends,
             "locked_out": self.locked_out,
         }
@@ -184,7 +209,7 @@
     def _count_after_leaving(self) -> int:
         return sum(
             at > self.left[server.name] + LEAVE_SECONDS
-            for server in self.servers
+            for server in self.list_incarnations()
             if server.name in self.left
             for at in server.ran_at
         )
@@ -315,7 +340,15 @@
     soak.left[server.name] = time.monotonic()
 
 
-PROMISED = ("ran_twice", "false_promise", "mixed", "own_ends", "locked_out")
+PROMISED = (
+    "ran_twice",
+    "false_promise",
+    "mixed",
+    "own_ends",
+    "locked_out",
+    "crashed_too_often",
+    "held_innocents",
+)
 """Counts that must be 0 whatever happens. Work after leaving is counted, and allowed
 while the store was out of a router's reach."""
 
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -75,17 +75,25 @@
                 sock.shutdown(socket.SHUT_RDWR)
 
     def stop(self) -> None:
-        """Close everything."""
+        """Close everything; new connections are refused."""
         self._stopped = True
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
         self.reset()
 
+    def start_again(self, target: ids.Address) -> None:
+        """Listen where it did before, for another target."""
+        self._target = target
+        self._stopped = False
+        self._listener = socket.create_server(self.address, backlog=128)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def _accept(self) -> None:
+        listener = self._listener
         while not self._stopped:
             try:
-                near, _ = self._listener.accept()
+                near, _ = listener.accept()
                 if self.way is Way.CLOSED:
                     near.close()
                     continue
