Isolate requests after two prompt crashes only, and write their record less often

Change: isolation goes by the weight of crashes as the verdict does; prompt means within one second of the first part of an answer; news that change nothing about who is isolated or held are gathered for three seconds before they are written.

The tests of quarantine, service and commands pass (40).

--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -6,8 +6,8 @@
 
 * Each request that ran on a crashed server gets a strike. Most of them only ran beside
   the cause: an answer by a server, at any time after, acquits a request.
-* After two strikes a request runs alone of its kind and beside no other such request
-  (isolation, kept by the homes of pools), so that the next crash has one cause.
+* After two prompt crashes a request runs alone of its kind and beside no other such
+  request (isolation, kept by the homes of pools), so that the next has one cause.
 * After three a request is in quarantine and is refused. Who ran beside it is not
   blamed for those crashes: the fewest requests that explain all crashes are held.
 * Servers that crash together, as in a loss of power, are one trial: a popular request
@@ -29,18 +29,17 @@
 from celeryspan.decisions import crashes
 from celeryspan.wire import messages
 
-ISOLATED_STRIKES = 2
-
 PROMPT_POINTS = 2
 LATE_POINTS = 1
+ISOLATION_POINTS = 4
 QUARANTINE_POINTS = 6
-"""Three prompt crashes. A run that had worked for a while before its server crashed is
-less likely the cause, and counts half."""
+"""Two and three prompt crashes. A run that had worked for a while before its server
+crashed is less likely the cause, and counts half."""
 
 QUARANTINE_TRIALS = 2
 """Least number of trials, so that servers which crash at once convict nobody."""
 
-PROMPT_SECONDS = 2.0
+PROMPT_SECONDS = 1.0
 """A crash within this time of the beginning of a run is prompt."""
 
 MEMORY_MS = 24 * 3600 * 1000
@@ -236,10 +235,10 @@
         if whole in self._causes:
             return Standing.QUARANTINED
         suspect = self._suspects.get(whole)
-        count = len(list_strikes(suspect)) if suspect else 0
-        if count >= ISOLATED_STRIKES:
+        points = count_points(list_strikes(suspect)) if suspect else 0
+        if points >= ISOLATION_POINTS:
             return Standing.ISOLATED
-        return Standing.SUSPECT if count else Standing.CLEAR
+        return Standing.SUSPECT if points else Standing.CLEAR
 
 
 def make_suspect(run: crashes.LostRun, crash: str, now_ms: int) -> messages.Suspect:
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -43,7 +43,7 @@
 STORED = "stored"
 """Key of the fact that what is known is in the store."""
 
-Handler = Callable[[], None]
+Handler = Callable[[list[quarantine.Change]], None]
 
 
 class _Watched(msgspec.Struct):
@@ -104,7 +104,7 @@
         self._thread.join()
 
     def subscribe(self, handler: Handler) -> None:
-        """Call a handler whenever more is known."""
+        """Call a handler with what has changed whenever more is known."""
         self._handlers.append(handler)
 
     def report(self) -> dict[str, object]:
@@ -204,7 +204,7 @@
             for strike in quarantine.list_strikes(suspect):
                 self._crashwatch.confirm(strike.crash)
         for handler in self._handlers:
-            handler()
+            handler(changes)
         self._wake.set()
 
     def note_stored(self, digest: int) -> None:
--- a/celeryspan/gateway/quarantinestore.py
+++ b/celeryspan/gateway/quarantinestore.py
@@ -21,6 +21,9 @@
 TICK_SECONDS = 0.2
 """Between two looks while something is to be written or read."""
 
+GATHER_SECONDS = 3.0
+"""Between two writes of news that change nothing about who is isolated or refused."""
+
 TURN_SECONDS = 2.0
 """How much later each further router writes."""
 
@@ -35,6 +38,9 @@
 
 DUTY = "quarantine"
 
+RESTRICTED = (quarantine.Standing.ISOLATED, quarantine.Standing.QUARANTINED)
+"""Standings whose loss lets servers crash."""
+
 
 @kernel.register(
     "quarantinestore", needs=("identity", "membership", "objects", "quarantine")
@@ -49,7 +55,7 @@
         self._membership: membership.MembershipService = box.find("membership")
         self._quarantine: quarantines.QuarantineService = box.find("quarantine")
         self._revision: int | None = None
-        self._changed_at = 0.0
+        self._due_at = 0.0
         self._restored = 0
         self._read_at = 0.0
         self._wake = threading.Event()
@@ -68,8 +74,15 @@
         self._stopped = True
         self._wake.set()
 
-    def _note_change(self) -> None:
-        self._changed_at = time.monotonic()
+    def _note_change(self, changes: list[quarantine.Change]) -> None:
+        now = time.monotonic()
+        restricted = {each.before for each in changes} | {
+            each.after for each in changes
+        }
+        is_urgent = not restricted.isdisjoint(RESTRICTED)
+        pause = TICK_SECONDS if is_urgent else GATHER_SECONDS
+        is_waiting = not self._is_stored() and self._due_at > now
+        self._due_at = min(self._due_at, now + pause) if is_waiting else now + pause
         self._wake.set()
 
     def _run(self) -> None:
@@ -104,8 +117,7 @@
             self._read_at = now
             self._restored += 1
         if not self._is_stored():
-            due = self._changed_at + TICK_SECONDS + self._find_turn() * TURN_SECONDS
-            if now >= due:
+            if now >= self._due_at + self._find_turn() * TURN_SECONDS:
                 self._write()
 
     def _must_read(self, now: float) -> bool:
