Call resumption, answers and shares by the field's words in what was touched

Names alone: go_on to resume, _ask_on to _request_resumption, hear_shares to receive_shares, _tell to _send_answers and _send_updates.

--- a/bench/engines/policies.py
+++ b/bench/engines/policies.py
@@ -203,7 +203,7 @@
         """Decide again in each shard, and let them tell each other their shares."""
         if now - self._told_at >= SHARES_SECONDS:
             self._told_at = now
-            self._tell_shares(now)
+            self._send_shares(now)
         found: list[pools.Answer] = []
         for pool in self._pools:
             found += self._note(pool.tick(now), now)
@@ -215,10 +215,10 @@
             self._pressures.note(message.pool, message.pressure, now)
         return answers
 
-    def _tell_shares(self, now: float) -> None:
+    def _send_shares(self, now: float) -> None:
         for dimension in range(len(self._pools).bit_length() - 1):
             for shard, pool in enumerate(self._pools):
                 partner = self._pools[shard ^ (1 << dimension)]
                 units = pool.add_up_shares(dimension, now)
                 told = messages.PoolShares(partner.name, dimension, units)
-                partner.hear_shares(told, now)
+                partner.receive_shares(told, now)
--- a/bench/engines/smallvms.py
+++ b/bench/engines/smallvms.py
@@ -91,9 +91,9 @@
 
     def _do_decide(self, ask: messages.SlotRequest, now: float) -> None:
         router = self._routers[ask.account]
-        self._tell(self._pool.ask(router, ask, now), now)
+        self._send_answers(self._pool.ask(router, ask, now), now)
 
-    def _tell(self, answers: Sequence[pools.Answer], now: float) -> None:
+    def _send_answers(self, answers: Sequence[pools.Answer], now: float) -> None:
         """Let the router pass a request on, and its answer, before the server gets it.
 
         Passing an answer on takes its time while the answer comes; here it is all taken
--- a/bench/engines/trial.py
+++ b/bench/engines/trial.py
@@ -217,10 +217,10 @@
     def _do_ask(self, ask: messages.SlotRequest, now: float) -> None:
         waited = ask.waited + self._site.message_seconds
         asked = msgspec.structs.replace(ask, waited=waited)
-        self._tell(self._pool.ask(ROUTER, asked, now), now)
+        self._send_answers(self._pool.ask(ROUTER, asked, now), now)
 
     def _do_tick(self, _: None, now: float) -> None:
-        self._tell(self._pool.tick(now), now)
+        self._send_answers(self._pool.tick(now), now)
         if any(kind != "tick" for _, _, kind, _ in self._agenda):
             self._plan(now + TICK_SECONDS, "tick", None)
 
@@ -302,7 +302,7 @@
         pause = self._outcomes[ask.request].gap
         self._pool.end(ask.request, server, states.RunEnding.ANSWERED, now, pause)
 
-    def _tell(self, answers: Sequence[pools.Answer], now: float) -> None:
+    def _send_answers(self, answers: Sequence[pools.Answer], now: float) -> None:
         for answer in answers:
             if isinstance(answer.message, messages.SlotOffer):
                 kind = "fetch" if answer.message.source else "start"
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -316,7 +316,7 @@
             messages.AccountUnits(name, value) for name, value in units.items()
         )
 
-    def hear_shares(self, told: messages.PoolShares, now: float) -> None:
+    def receive_shares(self, told: messages.PoolShares, now: float) -> None:
         """Take in what another shard says that accounts have begun."""
         units = {each.account: each.units for each in told.units}
         self._shares.hear(told.dimension, units, now)
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -196,7 +196,7 @@
         except backend.AnswerLost as lost:
             ending = states.RunEnding.CANCELLED
             if not order.presence.gone:
-                if self._sender.go_on(order, place, progress, sink):
+                if self._sender.resume(order, place, progress, sink):
                     ending = states.RunEnding.ANSWERED
                     self._quarantine.note_answered(order, progress)
                     return True
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -119,7 +119,7 @@
         with self._lock:
             self._note_incarnation(router, incarnation)
             answers = self._find_pool(ask.pool).ask(router, ask, now)
-        self._tell(answers)
+        self._send_answers(answers)
         self._changed.set()
 
     def _take_cancel(
@@ -168,7 +168,7 @@
         with self._lock:
             pool = self._pools.get(told.pool)
             if pool is not None:
-                pool.hear_shares(told, time.monotonic())
+                pool.receive_shares(told, time.monotonic())
 
     def _find_pool(self, name: ids.PoolId) -> pools.Pool:
         """Return a pool that is asked of; the caller holds the lock."""
@@ -238,7 +238,7 @@
         for pool in self._pools.values():
             pool.forget_router(router)
 
-    def _tell(self, answers: Iterable[pools.Answer]) -> None:
+    def _send_answers(self, answers: Iterable[pools.Answer]) -> None:
         for answer in answers:
             self._delivery.send(answer.router, answer.message)
             log_answer(answer)
@@ -259,7 +259,7 @@
             if waits:
                 time.sleep(REST_SECONDS)
 
-    def _tell_shares(self, now: float) -> None:
+    def _send_shares(self, now: float) -> None:
         """Tell the homes of other shards what accounts have begun here."""
         if now - self._shares_at < SHARES_SECONDS:
             return
@@ -278,7 +278,7 @@
 
     def _tick(self, now: float) -> bool:
         """Decide again in all pools; returns whether anything waits."""
-        self._tell_shares(now)
+        self._send_shares(now)
         self._log_backlogs(now)
         with self._lock:
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
@@ -288,7 +288,7 @@
             self._told_at = now
         for router, message in alive:
             self._delivery.send(router, message)
-        self._tell(answers)
+        self._send_answers(answers)
         return waits
 
     def _log_backlogs(self, now: float) -> None:
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -293,7 +293,7 @@
             self._wake.wait(self._find_pause())
             self._wake.clear()
             try:
-                self._tell(time.monotonic())
+                self._send_updates(time.monotonic())
             except Exception as error:
                 # Without this task other routers would go on to send what this one
                 # has seen to crash servers.
@@ -311,7 +311,7 @@
             return max(TICK_SECONDS, self._compare_at - now)
         return None
 
-    def _tell(self, now: float) -> None:
+    def _send_updates(self, now: float) -> None:
         """Tell news to some routers, and compare with one if that is due."""
         own = self._identity.router
         others = [each for each in self._membership.alive() if each.router != own]
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -154,17 +154,17 @@
             sink.write_head(reply.status, reply.reason, reply.headers)
         sink.finish()
 
-    def go_on(
+    def resume(
         self,
         order: orders.Order,
         place: places.Place,
         progress: requestprogress.Progress,
         sink: orders.Sink,
     ) -> bool:
-        """Go on with a run that was stopped to be moved; returns whether it has ended.
+        """Resume a run that was stopped to be moved; returns whether it has ended.
 
-        If the engine that has the copy does not take it, the one that was stopped goes
-        on: it keeps what it has read.
+        If the engine that has the copy does not take it, the one that was stopped
+        resumes it: it keeps what it has read.
         """
         migration = self._migrations.take_copy(place)
         if migration is None or migration.copy is None:
@@ -173,7 +173,9 @@
         moved_from = engines.name_copy(source.address, migration.copy)
         for entry in (target, source) if migration.copy.is_at_target else (source,):
             try:
-                reply, channel = self._ask_on(order, entry, progress, moved_from)
+                reply, channel = self._request_resumption(
+                    order, entry, progress, moved_from
+                )
             except backend.AnswerLost as lost:
                 self._crashwatch.note_loss(order, entry, progress, lost)
                 log_resumption(order, progress, entry.server, str(lost))
@@ -188,7 +190,7 @@
         self._places.settle_migration(place, target.server, is_moved=False)
         return False
 
-    def _ask_on(
+    def _request_resumption(
         self,
         order: orders.Order,
         entry: catalog.ServerEntry,
