Give the queue of a pool a module of its own

No behaviour changes; the tests of pools, isolation, small VMs, shards, paces, homes and the emulator's placing pass.

--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -28,12 +28,9 @@
 import msgspec
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import accountshares, paces, placing, poolservers
+from celeryspan.decisions import accountshares, paces, placing, poolqueue, poolservers
 from celeryspan.wire import messages
 
-OUTPUT_WEIGHT = 2.0
-"""A generated token counts as two that are read."""
-
 PATIENCE = 0.25
 """Part of the timeout after which a request that waits is refused: the caller can then
 still come back and be served. A late answer is worth more to it than none."""
@@ -70,34 +67,6 @@
 RETRY_SECONDS_MIN = 0.05
 
 
-class Task(msgspec.Struct):
-    """A request that waits.
-
-    Attributes
-    ----------
-    start_by, give_up_at, end_at : float
-        Until when the request must be placed to be in time, when waiting ends, and when
-        the request must have ended; on the home's clock, in seconds.
-    work : float
-        What it takes of a server, in seconds.
-    """
-
-    ask: messages.SlotRequest
-    router: ids.RouterId
-    arrived_at: float
-    start_by: float
-    give_up_at: float
-    end_at: float
-    is_long: bool
-    work: float
-
-    @property
-    def units(self) -> float:
-        """Service that the request asks for, in tokens; 1 for a plain call."""
-        ask = self.ask
-        return ask.prompt_tokens + OUTPUT_WEIGHT * ask.output_tokens or 1.0
-
-
 class Answer(msgspec.Struct, frozen=True):
     """What a router is told, and what decided it.
 
@@ -119,23 +88,6 @@
     run: poolservers.Run | None = None
 
 
-class Backlog(msgspec.Struct, frozen=True):
-    """What waits of one account.
-
-    Attributes
-    ----------
-    late : int
-        Requests among those that wait which can no longer be in time.
-    level : float
-        Service that the account has begun to get of late in all shards, in tokens.
-    """
-
-    account: ids.AccountId
-    waiting: int
-    late: int
-    level: float
-
-
 class Turn(NamedTuple):
     """Requests of one account that are weighed against each other.
 
@@ -146,7 +98,7 @@
     account: ids.AccountId
 
 
-Candidates = dict[Turn, list[Task]]
+Candidates = dict[Turn, list[poolqueue.Task]]
 
 
 class Pool:
@@ -164,9 +116,8 @@
         self._placing = placing.Placing()
         self._shares = accountshares.AccountShares()
         self._paces = paces.Paces()
-        self._waiting: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
+        self._queue = poolqueue.PoolQueue()
         self._waiting_seconds = 0.0
-        self._work = 0.0
 
     def set_servers(
         self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
@@ -201,8 +152,8 @@
         self._placing.note_arrival(ask, now)
         if self._is_full(ask, now):
             return [self._refuse(task, "no-place-in-time", now)]
-        others_wait = bool(self._waiting)
-        self._add(task)
+        others_wait = bool(self._queue)
+        self._queue.add(task)
         return [] if others_wait else self.decide(now)
 
     def _is_full(self, ask: messages.SlotRequest, now: float) -> bool:
@@ -211,7 +162,7 @@
         Without a server there is no pace to go by: the list may be late.
         """
         servers = self._placing.count_servers()
-        waiting = len(self._waiting.get(ask.account, ()))
+        waiting = self._queue.count(ask.account)
         if not servers or waiting < QUEUE_SERVER_MIN * servers:
             return False
         pace = self._paces.measure(ask.account, now)
@@ -219,11 +170,11 @@
 
     def _make_task(
         self, router: ids.RouterId, ask: messages.SlotRequest, now: float
-    ) -> Task:
+    ) -> poolqueue.Task:
         arrived = now - ask.waited
         first = self._placing.estimate_first(ask)
         patience = min(ask.timeout * PATIENCE, ask.objective * PATIENCE_OBJECTIVES)
-        return Task(
+        return poolqueue.Task(
             ask,
             router,
             arrived_at=now,
@@ -236,9 +187,7 @@
 
     def cancel(self, request: ids.RequestId) -> None:
         """Take a request out of the queue."""
-        for account in list(self._waiting):
-            if self._remove(account, request):
-                return
+        self._queue.cancel(request)
 
     def begin(
         self, request: ids.RequestId, server: ids.ServerId, now: float
@@ -270,38 +219,22 @@
 
     def forget_router(self, router: ids.RouterId) -> None:
         """Drop the requests and runs of a router that is dead."""
-        lost = [
-            task
-            for tasks in self._waiting.values()
-            for task in tasks.values()
-            if task.router == router
-        ]
-        for task in lost:
-            self._remove(task.ask.account, task.ask.request)
+        self._queue.take(lambda task: task.router == router)
         self._placing.forget_router(router)
 
     def list_routers(self) -> set[ids.RouterId]:
         """Return the routers whose requests wait here."""
-        return {
-            task.router for tasks in self._waiting.values() for task in tasks.values()
-        }
+        return self._queue.list_routers()
 
     def count_waiting(self) -> int:
         """Return how many requests wait."""
-        return sum(len(tasks) for tasks in self._waiting.values())
+        return len(self._queue)
 
-    def list_backlogs(self, now: float) -> list[Backlog]:
+    def list_backlogs(self, now: float) -> list[poolqueue.Backlog]:
         """Return what waits of each account, those with most waiting first."""
-        found = [
-            Backlog(
-                account,
-                len(tasks),
-                sum(task.start_by < now for task in tasks.values()),
-                self._shares.measure(account, now),
-            )
-            for account, tasks in self._waiting.items()
-        ]
-        return sorted(found, key=lambda each: -each.waiting)
+        return self._queue.list_backlogs(
+            lambda account: self._shares.measure(account, now), now
+        )
 
     def count_runs(self) -> int:
         """Return how many places are taken."""
@@ -349,11 +282,10 @@
     def _list(self, is_long: bool, now: float) -> Candidates:
         """Return the requests of each account that fit, oldest first."""
         found: Candidates = {}
-        for account, tasks in self._waiting.items():
-            for task in tasks.values():
-                if task.is_long == is_long and self._can_run(task.ask):
-                    turn = Turn(task.start_by < now, account)
-                    found.setdefault(turn, []).append(task)
+        for task in self._queue:
+            if task.is_long == is_long and self._can_run(task.ask):
+                turn = Turn(task.start_by < now, task.ask.account)
+                found.setdefault(turn, []).append(task)
         for fitting in found.values():
             fitting.sort(key=lambda task: task.arrived_at)
         return found
@@ -380,7 +312,7 @@
         level = self._shares.level(turn.account)
         return level * (LATE_WEIGHT if turn.is_late else 1.0), turn
 
-    def _place_one(self, tasks: list[Task], now: float) -> Answer | None:
+    def _place_one(self, tasks: list[poolqueue.Task], now: float) -> Answer | None:
         """Place one of the oldest requests, and take it out.
 
         It is the one that fits the servers that are free best: in a peak one engine at
@@ -399,8 +331,8 @@
             return None
         return self._offer(tasks.pop(best[1]), best[2], now)
 
-    def _offer(self, task: Task, server: ids.ServerId, now: float) -> Answer:
-        self._remove(task.ask.account, task.ask.request)
+    def _offer(self, task: poolqueue.Task, server: ids.ServerId, now: float) -> Answer:
+        self._queue.remove(task)
         run = self._placing.take(task.ask, task.router, server, task.end_at, now)
         self._shares.charge(task.ask.account, task.units, now)
         self._paces.note(task.ask.account, now)
@@ -411,19 +343,10 @@
         return _make_answer(task, offer, now, run)
 
     def _expire(self, now: float) -> list[Answer]:
-        late = [
-            task
-            for tasks in self._waiting.values()
-            for task in tasks.values()
-            if task.give_up_at <= now
-        ]
-        answers = []
-        for task in late:
-            self._remove(task.ask.account, task.ask.request)
-            answers.append(self._refuse(task, "no-place-in-time", now))
-        return answers
+        late = self._queue.take(lambda task: task.give_up_at <= now)
+        return [self._refuse(task, "no-place-in-time", now) for task in late]
 
-    def _refuse(self, task: Task, reason: str, now: float) -> Answer:
+    def _refuse(self, task: poolqueue.Task, reason: str, now: float) -> Answer:
         wait = self._estimate_wait()
         spread = 1.0 + RETRY_SPREAD * self._generator.random()
         retry_after = max(RETRY_SECONDS_MIN, wait) * spread
@@ -434,27 +357,11 @@
 
     def _estimate_wait(self) -> float:
         """Return the time in which what waits now will have been placed, in seconds."""
-        return self._placing.estimate_wait(self._work)
-
-    def _add(self, task: Task) -> None:
-        self._waiting.setdefault(task.ask.account, {})[task.ask.request] = task
-        self._work += task.work
-
-    def _remove(self, account: ids.AccountId, request: ids.RequestId) -> bool:
-        """Take out a request if it waits; returns whether it did."""
-        tasks = self._waiting.get(account, {})
-        task = tasks.pop(request, None)
-        if task is None:
-            return False
-        if not tasks:
-            del self._waiting[account]
-        # Rounding errors of many sums and differences end with the queue.
-        self._work = self._work - task.work if self._waiting else 0.0
-        return True
+        return self._placing.estimate_wait(self._queue.work)
 
 
 def _make_answer(
-    task: Task,
+    task: poolqueue.Task,
     message: messages.SlotOffer | messages.SlotRefusal,
     now: float,
     run: poolservers.Run | None = None,
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, events, ids, kernel
-from celeryspan.decisions import pools, shards
+from celeryspan.decisions import poolqueue, pools, shards
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -317,7 +317,7 @@
         ]
 
 
-def list_fields(backlog: pools.Backlog) -> list[object]:
+def list_fields(backlog: poolqueue.Backlog) -> list[object]:
     """Return account, requests that wait, late ones among them, and what it got."""
     return [backlog.account, backlog.waiting, backlog.late, round(backlog.level)]
 
