Bound the stored record of suspects; count a server that is down once in the soak

Two findings. A full record of 2,000 requests with 12 crashes each took 2.9 MB, where the store takes 1 MB: it could not have been written when it was needed most.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -114,7 +114,11 @@
 
     def list_incarnations(self) -> list[platformserver.PlatformServer]:
         """Return all backend servers that there are and were."""
-        return [*self.servers, *self.crashed]
+        # One that has crashed stays in its place until it comes back.
+        return [
+            *self.servers,
+            *(each for each in self.crashed if each not in self.servers),
+        ]
 
     def enter(
         self, name: str, service: str, proxy: soakparts.Proxy, state: str = "ready"
--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -52,10 +52,12 @@
 OUTDATED_STEP_MS = 60 * 1000
 """Routers forget at the same moments, so that they go on to know the same."""
 
-SUSPECTS_MAX = 2_000
-"""Requests remembered; those with fewest strikes are forgotten first."""
+SUSPECTS_MAX = 1_000
+SUSPECTS_KEPT = 900
+"""Requests remembered, and how many are kept when there are more: those with most
+strikes."""
 
-STRIKES_MAX = 12
+STRIKES_MAX = 6
 """Newest strikes remembered of one request."""
 
 TRIAL_MAX = 255
@@ -205,9 +207,9 @@
 
     def _evict(self) -> list[messages.Suspect]:
         """Drop what is too much; returns it."""
-        surplus = len(self._suspects) - SUSPECTS_MAX
-        if surplus <= 0:
+        if len(self._suspects) <= SUSPECTS_MAX:
             return []
+        surplus = len(self._suspects) - SUSPECTS_KEPT
         evicted = heapq.nsmallest(surplus, self._suspects.values(), key=_weigh_memory)
         for suspect in evicted:
             self._drop(suspect.whole)
--- a/celeryspan/platform/quarantine.py
+++ b/celeryspan/platform/quarantine.py
@@ -18,14 +18,15 @@
                 "fingerprint": fingerprints.format_whole(suspect.whole),
                 "scope": fingerprints.format_whole(suspect.scope),
                 "acquitted_ms": suspect.acquitted_ms,
+                # Lists, since the names of fields would be most of the object.
                 "crashes": [
-                    {
-                        "server": strike.crash,
-                        "at_ms": strike.at_ms,
-                        "trial": strike.trial,
-                        "run_ms": strike.run_ms,
-                        "is_prompt": strike.is_prompt,
-                    }
+                    [
+                        strike.crash,
+                        strike.at_ms,
+                        strike.trial,
+                        strike.run_ms,
+                        strike.is_prompt,
+                    ]
                     for strike in suspect.strikes
                 ],
             }
@@ -58,20 +59,22 @@
     return messages.Suspect(
         scope=_read_hash(entry, "scope"),
         whole=_read_hash(entry, "fingerprint"),
-        acquitted_ms=_read_whole(entry, "acquitted_ms", 64),
+        acquitted_ms=_check_whole(entry["acquitted_ms"], "acquitted_ms", 64),
         strikes=strikes,
     )
 
 
-def _read_strike(entry: Mapping) -> messages.Strike:
-    crash, is_prompt = entry["server"], entry["is_prompt"]
+def _read_strike(entry: object) -> messages.Strike:
+    if not isinstance(entry, list):
+        raise TypeError(f"expected a list for a crash, found {entry!r:.40}")
+    crash, at_ms, trial, run_ms, is_prompt = entry
     if not isinstance(crash, str) or not isinstance(is_prompt, bool):
         raise TypeError(f"expected a server's name and a truth value, found {entry!r}")
     return messages.Strike(
         crash=crash,
-        at_ms=_read_whole(entry, "at_ms", 64),
-        trial=_read_whole(entry, "trial", 8),
-        run_ms=_read_whole(entry, "run_ms", 32),
+        at_ms=_check_whole(at_ms, "at_ms", 64),
+        trial=_check_whole(trial, "trial", 8),
+        run_ms=_check_whole(run_ms, "run_ms", 32),
         is_prompt=is_prompt,
     )
 
@@ -83,8 +86,7 @@
     return int(text, 16)
 
 
-def _read_whole(entry: Mapping, key: str, bits: int) -> int:
-    value = entry[key]
+def _check_whole(value: object, key: str, bits: int) -> int:
     if type(value) is not int or not 0 <= value < 1 << bits:
         raise TypeError(f"expected a number of {bits} bits as {key}, found {value!r}")
     return value
