Order words on the stored record, forget alike, and tell nobody what all read

Two words on what the store holds (its digest) had no order: an old one that comes late replaces the new one and is told on, so that both go round for ever; the store's revision orders them now. Above 1,000 suspects each router forgot by its own history, so that exchanges brought back what the other had dropped, each second; now all keep the same ones, by strikes and age, and what would be forgotten at once is no news. A router that starts told everybody what it had read in the store, which all know: at a restart of 195 routers some 550 datagrams each, worked out; it tells no one now. A full exchange comes once a second at most. A held request no longer wakes its router five times a second.

--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -53,9 +53,11 @@
 """Routers forget at the same moments, so that they go on to know the same."""
 
 SUSPECTS_MAX = 1_000
-SUSPECTS_KEPT = 900
-"""Requests remembered, and how many are kept when there are more: those with most
-strikes."""
+"""Requests remembered; of more, those with fewest and oldest strikes are forgotten by
+all routers alike, so that they go on to know the same."""
+
+WEIGHTS_MAX = 4 * SUSPECTS_MAX
+"""Entries of the heap, outdated ones among them, beyond which it is built anew."""
 
 STRIKES_MAX = 6
 """Newest strikes remembered of one request."""
@@ -63,6 +65,9 @@
 TRIAL_MAX = 255
 
 
+Weight = tuple[int, int]
+
+
 class Standing(enum.Enum):
     """How a request is treated."""
 
@@ -93,6 +98,7 @@
         self._convicted: dict[int, list[messages.Strike]] = {}
         self._causes: frozenset[int] = frozenset()
         self._scopes: collections.Counter[int] = collections.Counter()
+        self._weights: list[tuple[Weight, int]] = []
         self._digest = 0
 
     def __len__(self) -> int:
@@ -192,6 +198,7 @@
             self._scopes[suspect.scope] += 1
         if is_convicted(strikes):
             self._convicted[suspect.whole] = strikes
+        heapq.heappush(self._weights, (_weigh(suspect), suspect.whole))
 
     def _drop(self, whole: int) -> None:
         suspect = self._suspects.pop(whole, None)
@@ -206,13 +213,19 @@
             del self._scopes[suspect.scope]
 
     def _evict(self) -> list[messages.Suspect]:
-        """Drop what is too much; returns it."""
-        if len(self._suspects) <= SUSPECTS_MAX:
-            return []
-        surplus = len(self._suspects) - SUSPECTS_KEPT
-        evicted = heapq.nsmallest(surplus, self._suspects.values(), key=_weigh_memory)
-        for suspect in evicted:
-            self._drop(suspect.whole)
+        """Drop the lightest of what is too much; returns it."""
+        evicted = []
+        while len(self._suspects) > SUSPECTS_MAX:
+            weight, whole = heapq.heappop(self._weights)
+            suspect = self._suspects.get(whole)
+            if suspect is not None and _weigh(suspect) == weight:
+                self._drop(whole)
+                evicted.append(suspect)
+        if len(self._weights) > WEIGHTS_MAX:
+            self._weights = [
+                (_weigh(suspect), whole) for whole, suspect in self._suspects.items()
+            ]
+            heapq.heapify(self._weights)
         return evicted
 
     def _judge(self, touched: Iterable[messages.Suspect]) -> list[Change]:
@@ -358,7 +371,7 @@
     )
 
 
-def _weigh_memory(suspect: messages.Suspect) -> tuple[int, int, int]:
+def _weigh(suspect: messages.Suspect) -> Weight:
     """Return what decides which suspects are forgotten first."""
     latest = max(strike.at_ms for strike in suspect.strikes)
-    return len(list_strikes(suspect)), latest, suspect.whole
+    return len(list_strikes(suspect)), latest
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -32,7 +32,8 @@
 """Suspects in one datagram: with all their strikes they fit into 1,200 bytes."""
 
 COMPARE_SECONDS = 1.0
-"""How often a router that knows of suspects compares its digest with another one's."""
+"""How often a router that knows of suspects compares its digest with another one's, and
+how often at most it sends all that it knows."""
 
 STARTING_SECONDS = 5.0
 """How long after its start a router compares even if it knows of none."""
@@ -63,8 +64,8 @@
 
     Attributes
     ----------
-    stored_digest : int
-        Digest of what the store is known to hold.
+    stored : SuspectsStored
+        The newest word on what the store holds.
     """
 
     def __init__(self, box: kernel.Kernel) -> None:
@@ -80,10 +81,10 @@
         self._lock = threading.Lock()
         self._watched: dict[int, _Watched] = {}
         self._handlers: list[Handler] = []
-        self.stored_digest = 0
+        self.stored = messages.SuspectsStored(0, 0)
         self._changed_at = float("-inf")
         self._starting_until = time.monotonic() + STARTING_SECONDS
-        self._compare_at = 0.0
+        self._compare_at = self._exchange_at = 0.0
         self._wake = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(
@@ -189,12 +190,21 @@
         if word is not None:
             self.merge([word])
 
-    def merge(self, suspects: Iterable[messages.Suspect]) -> None:
-        """Take in what is known elsewhere, act on it and tell the others."""
+    def merge(
+        self, suspects: Iterable[messages.Suspect], *, spread: bool = True
+    ) -> None:
+        """Take in what is known elsewhere, and act on it.
+
+        Parameters
+        ----------
+        spread : bool
+            Whether to tell others what is new here; not what each of them reads at its
+            own start.
+        """
         now_ms = read_clock_ms()
         with self._lock:
             news, changes = self._quarantine.merge(suspects, now_ms)
-            for suspect in news:
+            for suspect in news if spread else ():
                 self._gossip.put(suspect.whole, suspect)
         if not news:
             return
@@ -207,9 +217,18 @@
             handler(changes)
         self._wake.set()
 
-    def note_stored(self, digest: int) -> None:
-        """Note what the store holds, and tell the others."""
-        self._take_stored(messages.SuspectsStored(digest))
+    def note_stored(self, stored: messages.SuspectsStored) -> None:
+        """Note what the store holds, and tell the others if that is news.
+
+        Without an order two words that contradict each other would chase each other
+        through the fleet for ever.
+        """
+        if stored.revision <= self.stored.revision:
+            return
+        self.stored = stored
+        with self._lock:
+            self._gossip.put(STORED, stored)
+        self._wake.set()
 
     def _make_refusal(self, fingerprint: fingerprints.Fingerprint) -> errors.NotRun:
         with self._lock:
@@ -263,26 +282,20 @@
             self.merge(suspects)
         for message in frame.messages:
             if isinstance(message, messages.SuspectsStored):
-                self._take_stored(message)
+                self.note_stored(message)
             elif isinstance(message, messages.SuspectsDigest):
                 self._take_digest(frame.sender, source, message)
 
-    def _take_stored(self, stored: messages.SuspectsStored) -> None:
-        if stored.digest == self.stored_digest:
-            return
-        self.stored_digest = stored.digest
-        with self._lock:
-            self._gossip.put(STORED, stored)
-        self._wake.set()
-
     def _take_digest(
         self, peer: ids.RouterId, source: ids.Address, theirs: messages.SuspectsDigest
     ) -> None:
         """Send what is known to a router that knows something else, and ask it to."""
         own = self._quarantine.digest
-        is_young = time.monotonic() - self._changed_at < SETTLED_SECONDS
-        if theirs.digest == own or is_young or peer == self._identity.router:
+        now = time.monotonic()
+        is_young = now - self._changed_at < SETTLED_SECONDS
+        if theirs.digest == own or is_young or now < self._exchange_at:
             return
+        self._exchange_at = now + COMPARE_SECONDS
         for suspect in self.list_suspects():
             self._links.send(peer, suspect)
         if not theirs.is_answer:
--- a/celeryspan/gateway/quarantinestore.py
+++ b/celeryspan/gateway/quarantinestore.py
@@ -10,9 +10,10 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import errors, events, kernel
+from celeryspan import errors, events, kernel, storedobjects
 from celeryspan.decisions import quarantine, turns
 from celeryspan.platform import names, quarantine as records
+from celeryspan.wire import messages
 
 if TYPE_CHECKING:
     from celeryspan.gateway import objectstore, quarantines
@@ -103,12 +104,13 @@
             self._wake.clear()
 
     def _find_pause(self) -> float | None:
-        if not self._quarantine.has_quarantined() and self._is_stored():
-            return TICK_SECONDS if self._restored < 2 else None
-        return TICK_SECONDS
+        """Return when to look again if nothing changes; None for never."""
+        if self._restored < 2 or not self._is_stored():
+            return TICK_SECONDS
+        return RELEASE_SECONDS if self._quarantine.has_quarantined() else None
 
     def _is_stored(self) -> bool:
-        return self._quarantine.digest in (0, self._quarantine.stored_digest)
+        return self._quarantine.digest in (0, self._quarantine.stored.digest)
 
     def _look(self, now: float) -> None:
         """Do what is due."""
@@ -138,9 +140,9 @@
         listing = self._client.list_objects(names.QUARANTINE_KIND, is_stale=True)
         for found in listing.objects:
             if found.name == names.QUARANTINE_NAME:
-                self._merge(found)
+                self._merge(found, spread=self._restored >= 2)
 
-    def _merge(self, found: object) -> None:
+    def _merge(self, found: storedobjects.StoredObject, *, spread: bool = True) -> None:
         try:
             suspects = records.read(found)
         except errors.InputError as error:
@@ -151,10 +153,10 @@
                 error=str(error),
             )
             return
+        self._quarantine.merge(suspects, spread=spread)
         digest = quarantine.hash_suspects(suspects)
-        self._quarantine.merge(suspects)
-        if digest == self._quarantine.digest:
-            self._quarantine.note_stored(digest)
+        stored = messages.SuspectsStored(digest, found.revision)
+        self._quarantine.note_stored(stored)
 
     def _write(self) -> None:
         """Write what is known, over what was there and is known now as well."""
@@ -177,12 +179,13 @@
             return
         self._revision = written.revision
         digest = quarantine.hash_suspects(suspects)
-        self._quarantine.note_stored(digest)
+        stored = messages.SuspectsStored(digest, written.revision)
+        self._quarantine.note_stored(stored)
         events.log(
             events.Event.QUARANTINE_STORED, requests=len(suspects), digest=digest
         )
 
-    def _create(self, spec: dict[str, object]) -> object | None:
+    def _create(self, spec: dict[str, object]) -> storedobjects.StoredObject | None:
         """Write the object for the first time; None if another router was faster."""
         try:
             return self._client.create(
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -558,9 +558,10 @@
 
 
 class SuspectsStored(msgspec.Struct, frozen=True):
-    """The suspects with this digest are in the store."""
+    """The suspects with this digest are in the store, at this revision of it."""
 
     digest: int
+    revision: int
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -350,4 +350,5 @@
 
 struct SuspectsStored {
   digest @0 :UInt64;
+  revision @1 :UInt64;
 }
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -161,10 +161,25 @@
         for number in range(quarantine.SUSPECTS_MAX + 500)
     )
     known.merge(flood, NOW_MS)
-    assert quarantine.SUSPECTS_KEPT <= len(known) <= quarantine.SUSPECTS_MAX
+    assert len(known) == quarantine.SUSPECTS_MAX
     assert known.find_standing(CAUSE) is Standing.QUARANTINED
 
 
+def test_routers_forget_alike_what_is_too_much() -> None:
+    """Guards against routers that tell each other for ever what one forgets."""
+    flood = [
+        suspect(whole, strike(f"gpu-{whole % 40}", at_ms=whole % 700))
+        for whole in range(2 * quarantine.SUSPECTS_MAX)
+    ]
+    one, other = learn(*flood), learn(*reversed(flood))
+    for _ in range(2):
+        one.merge(other.list_suspects(), NOW_MS)
+        other.merge(one.list_suspects(), NOW_MS)
+    assert one.digest == other.digest
+    assert one.merge(other.list_suspects(), NOW_MS) == ([], [])
+    assert one.merge(flood, NOW_MS)[0] == []
+
+
 def test_digest_is_the_same_wherever_the_same_is_known() -> None:
     words = [
         suspect(whole, strike(f"gpu-{crash}", crash, crash))
--- a/tests/gateway/test_quarantines.py
+++ b/tests/gateway/test_quarantines.py
@@ -145,19 +145,30 @@
     blame(routers[0], FATAL, 2)
     own = [router.box.find("quarantine") for router in routers]
     support.wait_for(lambda: all(each.digest == own[0].digest for each in own))
-    support.wait_for(lambda: all(each.stored_digest == own[0].digest for each in own))
+    support.wait_for(lambda: all(each.stored.digest == own[0].digest for each in own))
     writes = place.store.calls_by_kind
     kind = "celeryspan-quarantine"
     assert writes[f"POST {kind}"] + writes[f"PUT {kind}"] == 1
 
 
+def test_old_word_on_the_store_is_not_told_on(place) -> None:
+    """Guards against two words on the store that chase each other for ever."""
+    place.add_server("gate-1")
+    router = place.start_router()
+    known = router.box.find("quarantine")
+    known.note_stored(messages.SuspectsStored(1, 20))
+    known.note_stored(messages.SuspectsStored(2, 10))
+    assert known.stored == messages.SuspectsStored(1, 20)
+    support.wait_for(lambda: not known._gossip)
+
+
 def test_record_of_another_writer_does_no_harm(place) -> None:
     place.add_server("gate-1")
     place.store.put("celeryspan-quarantine", "main", {"requests": [{"what": 1}]})
     router = place.start_router()
     blame(router, FATAL, 3)
     quarantined = router.box.find("quarantine")
-    support.wait_for(lambda: quarantined.stored_digest == quarantined.digest)
+    support.wait_for(lambda: quarantined.stored.digest == quarantined.digest)
     (row,) = place.store.find("celeryspan-quarantine", "main")["spec"]["requests"]
     assert row["fingerprint"] == str(fingerprint(router, FATAL))
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -80,7 +80,7 @@
         ),
     ),
     messages.SuspectsDigest(2**64 - 1, True),
-    messages.SuspectsStored(2**64 - 1),
+    messages.SuspectsStored(2**64 - 1, 2**40),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
     messages.QueueAlive("planner-llm#1#0", 0.5),
     messages.PoolShares("planner-llm#8#3", 2, (messages.AccountUnits("desk", 420.0),)),
