Give the decision on one more attempt a module of its own

No behaviour changes: the tests of carrier, migrations, full router, crashes, docs and the start of all services pass.

--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -12,10 +12,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, errors, events, ids, kernel, metrics, states
+from celeryspan import catalog, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.decisions import quarantine
 from celeryspan.gateway import (
+    attempts,
     channels,
     endings,
     migrations,
@@ -39,20 +40,11 @@
 CONNECTS_MAX = 4
 """Servers that one request tries to connect to."""
 
-SECOND_TRY_SECONDS = 0.05
-"""With less time left a repeat can't be answered."""
-
-SILENCE_OBJECTIVES = 3.0
-"""A repeatable plain request that is not answered within this many of its objectives is
-sent to another server: its own has stopped, or lost the answer."""
-
-REJECTED_RETRY_SECONDS = 0.2
-"""When to come back after a server was full: its queue drains within this time."""
-
 
 @kernel.register(
     "carrier",
     needs=(
+        "attempts",
         "budgets",
         "catalogues",
         "channels",
@@ -76,6 +68,7 @@
         self._quarantine: quarantines.QuarantineService = box.find("quarantine")
         self._budgets: budgets.Budgets = box.find("budgets")
         self._migrations: migrations.Migrations = box.find("migrations")
+        self._attempts: attempts.Attempts = box.find("attempts")
         self._sender: sender.Sender = box.find("sender")
         self._servers: serverlists.ServersService = box.find("servers")
         self._meters: metrics.Metrics = box.find("metrics")
@@ -181,8 +174,8 @@
         ending = states.RunEnding.FAILED
         order.presence.watch(channel.make_abort())
         until = order.deadline
-        if self._may_switch(order, progress):
-            until = min(until, time.monotonic() + self._find_silence(order))
+        if self._attempts.may_switch(order, progress):
+            until = min(until, time.monotonic() + self._attempts.find_silence(order))
         try:
             reply = self._sender.send(
                 order, place.server, progress, channel, until, source=place.source
@@ -192,7 +185,7 @@
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
-            self._follow_rejection(order, place, progress, declined)
+            self._attempts.follow_rejection(order, progress, declined)
         except backend.AnswerLost as lost:
             ending = states.RunEnding.CANCELLED
             if not order.presence.gone:
@@ -202,7 +195,7 @@
                     return True
                 ending = states.RunEnding.FAILED
                 self._note_loss(order, channel, progress, lost)
-            self._follow_loss(order, progress, lost)
+            self._attempts.follow_loss(order, progress, lost)
         except OSError:
             ending = states.RunEnding.CANCELLED
             raise
@@ -231,7 +224,7 @@
                     "the server has left",
                     code="server-left",
                     status=503,
-                    retry_after=REJECTED_RETRY_SECONDS,
+                    retry_after=attempts.REJECTED_RETRY_SECONDS,
                     step="connect",
                     peer=place.server,
                 )
@@ -241,7 +234,10 @@
             self._places.end(place, states.RunEnding.UNREACHABLE)
             progress.excluded = (*progress.excluded, place.server)
             progress.connects += 1
-            if progress.connects < CONNECTS_MAX and order.left() > SECOND_TRY_SECONDS:
+            if (
+                progress.connects < CONNECTS_MAX
+                and order.left() > attempts.SECOND_TRY_SECONDS
+            ):
                 return None
             if progress.may_have_run:
                 raise endings.make_unknown(order, progress, str(error)) from error
@@ -266,7 +262,7 @@
                     "the time of the request is over",
                     code="no-place-in-time",
                     status=503,
-                    retry_after=REJECTED_RETRY_SECONDS,
+                    retry_after=attempts.REJECTED_RETRY_SECONDS,
                     step="send",
                     peer=place.server,
                 )
@@ -295,7 +291,7 @@
         sink: orders.Sink,
     ) -> states.RunEnding:
         """Write an answer; returns ANSWERED unless it is to be repeated."""
-        if reply.status >= 500 and self._may_repeat(order, progress):
+        if reply.status >= 500 and self._attempts.may_repeat(order, progress):
             progress.may_have_run = True
             progress.failure = (reply, reply.read_whole())
             return states.RunEnding.FAILED
@@ -310,29 +306,6 @@
             progress.first_at = time.monotonic()
         return states.RunEnding.ANSWERED
 
-    def _follow_rejection(
-        self,
-        order: orders.Order,
-        place: places.Place,
-        progress: requestprogress.Progress,
-        declined: backend.Declined,
-    ) -> None:
-        """Let a request that was not run be sent again, or refuse it."""
-        if self._may_repeat(order, progress):
-            return
-        if progress.failure is not None or progress.is_answering:
-            raise endings.make_lost(progress, declined.message)
-        if progress.may_have_run:
-            raise endings.make_unknown(order, progress, declined.message)
-        raise errors.NotRun(
-            f"rejected: {declined.message}",
-            code="server-full",
-            status=503,
-            retry_after=REJECTED_RETRY_SECONDS,
-            step=declined.step,
-            peer=declined.peer,
-        )
-
     def _note_loss(
         self,
         order: orders.Order,
@@ -349,52 +322,6 @@
         if standing is not quarantine.Standing.CLEAR:
             self._crashwatch.wait_settled(channel.entry)
 
-    def _follow_loss(
-        self,
-        order: orders.Order,
-        progress: requestprogress.Progress,
-        lost: backend.AnswerLost,
-    ) -> None:
-        """Let a request whose answer is lost be sent again, or end it."""
-        progress.may_have_run = True
-        if order.presence.gone:
-            raise ConnectionAbortedError("the caller has left")
-        can_repeat = order.route.is_repeatable and self._may_repeat(order, progress)
-        if can_repeat:
-            event = events.Event.STREAM_RESUMED
-            if progress.is_answering:
-                events.log(event, request=order.request, above=progress.last_event)
-            return
-        if progress.is_answering:
-            raise endings.make_lost(progress, lost.message)
-        raise endings.make_unknown(order, progress, lost.message)
-
-    def _may_switch(
-        self, order: orders.Order, progress: requestprogress.Progress
-    ) -> bool:
-        """Whether a silent server may be left for another one."""
-        return (
-            order.route.kind is catalog.RouteKind.IDEMPOTENT
-            and progress.sends + 1 < order.route.attempts_max
-        )
-
-    def _find_silence(self, order: orders.Order) -> float:
-        return SILENCE_OBJECTIVES * order.route.target_latency
-
-    def _may_repeat(
-        self, order: orders.Order, progress: requestprogress.Progress
-    ) -> bool:
-        """Whether one more server may get the request; takes it from the budget."""
-        if progress.may_have_run and not order.route.is_repeatable:
-            return False
-        if progress.is_answering and not progress.last_event:
-            return False
-        if progress.sends >= order.route.attempts_max:
-            return False
-        if order.left() < SECOND_TRY_SECONDS or order.presence.gone:
-            return False
-        return self._budgets.take(order.service)
-
     def _give_failure(
         self, order: orders.Order, progress: requestprogress.Progress, sink: orders.Sink
     ) -> None:
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -238,11 +238,7 @@
 
 @pytest.mark.parametrize("servers", [3, 5, 12])
 def test_cause_is_found_among_many_that_run_beside_it(servers: int) -> None:
-    """Guards against a verdict on all who share servers with the cause.
-
-    One request in a hundred crashes its server; the others end after a while, and what
-    was lost comes again.
-    """
+    """Guards against a verdict on all who share servers with the cause."""
     generator = random.Random(servers)
     known = quarantine.Quarantine()
     running: dict[int, list[tuple[int, int, int]]] = {n: [] for n in range(servers)}
