Honour evacuations and the bound of cold servers

Cause: the store's requests to evacuate a data centre were not read and the cold time of server entries was thrown away. Change: a service follows evacuations, servers of evacuated data centres leave every list of usable servers, and the home of a pool grants cold servers at most half of what the fleet may send within a second, if its tenure is established. Tests: six of the seven in test_evacuations and test_cold_servers failed before (requests reached the evacuated data centre; more than 11 requests within a second); they pass now.

--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -116,11 +116,21 @@
 
 
 class Service(msgspec.Struct, frozen=True):
-    """A service; ``engine`` is None for a plain service."""
+    """A service; ``engine`` is None for a plain service.
+
+    Attributes
+    ----------
+    cold_seconds : float
+        Time for which its servers stay cold after a start, in seconds.
+    cold_rate : float
+        Requests per second that a cold server tolerates; 0 if it has no limit.
+    """
 
     name: ids.ServiceId
     connections_max: int
     engine: Engine | None = None
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -193,6 +203,10 @@
     started_ms : int or None
         When this incarnation started, in Unix milliseconds; None if the server doesn't
         report it. A server may restart under its id; it then has lost all its state.
+    cold_seconds : float
+        How much longer the server stays cold, as of the entry.
+    cold_until : float
+        Monotonic time on this router until which the server counts as cold.
     """
 
     server: ids.ServerId
@@ -203,6 +217,12 @@
     is_leaving: bool
     revision: int
     started_ms: int | None = None
+    cold_seconds: float = 0.0
+    cold_until: float = 0.0
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the server tolerates only a limited rate of requests."""
+        return now < self.cold_until
 
     def succeeds(self, other: ServerEntry) -> bool:
         """Whether this is a later incarnation of the same server.
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -17,6 +17,8 @@
 * A prompt whose prefill alone makes the streams beside it pause past their limit goes
   to a dedicated engine, one at a time (:mod:`longprompts`).
 * Requests to plain services go to the server with the shortest expected time.
+* A cold server is not available once it has got as many requests as it tolerates
+  (:mod:`coldstart`).
 
 With requests sent to any server, 56 % of long streams had a pause that was too long at
 the usual load; with these rules, 8 % had one (see ``docs/design/placing.md``).
@@ -33,7 +35,13 @@
 import xxhash
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import engines, longprompts, migration, poolservers
+from celeryspan.decisions import (
+    coldstart,
+    engines,
+    longprompts,
+    migration,
+    poolservers,
+)
 from celeryspan.wire import messages
 
 PREFILL_WEIGHT = 10.0
@@ -141,6 +149,15 @@
         self._median_slowdown = 1.0
         self._mean_run_seconds = 0.0
         self._next_expiry_at = 0.0
+        self._cold_grants_max = coldstart.UNLIMITED
+
+    def limit_cold_grants(self, grants_max: float) -> None:
+        """Set how many requests a cold server may be granted within a second."""
+        if grants_max == self._cold_grants_max:
+            return
+        self._cold_grants_max = grants_max
+        for server in self._ordered_servers:
+            server.cold_grants_max = grants_max
 
     def set_servers(
         self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
@@ -150,13 +167,17 @@
         known = {**self._removed_servers, **self._servers}
         self._servers = {}
         for entry in entries:
-            server = known.pop(entry.server, None)
+            previous = server = known.pop(entry.server, None)
             if server is None or entry.succeeds(server.entry):
                 # A restarted server has an empty cache and no runs. The slots and the
                 # slowdown of its earlier incarnation would be wrong for seconds.
                 server = _make_server(entry, engine)
                 server.slowdown = self._median_slowdown
+                if previous is not None:
+                    # Requests to the earlier incarnation may still arrive.
+                    server.grants = previous.grants
             server.entry = entry
+            server.cold_grants_max = self._cold_grants_max
             self._servers[entry.server] = server
         self._ordered_servers = sorted(
             self._servers.values(), key=lambda each: each.order
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -131,6 +131,10 @@
         """Set the servers that may get new requests."""
         self._placer.set_servers(entries, engine)
 
+    def limit_cold_grants(self, grants_max: float) -> None:
+        """Set how many requests a cold server may be granted within a second."""
+        self._placer.limit_cold_grants(grants_max)
+
     def pop_unqueried(self) -> list[catalog.ServerEntry]:
         """Return the engines to query for their cached parts, each of them once."""
         return self._placer.pop_unqueried()
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import promptcache, serverhealth
+from celeryspan.decisions import coldstart, promptcache, serverhealth
 
 if TYPE_CHECKING:
     from celeryspan.wire import messages
@@ -108,6 +108,10 @@
         Whether the engine has been queried for its cached parts.
     burst : float
         Prefill without a step free of prefill in between, in seconds.
+    grants : GrantWindow
+        Requests recently granted to the server, in any incarnation.
+    cold_grants_max : float
+        Requests that may be granted within a second while the server is cold.
     """
 
     def __init__(
@@ -123,6 +127,8 @@
         self.is_queried = False
         self.call_seconds = CALL_SECONDS_INITIAL
         self.burst = 0.0
+        self.grants = coldstart.GrantWindow()
+        self.cold_grants_max = coldstart.UNLIMITED
         self._prefill_done_at = 0.0
         self._prefilling: dict[ids.RequestId, Run] = {}
 
@@ -141,6 +147,7 @@
         pause_seconds : float
             Time without prefill after which a new burst starts, in seconds.
         """
+        self.grants.record(now)
         self.burst = self.measure_burst(pause_seconds, now) + run.prefill_seconds
         self.runs[request] = run
         if not run.is_begun:
@@ -224,8 +231,18 @@
         return any(run.is_long for run in self._prefilling.values())
 
     def is_available(self, now: float) -> bool:
-        """Whether the server has a free slot and is not backing off."""
-        return len(self.runs) < self.entry.slots and not self.health.is_backing_off(now)
+        """Whether the server has a free slot, is not backing off and not too cold."""
+        return (
+            len(self.runs) < self.entry.slots
+            and not self.health.is_backing_off(now)
+            and not self._is_cold_limited(now)
+        )
+
+    def _is_cold_limited(self, now: float) -> bool:
+        """Whether the server is cold and has got as many requests as it tolerates."""
+        return (
+            self.entry.is_cold(now) and self.grants.count(now) >= self.cold_grants_max
+        )
 
     def _update_slowdown(self, predicted: float, observed: float) -> None:
         """Add one sample; ``predicted`` is for a server with a slowdown of 1."""
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -14,7 +14,7 @@
 
 from celeryspan import catalog, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import quarantine
+from celeryspan.decisions import coldstart, quarantine
 from celeryspan.gateway import (
     attempts,
     channels,
@@ -40,6 +40,9 @@
 CONNECT_FAILURES_MAX = 4
 """Maximum servers that one request tries to connect to."""
 
+EVACUATED_RETRY_AFTER_SECONDS = 1.0
+"""Retry-After while all servers of a service are in evacuated data centres."""
+
 
 @kernel.register(
     "carrier",
@@ -122,6 +125,8 @@
         order.cancellation.on_cancel(lambda: self._places.cancel(order.request))
         try:
             self._quarantine.check(order, progress)
+            if self._servers.is_evacuated(order.service):
+                raise places.make_refusal("evacuated", EVACUATED_RETRY_AFTER_SECONDS)
             return self._places.acquire(
                 order.service, self._build_slot_request(order, progress)
             )
@@ -175,6 +180,9 @@
         if channel is None:
             return False
         self._check_before_send(order, place, progress, channel)
+        if self._is_grant_expired(place):
+            self._release_unused(place, channel)
+            return False
         ending = states.RunEnding.FAILED
         order.cancellation.on_cancel(channel.make_abort_callback())
         until = order.deadline
@@ -298,6 +306,14 @@
             raise
         self._quarantine.record_sent(order, progress)
 
+    def _is_grant_expired(self, place: places.Slot) -> bool:
+        """Whether a cold server was granted too long ago to count as sent then."""
+        now = time.monotonic()
+        entry = self._servers.usable().get(place.server)
+        return entry is None or (
+            entry.is_cold(now) and now - place.granted_at > coldstart.GRANT_TTL_SECONDS
+        )
+
     def _release_unused(self, place: places.Slot, channel: channels.Channel) -> None:
         """Close a connection that was not used and release the place."""
         channel.close()
--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -25,6 +25,9 @@
 the maximum once the membership includes all listed routers. A router that is not a
 member yet is found by its own reads and by those of the others."""
 
+LISTED_COUNT_SECONDS = 60.0
+"""Time after the start for which the number of listed routers is used."""
+
 
 @kernel.register("fleet", needs=("identity", "objects", "membership", "relays"))
 class FleetService:
@@ -41,6 +44,8 @@
             ids.DataCentreId(container.settings.data_centre),
         )
         self._is_written = False
+        self._listed_count = 0
+        self._started_at = time.monotonic()
         self._random = random.Random(time.time_ns())
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="fleet", daemon=True)
@@ -49,6 +54,15 @@
         """Start the discovery thread."""
         self._thread.start()
 
+    def count_listed(self) -> int:
+        """Return the number of routers that the store lists; 0 a while after the start.
+
+        Entries of removed routers stay in the store, so that the list only tells about
+        routers that the membership can't have found yet.
+        """
+        is_recent = time.monotonic() - self._started_at < LISTED_COUNT_SECONDS
+        return self._listed_count if is_recent else 0
+
     def stop(self) -> None:
         """Stop discovery; the entry stays in the store for the next start."""
         self._stopped.set()
@@ -79,6 +93,7 @@
         """
         listing = self._client.list_objects(names.ROUTER_KIND, is_stale=True)
         listed = dict(filter(None, map(_parse_entry, listing.objects)))
+        self._listed_count = len(listed)
         self._is_written |= listed.get(self._identity.router) == self._own
         self._relays.set_listed_routers(listed)
         listed.pop(self._identity.router, None)
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -45,6 +45,8 @@
     ----------
     home : RouterId
         The router to notify when the run ends.
+    granted_at : float
+        Time at which the grant arrived.
     source : ServerId or None
         The server to copy cached parts of the prompt from.
     """
@@ -54,6 +56,7 @@
     server: ids.ServerId
     home: ids.RouterId
     end_at: float
+    granted_at: float
     is_begun: bool = False
     source: ids.ServerId | None = None
     migration: migrations.Migration | None = None
@@ -176,12 +179,15 @@
         self, home: ids.RouterId, _: ids.Incarnation, offer: messages.SlotOffer
     ) -> None:
         """Hand a slot to the waiting request, or return it if none is waiting."""
-        self._map.record_pressure(offer.pool, offer.pressure, time.monotonic())
+        now = time.monotonic()
+        self._map.record_pressure(offer.pool, offer.pressure, now)
         with self._lock:
             waiter = self._waiters.pop(offer.request, None)
             if waiter is not None:
                 end_at = waiter.requested_at + waiter.ask.timeout
-                slot = Slot(waiter.ask, offer.pool, offer.server, home, end_at)
+                slot = Slot(
+                    waiter.ask, offer.pool, offer.server, home, end_at, granted_at=now
+                )
                 slot.source = offer.source or None
                 self._slots[offer.request] = waiter.slot = slot
         if waiter is not None:
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -10,11 +10,18 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, events, ids, kernel
-from celeryspan.decisions import poolqueue, pools, shards
+from celeryspan.decisions import coldstart, poolqueue, pools, shards, tenure
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, keptparts, poolmap, serverlists
+    from celeryspan.gateway import (
+        catalogues,
+        fleet,
+        keptparts,
+        poolmap,
+        serverlists,
+        settings,
+    )
     from celeryspan.services import delivery, identity, membership
 
 TICK_SECONDS = 0.005
@@ -52,6 +59,7 @@
     needs=(
         "catalogues",
         "delivery",
+        "fleet",
         "identity",
         "keptparts",
         "membership",
@@ -70,6 +78,7 @@
     def __init__(self, container: kernel.Kernel) -> None:
         self._catalogues: catalogues.CataloguesService = container.find("catalogues")
         self._delivery: delivery.DeliveryService = container.find("delivery")
+        self._fleet: fleet.FleetService = container.find("fleet")
         self._identity: identity.IdentityService = container.find("identity")
         self._kept_parts: keptparts.KeptParts = container.find("keptparts")
         self._membership: membership.MembershipService = container.find("membership")
@@ -77,7 +86,10 @@
         self._servers: serverlists.ServersService = container.find("servers")
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
+        self._tolerance = _make_tolerance(container.settings)
         self._pools: dict[ids.PoolId, pools.Pool] = {}
+        self._tenures: dict[ids.PoolId, tenure.Tenure] = {}
+        self._has_majority = False
         self._used_at: dict[ids.PoolId, float] = {}
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._alive_sent_at = 0.0
@@ -108,10 +120,15 @@
         self._thread.join()
 
     def report(self) -> dict[str, object]:
-        """Return the numbers of waiting requests and of runs in each pool."""
+        """Return, by pool, waiting requests, runs and whether tenure is established."""
+        now = time.monotonic()
         with self._lock:
             return {
-                name: {"waiting": pool.count_waiting(), "runs": pool.count_runs()}
+                name: {
+                    "waiting": pool.count_waiting(),
+                    "runs": pool.count_runs(),
+                    "established": self._tenures[name].is_established(now),
+                }
                 for name, pool in self._pools.items()
             }
 
@@ -182,16 +199,37 @@
         pool = self._pools.get(name)
         if pool is None:
             pool = self._pools[name] = pools.Pool(name, self._random)
+            self._tenures[name] = tenure.Tenure()
             self._set_pool_servers(pool)
+            self._update_tenure(pool, time.monotonic())
             events.log(events.Event.HOME_TAKEN, pool=name)
         return pool
 
     def _update_servers(self) -> None:
+        now = time.monotonic()
         with self._lock:
             for pool in self._pools.values():
                 self._set_pool_servers(pool)
+                self._update_tenure(pool, now)
         self._changed.set()
 
+    def _update_tenure(self, pool: pools.Pool, now: float) -> None:
+        """Update what a pool may grant to cold servers; the caller holds the lock."""
+        if self._tolerance is None:
+            return
+        held = self._tenures[pool.name]
+        is_home = self._map.find_home(pool.name) == self._identity.router
+        held.update(is_home=is_home, has_majority=self._has_majority, now=now)
+        grants_max = self._compute_cold_limit(pool) if held.is_established(now) else 0.0
+        pool.limit_cold_grants(grants_max)
+
+    def _compute_cold_limit(self, pool: pools.Pool) -> float:
+        service_id, _, _ = shards.parse_pool(pool.name)
+        current = self._catalogues.current()
+        service = current.services.get(service_id) if current else None
+        rate = service.cold_rate if service else 0.0
+        return coldstart.compute_home_limit(rate, self._tolerance)
+
     def _set_pool_servers(self, pool: pools.Pool) -> None:
         service_id, _, _ = shards.parse_pool(pool.name)
         current = self._catalogues.current()
@@ -219,7 +257,7 @@
         for name, pool in list(self._pools.items()):
             is_idle = not pool.count_waiting() and not pool.count_runs()
             if is_idle and now - self._used_at[name] > UNUSED_POOL_SECONDS:
-                del self._pools[name], self._used_at[name]
+                del self._pools[name], self._used_at[name], self._tenures[name]
 
     def _record_incarnation(
         self, router: ids.RouterId, incarnation: ids.Incarnation
@@ -236,6 +274,12 @@
 
     def _handle_members(self, members: list[messages.Member]) -> None:
         alive = {member.router for member in members} | {self._identity.router}
+        self._has_majority = tenure.has_majority(
+            len(alive),
+            self._membership.list_records(),
+            self._fleet.count_listed(),
+            time.monotonic(),
+        )
         with self._lock:
             for router in self._incarnations.keys() - alive:
                 del self._incarnations[router]
@@ -289,6 +333,8 @@
         self._send_shares(now)
         self._log_backlogs(now)
         with self._lock:
+            for pool in self._pools.values():
+                self._update_tenure(pool, now)
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
             has_waiting = any(pool.count_waiting() for pool in self._pools.values())
             alive = (
@@ -333,6 +379,12 @@
         ]
 
 
+def _make_tolerance(values: settings.Settings) -> coldstart.Tolerance | None:
+    if values.cold_factor is None or values.cold_slack is None:
+        return None
+    return coldstart.Tolerance(values.cold_factor, values.cold_slack)
+
+
 def format_backlog(backlog: poolqueue.Backlog) -> list[object]:
     """Return a backlog's account, waiting and late requests, and received service."""
     return [backlog.account, backlog.waiting, backlog.late, round(backlog.level)]
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -22,7 +22,7 @@
 from celeryspan.platform import engines, requests
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import crashwatch, quarantines, serverlists
+    from celeryspan.gateway import crashwatch, evacuations, quarantines, serverlists
 
 
 @kernel.register(
@@ -30,6 +30,7 @@
     needs=(
         "channels",
         "crashwatch",
+        "evacuations",
         "migrations",
         "places",
         "quarantine",
@@ -42,6 +43,9 @@
     def __init__(self, container: kernel.Kernel) -> None:
         self._channels: channels.Channels = container.find("channels")
         self._crashwatch: crashwatch.CrashWatch = container.find("crashwatch")
+        self._evacuations: evacuations.EvacuationsService = container.find(
+            "evacuations"
+        )
         self._quarantine: quarantines.QuarantineService = container.find("quarantine")
         self._migrations: migrations.Migrations = container.find("migrations")
         self._places: places.SlotClient = container.find("places")
@@ -172,6 +176,9 @@
         source, target = migration.source, migration.target
         moved_from = engines.format_copy(source.address, migration.copy)
         for entry in (target, source) if migration.copy.is_at_target else (source,):
+            if not self._may_resume_at(entry, has_slot=entry is target):
+                _log_resumption(order, progress, entry.server, "evacuated or cold")
+                continue
             try:
                 reply, channel = self._request_resumption(
                     order, entry, progress, moved_from
@@ -190,6 +197,20 @@
         self._places.settle_migration(place, target.server, is_moved=False)
         return False
 
+    def _may_resume_at(self, entry: catalog.ServerEntry, *, has_slot: bool) -> bool:
+        """Whether a run may be resumed at a server.
+
+        Parameters
+        ----------
+        has_slot : bool
+            Whether the home has reserved a slot for it; a cold server requires one.
+        """
+        if self._evacuations.is_evacuated(entry.data_centre):
+            return False
+        known = self._servers.find(entry.server)
+        is_cold = known is not None and known.is_cold(time.monotonic())
+        return has_slot or not is_cold
+
     def _request_resumption(
         self,
         order: orders.Order,
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -8,12 +8,12 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel, storedobjects
-from celeryspan.decisions import serverlist
+from celeryspan.decisions import coldstart, serverlist
 from celeryspan.gateway import followers
 from celeryspan.platform import names, servers
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import objectstore, relays
+    from celeryspan.gateway import catalogues, evacuations, objectstore, relays
     from celeryspan.services import identity
 
 Handler = Callable[[dict[ids.ServerId, catalog.ServerEntry]], None]
@@ -22,12 +22,18 @@
 """Interval between checks for expired entries."""
 
 
-@kernel.register("servers", needs=("identity", "objects", "relays"))
+@kernel.register(
+    "servers", needs=("catalogues", "evacuations", "identity", "objects", "relays")
+)
 class ServersService:
     """Holds the entries of backend servers, and which may get new requests."""
 
     def __init__(self, container: kernel.Kernel) -> None:
         store: objectstore.ObjectStore = container.find("objects")
+        self._catalogues: catalogues.CataloguesService = container.find("catalogues")
+        self._evacuations: evacuations.EvacuationsService = container.find(
+            "evacuations"
+        )
         self._list = serverlist.ServerList()
         self._lock = threading.Lock()
         self._handlers: list[Handler] = []
@@ -41,7 +47,8 @@
         self._thread = threading.Thread(target=self._run, name="servers", daemon=True)
 
     def start(self) -> None:
-        """Start to follow the store."""
+        """Start to follow the store and the evacuations."""
+        self._evacuations.subscribe(self._handle_evacuations)
         self._relays.add_follower(self._follower)
         self._follower.start(self._relays)
         self._thread.start()
@@ -60,6 +67,11 @@
         with self._lock:
             return self._list.find(server)
 
+    def is_evacuated(self, service: ids.ServiceId) -> bool:
+        """Return whether all servers of a service are in evacuated data centres."""
+        with self._lock:
+            return self._list.is_evacuated(service)
+
     def subscribe(self, handler: Handler) -> None:
         """Register a handler for the usable servers, and call it if there are any."""
         self._handlers.append(handler)
@@ -67,11 +79,13 @@
             handler(self._usable)
 
     def report(self) -> dict[str, object]:
-        """Return the names of the usable servers by service."""
+        """Return the usable servers by service, and those that are cold."""
         found: dict[str, list[str]] = {}
         for server, entry in self._usable.items():
             found.setdefault(entry.service, []).append(server)
-        return {"usable": found}
+        now = time.monotonic()
+        cold = [name for name, entry in self._usable.items() if entry.is_cold(now)]
+        return {"usable": found, "cold": cold}
 
     def remove(self, server: ids.ServerId) -> None:
         """Remove a server after another one has answered at its address."""
@@ -115,9 +129,23 @@
             # The entry was overwritten and no longer describes a server.
             self._list.remove(ids.ServerId(change.object.name), now)
         else:
-            self._list.update(entry)
+            self._list.update(entry, now)
+
+    def _handle_evacuations(self, data_centres: frozenset[ids.DataCentreId]) -> None:
+        with self._lock:
+            self._list.set_evacuated(
+                data_centres, time.monotonic(), self._find_cold_seconds
+            )
+        self._publish()
+
+    def _find_cold_seconds(self, service: ids.ServiceId) -> float:
+        current = self._catalogues.current()
+        found = current.services.get(service) if current else None
+        return found.cold_seconds if found and found.cold_rate else 0.0
 
     def _publish(self) -> None:
+        if not self._evacuations.is_known:
+            return  # A server in an evacuated data centre would look usable.
         with self._lock:
             usable = self._list.usable()
             if usable == self._usable:
@@ -144,7 +172,7 @@
 
 def _parse_entry(found: storedobjects.StoredObject) -> catalog.ServerEntry | None:
     try:
-        return servers.read(found)
+        entry = servers.read(found)
     except errors.InputError as error:
         events.log(
             events.Event.SERVER_ENTRY_IGNORED,
@@ -153,3 +181,12 @@
             error=str(error),
         )
         return None
+    if entry.cold_seconds > coldstart.COLD_SECONDS_MAX:
+        events.log(
+            events.Event.COLD_TIME_CAPPED,
+            server=entry.server,
+            revision=found.revision,
+            found=entry.cold_seconds,
+            expected=f"at most {coldstart.COLD_SECONDS_MAX:g} s",
+        )
+    return entry
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -24,6 +24,12 @@
     retry_ratio, retry_slack, retry_window : float
         Retry budget of the fleet: retries per request, additional retries per window,
         and length of the window in seconds.
+    follows_evacuations : bool
+        Whether operators evacuate data centres through the store.
+    cold_factor, cold_slack : float or None
+        Requests that a cold server may get within a second from the whole fleet,
+        relative to the rate that it tolerates, and in addition to that; None if cold
+        servers have no bound.
     descriptors_max : int
         Maximum of open files and sockets; 0 uses the limit of the operating system.
     processor_share, processor_speed : float
@@ -38,6 +44,9 @@
     retry_ratio: Annotated[float, msgspec.Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, msgspec.Meta(ge=0)] = 50.0
     retry_window: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+    follows_evacuations: bool = False
+    cold_factor: Annotated[float, msgspec.Meta(ge=1)] | None = None
+    cold_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
     descriptors_max: Annotated[int, msgspec.Meta(ge=0)] = 0
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 
 from celeryspan import catalog, errors, ids, storedobjects
@@ -82,9 +83,21 @@
         name=ids.ServiceId(item["name"]),
         connections_max=int(item.get("max_conns") or 0),
         engine=None if engine is None else _parse_engine(engine),
+        cold_seconds=_parse_non_negative(item, "cold_start_s"),
+        cold_rate=_parse_non_negative(item, "cold_per_s"),
     )
 
 
+def _parse_non_negative(item: Mapping, key: str) -> float:
+    """Return a number that may be missing, which means 0."""
+    value = item.get(key) or 0.0
+    if type(value) not in (int, float) or not 0 <= value < math.inf:
+        raise ValueError(
+            f"expected a non-negative number as {key}, found {value!r:.40}"
+        )
+    return float(value)
+
+
 def _parse_engine(item: Mapping) -> catalog.Engine:
     return catalog.Engine(
         slots=int(item["slots"]),
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -45,7 +45,6 @@
         raise TypeError(f"expected a mapping, found {type(spec).__name__}")
     _parse_text(spec, "version")
     _parse_unsigned(spec, "sequence")
-    _parse_milliseconds(spec, "cold_left_ms")
     slots = _parse_unsigned(spec, "slots")
     if not 0 < slots <= SLOTS_MAX:
         raise ValueError(f"expected 1 to {SLOTS_MAX} slots, found {slots}")
@@ -59,6 +58,7 @@
         revision=stored.revision,
         # Absent in deployments where a server gets a new id at each start.
         started_ms=_parse_unsigned(spec, "born") if "born" in spec else None,
+        cold_seconds=_parse_milliseconds(spec, "cold_left_ms"),
     )
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -73,6 +73,9 @@
             store_address=store,
             fleet_keys=("test",),
             grace_seconds=6.0,
+            follows_evacuations=True,
+            cold_factor=1.5,
+            cold_slack=5.0,
         )
         gateway.import_services()
         self.container = kernel.Kernel(self.settings)
