--- a/bench/soak.py
+++ b/bench/soak.py
@@ -11,7 +11,8 @@
 callers received are compared with what servers executed. The soak counts requests that
 ran twice, that ran although the answer says they did not, or that got the answer to
 another request; servers that got work after they had left; routers that no longer
-become ready; and fatal requests that kept crashing servers.
+become ready; fatal requests that kept crashing servers; and cold servers that got more
+than they tolerate.
 """
 
 from __future__ import annotations
@@ -28,7 +29,7 @@
 import time
 from collections.abc import Callable
 
-from bench import soakfatal, soakparts
+from bench import soakfatal, soakparts, soakplaces
 from standins import objects, platformserver, ports, sampleconfig
 
 ROUTERS = 3
@@ -45,6 +46,9 @@
 }
 """Faulty answers per service. Engines only stream, so other faults do not apply."""
 
+STORE = "store"
+"""Name under which faults of the store itself are recorded."""
+
 FAULTS: dict[str, Callable[[Soak], None]] = {}
 
 
@@ -66,6 +70,8 @@
         epoch.
     leave_times : dict of str to float
         Monotonic time at which a server started to drain.
+    disturbed_at : dict of str to list of float
+        Monotonic times at which faults of a proxy began and ended, by its name.
     unexpected_exits : int
         Routers that exited although nothing stopped them, or outlasted their grace
         period.
@@ -82,6 +88,7 @@
         self.crashed: list[platformserver.PlatformServer] = []
         self.start_times: dict[str, int] = {}
         self.leave_times: dict[str, float] = {}
+        self.disturbed_at: dict[str, list[float]] = collections.defaultdict(list)
         self.events: list[str] = []
         self.unexpected_exits = 0
         self.unready_routers = 0
@@ -90,7 +97,7 @@
         self._tasks: list[threading.Thread] = []
         self._folder = folder
         self.store.start()
-        self.store.put("config", "main", sampleconfig.make_configuration(self.version))
+        self.store.put("config", "main", soakplaces.make_configuration(self.version))
         for service, count in SERVERS.items():
             for _ in range(count):
                 self.add_server(service)
@@ -112,6 +119,7 @@
             for index in range(CALLERS)
         ]
         self.fatal = soakfatal.FatalCaller(self, seed)
+        self.evacuations = soakplaces.Evacuations(self, seed)
 
     def record_event(self, text: str) -> None:
         """Record an event of the run with its time."""
@@ -143,11 +151,21 @@
         ]
 
     def register(
-        self, name: str, service: str, proxy: soakparts.Proxy, state: str = "ready"
+        self,
+        name: str,
+        service: str,
+        proxy: soakparts.Proxy,
+        state: str = "ready",
+        **values: object,
     ) -> None:
         """Write the entry of a backend server to the store."""
         spec = sampleconfig.make_entry(
-            service, proxy.address, state=state, born=self.start_times[name]
+            service,
+            proxy.address,
+            state=state,
+            born=self.start_times[name],
+            zone=soakplaces.find_data_centre(name),
+            **values,
         )
         self.store.put("servers", name, spec)
 
@@ -167,7 +185,12 @@
         for router in self.routers:
             router.start()
         sampleconfig.wait_for(lambda: all(router.is_ready() for router in self.routers))
-        for each in (*self.callers, *self.connection_leakers, self.fatal):
+        for each in (
+            *self.callers,
+            *self.connection_leakers,
+            self.fatal,
+            self.evacuations,
+        ):
             each.start()
         deadline = time.monotonic() + seconds
         while time.monotonic() < deadline:
@@ -178,6 +201,7 @@
         for task in self._tasks:
             task.join()
         self.fatal.stop()
+        self.evacuations.stop()
         time.sleep(SETTLE_SECONDS)
         self.unready_routers = sum(not router.is_ready() for router in self.routers)
         for each in (*self.callers, *self.connection_leakers):
@@ -225,6 +249,8 @@
             ),
             "mixed": sum(bool(each.mismatch) for each in exchanges),
             "after_leaving": self._count_after_leaving(),
+            "after_evacuation": self.evacuations.count_after_evacuation(),
+            "cold_excess": self.evacuations.count_cold_excess(),
             "crashes": len(self.crashed),
             "crashed_too_often": self.fatal.count_excess(servers),
             "held_innocents": sum(each.status == 429 for each in exchanges),
@@ -305,8 +331,10 @@
     proxy_mode = soak.random.choice(list(soakparts.ProxyMode))
     proxy.mode, proxy.delay = proxy_mode, soak.random.choice((0.0, 0.05, 0.3))
     soak.record_event(f"{name}: {proxy_mode.value}, delayed by {proxy.delay} s")
+    soak.disturbed_at[name].append(time.monotonic())
 
     def restore() -> None:
+        soak.disturbed_at[name].append(time.monotonic())
         proxy.mode, proxy.delay = soakparts.ProxyMode.OPEN, 0.0
 
     soak.run_later(soak.random.uniform(0.5, 3.0), restore)
@@ -338,8 +366,10 @@
     else:
         faults.silent = True
     soak.record_event(f"store: {faults}")
+    soak.disturbed_at[STORE].append(time.monotonic())
 
     def restore() -> None:
+        soak.disturbed_at[STORE].append(time.monotonic())
         faults.refuse_status, faults.silent = 0, False
 
     soak.run_later(soak.random.uniform(0.5, 3.0), restore)
@@ -355,7 +385,7 @@
 def change_configuration(soak: Soak) -> None:
     """Write a new version of the configuration."""
     soak.version += soak.random.randint(1, 3)
-    soak.store.put("config", "main", sampleconfig.make_configuration(soak.version))
+    soak.store.put("config", "main", soakplaces.make_configuration(soak.version))
 
 
 @fault
@@ -378,9 +408,10 @@
     "locked_out",
     "crashed_too_often",
     "held_innocents",
+    "cold_excess",
 )
-"""Counts that must be 0. ``after_leaving`` may be more: a router that cannot reach the
-store still sends work to a server that drains."""
+"""Counts that must be 0. ``after_leaving`` and ``after_evacuation`` may be more: a
+router that cannot reach the store still sends work to such servers."""
 
 
 def play(seed: int, seconds: float) -> dict[str, int]:
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -34,6 +34,10 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that guarantee that a request has not run and will not run."""
 
+COLD_FACTOR, COLD_SLACK = 1.5, 5.0
+"""Requests that cold servers may get within a second, relative to their rate, and in
+addition to these."""
+
 
 class ProxyMode(enum.Enum):
     """How a proxy handles the data of its connections."""
@@ -167,6 +171,9 @@
             "fleet_keys": ["soak"],
             "peers": list(seeds),
             "grace_seconds": 8.0,
+            "follows_evacuations": True,
+            "cold_factor": COLD_FACTOR,
+            "cold_slack": COLD_SLACK,
             "caller_threads": threads,
         }
         self._path.write_text(json.dumps(values))
--- a/celeryspan/daemons/command.py
+++ b/celeryspan/daemons/command.py
@@ -9,6 +9,7 @@
 from celeryspan import VERSION, errors, yamlfiles
 from celeryspan.daemons import (  # noqa: F401 - importing a module registers its commands
     demo,
+    evacuation,
     gateway,
     operations,
     platformdemo,
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -218,10 +218,18 @@
         if self._tolerance is None:
             return
         held = self._tenures[pool.name]
+        was_established = held.is_established(now)
         is_home = self._map.find_home(pool.name) == self._identity.router
         held.update(is_home=is_home, has_majority=self._has_majority, now=now)
-        grants_max = self._compute_cold_limit(pool) if held.is_established(now) else 0.0
-        pool.limit_cold_grants(grants_max)
+        is_established = held.is_established(now)
+        pool.limit_cold_grants(self._compute_cold_limit(pool) if is_established else 0)
+        if was_established and not is_established:
+            events.log(
+                events.Event.TENURE_LOST,
+                pool=pool.name,
+                is_home=is_home,
+                has_majority=self._has_majority,
+            )
 
     def _compute_cold_limit(self, pool: pools.Pool) -> float:
         service_id, _, _ = shards.parse_pool(pool.name)
