Hand requests over to peers when a router has no processor time left

Change: above a limit that follows the lateness of its threads a router relays the bytes of whole requests to peers of its data centre with processor time left: one thread, one connection a request, nothing parsed, closed by the peer after the answer. A peer with another configuration refuses. Requests that a peer can't be reached for are refused as not run.

--- /dev/null
+++ b/celeryspan/decisions/handover.py
@@ -0,0 +1,76 @@
+"""Decides which requests a router hands over to its peers, and to which peer.
+
+Some accounts send all their requests to one router, whatever addresses they are given.
+A small VM can't serve them: it accepts too few connections, everything on it runs late,
+and the account gets nothing while the peers of that router idle. Relaying the bytes of
+a request and its answer costs a fraction of serving it, so that the router serves what
+it can in time and hands the rest over.
+
+* The number of requests served locally is adjusted by the lateness of the router's
+  threads, like the limit above which requests are refused (:mod:`overload`), but from a
+  lower lateness on.
+* A request goes to the least used of two random peers of the same data centre that are
+  not busy themselves, in proportion to the sizes of their VMs.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping
+
+from celeryspan import ids, states
+from celeryspan.decisions import overload
+from celeryspan.wire import messages
+
+LATENESS_HIGH_SECONDS = 0.02
+"""Mean lateness above which fewer requests are served locally."""
+
+LATENESS_LOW_SECONDS = 0.008
+"""Mean lateness below which more requests are served locally."""
+
+CANDIDATES = 2
+"""Random peers of which the least used one is chosen."""
+
+
+def make_limiter(limit_max: int) -> overload.ConcurrencyLimiter:
+    """Return the limiter of the requests that are served locally."""
+    return overload.ConcurrencyLimiter(
+        limit_max,
+        lateness_high=LATENESS_HIGH_SECONDS,
+        lateness_low=LATENESS_LOW_SECONDS,
+    )
+
+
+def list_peers(
+    members: Iterable[messages.Member], own: messages.Member
+) -> list[messages.Member]:
+    """Return the peers to which requests may be handed over."""
+    return [
+        member
+        for member in members
+        if member.router != own.router
+        and member.data_centre == own.data_centre
+        and member.state is states.MemberState.ALIVE
+        and not member.is_busy
+    ]
+
+
+def choose_peer(
+    peers: list[messages.Member],
+    used: Mapping[ids.RouterId, int],
+    generator: random.Random,
+) -> messages.Member | None:
+    """Return the peer that takes the next request, or None if there is none.
+
+    Parameters
+    ----------
+    used : mapping
+        Requests of this router that each peer serves now.
+    """
+    if not peers:
+        return None
+    candidates = generator.sample(peers, min(CANDIDATES, len(peers)))
+    return min(
+        candidates,
+        key=lambda peer: ((used.get(peer.router, 0) + 1) / peer.cores, peer.router),
+    )
--- a/celeryspan/decisions/overload.py
+++ b/celeryspan/decisions/overload.py
@@ -50,6 +50,8 @@
     ----------
     limit_max : int
         Maximum limit: the maximum number of request threads.
+    lateness_high, lateness_low : float
+        Mean lateness above which the limit is lowered, and below which it is raised.
 
     Attributes
     ----------
@@ -57,8 +59,16 @@
         Moving average of the lateness, in seconds.
     """
 
-    def __init__(self, limit_max: int) -> None:
+    def __init__(
+        self,
+        limit_max: int,
+        *,
+        lateness_high: float = LATENESS_HIGH_SECONDS,
+        lateness_low: float = LATENESS_LOW_SECONDS,
+    ) -> None:
         self.lateness = 0.0
+        self._lateness_high = lateness_high
+        self._lateness_low = lateness_low
         self._limit_max = float(limit_max)
         self._limit = float(limit_max)
         self._decreased_at = float("-inf")
@@ -81,12 +91,12 @@
         self._recorded_at = now
         sample = min(lateness, LATENESS_SAMPLE_MAX_SECONDS)
         self.lateness += (sample - self.lateness) * LATENESS_EWMA_WEIGHT
-        if self.lateness > LATENESS_HIGH_SECONDS:
+        if self.lateness > self._lateness_high:
             if now - self._decreased_at >= DECREASE_INTERVAL_SECONDS:
                 self._decreased_at = now
                 current = min(self._limit, float(in_progress))
                 self._limit = max(LIMIT_MIN, current * DECREASE_FACTOR)
-        elif self.lateness < LATENESS_LOW_SECONDS:
+        elif self.lateness < self._lateness_low:
             raised = self._limit + elapsed * INCREASE_PER_SECOND
             self._limit = min(self._limit_max, raised)
 
--- a/celeryspan/explanations.py
+++ b/celeryspan/explanations.py
@@ -106,6 +106,11 @@
     )
 
 
+@explains(events.Event.REQUEST_HANDED_OVER)
+def _explain_handed_over(fields: Fields) -> str:
+    return f"handed over to {fields.get('peer')}, for want of processor time"
+
+
 @explains(events.Event.CALLER_LEFT)
 def _explain_caller_left(_: Fields) -> str:
     return "the caller closed the connection"
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import random
 import threading
 import time
@@ -16,7 +17,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import overload, saturation
+from celeryspan.decisions import handover, overload, saturation
 from celeryspan.gateway import (
     acceptance,
     callersinks,
@@ -28,7 +29,7 @@
 from celeryspan.services import callerconnections, framing, httpserver
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import carrier, catalogues
+    from celeryspan.gateway import carrier, catalogues, handover as handover_service
     from celeryspan.services import membership
 
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
@@ -43,6 +44,7 @@
 """Interval at which connections are counted for the metrics."""
 
 ID_HEADER = names.REQUEST_ID.lower().encode()
+HANDOVER_HEADER = names.HANDED_OVER.lower().encode()
 
 IDLE_TIMEOUT_FACTOR = 1.2
 IDLE_TIMEOUT_MARGIN_SECONDS = 3.0
@@ -81,14 +83,14 @@
     front: Front
 
     def dispatch_connection(self, connection: _Connection) -> None:
-        """Refuse a request at once above the limit; else pass it to a thread."""
-        if self.is_accepting_thread() and self.front.refuse_early(connection):
-            connection.close()
-        else:
+        """Hand over or refuse a request above the limits; else pass it to a thread."""
+        if not (self.is_accepting_thread() and self.front.divert(connection)):
             super().dispatch_connection(connection)
 
 
-@kernel.register("front", needs=("carrier", "catalogues", "membership", "metrics"))
+@kernel.register(
+    "front", needs=("carrier", "catalogues", "handover", "membership", "metrics")
+)
 class Front:
     """Reads and validates requests, forwards them and writes refusals.
 
@@ -104,12 +106,14 @@
         self._settings = container.settings
         self._carrier: carrier.Carrier = container.find("carrier")
         self._catalogues: catalogues.CataloguesService = container.find("catalogues")
+        self._handover: handover_service.Handover = container.find("handover")
         self._membership: membership.MembershipService = container.find("membership")
         self._metrics: metrics.Metrics = container.find("metrics")
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
         self._overload = overload.ConcurrencyLimiter(self._settings.caller_threads)
+        self._local_limit = handover.make_limiter(self._settings.caller_threads)
         self._busyness = saturation.BusyDetector()
         self._stopped = threading.Event()
         self.draining = False
@@ -149,12 +153,17 @@
             "connections_idle": idle,
             "in_progress": self.count_in_progress(),
             "in_progress_max": self._overload.limit,
+            "local_max": self._local_limit.limit,
             "lateness_seconds": round(self._overload.lateness, 3),
             "draining": self.draining,
         }
 
     def count_in_progress(self) -> int:
-        """Return the number of requests in progress."""
+        """Return the number of requests in progress, here or at peers."""
+        return self.count_local() + self._handover.count()
+
+    def count_local(self) -> int:
+        """Return the number of requests that this router serves itself."""
         return len(self._in_progress)
 
     def stop_listening(self) -> None:
@@ -174,13 +183,17 @@
         key = id(request)
         self._in_progress[key] = None
         is_full = not self._server.can_add_keepalive_connection
-        sink = callersinks.CallerSink(request, close_after=self.draining or is_full)
+        revision = request.inheaders.get(names.HANDED_OVER.title().encode())
+        close_after = self.draining or is_full or revision is not None
+        sink = callersinks.CallerSink(request, close_after=close_after)
         request_id = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
         order = None
         try:
             body = acceptance.read_body(request)
             request.conn.mark_request_read()
             current = self._check_ready(request)
+            if revision is not None and revision != b"%d" % current.revision:
+                raise self._make_not_ready_error("other-configuration")
             order = acceptance.make_order(request, body, current)
             with self._lock:
                 self._in_progress[key] = order
@@ -223,23 +236,41 @@
                 lost.message, code="answer-lost", status=502, step=lost.step
             ) from lost
 
-    def refuse_early(self, connection: _Connection) -> bool:
-        """Refuse a request above the concurrency limit; returns whether it was refused.
+    def divert(self, connection: _Connection) -> bool:
+        """Hand over or refuse a request above the limits; returns whether it was done.
 
         Also returns False if the received data is not exactly one complete request; it
         then takes the normal path.
         """
-        if (
-            self._overload.admits(self.count_in_progress())
-            or connection.rfile.has_data()
-        ):
+        local = self.count_local()
+        if self._local_limit.admits(local) or connection.rfile.has_data():
             return False
         try:
-            found = quickrefusals.read_whole_request(connection.socket, ID_HEADER)
+            found = quickrefusals.peek_whole_request(
+                connection.socket, ID_HEADER, HANDOVER_HEADER
+            )
+            if found is None:
+                return False
+            peer = None
+            if not (found.is_handed_over or self.refusing):
+                peer = self._handover.choose_peer()
+            if peer is None and self._overload.admits(local):
+                return False
+            quickrefusals.discard(connection.socket, found)
         except OSError:
             return False
-        if found is None:
-            return False
+        refuse = functools.partial(self._refuse_unread, found)
+        if peer is None:
+            refuse(connection)
+            connection.close()
+        else:
+            self._handover.hand_over(connection, found, peer, refuse)
+        return True
+
+    def _refuse_unread(
+        self, found: quickrefusals.BufferedRequest, connection: _Connection
+    ) -> None:
+        """Refuse a request that no thread has read."""
         request_id = found.request.decode("latin-1")
         error = self._make_router_full_error()
         self._record_refusal(request_id, error)
@@ -249,7 +280,6 @@
             )
         except OSError:
             pass  # The caller has disconnected or does not read; nothing has run.
-        return True
 
     def _make_router_full_error(self) -> errors.NotRun:
         return errors.NotRun(
@@ -263,20 +293,23 @@
     def _check_ready(self, request: cheroot_server.HTTPRequest) -> catalog.Catalogue:
         current = self._catalogues.current()
         if current is None or self.refusing:
-            raise errors.NotRun(
-                "the router is starting or stopping; use another router",
-                code="starting" if current is None else "stopping",
-                status=503,
-                retry_after=NOT_READY_RETRY_AFTER_SECONDS
-                * (0.5 + self._random.random()),
-                step="accept",
+            raise self._make_not_ready_error(
+                "starting" if current is None else "stopping"
             )
-        if request.conn.overloaded or not self._overload.admits(
-            self.count_in_progress() - 1
-        ):
+        if request.conn.overloaded or not self._overload.admits(self.count_local() - 1):
             raise self._make_router_full_error()
         return current
 
+    def _make_not_ready_error(self, code: str) -> errors.NotRun:
+        return errors.NotRun(
+            "the router is starting, stopping or changing its configuration; "
+            "use another router",
+            code=code,
+            status=503,
+            retry_after=NOT_READY_RETRY_AFTER_SECONDS * (0.5 + self._random.random()),
+            step="accept",
+        )
+
     def _record_refusal(
         self,
         request_id: str,
@@ -327,7 +360,8 @@
             time.sleep(LATENESS_TICK_SECONDS)
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
-            self._overload.record(late, self.count_in_progress(), now)
+            self._overload.record(late, self.count_local(), now)
+            self._local_limit.record(late, self.count_local(), now)
             if self._busyness.record(self._overload.lateness, now):
                 self._membership.set_busy(self._busyness.is_busy)
             limit = self._overload.limit
--- /dev/null
+++ b/celeryspan/gateway/handover.py
@@ -0,0 +1,309 @@
+"""The kernel service ``handover``: relays requests that peers serve for this router.
+
+One thread moves the bytes of all such requests without parsing them. Each request has a
+connection of its own to the peer, which closes it after the answer. The end of the
+answer is thus known, and nothing has to be agreed when either router stops.
+
+A header tells the peer the revision of this router's configuration. A peer with another
+one refuses the request, so that callers see configurations in order.
+"""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import queue
+import random
+import selectors
+import socket
+import threading
+import time
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from celeryspan import events, ids, kernel
+from celeryspan.decisions import handover
+from celeryspan.gateway import channels
+from celeryspan.platform import names
+from celeryspan.services import callerconnections
+from celeryspan.wire import messages
+
+if TYPE_CHECKING:
+    from celeryspan.gateway import catalogues, quickrefusals
+    from celeryspan.services import httpserver, membership
+
+CONNECT_SECONDS = 0.3
+"""Time for a peer to accept a connection; one that is up takes some milliseconds."""
+
+CHECK_INTERVAL_SECONDS = 0.1
+
+READ_BYTES = 65_536
+
+CALLERS_SHARE = 0.5
+"""Share of the connections of callers whose requests may be handed over at once."""
+
+Refuse = Callable[["httpserver.Connection"], None]
+
+
+class Relay:
+    """One request that a peer serves.
+
+    Attributes
+    ----------
+    unsent : bytes
+        Part of the request that has not been sent to the peer.
+    undelivered : bytes
+        Part of the answer that the caller has not taken.
+    is_connected : bool
+        Whether the peer has accepted the connection.
+    is_ended : bool
+        Whether the peer has sent its whole answer.
+    """
+
+    __slots__ = (
+        "caller",
+        "connection",
+        "is_connected",
+        "is_ended",
+        "peer",
+        "refuse",
+        "socket",
+        "started_at",
+        "undelivered",
+        "unsent",
+    )
+
+    def __init__(
+        self,
+        connection: httpserver.Connection,
+        peer: ids.RouterId,
+        sock: socket.socket,
+        data: bytes,
+        refuse: Refuse,
+    ) -> None:
+        self.connection = connection
+        self.caller: socket.socket = connection.socket
+        self.peer = peer
+        self.socket = sock
+        self.unsent = data
+        self.undelivered = b""
+        self.is_connected = False
+        self.is_ended = False
+        self.started_at = time.monotonic()
+        self.refuse = refuse
+
+
+@kernel.register("handover", needs=("catalogues", "membership"))
+class Handover:
+    """Hands requests over to peers and relays their answers."""
+
+    def __init__(self, container: kernel.Kernel) -> None:
+        self._catalogues: catalogues.CataloguesService = container.find("catalogues")
+        self._membership: membership.MembershipService = container.find("membership")
+        budget = callerconnections.compute_budget(container.settings.descriptors_max)
+        self._relays_max = int(budget.callers * CALLERS_SHARE)
+        self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
+        self._used: collections.Counter[ids.RouterId] = collections.Counter()
+        self._peers: list[messages.Member] = []
+        self._total = 0
+        self._lock = threading.Lock()
+        self._added: queue.SimpleQueue[Relay] = queue.SimpleQueue()
+        self._connecting: dict[Relay, None] = {}
+        self._selector = selectors.DefaultSelector()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._stopped = False
+        self._thread = threading.Thread(target=self._run, name="handover", daemon=True)
+
+    def start(self) -> None:
+        """Subscribe to the membership and start the relaying thread."""
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._membership.subscribe(self._set_peers)
+        self._set_peers(self._membership.alive())
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop relaying; requests that are still relayed are cut off."""
+        self._stopped = True
+        self._wake()
+        self._thread.join()
+
+    def report(self) -> dict[str, object]:
+        """Return the numbers of requests handed over in total and at present."""
+        return {"total": self._total, "current": dict(+self._used)}
+
+    def count(self) -> int:
+        """Return the number of requests that peers serve for this router."""
+        return sum(self._used.values())
+
+    def choose_peer(self) -> messages.Member | None:
+        """Return the peer that can take one more request, or None."""
+        if self.count() >= self._relays_max or self._catalogues.current() is None:
+            return None
+        return handover.choose_peer(self._peers, self._used, self._random)
+
+    def hand_over(
+        self,
+        connection: httpserver.Connection,
+        found: quickrefusals.BufferedRequest,
+        peer: messages.Member,
+        refuse: Refuse,
+    ) -> None:
+        """Hand a complete request over and close its connection after the answer.
+
+        Parameters
+        ----------
+        refuse : callable
+            Called with the connection if the peer can't be reached.
+        """
+        events.log(
+            events.Event.REQUEST_HANDED_OVER,
+            request=found.request.decode("latin-1"),
+            peer=peer.router,
+        )
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        for option in channels.SOCKET_OPTIONS:
+            sock.setsockopt(*option)
+        sock.connect_ex(tuple(peer.caller_address))  # Its result is read later.
+        data = add_revision(found.data, self._catalogues.current().revision)
+        with self._lock:
+            self._used[peer.router] += 1
+            self._total += 1
+        self._added.put(Relay(connection, peer.router, sock, data, refuse))
+        self._wake()
+
+    def _set_peers(self, members: list[messages.Member]) -> None:
+        self._peers = handover.list_peers(members, self._membership.own())
+
+    def _wake(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self._wake_writer.send(b"\0")
+
+    def _run(self) -> None:
+        while not self._stopped:
+            for key, mask in self._selector.select(CHECK_INTERVAL_SECONDS):
+                relay = key.data
+                if relay is None:
+                    self._wake_reader.recv(READ_BYTES)
+                    continue
+                try:
+                    self._advance(relay, key.fileobj, mask)
+                except OSError:
+                    self._close(relay)
+                except Exception as error:
+                    events.log(
+                        events.Event.TASK_FAILED, task="handover", error=repr(error)
+                    )
+                    self._close(relay)
+            self._register_added()
+            self._expire_connecting(time.monotonic())
+
+    def _register_added(self) -> None:
+        while True:
+            try:
+                relay = self._added.get_nowait()
+            except queue.Empty:
+                return
+            self._connecting[relay] = None
+            relay.caller.setblocking(False)
+            self._selector.register(relay.socket, selectors.EVENT_WRITE, relay)
+            self._selector.register(relay.caller, selectors.EVENT_READ, relay)
+
+    def _expire_connecting(self, now: float) -> None:
+        """Refuse the requests whose peers have not accepted a connection in time."""
+        expired = [
+            relay
+            for relay in self._connecting
+            if now - relay.started_at > CONNECT_SECONDS
+        ]
+        for relay in expired:
+            self._refuse(relay)
+
+    def _advance(self, relay: Relay, ready: object, mask: int) -> None:
+        """Move bytes of one request in the direction that has become ready."""
+        if relay.socket.fileno() < 0:
+            return  # Closed earlier in this round.
+        if ready is relay.socket:
+            if mask & selectors.EVENT_WRITE:
+                self._send_request(relay)
+            else:
+                self._receive_answer(relay)
+        elif mask & selectors.EVENT_WRITE:
+            self._deliver(relay, b"")
+        elif not relay.caller.recv(READ_BYTES):
+            self._close(relay)  # The caller has left; the peer sees it as its own.
+
+    def _send_request(self, relay: Relay) -> None:
+        if not relay.is_connected:
+            if relay.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                self._refuse(relay)
+                return
+            relay.is_connected = True
+            del self._connecting[relay]
+        sent = relay.socket.send(relay.unsent)
+        relay.unsent = relay.unsent[sent:]
+        if not relay.unsent:
+            self._selector.modify(relay.socket, selectors.EVENT_READ, relay)
+
+    def _receive_answer(self, relay: Relay) -> None:
+        data = relay.socket.recv(READ_BYTES)
+        relay.is_ended = not data
+        self._deliver(relay, data)
+
+    def _deliver(self, relay: Relay, data: bytes) -> None:
+        """Send a part of the answer; wait with the next one until the caller takes it.
+
+        A write that the caller's system does not take at once stops reading from the
+        peer, which sees a slow caller and applies its own time limits.
+        """
+        had_rest = bool(relay.undelivered)
+        pending = relay.undelivered + data
+        if pending:
+            try:
+                pending = pending[relay.caller.send(pending) :]
+            except BlockingIOError:
+                pass
+        relay.undelivered = pending
+        if pending and not had_rest:
+            self._selector.modify(relay.caller, selectors.EVENT_WRITE, relay)
+            self._selector.unregister(relay.socket)
+        elif had_rest and not pending:
+            self._selector.modify(relay.caller, selectors.EVENT_READ, relay)
+            if not relay.is_ended:
+                self._selector.register(relay.socket, selectors.EVENT_READ, relay)
+        if relay.is_ended and not pending:
+            self._close(relay)
+
+    def _refuse(self, relay: Relay) -> None:
+        """Refuse a request of which the peer has received nothing."""
+        self._release(relay)
+        relay.caller.setblocking(True)
+        relay.refuse(relay.connection)
+        relay.connection.close()
+
+    def _close(self, relay: Relay) -> None:
+        self._release(relay)
+        relay.connection.close()
+
+    def _release(self, relay: Relay) -> None:
+        """Close the connection to the peer."""
+        self._connecting.pop(relay, None)
+        for sock in (relay.socket, relay.caller):
+            with contextlib.suppress(KeyError, ValueError):
+                self._selector.unregister(sock)
+        relay.socket.close()
+        with self._lock:
+            self._used[relay.peer] -= 1
+
+
+def add_revision(request: bytes, revision: int) -> bytes:
+    """Return a request with the header that marks it as handed over."""
+    line, _, rest = request.partition(b"\r\n")
+    return b"%b\r\n%b: %d\r\n%b" % (
+        line,
+        names.HANDED_OVER.encode(),
+        revision,
+        rest,
+    )
--- a/celeryspan/gateway/quickrefusals.py
+++ b/celeryspan/gateway/quickrefusals.py
@@ -30,29 +30,35 @@
 
 
 class BufferedRequest(NamedTuple):
-    """A complete request in the receive buffer of a connection.
+    """A complete request that was received in one piece.
 
     Attributes
     ----------
-    size : int
-        Length of head and body, in bytes.
+    data : bytes
+        Head and body.
     request : bytes
         The request id; empty if the request has none.
+    is_handed_over : bool
+        Whether another router has handed the request over.
     """
 
-    size: int
+    data: bytes
     request: bytes
+    is_handed_over: bool = False
 
 
-def parse_whole_request(data: bytes, id_header: bytes) -> BufferedRequest | None:
+def parse_whole_request(
+    data: bytes, id_header: bytes, handover_header: bytes
+) -> BufferedRequest | None:
     """Return the request if the data is exactly one complete request, else None.
 
     Parameters
     ----------
     data : bytes
         All unread data of a connection.
-    id_header : bytes
-        Name of the header with the request id, in lower case.
+    id_header, handover_header : bytes
+        Names of the headers with the request id, and of that which marks a request as
+        handed over, in lower case.
     """
     end = data.find(HEAD_END)
     if end < 0 or REQUEST_LINE.match(data) is None:
@@ -64,11 +70,10 @@
     if len(lengths) != len(CONTENT_LENGTH_NAME.findall(head)) or len(lengths) > 1:
         return None
     size = end + len(HEAD_END) + (int(lengths[0]) if lengths else 0)
-    return (
-        BufferedRequest(size, _find_value(head, id_header))
-        if size == len(data)
-        else None
-    )
+    if size != len(data):
+        return None
+    is_handed_over = bool(_find_value(head, handover_header))
+    return BufferedRequest(data, _find_value(head, id_header), is_handed_over)
 
 
 def _find_value(head: bytes, name: bytes) -> bytes:
@@ -79,8 +84,10 @@
     return value[: value.index(b"\r\n")].strip()
 
 
-def read_whole_request(sock: socket.socket, id_header: bytes) -> BufferedRequest | None:
-    """Read a complete request without blocking, or return None and leave the data.
+def peek_whole_request(
+    sock: socket.socket, id_header: bytes, handover_header: bytes
+) -> BufferedRequest | None:
+    """Return a complete request that was received, without blocking and consuming it.
 
     Raises
     ------
@@ -91,10 +98,12 @@
         data = sock.recv(PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return None
-    found = parse_whole_request(data, id_header)
-    if found is not None:
-        sock.recv(found.size, socket.MSG_DONTWAIT)
-    return found
+    return parse_whole_request(data, id_header, handover_header)
+
+
+def discard(sock: socket.socket, found: BufferedRequest) -> None:
+    """Consume a request that was peeked at, so that closing loses no answer."""
+    sock.recv(len(found.data), socket.MSG_DONTWAIT)
 
 
 def send_answer(sock: socket.socket, answer: bytes) -> None:
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -19,6 +19,7 @@
 RETRY_AFTER = "Retry-After"
 
 # Set by this system only; removed from callers' requests.
+HANDED_OVER = "Celeryspan-Handed-Over"
 HOLD = "Celeryspan-Kv-Hold"
 PIN_MS = "Celeryspan-Pin-Ms"
 BACKUP = "Celeryspan-Kv-Backup"
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -33,6 +33,7 @@
         names.ACCOUNT,
         names.DEADLINE_MS,
         names.EXPECTED_SERVER,
+        names.HANDED_OVER,
         names.HOLD,
         names.PIN_MS,
         names.BACKUP,
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -27,6 +27,7 @@
     def __init__(self, stack: contextlib.ExitStack) -> None:
         self._stack = stack
         self.store = objects.ObjectStore()
+        self.servers: list[platformserver.PlatformServer] = []
         self.store.start()
         stack.callback(self.store.stop)
 
@@ -36,6 +37,7 @@
         """Start a backend server and register it in the store."""
         server = platformserver.PlatformServer(name, streams=service == "planner")
         server.start()
+        self.servers.append(server)
         self._stack.callback(server.stop)
         self.register_server(server, service, **values)
         return server
--- /dev/null
+++ b/tests/gateway/test_handover.py
@@ -0,0 +1,174 @@
+"""Requests that a router without processor time left hands over to its peers."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+import msgspec
+import pytest
+
+from celeryspan.gateway import handover
+from tests.gateway import support
+
+REQUESTS = 20
+
+
+class ZeroLimit:
+    """Serves nothing locally, whatever the lateness."""
+
+    limit = 0
+
+    def record(self, *_: object) -> None:
+        """Ignore a sample."""
+
+    def admits(self, _: int) -> bool:
+        """Admit no request."""
+        return False
+
+
+def get_handover(router: support.Router) -> handover.Handover:
+    """Return the handover service of a router."""
+    return router.container.find("handover")
+
+
+def wait_for_peer(router: support.Router) -> None:
+    """Wait until a router has a peer for its requests."""
+    support.wait_for(lambda: get_handover(router).choose_peer() is not None)
+
+
+def exhaust(router: support.Router) -> None:
+    """Make a router hand over all its requests."""
+    router.container.find("front")._local_limit = ZeroLimit()
+
+
+@pytest.fixture
+def routers(cluster) -> list[support.Router]:
+    """Return two routers that know each other; the first hands over all requests."""
+    for name in ("gate-1", "planner-1"):
+        cluster.add_server(name, name.partition("-")[0])
+    started = [cluster.start_router(f"edge-{n}") for n in (1, 2)]
+    exhaust(started[0])
+    wait_for_peer(started[0])
+    return started
+
+
+def find_server(cluster: support.Cluster, name: str):
+    """Return the stand-in that is registered under a name."""
+    (server,) = [each for each in cluster.servers if each.name == name]
+    return server
+
+
+def test_every_caller_gets_the_whole_answer_to_its_own_request(
+    cluster, routers
+) -> None:
+    """An account sends all its requests to one router that can't serve them."""
+    answers: dict[str, object] = {}
+
+    def call(name: str, path: str) -> None:
+        answers[name] = routers[0].call(path, name)
+
+    threads = [
+        threading.Thread(target=call, args=(f"{path.strip('/')}-{number}", path))
+        for number in range(REQUESTS)
+        for path in ("/bookings/1", "/notes/1")
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(answers) == 2 * REQUESTS
+    for name, answer in answers.items():
+        assert answer.status == 200
+        assert answer.getheader("Celeryspan-Request-Id") == name
+        whole = b"piece 6" if name.startswith("notes") else b"served"
+        assert whole in answer.text
+    # A request that arrives in two parts is served locally.
+    assert get_handover(routers[0]).report()["total"] > REQUESTS
+    support.wait_for(lambda: get_handover(routers[0]).count() == 0)
+    ran = [name for server in cluster.servers for name in server.ran]
+    assert sorted(ran) == sorted(answers)
+
+
+def test_server_gets_the_request_unchanged(cluster, routers) -> None:
+    assert routers[0].call("/bookings/1?a=b", "r1", body=b"x" * 40_000).status == 200
+    (request,) = find_server(cluster, "gate-1").received
+    assert (request.method, request.target) == ("POST", "/bookings/1?a=b")
+    assert request.body == b"x" * 40_000
+    assert "celeryspan-handed-over" not in request.headers
+
+
+def test_caller_that_leaves_ends_the_run_at_the_server(cluster, routers) -> None:
+    """A caller leaves while a peer serves its request; the server must not go on."""
+    engine = find_server(cluster, "planner-1")
+    engine.script.append("silent")
+    host, _, port = routers[0].settings.caller_address.partition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(
+            b"POST /notes/1 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Celeryspan-Request-Id: r1\r\nCeleryspan-Credential: "
+            + support.KEY.encode()
+            + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+        support.wait_for(lambda: engine.ran)
+    assert engine.client_disconnected.wait(2.0)
+    support.wait_for(lambda: get_handover(routers[0]).count() == 0)
+
+
+def test_request_for_an_unreachable_peer_is_refused_as_not_run(
+    cluster, routers
+) -> None:
+    """A peer dies, and its death is not known yet."""
+    peers = get_handover(routers[0])._peers
+    routers[1].stop()
+    get_handover(routers[0])._set_peers(peers)
+    answer = routers[0].call("/bookings/1")
+    assert answer.status == 503
+    assert answer.getheader("Retry-After")
+    assert find_server(cluster, "gate-1").ran == []
+
+
+def test_handed_over_request_is_not_handed_on(routers) -> None:
+    """Two routers without processor time left would hand a request to and fro."""
+    exhaust(routers[1])
+    wait_for_peer(routers[1])
+    assert routers[0].call("/bookings/1").status == 200
+    assert get_handover(routers[1]).report()["total"] == 0
+
+
+def test_peer_with_another_configuration_refuses(cluster, routers) -> None:
+    """A peer is behind; its answer would look as if the configuration reverted."""
+    catalogues = routers[1].container.find("catalogues")
+    catalogues._current = msgspec.structs.replace(catalogues.current(), revision=99)
+    answer = routers[0].call("/bookings/1")
+    assert answer.status == 503
+    assert find_server(cluster, "gate-1").ran == []
+
+
+def test_planned_stop_waits_for_requests_at_peers(cluster, routers) -> None:
+    """A router stops while a peer serves one of its requests."""
+    configuration = support.make_configuration(2)
+    for route in configuration["routes"]:
+        route["timeout_ms"] = 10_000
+    cluster.store.put("config", "main", configuration)
+    for router in routers:
+        catalogues = router.container.find("catalogues")
+        support.wait_for(lambda found=catalogues: found.current().version == 2)
+    engine = find_server(cluster, "planner-1")
+    engine.event_seconds = 0.7
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(
+            routers[0].call("/notes/1", headers={"Celeryspan-Deadline-Ms": "30000"})
+        )
+    )
+    thread.start()
+    support.wait_for(lambda: engine.ran)
+    stopping = routers[0].container.find("stopping")
+    began = time.monotonic()
+    stopping.begin()
+    thread.join()
+    assert answers[0].status == 200
+    assert b"piece 6" in answers[0].text
+    assert time.monotonic() - began < routers[0].settings.grace_seconds
