--- a/bench/routercost.py
+++ b/bench/routercost.py
@@ -1,7 +1,8 @@
 """Measures the router's processor time per request, stream event and refusal.
 
 The router is a separate process. An account sends it more requests than it accepts,
-each on a connection of its own. The operating system reports the processor time.
+each on a connection of its own. The operating system reports the processor time. A
+second router then takes over what the first one hands over.
 """
 
 from __future__ import annotations
@@ -38,6 +39,9 @@
 BODY = b"x" * 2_400
 """Size of the most common request body in the users' load sheets."""
 
+HANDING_THREADS = 4
+"""Requests that a router serves itself before it hands the next ones over."""
+
 EVENTS_PER_STREAM = (2, 30)
 """Events of a short and a typical stream; the difference gives the cost per event."""
 
@@ -72,7 +76,9 @@
 
 
 @contextlib.contextmanager
-def run_router(folder: pathlib.Path) -> Iterator[RunningRouter]:
+def run_router(
+    folder: pathlib.Path, *, threads: int = THREADS, has_peer: bool = False
+) -> Iterator[RunningRouter]:
     """Yield a router with few threads, its process id and its slow engine."""
     store = objects.ObjectStore()
     store.start()
@@ -89,15 +95,29 @@
         for route in configuration["routes"]:
             route["timeout_ms"] = ROUTE_TIMEOUT_SECONDS * 1000
         store.put("config", "main", configuration)
-        router = soakparts.RouterProcess(
-            "edge-1", store.address, ports.find_ports(4), folder, threads=THREADS
-        )
-        router.start()
-        stack.callback(router.kill)
-        wait_ready(router)
+        router = start_router("edge-1", store, folder, threads, stack)
+        if has_peer:
+            start_router("edge-2", store, folder, 8 * THREADS, stack)
         yield router, router.process, slow
 
 
+def start_router(
+    name: str,
+    store: objects.ObjectStore,
+    folder: pathlib.Path,
+    threads: int,
+    stack: contextlib.ExitStack,
+) -> soakparts.RouterProcess:
+    """Start a router and wait until it serves."""
+    router = soakparts.RouterProcess(
+        name, store.address, ports.find_ports(4), folder, threads=threads
+    )
+    router.start()
+    stack.callback(router.kill)
+    wait_ready(router)
+    return router
+
+
 def wait_ready(router: soakparts.RouterProcess) -> None:
     """Wait until a call is answered with 200."""
     for _ in range(200):
@@ -192,6 +212,35 @@
     )
 
 
+def occupy_with_streams(
+    router: soakparts.RouterProcess, stack: contextlib.ExitStack
+) -> None:
+    """Occupy the threads of a router with streams until it hands requests over."""
+    for number in range(HANDING_THREADS):
+        caller = stack.enter_context(socket.create_connection(tuple(router.front), 60))
+        caller.sendall(write(sampleconfig.NOTES, f"occupy-{number}"))
+        if not caller.recv(1):
+            raise RuntimeError("the router closed the connection of a slow stream")
+    wait_ready(router)
+
+
+def measure_handover() -> list[Cost]:
+    """Return what requests cost a router that hands them over to its peer."""
+    with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
+        router, process, engine = stack.enter_context(
+            run_router(pathlib.Path(folder), threads=HANDING_THREADS, has_peer=True)
+        )
+        engine.event_seconds = float(ROUTE_TIMEOUT_SECONDS)
+        occupy_with_streams(router, stack)
+        call = Load("handed-over call", sampleconfig.CALLS, b"200")
+        costs = [measure(call, router, process, REQUESTS)]
+        engine.event_seconds, engine.events = EVENT_SECONDS, EVENTS_PER_STREAM[-1]
+        stream = Load(
+            f"handed-over stream of {engine.events} events", sampleconfig.NOTES, b"200"
+        )
+        return [*costs, measure(stream, router, process, STREAM_REQUESTS)]
+
+
 def run(_: list[str]) -> int:
     """Print the cost of calls, of streams of two lengths and of a refusal."""
     with tempfile.TemporaryDirectory() as folder, contextlib.ExitStack() as stack:
@@ -208,6 +257,7 @@
         occupy_threads(router, stack)
         refusal = Load("refusal", sampleconfig.CALLS, b"503")
         costs.append(measure(refusal, router, process, REQUESTS))
+    costs += measure_handover()
     for cost in costs:
         print(
             f"{cost.name}: {cost.seconds * 1e3:.2f} ms of a core, "
--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -37,6 +37,9 @@
 
 CHECK_INTERVAL_SECONDS = 0.1
 
+BATCH_SECONDS = 0.01
+"""Pause after each round, so that one wake-up relays the events of many streams."""
+
 READ_BYTES = 65_536
 
 CALLERS_SHARE = 0.5
@@ -183,7 +186,8 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            for key, mask in self._selector.select(CHECK_INTERVAL_SECONDS):
+            timeout = CHECK_INTERVAL_SECONDS if self._connecting else None
+            for key, mask in self._selector.select(timeout):
                 relay = key.data
                 if relay is None:
                     self._wake_reader.recv(READ_BYTES)
@@ -199,6 +203,7 @@
                     self._close(relay)
             self._register_added()
             self._expire_connecting(time.monotonic())
+            time.sleep(BATCH_SECONDS)
 
     def _register_added(self) -> None:
         while True:
