Hand requests over as soon as callers wait to be accepted

Change: threads switch after 0.5 ms, and the time for which several callers waited to be accepted counts for the limit of requests that are served locally.

--- a/celeryspan/daemons/launch.py
+++ b/celeryspan/daemons/launch.py
@@ -15,6 +15,11 @@
 import gc
 import importlib
 import signal
+import sys
+
+SWITCH_INTERVAL_SECONDS = 0.0005
+"""Time after which a thread yields to others that wait for the interpreter. With the
+default of 5 ms the accepting thread waits for the turns of all others."""
 
 BLOCKED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
@@ -28,6 +33,7 @@
     daemon.import_services()
     gc.freeze()
     gc.enable()
+    sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
     daemon.main()
 
 
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -361,7 +361,8 @@
             now = time.monotonic()
             late = now - began - LATENESS_TICK_SECONDS
             self._overload.record(late, self.count_local(), now)
-            self._local_limit.record(late, self.count_local(), now)
+            delay = max(late, self._server.take_accept_delay())
+            self._local_limit.record(delay, self.count_local(), now)
             if self._busyness.record(self._overload.lateness, now):
                 self._membership.set_busy(self._busyness.is_busy)
             limit = self._overload.limit
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -270,6 +270,8 @@
         self.keep_alive_conn_limit = int(
             connections_max * descriptors.CLOSE_NOTICE_SHARE
         )
+        self.accept_delay = 0.0
+        self._accepted_at = time.monotonic()
         self._log = log
         self._throttle = logthrottle.Throttle()
         self._thread: threading.Thread | None = None
@@ -327,13 +329,22 @@
 
     def accept_pending(self) -> None:
         """Accept pending connections, at most ``ACCEPT_BATCH_MAX``."""
-        for _ in range(ACCEPT_BATCH_MAX):
+        for count in range(ACCEPT_BATCH_MAX):
             if not sockets.has_pending_connection(self.socket):
-                return
+                break
+            if count == 1:  # A single connection may just have arrived.
+                delay = time.monotonic() - self._accepted_at
+                self.accept_delay = max(self.accept_delay, delay)
             accepted = self._connections.accept()
             if accepted is None:
-                return
+                break
             self._add_connection(accepted)
+        self._accepted_at = time.monotonic()
+
+    def take_accept_delay(self) -> float:
+        """Return and reset the longest time that several callers waited to connect."""
+        delay, self.accept_delay = self.accept_delay, 0.0
+        return delay
 
     def _add_connection(self, connection: Connection) -> None:
         """Dispatch a new connection once its caller has sent data.
