Answer handed-over requests whose peer dies or stays silent

Cause: a peer that died before its answer left callers with a closed connection, which tells them nothing, and a frozen one held them without end. Change: 502 with an unknown outcome if the peer is lost before the first byte, 504 at the caller's deadline, 503 not run if it never accepted the connection. Found by reading; three tests, of which the two new ones fail before (closed, hung).

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -43,8 +43,11 @@
 CONNECTION_COUNT_SECONDS = 1.0
 """Interval at which connections are counted for the metrics."""
 
-ID_HEADER = names.REQUEST_ID.lower().encode()
-HANDOVER_HEADER = names.HANDED_OVER.lower().encode()
+HEADERS = quickrefusals.HeaderNames(
+    request=names.REQUEST_ID.lower().encode(),
+    handover=names.HANDED_OVER.lower().encode(),
+    deadline=names.DEADLINE_MS.lower().encode(),
+)
 
 IDLE_TIMEOUT_FACTOR = 1.2
 IDLE_TIMEOUT_MARGIN_SECONDS = 3.0
@@ -246,9 +249,7 @@
         if self._local_limit.admits(local) or connection.rfile.has_data():
             return False
         try:
-            found = quickrefusals.peek_whole_request(
-                connection.socket, ID_HEADER, HANDOVER_HEADER
-            )
+            found = quickrefusals.peek_whole_request(connection.socket, HEADERS)
             if found is None:
                 return False
             peer = None
@@ -259,20 +260,22 @@
             quickrefusals.discard(connection.socket, found)
         except OSError:
             return False
-        refuse = functools.partial(self._refuse_unread, found)
+        answer = functools.partial(self._answer_unread, found)
         if peer is None:
-            refuse(connection)
+            answer(connection, self._make_router_full_error())
             connection.close()
         else:
-            self._handover.hand_over(connection, found, peer, refuse)
+            self._handover.hand_over(connection, found, peer, answer)
         return True
 
-    def _refuse_unread(
-        self, found: quickrefusals.BufferedRequest, connection: _Connection
+    def _answer_unread(
+        self,
+        found: quickrefusals.BufferedRequest,
+        connection: _Connection,
+        error: errors.RequestError,
     ) -> None:
-        """Refuse a request that no thread has read."""
+        """Answer a request that no thread has read with an error."""
         request_id = found.request.decode("latin-1")
-        error = self._make_router_full_error()
         self._record_refusal(request_id, error)
         try:
             quickrefusals.send_answer(
--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -6,6 +6,10 @@
 
 A header tells the peer the revision of this router's configuration. A peer with another
 one refuses the request, so that callers see configurations in order.
+
+If a peer dies before it has begun to answer, its callers are told that the outcome of
+their requests is unknown. A peer that is silent until the caller's deadline is treated
+the same way.
 """
 
 from __future__ import annotations
@@ -21,7 +25,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from celeryspan import events, ids, kernel, metrics
+from celeryspan import errors, events, ids, kernel, metrics
 from celeryspan.decisions import handover
 from celeryspan.gateway import channels
 from celeryspan.platform import names
@@ -45,7 +49,13 @@
 CALLERS_SHARE = 0.5
 """Share of the connections of callers whose requests may be handed over at once."""
 
-Refuse = Callable[["httpserver.Connection"], None]
+DEADLINE_SECONDS_DEFAULT = 30.0
+"""Longest time for an answer if the caller states none."""
+
+UNREACHABLE_RETRY_AFTER_SECONDS = 0.1
+
+Answer = Callable[["httpserver.Connection", errors.RequestError], None]
+"""Answers a request with an error, on the connection of its caller."""
 
 
 class Relay:
@@ -59,17 +69,23 @@
         Part of the answer that the caller has not taken.
     is_connected : bool
         Whether the peer has accepted the connection.
+    is_begun : bool
+        Whether a part of the answer was sent to the caller.
     is_ended : bool
         Whether the peer has sent its whole answer.
+    expires_at : float
+        Time at which the caller stops waiting.
     """
 
     __slots__ = (
+        "answer",
         "caller",
         "connection",
+        "expires_at",
+        "is_begun",
         "is_connected",
         "is_ended",
         "peer",
-        "refuse",
         "socket",
         "started_at",
         "undelivered",
@@ -82,7 +98,8 @@
         peer: ids.RouterId,
         sock: socket.socket,
         data: bytes,
-        refuse: Refuse,
+        seconds: float,
+        answer: Answer,
     ) -> None:
         self.connection = connection
         self.caller: socket.socket = connection.socket
@@ -91,9 +108,11 @@
         self.unsent = data
         self.undelivered = b""
         self.is_connected = False
+        self.is_begun = False
         self.is_ended = False
         self.started_at = time.monotonic()
-        self.refuse = refuse
+        self.expires_at = self.started_at + seconds
+        self.answer = answer
 
 
 @kernel.register("handover", needs=("catalogues", "membership", "metrics"))
@@ -112,7 +131,8 @@
         self._total = 0
         self._lock = threading.Lock()
         self._added: queue.SimpleQueue[Relay] = queue.SimpleQueue()
-        self._connecting: dict[Relay, None] = {}
+        self._relays: dict[Relay, None] = {}
+        self._next_check_at = 0.0
         self._selector = selectors.DefaultSelector()
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._stopped = False
@@ -152,14 +172,14 @@
         connection: httpserver.Connection,
         found: quickrefusals.BufferedRequest,
         peer: messages.Member,
-        refuse: Refuse,
+        answer: Answer,
     ) -> None:
         """Hand a complete request over and close its connection after the answer.
 
         Parameters
         ----------
-        refuse : callable
-            Called with the connection if the peer can't be reached.
+        answer : callable
+            Called with the connection and an error if the peer does not answer.
         """
         events.log(
             events.Event.REQUEST_HANDED_OVER,
@@ -176,7 +196,8 @@
             self._used[peer.router] += 1
             self._total += 1
         self._metrics.count_handover()
-        self._added.put(Relay(connection, peer.router, sock, data, refuse))
+        seconds = found.seconds or DEADLINE_SECONDS_DEFAULT
+        self._added.put(Relay(connection, peer.router, sock, data, seconds, answer))
         self._wake()
 
     def _set_peers(self, members: list[messages.Member]) -> None:
@@ -188,7 +209,7 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            timeout = CHECK_INTERVAL_SECONDS if self._connecting else None
+            timeout = CHECK_INTERVAL_SECONDS if self._relays else None
             for key, mask in self._selector.select(timeout):
                 relay = key.data
                 if relay is None:
@@ -196,15 +217,15 @@
                     continue
                 try:
                     self._advance(relay, key.fileobj, mask)
-                except OSError:
-                    self._close(relay)
+                except OSError as error:
+                    self._handle_failure(relay, key.fileobj, error)
                 except Exception as error:
                     events.log(
                         events.Event.TASK_FAILED, task="handover", error=repr(error)
                     )
                     self._close(relay)
             self._register_added()
-            self._expire_connecting(time.monotonic())
+            self._expire(time.monotonic())
             time.sleep(BATCH_SECONDS)
 
     def _register_added(self) -> None:
@@ -213,20 +234,28 @@
                 relay = self._added.get_nowait()
             except queue.Empty:
                 return
-            self._connecting[relay] = None
+            self._relays[relay] = None
             relay.caller.setblocking(False)
             self._selector.register(relay.socket, selectors.EVENT_WRITE, relay)
             self._selector.register(relay.caller, selectors.EVENT_READ, relay)
 
-    def _expire_connecting(self, now: float) -> None:
-        """Refuse the requests whose peers have not accepted a connection in time."""
-        expired = [
-            relay
-            for relay in self._connecting
-            if now - relay.started_at > CONNECT_SECONDS
-        ]
-        for relay in expired:
-            self._refuse(relay)
+    def _expire(self, now: float) -> None:
+        """End requests whose peer accepts no connection or does not answer in time."""
+        if now < self._next_check_at:
+            return
+        self._next_check_at = now + CHECK_INTERVAL_SECONDS
+        for relay in list(self._relays):
+            if not relay.is_connected and now - relay.started_at > CONNECT_SECONDS:
+                self._end_unsent(relay)
+            elif now > relay.expires_at:
+                self._end_unanswered(relay, 504, "no answer in time")
+
+    def _handle_failure(self, relay: Relay, failed: object, error: OSError) -> None:
+        """End a request whose connection to its peer or its caller has failed."""
+        if failed is relay.caller:
+            self._close(relay)
+        else:
+            self._end_unanswered(relay, 502, repr(error))
 
     def _advance(self, relay: Relay, ready: object, mask: int) -> None:
         """Move bytes of one request in the direction that has become ready."""
@@ -245,10 +274,9 @@
     def _send_request(self, relay: Relay) -> None:
         if not relay.is_connected:
             if relay.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-                self._refuse(relay)
+                self._end_unsent(relay)
                 return
             relay.is_connected = True
-            del self._connecting[relay]
         sent = relay.socket.send(relay.unsent)
         relay.unsent = relay.unsent[sent:]
         if not relay.unsent:
@@ -257,7 +285,14 @@
     def _receive_answer(self, relay: Relay) -> None:
         data = relay.socket.recv(READ_BYTES)
         relay.is_ended = not data
-        self._deliver(relay, data)
+        if relay.is_ended and not relay.is_begun:
+            self._end_unanswered(relay, 502, "the peer closed the connection")
+            return
+        relay.is_begun = True
+        try:
+            self._deliver(relay, data)
+        except OSError:
+            self._close(relay)  # The caller has left.
 
     def _deliver(self, relay: Relay, data: bytes) -> None:
         """Send a part of the answer; wait with the next one until the caller takes it.
@@ -283,11 +318,34 @@
         if relay.is_ended and not pending:
             self._close(relay)
 
-    def _refuse(self, relay: Relay) -> None:
+    def _end_unsent(self, relay: Relay) -> None:
         """Refuse a request of which the peer has received nothing."""
+        refusal = errors.NotRun(
+            "the router that was to serve the request can't be reached",
+            code="peer-unreachable",
+            status=503,
+            retry_after=UNREACHABLE_RETRY_AFTER_SECONDS,
+            step="hand over",
+            peer=relay.peer,
+        )
+        self._end(relay, refusal)
+
+    def _end_unanswered(self, relay: Relay, status: int, reason: str) -> None:
+        """End a request that the peer has received and not answered in full."""
+        unknown = errors.OutcomeUnknown(
+            f"the router that served the request did not answer: {reason}",
+            code="answer-lost",
+            status=status,
+            step="hand over",
+            peer=relay.peer,
+        )
+        self._end(relay, unknown)
+
+    def _end(self, relay: Relay, error: errors.RequestError) -> None:
+        """Close a connection, with an error if no part of an answer was sent."""
         self._release(relay)
-        relay.caller.setblocking(True)
-        relay.refuse(relay.connection)
+        if not relay.is_begun:
+            relay.answer(relay.connection, error)
         relay.connection.close()
 
     def _close(self, relay: Relay) -> None:
@@ -296,7 +354,7 @@
 
     def _release(self, relay: Relay) -> None:
         """Close the connection to the peer."""
-        self._connecting.pop(relay, None)
+        self._relays.pop(relay, None)
         for sock in (relay.socket, relay.caller):
             with contextlib.suppress(KeyError, ValueError):
                 self._selector.unregister(sock)
--- a/celeryspan/gateway/quickrefusals.py
+++ b/celeryspan/gateway/quickrefusals.py
@@ -26,6 +26,7 @@
 )
 CONTENT_LENGTH_NAME = re.compile(rb"content-length", re.IGNORECASE)
 TRANSFER_ENCODING_NAME = re.compile(rb"transfer-encoding", re.IGNORECASE)
+DIGITS = re.compile(rb"[0-9]{1,9}")
 REQUEST_LINE = re.compile(rb"[A-Z]+ \S+ HTTP/1\.1\r\n")
 
 
@@ -40,25 +41,41 @@
         The request id; empty if the request has none.
     is_handed_over : bool
         Whether another router has handed the request over.
+    seconds : float
+        Time for which the caller waits; 0 if it states none.
     """
 
     data: bytes
     request: bytes
     is_handed_over: bool = False
+    seconds: float = 0.0
 
 
-def parse_whole_request(
-    data: bytes, id_header: bytes, handover_header: bytes
-) -> BufferedRequest | None:
+class HeaderNames(NamedTuple):
+    """Names of the headers that are read without full parsing, in lower case.
+
+    Attributes
+    ----------
+    request : bytes
+        Header with the request id.
+    handover : bytes
+        Header that marks a request as handed over.
+    deadline : bytes
+        Header with the time for which the caller waits, in milliseconds.
+    """
+
+    request: bytes
+    handover: bytes
+    deadline: bytes
+
+
+def parse_whole_request(data: bytes, headers: HeaderNames) -> BufferedRequest | None:
     """Return the request if the data is exactly one complete request, else None.
 
     Parameters
     ----------
     data : bytes
         All unread data of a connection.
-    id_header, handover_header : bytes
-        Names of the headers with the request id, and of that which marks a request as
-        handed over, in lower case.
     """
     end = data.find(HEAD_END)
     if end < 0 or REQUEST_LINE.match(data) is None:
@@ -72,8 +89,13 @@
     size = end + len(HEAD_END) + (int(lengths[0]) if lengths else 0)
     if size != len(data):
         return None
-    is_handed_over = bool(_find_value(head, handover_header))
-    return BufferedRequest(data, _find_value(head, id_header), is_handed_over)
+    deadline = _find_value(head, headers.deadline)
+    return BufferedRequest(
+        data,
+        request=_find_value(head, headers.request),
+        is_handed_over=bool(_find_value(head, headers.handover)),
+        seconds=int(deadline) / 1000 if DIGITS.fullmatch(deadline) else 0.0,
+    )
 
 
 def _find_value(head: bytes, name: bytes) -> bytes:
@@ -85,7 +107,7 @@
 
 
 def peek_whole_request(
-    sock: socket.socket, id_header: bytes, handover_header: bytes
+    sock: socket.socket, headers: HeaderNames
 ) -> BufferedRequest | None:
     """Return a complete request that was received, without blocking and consuming it.
 
@@ -98,7 +120,7 @@
         data = sock.recv(PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT)
     except BlockingIOError:
         return None
-    return parse_whole_request(data, id_header, handover_header)
+    return parse_whole_request(data, headers)
 
 
 def discard(sock: socket.socket, found: BufferedRequest) -> None:
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -56,7 +56,11 @@
 
 
 def call(
-    router: support.Router, path: str, request: str = "r1", body: bytes = b"asked"
+    router: support.Router,
+    path: str,
+    request: str = "r1",
+    body: bytes = b"asked",
+    deadline_ms: int = 30_000,
 ) -> http.client.HTTPResponse:
     """Send a request in one piece; the ``text`` of the response is its body.
 
@@ -64,7 +68,7 @@
     """
     head = (
         f"POST {path} HTTP/1.1\r\nHost: {support.HOST}\r\n"
-        f"Celeryspan-Request-Id: {request}\r\nCeleryspan-Deadline-Ms: 30000\r\n"
+        f"Celeryspan-Request-Id: {request}\r\nCeleryspan-Deadline-Ms: {deadline_ms}\r\n"
         f"Celeryspan-Credential: {support.KEY}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     host, _, port = router.settings.caller_address.partition(":")
@@ -150,6 +154,40 @@
     assert find_server(cluster, "gate-1").ran == []
 
 
+def test_outcome_is_unknown_if_the_peer_dies_before_its_answer(
+    cluster, routers
+) -> None:
+    """A peer loses its power while it serves a request for another router.
+
+    A connection closed without an answer tells the caller nothing, and a refusal would
+    be untrue.
+    """
+    engine = find_server(cluster, "planner-1")
+    engine.script.append("silent")
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(call(routers[0], "/notes/1"))
+    )
+    thread.start()
+    support.wait_for(lambda: engine.ran)
+    for relay in list(get_handover(routers[0])._relays):
+        relay.socket.shutdown(socket.SHUT_RDWR)
+    thread.join()
+    assert answers[0].status == 502
+    assert b"unknown" in answers[0].text
+
+
+def test_caller_hears_of_a_silent_peer_at_its_deadline(cluster, routers) -> None:
+    """A peer freezes: its connections stay open and nothing more arrives."""
+    engine = find_server(cluster, "planner-1")
+    engine.script.append("silent")
+    routers[1].container.find("front").serve = lambda _: time.sleep(5.0)
+    began = time.monotonic()
+    answer = call(routers[0], "/notes/1", deadline_ms=600)
+    assert answer.status == 504
+    assert 0.5 < time.monotonic() - began < 3.0
+
+
 def test_handed_over_request_is_not_handed_on(routers) -> None:
     """Two routers without processor time left would hand a request to and fro."""
     exhaust(routers[1])
--- a/tests/gateway/test_quickrefusals.py
+++ b/tests/gateway/test_quickrefusals.py
@@ -12,11 +12,10 @@
 from hypothesis import strategies
 
 from celeryspan.decisions import overload
-from celeryspan.gateway import quickrefusals
+from celeryspan.gateway import front, quickrefusals
 from tests.gateway import support
 
-ID = b"celeryspan-request-id"
-HANDED_OVER = b"celeryspan-handed-over"
+HEADERS = front.HEADERS
 HEAD = (
     b"POST /bookings/1 HTTP/1.1\r\nHost: desk.example\r\nCeleryspan-Request-Id: r7\r\n"
 )
@@ -24,19 +23,25 @@
 
 
 def test_complete_request_is_found_with_its_id() -> None:
-    found = quickrefusals.parse_whole_request(WHOLE, ID, HANDED_OVER)
+    found = quickrefusals.parse_whole_request(WHOLE, HEADERS)
     assert found == quickrefusals.BufferedRequest(WHOLE, b"r7")
 
 
+def test_headers_of_a_request_are_read_without_full_parsing() -> None:
+    lines = b"celeryspan-DEADLINE-ms: 1500\r\nCeleryspan-Handed-Over: 7\r\n\r\n"
+    found = quickrefusals.parse_whole_request(HEAD + lines, HEADERS)
+    assert (found.seconds, found.is_handed_over) == (1.5, True)
+    malformed = HEAD + b"Celeryspan-Deadline-Ms: soon\r\n\r\n"
+    assert quickrefusals.parse_whole_request(malformed, HEADERS).seconds == 0.0
+
+
 def test_request_without_body_is_complete_after_its_head() -> None:
-    assert (
-        quickrefusals.parse_whole_request(HEAD + b"\r\n", ID, HANDED_OVER) is not None
-    )
+    assert quickrefusals.parse_whole_request(HEAD + b"\r\n", HEADERS) is not None
 
 
 @pytest.mark.parametrize("size", range(len(WHOLE)))
 def test_incomplete_request_is_not_refused_early(size: int) -> None:
-    assert quickrefusals.parse_whole_request(WHOLE[:size], ID, HANDED_OVER) is None
+    assert quickrefusals.parse_whole_request(WHOLE[:size], HEADERS) is None
 
 
 @pytest.mark.parametrize(
@@ -57,13 +62,13 @@
 
     If the wrong number of bytes is consumed, the rest is read as another request.
     """
-    assert quickrefusals.parse_whole_request(data, ID, HANDED_OVER) is None
+    assert quickrefusals.parse_whole_request(data, HEADERS) is None
 
 
 @hypothesis.given(strategies.binary(max_size=200))
 def test_arbitrary_data_raises_no_error(data: bytes) -> None:
     for each in (data, HEAD + data, WHOLE + data):
-        found = quickrefusals.parse_whole_request(each, ID, HANDED_OVER)
+        found = quickrefusals.parse_whole_request(each, HEADERS)
         assert found is None or found.data == each
 
 
