Bound the faults of handing over, and count the fleet from the start

Cause, found by reading: an error of one relayed request, or a lack of descriptors, could end the relaying or the accepting thread; a count could change under the planned stop; a router alone never had the majority and gave cold servers nothing. Change: each request fails alone, the count is kept, the fleet is counted at the start. RelayedRequest is a module of its own.

--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -22,13 +22,11 @@
 import socket
 import threading
 import time
-from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 from celeryspan import errors, events, ids, kernel, metrics
 from celeryspan.decisions import handover
-from celeryspan.gateway import channels
-from celeryspan.platform import names
+from celeryspan.gateway import channels, relayedrequest
 from celeryspan.services import callerconnections
 from celeryspan.wire import messages
 
@@ -54,66 +52,6 @@
 
 UNREACHABLE_RETRY_AFTER_SECONDS = 0.1
 
-Answer = Callable[["httpserver.Connection", errors.RequestError], None]
-"""Answers a request with an error, on the connection of its caller."""
-
-
-class Relay:
-    """One request that a peer serves.
-
-    Attributes
-    ----------
-    unsent : bytes
-        Part of the request that has not been sent to the peer.
-    undelivered : bytes
-        Part of the answer that the caller has not taken.
-    is_connected : bool
-        Whether the peer has accepted the connection.
-    is_begun : bool
-        Whether a part of the answer was sent to the caller.
-    is_ended : bool
-        Whether the peer has sent its whole answer.
-    expires_at : float
-        Time at which the caller stops waiting.
-    """
-
-    __slots__ = (
-        "answer",
-        "caller",
-        "connection",
-        "expires_at",
-        "is_begun",
-        "is_connected",
-        "is_ended",
-        "peer",
-        "socket",
-        "started_at",
-        "undelivered",
-        "unsent",
-    )
-
-    def __init__(
-        self,
-        connection: httpserver.Connection,
-        peer: ids.RouterId,
-        sock: socket.socket,
-        data: bytes,
-        seconds: float,
-        answer: Answer,
-    ) -> None:
-        self.connection = connection
-        self.caller: socket.socket = connection.socket
-        self.peer = peer
-        self.socket = sock
-        self.unsent = data
-        self.undelivered = b""
-        self.is_connected = False
-        self.is_begun = False
-        self.is_ended = False
-        self.started_at = time.monotonic()
-        self.expires_at = self.started_at + seconds
-        self.answer = answer
-
 
 @kernel.register("handover", needs=("catalogues", "membership", "metrics"))
 class Handover:
@@ -128,10 +66,12 @@
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._used: collections.Counter[ids.RouterId] = collections.Counter()
         self._peers: list[messages.Member] = []
-        self._total = 0
+        self._current = self._total = 0
         self._lock = threading.Lock()
-        self._added: queue.SimpleQueue[Relay] = queue.SimpleQueue()
-        self._relays: dict[Relay, None] = {}
+        self._added: queue.SimpleQueue[relayedrequest.RelayedRequest] = (
+            queue.SimpleQueue()
+        )
+        self._relays: dict[relayedrequest.RelayedRequest, None] = {}
         self._next_check_at = 0.0
         self._selector = selectors.DefaultSelector()
         self._wake_reader, self._wake_writer = socket.socketpair()
@@ -155,11 +95,12 @@
 
     def report(self) -> dict[str, object]:
         """Return the numbers of requests handed over in total and at present."""
-        return {"total": self._total, "current": dict(+self._used)}
+        with self._lock:
+            return {"total": self._total, "current": dict(+self._used)}
 
     def count(self) -> int:
         """Return the number of requests that peers serve for this router."""
-        return sum(self._used.values())
+        return self._current
 
     def choose_peer(self) -> messages.Member | None:
         """Return the peer that can take one more request, or None."""
@@ -172,7 +113,7 @@
         connection: httpserver.Connection,
         found: quickrefusals.BufferedRequest,
         peer: messages.Member,
-        answer: Answer,
+        answer: relayedrequest.Answer,
     ) -> None:
         """Hand a complete request over and close its connection after the answer.
 
@@ -186,18 +127,26 @@
             request=found.request.decode("latin-1"),
             peer=peer.router,
         )
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        for option in channels.SOCKET_OPTIONS:
-            sock.setsockopt(*option)
-        sock.connect_ex(tuple(peer.caller_address))  # Its result is read later.
-        data = add_revision(found.data, self._catalogues.current().revision)
+        try:
+            sock = _connect(peer.caller_address)
+        except OSError as error:  # No descriptor is left.
+            answer(connection, _make_unreachable_error(peer.router, error))
+            connection.close()
+            return
+        data = relayedrequest.add_revision(
+            found.data, self._catalogues.current().revision
+        )
         with self._lock:
             self._used[peer.router] += 1
+            self._current += 1
             self._total += 1
         self._metrics.count_handover()
         seconds = found.seconds or DEADLINE_SECONDS_DEFAULT
-        self._added.put(Relay(connection, peer.router, sock, data, seconds, answer))
+        self._added.put(
+            relayedrequest.RelayedRequest(
+                connection, peer.router, sock, data, seconds, answer
+            )
+        )
         self._wake()
 
     def _set_peers(self, members: list[messages.Member]) -> None:
@@ -211,23 +160,28 @@
         while not self._stopped:
             timeout = CHECK_INTERVAL_SECONDS if self._relays else None
             for key, mask in self._selector.select(timeout):
-                relay = key.data
-                if relay is None:
+                if key.data is None:
                     self._wake_reader.recv(READ_BYTES)
-                    continue
-                try:
-                    self._advance(relay, key.fileobj, mask)
-                except OSError as error:
-                    self._handle_failure(relay, key.fileobj, error)
-                except Exception as error:
-                    events.log(
-                        events.Event.TASK_FAILED, task="handover", error=repr(error)
-                    )
-                    self._close(relay)
+                else:
+                    self._advance_safely(key.data, key.fileobj, mask)
             self._register_added()
             self._expire(time.monotonic())
             time.sleep(BATCH_SECONDS)
 
+    def _advance_safely(
+        self, relay: relayedrequest.RelayedRequest, ready: object, mask: int
+    ) -> None:
+        """Advance one request; an error ends this request and no other."""
+        try:
+            self._advance(relay, ready, mask)
+        except BlockingIOError:
+            pass  # Not ready after all.
+        except OSError as error:
+            self._handle_failure(relay, ready, error)
+        except Exception as error:
+            events.log(events.Event.TASK_FAILED, task="handover", error=repr(error))
+            self._close(relay)
+
     def _register_added(self) -> None:
         while True:
             try:
@@ -250,14 +204,18 @@
             elif now > relay.expires_at:
                 self._end_unanswered(relay, 504, "no answer in time")
 
-    def _handle_failure(self, relay: Relay, failed: object, error: OSError) -> None:
+    def _handle_failure(
+        self, relay: relayedrequest.RelayedRequest, failed: object, error: OSError
+    ) -> None:
         """End a request whose connection to its peer or its caller has failed."""
         if failed is relay.caller:
             self._close(relay)
         else:
             self._end_unanswered(relay, 502, repr(error))
 
-    def _advance(self, relay: Relay, ready: object, mask: int) -> None:
+    def _advance(
+        self, relay: relayedrequest.RelayedRequest, ready: object, mask: int
+    ) -> None:
         """Move bytes of one request in the direction that has become ready."""
         if relay.socket.fileno() < 0:
             return  # Closed earlier in this round.
@@ -271,7 +229,7 @@
         elif not relay.caller.recv(READ_BYTES):
             self._close(relay)  # The caller has left; the peer sees it as its own.
 
-    def _send_request(self, relay: Relay) -> None:
+    def _send_request(self, relay: relayedrequest.RelayedRequest) -> None:
         if not relay.is_connected:
             if relay.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
                 self._end_unsent(relay)
@@ -282,7 +240,7 @@
         if not relay.unsent:
             self._selector.modify(relay.socket, selectors.EVENT_READ, relay)
 
-    def _receive_answer(self, relay: Relay) -> None:
+    def _receive_answer(self, relay: relayedrequest.RelayedRequest) -> None:
         data = relay.socket.recv(READ_BYTES)
         relay.is_ended = not data
         if relay.is_ended and not relay.is_begun:
@@ -294,7 +252,7 @@
         except OSError:
             self._close(relay)  # The caller has left.
 
-    def _deliver(self, relay: Relay, data: bytes) -> None:
+    def _deliver(self, relay: relayedrequest.RelayedRequest, data: bytes) -> None:
         """Send a part of the answer; wait with the next one until the caller takes it.
 
         A write that the caller's system does not take at once stops reading from the
@@ -318,19 +276,14 @@
         if relay.is_ended and not pending:
             self._close(relay)
 
-    def _end_unsent(self, relay: Relay) -> None:
+    def _end_unsent(self, relay: relayedrequest.RelayedRequest) -> None:
         """Refuse a request of which the peer has received nothing."""
-        refusal = errors.NotRun(
-            "the router that was to serve the request can't be reached",
-            code="peer-unreachable",
-            status=503,
-            retry_after=UNREACHABLE_RETRY_AFTER_SECONDS,
-            step="hand over",
-            peer=relay.peer,
-        )
+        refusal = _make_unreachable_error(relay.peer, "no connection")
         self._end(relay, refusal)
 
-    def _end_unanswered(self, relay: Relay, status: int, reason: str) -> None:
+    def _end_unanswered(
+        self, relay: relayedrequest.RelayedRequest, status: int, reason: str
+    ) -> None:
         """End a request that the peer has received and not answered in full."""
         unknown = errors.OutcomeUnknown(
             f"the router that served the request did not answer: {reason}",
@@ -341,18 +294,20 @@
         )
         self._end(relay, unknown)
 
-    def _end(self, relay: Relay, error: errors.RequestError) -> None:
+    def _end(
+        self, relay: relayedrequest.RelayedRequest, error: errors.RequestError
+    ) -> None:
         """Close a connection, with an error if no part of an answer was sent."""
         self._release(relay)
         if not relay.is_begun:
             relay.answer(relay.connection, error)
         relay.connection.close()
 
-    def _close(self, relay: Relay) -> None:
+    def _close(self, relay: relayedrequest.RelayedRequest) -> None:
         self._release(relay)
         relay.connection.close()
 
-    def _release(self, relay: Relay) -> None:
+    def _release(self, relay: relayedrequest.RelayedRequest) -> None:
         """Close the connection to the peer."""
         self._relays.pop(relay, None)
         for sock in (relay.socket, relay.caller):
@@ -361,14 +316,25 @@
         relay.socket.close()
         with self._lock:
             self._used[relay.peer] -= 1
-
-
-def add_revision(request: bytes, revision: int) -> bytes:
-    """Return a request with the header that marks it as handed over."""
-    line, _, rest = request.partition(b"\r\n")
-    return b"%b\r\n%b: %d\r\n%b" % (
-        line,
-        names.HANDED_OVER.encode(),
-        revision,
-        rest,
+            self._current -= 1
+
+
+def _connect(address: ids.Address) -> socket.socket:
+    """Return a socket that is being connected; raises OSError without descriptors."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    for option in channels.SOCKET_OPTIONS:
+        sock.setsockopt(*option)
+    sock.connect_ex(tuple(address))  # Its result is read when it is known.
+    return sock
+
+
+def _make_unreachable_error(peer: ids.RouterId, reason: object) -> errors.NotRun:
+    return errors.NotRun(
+        f"the router that was to serve the request can't be reached: {reason}",
+        code="peer-unreachable",
+        status=503,
+        retry_after=UNREACHABLE_RETRY_AFTER_SECONDS,
+        step="hand over",
+        peer=peer,
     )
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -111,6 +111,7 @@
         self._map.subscribe(self._update_servers)
         self._catalogues.subscribe(lambda _: self._update_servers())
         self._membership.subscribe(self._handle_members)
+        self._handle_members(self._membership.alive())
         self._thread.start()
 
     def stop(self) -> None:
@@ -282,12 +283,13 @@
 
     def _handle_members(self, members: list[messages.Member]) -> None:
         alive = {member.router for member in members} | {self._identity.router}
-        self._has_majority = tenure.has_majority(
-            len(alive),
-            self._membership.list_records(),
-            self._fleet.count_listed(),
-            time.monotonic(),
-        )
+        if self._tolerance is not None:
+            self._has_majority = tenure.has_majority(
+                len(alive),
+                self._membership.list_records(),
+                self._fleet.count_listed(),
+                time.monotonic(),
+            )
         with self._lock:
             for router in self._incarnations.keys() - alive:
                 del self._incarnations[router]
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -61,6 +61,22 @@
     assert count_most_received(cold) <= COLD_SENDS_MAX
 
 
+def test_cold_server_is_used_by_an_established_home(cluster) -> None:
+    """All servers of a service restart at once; their capacity must not idle."""
+    configure_cold_rate(cluster)
+    cold = cluster.add_server("gate-1", cold_left_ms=60_000)
+    cold.cold_requests_max = COLD_SENDS_MAX
+    router = cluster.start_router()
+    homes = router.container.find("poolhomes")
+    router.call("/calls/first", "first")
+    support.wait_for(
+        lambda: all(pool["established"] for pool in homes.report().values())
+    )
+    send_at_once([router])
+    assert not cold.crashed.is_set()
+    assert len(cold.received) >= COLD_SENDS_MAX // 2
+
+
 def test_server_that_becomes_cold_again_gets_at_most_its_bound(cluster) -> None:
     """A warm server in use reports that it is cold again."""
     configure_cold_rate(cluster)
