Use busy peers if all are busy, and cold servers without a rate

A home without an established tenure gave cold servers nothing even where the service has no bound. Change: busy peers if there are no others; the bound only where there is a rate.

--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -9,8 +9,9 @@
 * The number of requests served locally is adjusted by the lateness of the router's
   threads, like the limit above which requests are refused (:mod:`overload`), but from a
   lower lateness on.
-* A request goes to the least used of two random peers of the same data centre that are
-  not busy themselves, in proportion to the sizes of their VMs.
+* A request goes to the least used of two random peers of the same data centre, in
+  proportion to the sizes of their VMs. Busy peers are used only if all are: after a
+  restart of the whole fleet all routers are busy for some seconds.
 """
 
 from __future__ import annotations
@@ -45,14 +46,14 @@
     members: Iterable[messages.Member], own: messages.Member
 ) -> list[messages.Member]:
     """Return the peers to which requests may be handed over."""
-    return [
+    found = [
         member
         for member in members
         if member.router != own.router
         and member.data_centre == own.data_centre
         and member.state is states.MemberState.ALIVE
-        and not member.is_busy
     ]
+    return [member for member in found if not member.is_busy] or found
 
 
 def choose_peer(
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -223,7 +223,7 @@
         is_home = self._map.find_home(pool.name) == self._identity.router
         held.update(is_home=is_home, has_majority=self._has_majority, now=now)
         is_established = held.is_established(now)
-        pool.limit_cold_grants(self._compute_cold_limit(pool) if is_established else 0)
+        pool.limit_cold_grants(self._compute_cold_limit(pool, is_established))
         if was_established and not is_established:
             events.log(
                 events.Event.TENURE_LOST,
@@ -232,12 +232,13 @@
                 has_majority=self._has_majority,
             )
 
-    def _compute_cold_limit(self, pool: pools.Pool) -> float:
+    def _compute_cold_limit(self, pool: pools.Pool, is_established: bool) -> float:
         service_id, _, _ = shards.parse_pool(pool.name)
         current = self._catalogues.current()
         service = current.services.get(service_id) if current else None
         rate = service.cold_rate if service else 0.0
-        return coldstart.compute_home_limit(rate, self._tolerance)
+        limit = coldstart.compute_home_limit(rate, self._tolerance)
+        return limit if is_established or limit == coldstart.UNLIMITED else 0.0
 
     def _set_pool_servers(self, pool: pools.Pool) -> None:
         service_id, _, _ = shards.parse_pool(pool.name)
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -42,6 +42,15 @@
     assert [peer.router for peer in handover.list_peers(members, OWN)] == ["near"]
 
 
+def test_busy_peers_are_used_if_all_are_busy() -> None:
+    """All routers have just started, and their threads still run late.
+
+    The router that an account has chosen would drown until the others are calm.
+    """
+    members = [OWN, *(make_member(f"busy-{n}", is_busy=True) for n in range(3))]
+    assert len(handover.list_peers(members, OWN)) == 3
+
+
 def test_no_peer_is_chosen_without_peers() -> None:
     assert handover.choose_peer([], {}, random.Random(1)) is None
 
--- a/tests/gateway/test_cold_servers.py
+++ b/tests/gateway/test_cold_servers.py
@@ -77,6 +77,14 @@
     assert len(cold.received) >= COLD_SENDS_MAX // 2
 
 
+def test_cold_server_without_a_known_rate_is_used_at_once(cluster) -> None:
+    """A service has no bound for cold servers, and its servers restart."""
+    server = cluster.add_server("gate-1", cold_left_ms=COLD_MS)
+    router = cluster.start_router()
+    assert router.call("/calls/1").status == 200
+    assert len(server.received) == 1
+
+
 def test_server_that_becomes_cold_again_gets_at_most_its_bound(cluster) -> None:
     """A warm server in use reports that it is cold again."""
     configure_cold_rate(cluster)
