Move the limits of cold servers out of the homes of pools

Change: ColdLimits holds tenures, majority and tolerance; behaviour is unchanged. Tests of cold servers and homes pass (9).

--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -10,18 +10,12 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, events, ids, kernel
-from celeryspan.decisions import coldstart, poolqueue, pools, shards, tenure
+from celeryspan.decisions import poolqueue, pools, shards
+from celeryspan.gateway import coldlimits
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import (
-        catalogues,
-        fleet,
-        keptparts,
-        poolmap,
-        serverlists,
-        settings,
-    )
+    from celeryspan.gateway import catalogues, keptparts, poolmap, serverlists
     from celeryspan.services import delivery, identity, membership
 
 TICK_SECONDS = 0.005
@@ -78,7 +72,6 @@
     def __init__(self, container: kernel.Kernel) -> None:
         self._catalogues: catalogues.CataloguesService = container.find("catalogues")
         self._delivery: delivery.DeliveryService = container.find("delivery")
-        self._fleet: fleet.FleetService = container.find("fleet")
         self._identity: identity.IdentityService = container.find("identity")
         self._kept_parts: keptparts.KeptParts = container.find("keptparts")
         self._membership: membership.MembershipService = container.find("membership")
@@ -86,10 +79,8 @@
         self._servers: serverlists.ServersService = container.find("servers")
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
-        self._tolerance = _make_tolerance(container.settings)
+        self._cold_limits = coldlimits.ColdLimits(container)
         self._pools: dict[ids.PoolId, pools.Pool] = {}
-        self._tenures: dict[ids.PoolId, tenure.Tenure] = {}
-        self._has_majority = False
         self._used_at: dict[ids.PoolId, float] = {}
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
         self._alive_sent_at = 0.0
@@ -128,7 +119,7 @@
                 name: {
                     "waiting": pool.count_waiting(),
                     "runs": pool.count_runs(),
-                    "established": self._tenures[name].is_established(now),
+                    "established": self._cold_limits.is_established(name, now),
                 }
                 for name, pool in self._pools.items()
             }
@@ -200,9 +191,8 @@
         pool = self._pools.get(name)
         if pool is None:
             pool = self._pools[name] = pools.Pool(name, self._random)
-            self._tenures[name] = tenure.Tenure()
             self._set_pool_servers(pool)
-            self._update_tenure(pool, time.monotonic())
+            self._cold_limits.update(pool, time.monotonic())
             events.log(events.Event.HOME_TAKEN, pool=name)
         return pool
 
@@ -211,35 +201,9 @@
         with self._lock:
             for pool in self._pools.values():
                 self._set_pool_servers(pool)
-                self._update_tenure(pool, now)
+                self._cold_limits.update(pool, now)
         self._changed.set()
 
-    def _update_tenure(self, pool: pools.Pool, now: float) -> None:
-        """Update what a pool may grant to cold servers; the caller holds the lock."""
-        if self._tolerance is None:
-            return
-        held = self._tenures[pool.name]
-        was_established = held.is_established(now)
-        is_home = self._map.find_home(pool.name) == self._identity.router
-        held.update(is_home=is_home, has_majority=self._has_majority, now=now)
-        is_established = held.is_established(now)
-        pool.limit_cold_grants(self._compute_cold_limit(pool, is_established))
-        if was_established and not is_established:
-            events.log(
-                events.Event.TENURE_LOST,
-                pool=pool.name,
-                is_home=is_home,
-                has_majority=self._has_majority,
-            )
-
-    def _compute_cold_limit(self, pool: pools.Pool, is_established: bool) -> float:
-        service_id, _, _ = shards.parse_pool(pool.name)
-        current = self._catalogues.current()
-        service = current.services.get(service_id) if current else None
-        rate = service.cold_rate if service else 0.0
-        limit = coldstart.compute_home_limit(rate, self._tolerance)
-        return limit if is_established or limit == coldstart.UNLIMITED else 0.0
-
     def _set_pool_servers(self, pool: pools.Pool) -> None:
         service_id, _, _ = shards.parse_pool(pool.name)
         current = self._catalogues.current()
@@ -267,7 +231,8 @@
         for name, pool in list(self._pools.items()):
             is_idle = not pool.count_waiting() and not pool.count_runs()
             if is_idle and now - self._used_at[name] > UNUSED_POOL_SECONDS:
-                del self._pools[name], self._used_at[name], self._tenures[name]
+                del self._pools[name], self._used_at[name]
+                self._cold_limits.forget(name)
 
     def _record_incarnation(
         self, router: ids.RouterId, incarnation: ids.Incarnation
@@ -284,13 +249,7 @@
 
     def _handle_members(self, members: list[messages.Member]) -> None:
         alive = {member.router for member in members} | {self._identity.router}
-        if self._tolerance is not None:
-            self._has_majority = tenure.has_majority(
-                len(alive),
-                self._membership.list_records(),
-                self._fleet.count_listed(),
-                time.monotonic(),
-            )
+        self._cold_limits.count_fleet(len(alive), time.monotonic())
         with self._lock:
             for router in self._incarnations.keys() - alive:
                 del self._incarnations[router]
@@ -345,7 +304,7 @@
         self._log_backlogs(now)
         with self._lock:
             for pool in self._pools.values():
-                self._update_tenure(pool, now)
+                self._cold_limits.update(pool, now)
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
             has_waiting = any(pool.count_waiting() for pool in self._pools.values())
             alive = (
@@ -390,12 +349,6 @@
         ]
 
 
-def _make_tolerance(values: settings.Settings) -> coldstart.Tolerance | None:
-    if values.cold_factor is None or values.cold_slack is None:
-        return None
-    return coldstart.Tolerance(values.cold_factor, values.cold_slack)
-
-
 def format_backlog(backlog: poolqueue.Backlog) -> list[object]:
     """Return a backlog's account, waiting and late requests, and received service."""
     return [backlog.account, backlog.waiting, backlog.late, round(backlog.level)]
