Hand over sooner after a start and under a flood

Change: the limit starts at 48 and falls by 30 % every quarter of a second; what is above it is served by peers. The test fails before (limit 88 after two seconds).

--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -29,6 +29,14 @@
 LATENESS_LOW_SECONDS = 0.008
 """Mean lateness below which more requests are served locally."""
 
+LIMIT_INITIAL = 48
+"""Requests served locally right after the start, when the state of the fleet is lost and
+all callers return at once."""
+
+DECREASE_FACTOR = 0.7
+DECREASE_INTERVAL_SECONDS = 0.25
+"""A decrease costs little, because the requests above the limit are served by peers."""
+
 CANDIDATES = 2
 """Random peers of which the least used one is chosen."""
 
@@ -37,8 +45,11 @@
     """Return the limiter of the requests that are served locally."""
     return overload.ConcurrencyLimiter(
         limit_max,
+        initial=LIMIT_INITIAL,
         lateness_high=LATENESS_HIGH_SECONDS,
         lateness_low=LATENESS_LOW_SECONDS,
+        decrease_factor=DECREASE_FACTOR,
+        decrease_interval=DECREASE_INTERVAL_SECONDS,
     )
 
 
--- a/celeryspan/decisions/overload.py
+++ b/celeryspan/decisions/overload.py
@@ -50,8 +50,12 @@
     ----------
     limit_max : int
         Maximum limit: the maximum number of request threads.
+    initial : int, optional
+        Limit before the first sample; ``limit_max`` by default.
     lateness_high, lateness_low : float
         Mean lateness above which the limit is lowered, and below which it is raised.
+    decrease_factor, decrease_interval : float
+        Factor of a decrease, and minimum time between two, in seconds.
 
     Attributes
     ----------
@@ -63,14 +67,19 @@
         self,
         limit_max: int,
         *,
+        initial: int | None = None,
         lateness_high: float = LATENESS_HIGH_SECONDS,
         lateness_low: float = LATENESS_LOW_SECONDS,
+        decrease_factor: float = DECREASE_FACTOR,
+        decrease_interval: float = DECREASE_INTERVAL_SECONDS,
     ) -> None:
         self.lateness = 0.0
         self._lateness_high = lateness_high
         self._lateness_low = lateness_low
+        self._decrease_factor = decrease_factor
+        self._decrease_interval = decrease_interval
         self._limit_max = float(limit_max)
-        self._limit = float(limit_max)
+        self._limit = float(limit_max if initial is None else min(initial, limit_max))
         self._decreased_at = float("-inf")
         self._recorded_at: float | None = None
 
@@ -92,10 +101,10 @@
         sample = min(lateness, LATENESS_SAMPLE_MAX_SECONDS)
         self.lateness += (sample - self.lateness) * LATENESS_EWMA_WEIGHT
         if self.lateness > self._lateness_high:
-            if now - self._decreased_at >= DECREASE_INTERVAL_SECONDS:
+            if now - self._decreased_at >= self._decrease_interval:
                 self._decreased_at = now
                 current = min(self._limit, float(in_progress))
-                self._limit = max(LIMIT_MIN, current * DECREASE_FACTOR)
+                self._limit = max(LIMIT_MIN, current * self._decrease_factor)
         elif self.lateness < self._lateness_low:
             raised = self._limit + elapsed * INCREASE_PER_SECOND
             self._limit = min(self._limit_max, raised)
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -81,3 +81,18 @@
         now += 0.1
         limiter.record(0.001, 10, now)
     assert limiter.limit == 320
+
+
+def test_router_that_is_flooded_after_its_start_hands_over_within_two_seconds() -> None:
+    """The power returns and all callers of an account come back to one router.
+
+    A limit that falls from its maximum by small steps leaves them without a connection
+    for ten seconds.
+    """
+    limiter = handover.make_limiter(320)
+    in_progress, now = 0, 0.0
+    while now < 2.0:
+        now += 0.1
+        in_progress = min(in_progress + 30, limiter.limit)
+        limiter.record(0.2, in_progress, now)
+    assert limiter.limit <= 20
