--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -30,7 +30,7 @@
 """Mean lateness below which more requests are served locally."""
 
 LIMIT_INITIAL = 48
-"""Requests served locally right after the start, when all callers may return at once."""
+"""Requests served locally right after the start, when all callers may come at once."""
 
 DECREASE_FACTOR = 0.7
 DECREASE_INTERVAL_SECONDS = 0.25
