--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -235,6 +235,9 @@
                 self._end_unsent(relay)
                 return
             relay.is_connected = True
+            if _has_left(relay.caller):
+                self._close(relay)
+                return
         sent = relay.socket.send(relay.unsent)
         relay.unsent = relay.unsent[sent:]
         if not relay.unsent:
@@ -329,6 +332,16 @@
     return sock
 
 
+def _has_left(caller: socket.socket) -> bool:
+    """Return whether a caller has closed its connection."""
+    try:
+        return not caller.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def _make_unreachable_error(peer: ids.RouterId, reason: object) -> errors.NotRun:
     return errors.NotRun(
         f"the router that was to serve the request can't be reached: {reason}",
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -10,6 +10,7 @@
 import msgspec
 import pytest
 
+from celeryspan import ids
 from celeryspan.gateway import handover
 from tests.gateway import support
 
@@ -141,6 +142,37 @@
     support.wait_for(lambda: get_handover(routers[0]).count() == 0)
 
 
+def test_request_of_a_caller_that_has_left_is_not_passed_on(routers) -> None:
+    """A caller gives up before a late router hands its request over.
+
+    A peer that gets the request may send it to a server before it sees the end.
+    """
+    service = get_handover(routers[0])
+    register, may_register = service._register_added, threading.Event()
+
+    def register_late() -> None:
+        if service.report()["total"]:
+            may_register.wait(support.WAIT_SECONDS)
+        register()
+
+    service._register_added = register_late
+    with socket.create_server(("127.0.0.1", 0)) as peer:
+        chosen = msgspec.structs.replace(
+            service.choose_peer(), caller_address=ids.Address(*peer.getsockname())
+        )
+        service.choose_peer = lambda: chosen
+        host, _, port = routers[0].settings.caller_address.partition(":")
+        with socket.create_connection((host, int(port))) as caller:
+            caller.sendall(b"GET /calls/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+            support.wait_for(lambda: service.report()["total"])
+        may_register.set()
+        connection, _ = peer.accept()
+        with connection:
+            connection.settimeout(support.WAIT_SECONDS)
+            assert connection.recv(1) == b""
+    support.wait_for(lambda: service.count() == 0)
+
+
 def test_request_for_an_unreachable_peer_is_refused_as_not_run(
     cluster, routers
 ) -> None:
