--- a/tests/decisions/test_coldstart.py
+++ b/tests/decisions/test_coldstart.py
@@ -117,10 +117,9 @@
 
 
 class FleetMachine(stateful.RuleBasedStateMachine):
-    """A server that is cold all the time, and routers that may be its home.
+    """A cold server and routers that may be its home.
 
-    Partitions split the fleet for as long as they like, routers restart without
-    memory, and grants take up to their time to live until the server gets them.
+    Partitions last for any time, routers lose their memory, and grants arrive late.
     """
 
     def __init__(self) -> None:
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -84,11 +84,7 @@
 
 
 def test_router_that_is_flooded_after_its_start_hands_over_within_two_seconds() -> None:
-    """The power returns and all callers of an account come back to one router.
-
-    A limit that falls from its maximum by small steps leaves them without a connection
-    for ten seconds.
-    """
+    """Guards against ten seconds without connections after the power returns."""
     limiter = handover.make_limiter(320)
     now = 0.0
     while now < 2.0:
--- a/tests/decisions/test_serverlist.py
+++ b/tests/decisions/test_serverlist.py
@@ -94,11 +94,7 @@
 
 
 def test_restored_servers_count_as_cold_whatever_their_entries_say() -> None:
-    """Servers become cold while their data centre is evacuated.
-
-    Their entries say so only at their next heartbeat. Until then the full load would
-    crash all of them.
-    """
+    """Guards against full load on servers whose entries are a heartbeat old."""
     servers = serverlist.ServerList()
     servers.update(make_entry("s1", 1), 0.0)
     servers.update(make_entry("s2", 2, data_centre="hala-b"), 0.0)
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -189,11 +189,7 @@
 def test_outcome_is_unknown_if_the_peer_dies_before_its_answer(
     cluster, routers
 ) -> None:
-    """A peer loses its power while it serves a request for another router.
-
-    A connection closed without an answer tells the caller nothing, and a refusal would
-    be untrue.
-    """
+    """Guards against a connection closed without an answer, and an untrue refusal."""
     engine = find_server(cluster, "planner-1")
     engine.script.append("silent")
     answers = []
