--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -28,6 +28,7 @@
 REQUEST_ID = "Celeryspan-Request-Id"
 EXPECT_INSTANCE = "Celeryspan-Expect-Instance"
 LAST_EVENT_ID = "Last-Event-Id"
+RESUMES = "Resumes"
 KV_MOVE_PATH = "/v1/kv-move"
 KV_HANDLE_PATH = "/v1/kv-handle/"
 KV_LIST_PATH = "/v1/kv-list"
@@ -82,6 +83,8 @@
         Number of accepted connections.
     events : int
         Number of events in each stream.
+    version : str
+        Version of its software, which each event names.
     fatal_bodies : set of bytes
         Bodies of requests that crash the server shortly after they begin to run.
     cold_requests_max : float
@@ -103,9 +106,12 @@
         Port on loopback; 0 picks a free one.
     """
 
-    def __init__(self, name: str, *, streams: bool = False, port: int = 0) -> None:
+    def __init__(
+        self, name: str, *, streams: bool = False, port: int = 0, version: str = "v1"
+    ) -> None:
         self.name = name
         self.streams = streams
+        self.version = version
         self.script: collections.deque[str] = collections.deque()
         self.received: list[ReceivedRequest] = []
         self.ran: list[str] = []
@@ -315,6 +321,14 @@
         connection.sendall(b"%x\r\n%b\r\n" % (len(sent), sent))
         return False
 
+    def _do_cut_begun(
+        self, request: ReceivedRequest, connection: socket.socket
+    ) -> bool:
+        """Drop the connection in the third event, unless the stream is resumed."""
+        if LAST_EVENT_ID.lower() in request.headers:
+            return self._do_serve(request, connection)
+        return self._do_cut_stream(request, connection)
+
     def _do_twice(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         """Send the same response twice."""
         self._record_run(request)
@@ -369,4 +383,11 @@
     def _write_events(self, request: ReceivedRequest) -> Iterator[bytes]:
         last = int(request.headers.get(LAST_EVENT_ID.lower(), 0))
         for number in range(last + 1, self.events + 1):
-            yield f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number}\nversion: {self.version}\n\n"
+            yield event.encode()
+
+
+def list_versions(body: bytes) -> list[str]:
+    """Return the software version of each event of a stream."""
+    lines = body.decode().splitlines()
+    return [line[9:] for line in lines if line.startswith("version: ")]
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -35,7 +35,10 @@
         self, name: str, service: str = "gate", **values: object
     ) -> platformserver.PlatformServer:
         """Start a backend server and register it in the store."""
-        server = platformserver.PlatformServer(name, streams=service == "planner")
+        version = str(values.setdefault("version", "v1"))
+        server = platformserver.PlatformServer(
+            name, streams=service == "planner", version=version
+        )
         server.start()
         self.servers.append(server)
         self._stack.callback(server.stop)
