Keep streams at the software version that began them

Cause: the version of a server was checked and thrown away, and Resumes was read nowhere: a retry within an answer, a copy of a run and a caller's take-up went to any engine. Class: a fact about a server that binds later requests is known where a stream begins and nowhere else. Change: the version is decoded once and kept in the server's entry, so by server and incarnation. The router that serves a stream, the home of its pool and three routers chosen by a hash of its first request hold the origin; the home learns it with the message of the first event that it gets anyway, and passes on many in one message. A router at which a stream is taken up asks the hosts once. Placing, retries, copies at target and source, cached parts and shards keep to the version; unknown origins and versions without a server are refused at once.

--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -18,6 +18,10 @@
 """Number of hash buckets by which a route splits its requests among services."""
 
 
+NO_VERSION = ids.SoftwareVersion("")
+"""Stands for any version, and for one that is not known."""
+
+
 class RouteKind(enum.Enum):
     """How the requests of a route may be retried when their outcome is unknown."""
 
@@ -207,6 +211,9 @@
         How much longer the server stays cold, as of the entry.
     cold_until : float
         Monotonic time on this router until which the server counts as cold.
+    version : SoftwareVersion
+        Version of its software. What servers of two versions write does not fit
+        together.
     """
 
     server: ids.ServerId
@@ -219,6 +226,7 @@
     started_ms: int | None = None
     cold_seconds: float = 0.0
     cold_until: float = 0.0
+    version: ids.SoftwareVersion = NO_VERSION
 
     def is_cold(self, now: float) -> bool:
         """Whether the server tolerates only a limited rate of requests."""
@@ -233,6 +241,13 @@
             return False
         return self.started_ms > other.started_ms
 
+    def replaces(self, other: ServerEntry) -> bool:
+        """Whether this describes another incarnation than an earlier entry.
+
+        Servers without a start time show it by another version of their software.
+        """
+        return self.succeeds(other) or self.version != other.version
+
 
 class Announcement(msgspec.Struct, frozen=True):
     """What a backend server states about itself in the head of an answer.
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -30,7 +30,7 @@
 
 import math
 import statistics
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -44,6 +44,7 @@
     longprompts,
     migration,
     poolservers,
+    streamversions,
 )
 from celeryspan.wire import messages
 
@@ -177,7 +178,7 @@
         self._servers = {}
         for entry in entries:
             previous = server = known.pop(entry.server, None)
-            if server is None or entry.succeeds(server.entry):
+            if server is None or entry.replaces(server.entry):
                 # A restarted server has an empty cache and no runs. The slots and the
                 # slowdown of its earlier incarnation would be wrong for seconds.
                 server = _make_server(entry, engine)
@@ -331,11 +332,11 @@
             The router that will send the request.
         """
         excluded: Collection[ids.ServerId] = ask.excluded
-        resting = self._find_resting(router, now)
-        if len({*excluded, *resting}) >= len(self._servers):
+        barred = self._find_resting(router, now) | self._find_others(ask.version)
+        if len({*excluded, *barred}) >= len(self._servers):
             excluded = ()  # Retry servers that failed the request if no other is left.
-        if resting:
-            excluded = {*excluded, *resting}
+        if barred:
+            excluded = {*excluded, *barred}
         if ask.isolation:
             if not self.can_isolate(ask):
                 return None
@@ -352,6 +353,16 @@
             if server.rests and server.is_resting(router, now)
         }
 
+    def _find_others(self, version: ids.SoftwareVersion) -> set[ids.ServerId]:
+        """Return the servers that can't continue a stream of a version."""
+        if not version:
+            return set()
+        return {
+            server.entry.server
+            for server in self._ordered_servers
+            if not streamversions.may_continue(server.entry, version)
+        }
+
     def can_isolate(self, ask: messages.SlotRequest) -> bool:
         """Whether a request that must run isolated could get a slot now.
 
@@ -384,7 +395,7 @@
         """Reserve a slot for a request and record its run."""
         server = self._servers[name]
         cached, copy_seconds, source = self._plan_copy(
-            ask, server, self._find_cache_source(ask, now)
+            ask, server, self._find_cache_sources(ask, now)
         )
         prefill = 0.0
         if self._engine is not None:
@@ -480,7 +491,12 @@
         dedicated = self._ordered_servers[: self.count_dedicated()]
         if source not in dedicated:
             return None
-        target = migration.choose_target(source, self._list_eligible(False, now), now)
+        candidates = [
+            server
+            for server in self._list_eligible(False, now)
+            if streamversions.may_continue(server.entry, source.entry.version)
+        ]
+        target = migration.choose_target(source, candidates, now)
         if target is None:
             return None
         moved = msgspec.structs.replace(run, prefill_seconds=0.0, is_long=False)
@@ -547,6 +563,13 @@
             server.expire(now - EXPIRY_GRACE_SECONDS)
             server.expire_rests(now)
 
+    def has_version(self, version: ids.SoftwareVersion) -> bool:
+        """Whether a stream that began at a version can go on here."""
+        return not version or any(
+            streamversions.may_continue(server.entry, version)
+            for server in self._ordered_servers
+        )
+
     def count_servers(self) -> int:
         """Return the number of servers that may get new requests."""
         return len(self._servers)
@@ -609,24 +632,32 @@
         """Return the number of engines dedicated to long prompts."""
         return self._long_prompts.count_dedicated(len(self._servers))
 
-    def _find_cache_source(self, ask: messages.SlotRequest, now: float) -> CacheSource:
-        """Return the engine with the longest cached prefix, if engines can copy."""
-        best = NO_CACHE_SOURCE
+    def _find_cache_sources(
+        self, ask: messages.SlotRequest, now: float
+    ) -> dict[ids.SoftwareVersion, CacheSource]:
+        """Return the engine with the longest cached prefix of each software version.
+
+        Empty if engines can't copy.
+        """
+        found: dict[ids.SoftwareVersion, CacheSource] = {}
         if self._engine is None or not self._engine.copy_token_seconds:
-            return best
+            return found
         for server in self._ordered_servers:
+            version = server.entry.version
             cached = server.cache.count_copyable(ask.parts, now)
-            if cached > best.cached_tokens and not server.health.is_backing_off(now):
-                best = CacheSource(cached, server.entry.server)
-        return best
+            longest = found.get(version, NO_CACHE_SOURCE).cached_tokens
+            if cached > longest and not server.health.is_backing_off(now):
+                found[version] = CacheSource(cached, server.entry.server)
+        return found
 
     def _plan_copy(
         self,
         ask: messages.SlotRequest,
         server: poolservers.PoolServer,
-        cache_source: CacheSource,
+        cache_sources: Mapping[ids.SoftwareVersion, CacheSource],
     ) -> tuple[int, float, ids.ServerId | None]:
         """Return tokens that need no prefill, copy time and copy source."""
+        cache_source = cache_sources.get(server.entry.version, NO_CACHE_SOURCE)
         cached = server.cache.count_cached(ask.parts)
         missing = cache_source.cached_tokens - cached
         if missing < COPY_TOKENS_MIN or self._engine is None:
@@ -671,12 +702,12 @@
     ) -> Choice | None:
         best = ready = NO_CANDIDATE
         prompt = self._make_prompt(ask)
-        cache_source = self._find_cache_source(ask, now)
+        cache_sources = self._find_cache_sources(ask, now)
         for is_long in (False, True):
-            for server in self._list_eligible(is_long, now):
+            for server in self._list_candidates(ask.version, is_long, now):
                 if not server.is_available(now) or server.entry.server in excluded:
                     continue
-                cached, copy_seconds, _ = self._plan_copy(ask, server, cache_source)
+                cached, copy_seconds, _ = self._plan_copy(ask, server, cache_sources)
                 if prompt.is_long(cached, server.slowdown) is not is_long:
                     continue
                 prefill = prompt.prefill_seconds(
@@ -695,6 +726,20 @@
         )
         return None if ask.waited + waited < wait else Choice(ready.server, regret)
 
+    def _list_candidates(
+        self, version: ids.SoftwareVersion, is_long: bool, now: float
+    ) -> Sequence[poolservers.PoolServer]:
+        """Return the servers for a request; all of its version if none is eligible."""
+        eligible = self._list_eligible(is_long, now)
+        if not version:
+            return eligible
+        candidates = [
+            server
+            for server in self._ordered_servers
+            if streamversions.may_continue(server.entry, version)
+        ]
+        return [server for server in candidates if server in eligible] or candidates
+
     def _make_candidate(
         self,
         ask: messages.SlotRequest,
--- a/celeryspan/decisions/poolqueue.py
+++ b/celeryspan/decisions/poolqueue.py
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self.work = 0.0
         self._tasks: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
+        self._resuming: dict[ids.RequestId, Task] = {}
 
     def __len__(self) -> int:
         return sum(len(tasks) for tasks in self._tasks.values())
@@ -88,6 +89,8 @@
     def add(self, task: Task) -> None:
         """Add a request."""
         self._tasks.setdefault(task.ask.account, {})[task.ask.request] = task
+        if task.ask.version:
+            self._resuming[task.ask.request] = task
         self.work += task.work
 
     def remove(self, task: Task) -> None:
@@ -111,6 +114,10 @@
         """Return the number of waiting requests of an account."""
         return len(self._tasks.get(account, ()))
 
+    def list_resuming(self) -> list[Task]:
+        """Return the tasks that continue streams, in the order of their arrival."""
+        return sorted(self._resuming.values(), key=lambda task: task.arrived_at)
+
     def list_routers(self) -> set[ids.RouterId]:
         """Return the routers that have requests waiting."""
         return {task.router for task in self}
@@ -148,6 +155,7 @@
         task = tasks.pop(request, None)
         if task is None:
             return False
+        self._resuming.pop(request, None)
         if not tasks:
             del self._tasks[account]
         # Reset when the queue is empty so that rounding errors don't accumulate.
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -14,6 +14,9 @@
   account would get less than others for it.
 * An account with only late requests yields to others, up to a bound. Without the bound,
   an account whose router delays its requests gets nothing beside a flood.
+* A request that continues a stream goes only to servers of the version that began it
+  (:mod:`streamversions`). It goes before new requests of accounts that have received at
+  least half as much service.
 * :mod:`placing` selects the server. Requests that no server can take yet wait here and
   never in an engine's queue.
 * Requests that can't be served in reasonable time are refused at once, with the time
@@ -38,6 +41,7 @@
     placing,
     poolqueue,
     poolservers,
+    streamversions,
 )
 from celeryspan.wire import messages
 
@@ -76,6 +80,10 @@
 
 NO_SERVER = ids.ServerId("")
 
+RESUMING_WEIGHT = 0.5
+"""Weight of the service that an account has received for requests that continue its
+streams. Only some servers can take them, which new requests would fill."""
+
 LOOKAHEAD_REQUESTS = 10
 """Requests of one account compared in each decision. One that fits no server yet
 doesn't block the rest, and the time of a decision is bounded."""
@@ -138,6 +146,7 @@
         self._rates = placementrates.PlacementRates()
         self._queue = poolqueue.PoolQueue()
         self._queue_seconds = 0.0
+        self._must_check_versions = False
         self._unused: collections.Counter[ids.AccountId] = collections.Counter()
 
     def set_servers(
@@ -145,6 +154,7 @@
     ) -> None:
         """Set the servers that may get new requests."""
         self._placer.set_servers(entries, engine)
+        self._must_check_versions = True
 
     def limit_cold_grants(self, grants_max: float) -> None:
         """Set how many requests a cold server may be granted within a second."""
@@ -174,6 +184,8 @@
         task = self._make_task(router, ask, now)
         if self._placer.exceeds_memory(ask):
             return [self._refuse(task, "too-large", now)]
+        if not self._placer.has_version(ask.version):
+            return [self._refuse_version_gone(task, now)]
         rest = self._placer.measure_rest(router, now)
         if rest is not None:
             return [self._refuse_resting(task, rest, now)]
@@ -314,7 +326,8 @@
     def tick(self, now: float) -> list[Answer]:
         """Expire overdue requests and runs, then place waiting requests."""
         self._placer.expire(now)
-        answers = self._expire(now) + self.decide(now)
+        answers = self._expire(now) + self._refuse_gone_versions(now)
+        answers += self.decide(now)
         self._queue_seconds = self._estimate_wait()
         return answers
 
@@ -324,13 +337,44 @@
         Long prompts and other requests are placed separately, because they go to
         different servers; neither kind waits behind the oldest requests of the other.
         """
-        answers: list[Answer] = []
+        answers = self._place_resuming(now)
         for is_long in (False, True):
             if self._placer.has_capacity(is_long, now):
                 candidates = self._group_waiting(is_long, now)
                 answers += self._place_groups(candidates, is_long, now)
         return answers
 
+    def _place_resuming(self, now: float) -> list[Answer]:
+        """Place requests that continue streams, as far as their accounts may go first.
+
+        Their servers may be few, and none of them may be one that usually takes prompts
+        of their length, so that each of them is tried.
+        """
+        resuming = self._queue.list_resuming()
+        if not resuming:
+            return []
+        least = min(self._shares.level(task.ask.account) for task in self._queue)
+        found = []
+        for task in resuming:
+            level = self._shares.level(task.ask.account) * RESUMING_WEIGHT
+            if level <= least and self._can_place(task.ask):
+                found.append(self._place_one([task], now))
+        return [answer for answer in found if answer is not None]
+
+    def _refuse_gone_versions(self, now: float) -> list[Answer]:
+        """Refuse requests for whose streams no server is left."""
+        if not self._must_check_versions:
+            return []
+        self._must_check_versions = False
+        gone = [
+            task
+            for task in self._queue.list_resuming()
+            if not self._placer.has_version(task.ask.version)
+        ]
+        for task in gone:
+            self._queue.remove(task)
+        return [self._refuse_version_gone(task, now) for task in gone]
+
     def _group_waiting(self, is_long: bool, now: float) -> TasksByGroup:
         """Return the waiting requests that could run, grouped and oldest first."""
         found: TasksByGroup = {}
@@ -412,6 +456,9 @@
     ) -> Answer:
         return self._make_refusal(task, announcements.SERVERS_RESTING, seconds, now)
 
+    def _refuse_version_gone(self, task: poolqueue.Task, now: float) -> Answer:
+        return self._make_refusal(task, streamversions.VERSION_GONE, 0.0, now)
+
     def _make_refusal(
         self, task: poolqueue.Task, reason: str, retry_after: float, now: float
     ) -> Answer:
--- a/celeryspan/explanations.py
+++ b/celeryspan/explanations.py
@@ -61,6 +61,17 @@
     return (
         f"sent to {fields.get('server')} (attempt {fields.get('attempt')},"
         f" {render_seconds(fields, 'left')} left, on a {kind} connection)"
+        + (f", software version {fields['version']}" if fields.get("version") else "")
+    )
+
+
+@explains(events.Event.STREAM_TAKEN_UP)
+def _explain_taken_up(fields: Fields) -> str:
+    begun = f"stream that began as {fields.get('origin') or 'an unnamed request'}"
+    if fields.get("version"):
+        begun += f" at software version {fields['version']}"
+    return f"{begun} taken up after event {fields.get('above')!r}: " + (
+        f"{fields.get('verdict')}"
     )
 
 
--- a/celeryspan/gateway/acceptance.py
+++ b/celeryspan/gateway/acceptance.py
@@ -44,7 +44,8 @@
     except errors.InputError as error:
         raise refusals.Refused(str(error), code="malformed", status=400) from error
     account = find_account(current, route, incoming.key)
-    service = route.choose_service(incoming.request)
+    # The rest of a stream comes from the service that began it.
+    service = route.choose_service(incoming.origin or incoming.request)
     if service is None:
         raise refusals.Refused(
             "the route has no service", code="no-service", status=404
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -14,7 +14,12 @@
 
 from celeryspan import catalog, errors, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import announcements as announced, coldstart, quarantine
+from celeryspan.decisions import (
+    announcements as announced,
+    coldstart,
+    quarantine,
+    streamversions,
+)
 from celeryspan.gateway import (
     attempts,
     channels,
@@ -22,6 +27,7 @@
     migrations,
     orders,
     places,
+    refusals,
     replies,
     requestprogress,
     sender,
@@ -36,6 +42,7 @@
         crashwatch,
         quarantines,
         serverlists,
+        streamorigins,
     )
 
 CONNECT_FAILURES_MAX = 4
@@ -60,6 +67,7 @@
         "quarantine",
         "sender",
         "servers",
+        "streamorigins",
     ),
 )
 class Carrier:
@@ -80,6 +88,9 @@
         self._sender: sender.Sender = container.find("sender")
         self._servers: serverlists.ServersService = container.find("servers")
         self._metrics: metrics.Metrics = container.find("metrics")
+        self._origins: streamorigins.StreamOriginsService = container.find(
+            "streamorigins"
+        )
         self._data_centre = ids.DataCentreId(container.settings.data_centre)
 
     def start(self) -> None:
@@ -105,6 +116,7 @@
         """
         self._budgets.record_request(order.service)
         progress = requestprogress.Progress()
+        progress.version = self._origins.find_version(order)
         refuse = functools.partial(self._places.refuse, order.request)
         self._quarantine.watch(order, progress, refuse)
         try:
@@ -132,7 +144,8 @@
             self._quarantine.check(order, progress)
             if self._servers.is_evacuated(order.service):
                 raise places.make_refusal("evacuated", EVACUATED_RETRY_AFTER_SECONDS)
-            rest = self._measure_rest(order.service)
+            self._origins.check_served(order.service, progress.version)
+            rest = self._measure_rest(order.service, progress.version)
             if rest is not None:
                 raise places.make_refusal(announced.SERVERS_RESTING, rest)
             return self._places.acquire(
@@ -143,11 +156,21 @@
                 return None
             raise endings.make_refusal(order, progress, refusal) from refusal
 
-    def _measure_rest(self, service: ids.ServiceId) -> float | None:
-        """Return the seconds until a server may be used, or None if one may be now."""
+    def _measure_rest(
+        self, service: ids.ServiceId, version: ids.SoftwareVersion
+    ) -> float | None:
+        """Return the seconds until a server may be used, or None if one may be now.
+
+        Parameters
+        ----------
+        version : SoftwareVersion
+            Counts only servers of this version; empty for all.
+        """
         usable = self._servers.usable().values()
         return self._announcements.measure_rest(
-            entry for entry in usable if entry.service == service
+            entry
+            for entry in usable
+            if entry.service == service and streamversions.may_continue(entry, version)
         )
 
     def _build_slot_request(
@@ -172,6 +195,7 @@
             stride=engine.stride if engine else 1,
             excluded=progress.excluded,
             isolation=self._get_isolation_fingerprint(order, progress),
+            version=progress.version,
         )
 
     def _get_isolation_fingerprint(
@@ -195,6 +219,9 @@
         if channel is None:
             return False
         self._check_before_send(order, place, progress, channel)
+        if not streamversions.may_continue(channel.entry, progress.version):
+            self._leave_other_version(order, place, progress, channel)
+            return False
         if self._is_grant_expired(place) or self._is_resting(place, channel):
             self._release_unused(place, channel)
             return False
@@ -214,7 +241,7 @@
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
-            rest = self._measure_rest(order.service)
+            rest = self._measure_rest(order.service, progress.version)
             self._attempts.handle_rejection(order, progress, declined, rest)
         except backend.AnswerLost as lost:
             ending = states.RunEnding.CANCELLED
@@ -342,6 +369,29 @@
         self._places.report_rest(place.pool, place.home, rest)
         return True
 
+    def _leave_other_version(
+        self,
+        order: orders.Order,
+        place: places.Slot,
+        progress: requestprogress.Progress,
+        channel: channels.Channel,
+    ) -> None:
+        """Give back a place at a server that can't continue the stream.
+
+        The home does not know yet that another incarnation has taken the server's id.
+
+        Raises
+        ------
+        errors.NotRun, backend.AnswerLost, errors.OutcomeUnknown
+            If this has happened too often.
+        """
+        self._release_unused(place, channel)
+        progress.excluded = (*progress.excluded, place.server)
+        progress.connect_failures += 1
+        if progress.connect_failures >= CONNECT_FAILURES_MAX:
+            refusal = refusals.make_take_up_error(streamversions.VERSION_GONE)
+            raise endings.make_refusal(order, progress, refusal)
+
     def _release_unused(self, place: places.Slot, channel: channels.Channel) -> None:
         """Close a connection that was not used and release the place."""
         channel.close()
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -383,7 +383,7 @@
         returned in between.
         """
         current = self._usable.get(channel.server)
-        return current is not None and current.succeeds(channel.entry)
+        return current is not None and current.replaces(channel.entry)
 
     def _take_idle(self, server: ids.ServerId, at_most_once: bool) -> Channel | None:
         while True:
--- a/celeryspan/gateway/migrations.py
+++ b/celeryspan/gateway/migrations.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel
-from celeryspan.decisions import shards
+from celeryspan.decisions import shards, streamversions
 from celeryspan.platform import engines
 from celeryspan.wire import messages
 
@@ -119,6 +119,8 @@
             return None
         if source is None or target is None:
             return None
+        if not streamversions.may_continue(target, source.version):
+            return None
         if any(self._announcements.find_rest(entry) for entry in (source, target)):
             return None
         service, _, _ = shards.parse_pool(move.pool)
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -14,7 +14,8 @@
 import msgspec
 
 from celeryspan import catalog, errors, events, ids, kernel, states
-from celeryspan.decisions import announcements as announced, shards
+from celeryspan.decisions import announcements as announced, shards, streamversions
+from celeryspan.gateway import refusals
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -34,6 +35,9 @@
 SWITCHES_MAX = 2
 """How often a request may switch to a better pool, since each switch costs it time."""
 
+OTHER_POOL_REASONS = (announced.SERVERS_RESTING, streamversions.VERSION_GONE)
+"""Reasons of refusals by one pool that may not hold for another."""
+
 REFUSAL_GRACE_SECONDS = 0.3
 """How long after its timeout a request is refused here if no home has refused it."""
 
@@ -49,6 +53,9 @@
         Time at which the grant arrived.
     source : ServerId or None
         The server to copy cached parts of the prompt from.
+    origin, version : RequestId, SoftwareVersion
+        The request that brought the first event of the stream, and the version of the
+        server that began it; empty before the first event.
     """
 
     ask: messages.SlotRequest
@@ -59,6 +66,8 @@
     granted_at: float
     is_begun: bool = False
     source: ids.ServerId | None = None
+    origin: ids.RequestId = ids.RequestId("")
+    version: ids.SoftwareVersion = catalog.NO_VERSION
     migration: migrations.Migration | None = None
 
 
@@ -149,11 +158,18 @@
             self._delivery.send(waiter.home, cancel)
             self._refuse(waiter, error)
 
-    def begin(self, slot: Slot) -> None:
-        """Report the first event of a run."""
+    def begin(
+        self,
+        slot: Slot,
+        origin: ids.RequestId,
+        version: ids.SoftwareVersion,
+    ) -> None:
+        """Report the first event of a run, and at which version its stream began."""
         slot.is_begun = True
-        ask = slot.ask
-        begun = messages.RunBegun(ask.request, slot.pool, slot.server)
+        slot.origin, slot.version = origin, version
+        begun = messages.RunBegun(
+            slot.ask.request, slot.pool, slot.server, origin, version
+        )
         self._delivery.send(slot.home, begun)
 
     def find_slot(self, request: ids.RequestId) -> Slot | None:
@@ -226,19 +242,19 @@
             if waiter is None or waiter.home != home or waiter.ask.pool != refusal.pool:
                 return
             outgoing = []
-            if refusal.reason == announced.SERVERS_RESTING:
-                outgoing = self._leave_resting_pool(waiter)
+            if refusal.reason in OTHER_POOL_REASONS:
+                outgoing = self._leave_pool(waiter)
             if not outgoing:
                 del self._waiters[refusal.request]
         if not outgoing:
-            self._refuse(waiter, make_refusal(refusal.reason, refusal.retry_after))
+            self._refuse(waiter, _make_refusal_error(refusal))
         for router, message in outgoing:
             self._delivery.send(router, message)
 
-    def _leave_resting_pool(
+    def _leave_pool(
         self, waiter: _Waiter
     ) -> list[tuple[ids.RouterId, messages.Message]]:
-        """Move a request to a pool with a server that doesn't rest, if there is one.
+        """Move a request to a pool with a server for it, if there is one.
 
         Returns the messages to the homes; the caller holds the lock.
         """
@@ -318,6 +334,8 @@
             slot.is_begun,
             max(0.0, slot.end_at - now),
             ask.isolation,
+            slot.origin,
+            slot.version,
         )
         outgoing = [(slot.home, ended), (home, held)]
         slot.home, slot.pool = home, pool
@@ -378,6 +396,12 @@
             self._delivery.send(home, message)
 
 
+def _make_refusal_error(refusal: messages.SlotRefusal) -> errors.NotRun:
+    if refusal.reason == streamversions.VERSION_GONE:
+        return refusals.make_take_up_error(refusal.reason)
+    return make_refusal(refusal.reason, refusal.retry_after)
+
+
 def make_refusal(reason: str, retry_after: float) -> errors.NotRun:
     """Return the error for a request that was not sent to any server."""
     return errors.NotRun(
--- a/celeryspan/gateway/poolmap.py
+++ b/celeryspan/gateway/poolmap.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import events, ids, kernel
-from celeryspan.decisions import shards
+from celeryspan.decisions import shards, streamversions
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -89,17 +89,34 @@
         """Return the pool to send a request to."""
         count = self._find_division(service).count
         key, penalty = shards.find_affinity(ask)
-        resting = self._find_resting_shards(service) if count > 1 else frozenset()
-        shard = self._pressures.choose(service, count, key, penalty, now, resting)
+        avoided = (
+            self._find_avoided_shards(service, ask.version)
+            if count > 1
+            else frozenset()
+        )
+        shard = self._pressures.choose(service, count, key, penalty, now, avoided)
         return shards.name_pool(service, count, shard)
 
-    def _find_resting_shards(self, service: ids.ServiceId) -> frozenset[int]:
-        """Return the shards of which all servers rest for this router."""
+    def _find_avoided_shards(
+        self, service: ids.ServiceId, version: ids.SoftwareVersion
+    ) -> frozenset[int]:
+        """Return the shards without a server for a request of this router.
+
+        All their servers rest for this router, or have another software version than
+        the one that began the request's stream.
+        """
         resting = self._announcements.list_resting()
-        if not resting:
+        if not resting and not version:
             return frozenset()
+        entries = self._servers.usable()
         found = self._find_division(service).shards.items()
-        usable = {shard for server, shard in found if server not in resting}
+        usable = {
+            shard
+            for server, shard in found
+            if server not in resting
+            and server in entries
+            and streamversions.may_continue(entries[server], version)
+        }
         return frozenset(shard for _, shard in found) - usable
 
     def find_better_pool(
@@ -146,6 +163,16 @@
         found = self._list_homes(service, count)
         return found[shard] if shard < len(found) else self._identity.router
 
+    def list_hosts(
+        self, service: ids.ServiceId, count: int
+    ) -> tuple[ids.RouterId, ...]:
+        """Return the homes of a service and those next in line, ``count`` at least.
+
+        There are fewer if the fleet has fewer routers.
+        """
+        count = max(count, self._find_division(service).count)
+        return tuple(dict.fromkeys(self._list_homes(service, count)))
+
     def _list_homes(
         self, service: ids.ServiceId, count: int
     ) -> tuple[ids.RouterId, ...]:
--- a/celeryspan/gateway/refusals.py
+++ b/celeryspan/gateway/refusals.py
@@ -5,6 +5,7 @@
 import json
 
 from celeryspan import errors, states
+from celeryspan.decisions import streamversions
 from celeryspan.gateway import orders
 from celeryspan.platform import names
 
@@ -21,12 +22,34 @@
 }
 
 
+TAKE_UP_MESSAGES = {
+    streamversions.VERSION_GONE: (
+        "no server of the software version that began the stream is left; send the "
+        "request again without Last-Event-Id to begin from the first event"
+    ),
+    streamversions.ORIGIN_UNKNOWN: (
+        "the software version that began the stream is not known here; send the "
+        "request again without Last-Event-Id to begin from the first event"
+    ),
+}
+
+
 class Refused(errors.RequestError):
     """The request is malformed or not allowed, and was not sent to any server."""
 
     outcome = states.Outcome.NOT_RUN
 
 
+def make_take_up_error(code: str) -> errors.NotRun:
+    """Return the error for a stream that can't go on.
+
+    It has no time to come back: the caller may begin anew at once.
+    """
+    return errors.NotRun(
+        TAKE_UP_MESSAGES[code], code=code, status=503, step="take up a stream"
+    )
+
+
 def write_refusal(
     sink: orders.Sink, request_id: str, error: errors.RequestError
 ) -> None:
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -28,6 +28,8 @@
     status : int
     headers : list of (name, value)
         Headers to forward to the caller.
+    version : SoftwareVersion
+        Version of the server that answers.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         self.status = answer.status
         self.reason = answer.reason
         self.headers = requests.filter_response_headers(answer.getheaders())
+        self.version = channel.entry.version
         self._order = order
         self._channel = channel
         self._answer = answer
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from celeryspan import ids
+from celeryspan import catalog, ids
 
 if TYPE_CHECKING:
     from celeryspan.decisions import fingerprints
@@ -43,6 +43,9 @@
         Consecutive crashes attributed to this request, as known when it was last sent.
     fingerprint : Fingerprint or None
         Computed on first use.
+    version : SoftwareVersion
+        Version of the server that began the stream, at which alone it may go on; empty
+        if any server may run the request.
     """
 
     def __init__(self) -> None:
@@ -60,6 +63,7 @@
         self.last_sent_at = 0.0
         self.answer_begun_at: float | None = None
         self.strikes = 0
+        self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
 
     def record_send(self, now: float) -> None:
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -11,6 +11,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel
 from celeryspan.adapters import backend
+from celeryspan.decisions import streamversions
 from celeryspan.gateway import (
     channels,
     migrations,
@@ -28,6 +29,7 @@
         evacuations,
         quarantines,
         serverlists,
+        streamorigins,
     )
 
 
@@ -42,6 +44,7 @@
         "places",
         "quarantine",
         "servers",
+        "streamorigins",
     ),
 )
 class Sender:
@@ -60,6 +63,9 @@
         self._migrations: migrations.Migrations = container.find("migrations")
         self._places: places.SlotClient = container.find("places")
         self._servers: serverlists.ServersService = container.find("servers")
+        self._origins: streamorigins.StreamOriginsService = container.find(
+            "streamorigins"
+        )
 
     def start(self) -> None:
         """Do nothing: the service has no background work."""
@@ -113,6 +119,8 @@
             attempt=progress.sends + 1,
             left=round(left, 3),
             reused=not channel.is_new,
+            version=channel.entry.version,
+            origin=order.incoming.origin,
         )
         progress.record_send(time.monotonic())
         try:
@@ -153,10 +161,12 @@
         sink: orders.Sink,
     ) -> None:
         """Relay a stream event by event; raises backend.AnswerLost."""
+        if progress.version not in (catalog.NO_VERSION, reply.version):
+            raise reply.make_answer_lost("the server has another version")
         for event in reply.read_events(progress.last_event):
             progress.record_event(time.monotonic())
             if not place.is_begun:
-                self._places.begin(place)
+                self._begin(order, place, progress, reply)
             if not progress.is_answering:
                 progress.is_answering = True
                 headers = [
@@ -171,6 +181,22 @@
             sink.write_head(reply.status, reply.reason, reply.headers)
         sink.finish()
 
+    def _begin(
+        self,
+        order: orders.Order,
+        place: places.Slot,
+        progress: requestprogress.Progress,
+        reply: replies.Reply,
+    ) -> None:
+        """Report the first event of a run before it is passed on to the caller."""
+        progress.version = reply.version
+        if not order.route.is_resumable:
+            self._places.begin(place, order.request, catalog.NO_VERSION)
+            return
+        origin = order.incoming.origin or order.request
+        self._origins.record(origin, order.service, progress.version)
+        self._places.begin(place, origin, progress.version)
+
     def resume(
         self,
         order: orders.Order,
@@ -189,7 +215,9 @@
         source, target = migration.source, migration.target
         moved_from = engines.format_copy(source.address, migration.copy)
         for entry in (target, source) if migration.copy.is_at_target else (source,):
-            refusal = self._find_resumption_refusal(entry, has_slot=entry is target)
+            refusal = self._find_resumption_refusal(
+                entry, progress.version, has_slot=entry is target
+            )
             if refusal:
                 _log_resumption(order, progress, entry.server, refusal)
                 continue
@@ -212,7 +240,11 @@
         return False
 
     def _find_resumption_refusal(
-        self, entry: catalog.ServerEntry, *, has_slot: bool
+        self,
+        entry: catalog.ServerEntry,
+        version: ids.SoftwareVersion,
+        *,
+        has_slot: bool,
     ) -> str:
         """Return why a run may not be resumed at a server; empty if it may.
 
@@ -228,6 +260,12 @@
         except errors.NotRun as refusal:
             return refusal.message
         known = self._servers.find(entry.server)
+        if any(
+            not streamversions.may_continue(each, version)
+            for each in (entry, known)
+            if each is not None
+        ):
+            return "the server has another version"
         if known is not None and known.is_leaving:
             return "the server is leaving"
         if not has_slot and known is not None and known.is_cold(time.monotonic()):
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import threading
 import time
 from collections.abc import Callable
@@ -105,7 +106,10 @@
             found.setdefault(entry.service, []).append(server)
         now = time.monotonic()
         cold = [name for name, entry in self._usable.items() if entry.is_cold(now)]
-        return {"usable": found, "cold": cold}
+        versions = {
+            f"{s} {v}": n for (s, v), n in _count_versions(self._usable).items()
+        }
+        return {"usable": found, "cold": cold, "versions": versions}
 
     def remove(self, server: ids.ServerId) -> None:
         """Remove a server after another one has answered at its address."""
@@ -179,6 +183,7 @@
         self._metrics.set_cold_servers(
             sum(each.is_cold(now) for each in usable.values())
         )
+        self._record_versions(before, usable)
         for server in before.keys() - usable.keys():
             events.log(events.Event.SERVER_LEAVING, server=server)
         for server in before.keys() & usable.keys():
@@ -190,6 +195,24 @@
         for handler in list(self._handlers):
             handler(usable)
 
+    def _record_versions(
+        self,
+        before: dict[ids.ServerId, catalog.ServerEntry],
+        usable: dict[ids.ServerId, catalog.ServerEntry],
+    ) -> None:
+        """Set the gauges of software versions, and log changes of a service's."""
+        counts = _count_versions(usable)
+        earlier = _count_versions(before)
+        if counts == earlier:
+            return
+        self._metrics.set_server_versions(counts)
+        for service in {service for service, _ in counts.keys() ^ earlier.keys()}:
+            events.log(
+                events.Event.VERSIONS_CHANGED,
+                service=service,
+                servers={v: n for (s, v), n in counts.items() if s == service},
+            )
+
     def _run(self) -> None:
         while not self._stopped.wait(EXPIRY_CHECK_INTERVAL_SECONDS):
             with self._lock:
@@ -198,6 +221,15 @@
                 self._publish()
 
 
+def _count_versions(
+    servers: dict[ids.ServerId, catalog.ServerEntry],
+) -> collections.Counter[tuple[str, str]]:
+    """Return the number of servers by service and software version."""
+    return collections.Counter(
+        (entry.service, entry.version) for entry in servers.values()
+    )
+
+
 def _parse_entry(found: storedobjects.StoredObject) -> catalog.ServerEntry | None:
     try:
         entry = servers.read(found)
--- a/celeryspan/ids.py
+++ b/celeryspan/ids.py
@@ -14,6 +14,7 @@
 RouterId = NewType("RouterId", str)
 ServerId = NewType("ServerId", str)
 ServiceId = NewType("ServiceId", str)
+SoftwareVersion = NewType("SoftwareVersion", str)
 
 
 class Address(NamedTuple):
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -199,6 +199,22 @@
             ["kind"],
             registry=self.registry,
         )
+        self._take_ups = prometheus_client.Counter(
+            "celeryspan_take_ups",
+            "Broken streams that callers took up at this router, by verdict.",
+            ["verdict"],
+            registry=self.registry,
+        )
+        self._stream_origins = prometheus_client.Gauge(
+            "celeryspan_stream_origins",
+            "Streams whose software version this router holds.",
+            registry=self.registry,
+        )
+        self._server_versions = self._make_gauge(
+            "server_versions",
+            "Usable servers by software version.",
+            ["service", "version"],
+        )
         self._handed_over = prometheus_client.Counter(
             "celeryspan_handed_over",
             "Requests handed over to peers for want of processor time.",
@@ -287,6 +303,20 @@
         """Count an announcement of a backend server."""
         self._announcements.labels(kind).inc()
 
+    def count_take_up(self, verdict: str) -> None:
+        """Count a stream that a caller takes up, by whether it may go on."""
+        self._take_ups.labels(verdict).inc()
+
+    def set_stream_origins(self, count: int) -> None:
+        """Set the number of streams whose origin this router holds."""
+        self._stream_origins.set(count)
+
+    def set_server_versions(self, counts: Mapping[tuple[str, str], int]) -> None:
+        """Set the number of usable servers by service and software version."""
+        self._server_versions.clear()
+        for labels, count in counts.items():
+            self._server_versions.labels(*labels).set(count)
+
     def count_handover(self) -> None:
         """Count a request that was handed over to a peer."""
         self._handed_over.inc()
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -16,6 +16,7 @@
 NOT_RUN = "Celeryspan-Not-Executed"
 LOAD = "Celeryspan-Server-Load"
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
 
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -45,6 +45,9 @@
 """Headers set by this system; removed from callers' requests."""
 
 
+NO_REQUEST = ids.RequestId("")
+
+
 class Incoming(msgspec.Struct, frozen=True):
     """The parsed headers of a caller's request.
 
@@ -56,6 +59,12 @@
         The caller's estimate of the output length, or its upper limit if it gives none.
     headers : tuple of (name, value)
         Headers to forward.
+    last_event : str
+        Id of the last event of a broken stream that the caller received; empty for a
+        new request.
+    origin : RequestId
+        The request that brought the first event of that stream; empty if the caller
+        names none.
     """
 
     request: ids.RequestId
@@ -65,6 +74,13 @@
     prompt_tokens: int
     output_tokens: int
     headers: tuple[tuple[str, str], ...]
+    last_event: str = ""
+    origin: ids.RequestId = NO_REQUEST
+
+    @property
+    def is_take_up(self) -> bool:
+        """Whether the caller asks for the rest of a broken stream."""
+        return bool(self.last_event or self.origin)
 
 
 def read(headers: Mapping[str, str]) -> Incoming:
@@ -91,6 +107,8 @@
             if name.lower() not in HOP_BY_HOP_HEADERS
             and name.lower() not in RESERVED_HEADERS
         ),
+        last_event=values.get(names.LAST_EVENT.lower(), ""),
+        origin=ids.RequestId(values.get(names.RESUMES.lower(), "")),
     )
 
 
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -43,7 +43,6 @@
 def _parse(stored: storedobjects.StoredObject, spec: object) -> catalog.ServerEntry:
     if not isinstance(spec, Mapping):
         raise TypeError(f"expected a mapping, found {type(spec).__name__}")
-    _parse_text(spec, "version")
     _parse_unsigned(spec, "sequence")
     slots = _parse_unsigned(spec, "slots")
     if not 0 < slots <= SLOTS_MAX:
@@ -59,6 +58,7 @@
         # Absent in deployments where a server gets a new id at each start.
         started_ms=_parse_unsigned(spec, "born") if "born" in spec else None,
         cold_seconds=_parse_milliseconds(spec, "cold_left_ms"),
+        version=ids.SoftwareVersion(_parse_text(spec, "version")),
     )
 
 
--- a/celeryspan/wire/codec.py
+++ b/celeryspan/wire/codec.py
@@ -291,6 +291,14 @@
     return _intern, lambda index, strings: strings[index]
 
 
+@register_converter(ids.SoftwareVersion)
+def _make_optional_string_converter() -> tuple[Encode, Decode]:
+    return (
+        lambda text, indexes: _intern(text, indexes) + 1 if text else 0,
+        lambda index, strings: strings[index - 1] if index else "",
+    )
+
+
 @register_converter(bool, int, float)
 def _make_number_converter() -> tuple[Encode, Decode]:
     return lambda value, _: value, lambda value, _: value
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -327,6 +327,9 @@
         Fingerprint of a request during which servers have crashed, otherwise 0. Such a
         request runs at most once at a time, and never beside another one of its kind
         at the same server.
+    version : SoftwareVersion
+        Version of the server that began the stream which the request continues; empty
+        if any server will do.
     """
 
     request: ids.RequestId
@@ -343,6 +346,7 @@
     stride: int
     excluded: tuple[ids.ServerId, ...]
     isolation: int = 0
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 class SlotCancel(msgspec.Struct, frozen=True):
@@ -399,6 +403,8 @@
         Whether its first event has arrived.
     isolation : int
         As in :class:`SlotRequest`.
+    origin, version
+        As in :class:`RunBegun`.
     """
 
     request: ids.RequestId
@@ -410,14 +416,27 @@
     is_begun: bool
     left: float
     isolation: int = 0
+    origin: ids.RequestId = ids.RequestId("")
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 class RunBegun(msgspec.Struct, frozen=True):
-    """The first event of a run has arrived."""
+    """The first event of a run has arrived.
+
+    Attributes
+    ----------
+    origin : RequestId
+        The request that brought the first event of the stream; empty if the stream
+        can't be taken up.
+    version : SoftwareVersion
+        Version of the server that began the stream.
+    """
 
     request: ids.RequestId
     pool: ids.PoolId
     server: ids.ServerId
+    origin: ids.RequestId = ids.RequestId("")
+    version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
 class RunMove(msgspec.Struct, frozen=True):
@@ -512,6 +531,37 @@
     left: float
 
 
+class StreamOrigin(msgspec.Struct, frozen=True):
+    """At which service and software version a stream began.
+
+    Attributes
+    ----------
+    request : RequestId
+        The request that brought its first event.
+    version : SoftwareVersion
+        Empty if the sender does not know the stream.
+    age : float
+        Time since the stream last went on, in seconds.
+    """
+
+    request: ids.RequestId
+    service: ids.ServiceId
+    version: ids.SoftwareVersion
+    age: float
+
+
+class StreamOrigins(msgspec.Struct, frozen=True):
+    """Streams whose origins the receiver is to hold as well."""
+
+    origins: tuple[StreamOrigin, ...]
+
+
+class OriginRequest(msgspec.Struct, frozen=True):
+    """Asks for the origin of a stream; answered by a :class:`StreamOrigin`."""
+
+    request: ids.RequestId
+
+
 class AccountUnits(msgspec.Struct, frozen=True):
     """Service recently started for an account, in tokens."""
 
@@ -680,6 +730,9 @@
     | SuspectsStored
     | ServerDeparture
     | ServerRest
+    | StreamOrigin
+    | StreamOrigins
+    | OriginRequest
 )
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -7,6 +7,9 @@
 
 using Text = UInt32;
 
+# An index plus one; 0, also the value if the sender is older, is the empty string.
+using OptionalText = UInt32;
+
 struct Frame {
   sender @0 :Text;
   incarnation @1 :UInt64;
@@ -58,6 +61,9 @@
     suspectsStored @38 :SuspectsStored;
     serverDeparture @39 :ServerDeparture;
     serverRest @40 :ServerRest;
+    streamOrigin @41 :StreamOrigin;
+    streamOrigins @42 :StreamOrigins;
+    originRequest @43 :OriginRequest;
   }
 }
 
@@ -235,6 +241,7 @@
   stride @11 :UInt16;
   excluded @12 :List(Text);
   isolation @13 :UInt64;
+  version @14 :OptionalText;
 }
 
 struct SlotCancel {
@@ -268,12 +275,16 @@
   isBegun @6 :Bool;
   left @7 :Float32;
   isolation @8 :UInt64;
+  origin @9 :Text;
+  version @10 :OptionalText;
 }
 
 struct RunBegun {
   request @0 :Text;
   pool @1 :Text;
   server @2 :Text;
+  origin @3 :Text;
+  version @4 :OptionalText;
 }
 
 struct RunEnded {
@@ -303,6 +314,21 @@
   left @4 :Float32;
 }
 
+struct StreamOrigin {
+  request @0 :Text;
+  service @1 :Text;
+  version @2 :OptionalText;
+  age @3 :Float32;
+}
+
+struct StreamOrigins {
+  origins @0 :List(StreamOrigin);
+}
+
+struct OriginRequest {
+  request @0 :Text;
+}
+
 struct AccountUnits {
   account @0 :Text;
   units @1 :Float64;
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -10,7 +10,7 @@
 import pytest
 
 from celeryspan import events, ids
-from celeryspan.decisions import shards
+from celeryspan.decisions import shards, streamversions
 from celeryspan.wire import messages
 from standins import platformserver
 from tests.gateway import support
@@ -19,6 +19,8 @@
 PATH = "/drafts/1"
 POOL = shards.name_pool(ids.ServiceId("planner"), 1, 0)
 REFUSED_SECONDS_MAX = 1.0
+SHARED_SECONDS = 0.4
+"""Time within which a home has passed on what it was told."""
 
 
 class Stream:
@@ -146,11 +148,11 @@
 
 
 def settle(*routers: support.Router) -> None:
-    """Wait until the routers know each other and share what they hold."""
+    """Wait until the routers know each other."""
     for router in routers:
         alive = router.container.find("membership").alive
         support.wait_for(lambda alive=alive: len(alive()) >= len(routers))
-    time.sleep(0.4)
+    time.sleep(SHARED_SECONDS)
 
 
 def test_broken_answer_goes_on_at_its_version(cluster) -> None:
@@ -206,7 +208,7 @@
     routers = [cluster.start_router(f"edge-{number}") for number in range(3)]
     settle(*routers)
     streams = begin_streams(routers[0])
-    time.sleep(0.3)
+    time.sleep(SHARED_SECONDS)
     routers[0].stop()
     joined = cluster.start_router("edge-3")
     settle(joined, routers[1])
@@ -293,10 +295,11 @@
     routers = [cluster.start_router(f"edge-{number}") for number in range(2)]
     settle(*routers)
     (stream,) = begin_streams(routers[0], 1)
+    time.sleep(SHARED_SECONDS)
     links = routers[1].container.find("links")
     links.send = lambda *_, **__: None
     origins = routers[1].container.find("streamorigins")
-    origins._origins.clear()
+    origins._origins = streamversions.Origins()
     answer = stream.take_up(routers[1], "again")
     assert (answer.status, get_code(answer)) == (503, "origin-unknown")
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -63,12 +63,13 @@
         0.25,
         6,
         ("gpu-1", "gpu-2"),
+        version="v1.2",
     ),
     messages.SlotCancel("q-1", "planner-llm"),
     messages.SlotOffer("q-1", "planner-llm#1#0", "gpu-1", 0.5, "gpu-2"),
     messages.SlotRefusal("q-1", "planner-llm#1#0", 0.5, "no-place-in-time", 0.25),
     messages.RunHeld("q-1", "planner-llm", "desk", "gpu-1", (), 1210, True, 2.5),
-    messages.RunBegun("q-1", "planner-llm", "gpu-1"),
+    messages.RunBegun("q-1", "planner-llm", "gpu-1", "q-0", "v1.2"),
     messages.RunMove("q-1", "planner-llm#1#0", "gpu-1", "gpu-2"),
     messages.RunMoved("q-1", "planner-llm#1#0", "gpu-1", "gpu-2", True),
     messages.Suspect(
@@ -87,6 +88,11 @@
     messages.PoolShares("planner-llm#8#3", 2, (messages.AccountUnits("desk", 420.0),)),
     messages.ServerDeparture("gpu-1", 2**41, 0.5),
     messages.ServerRest("planner-llm#1#0", "gpu-1", 2**41, 0.5, 2.5),
+    messages.StreamOrigin("q-1", "planner-llm", "", 0.5),
+    messages.StreamOrigins(
+        (messages.StreamOrigin("q-1", "planner-llm", "v1.2", 0.5),),
+    ),
+    messages.OriginRequest("q-1"),
     messages.RelayRequest("servers", 2**40),
     messages.RelayBatch("servers", 7, 2**40, True, 0.5, False, b"[]"),
 )
@@ -102,6 +108,13 @@
     assert codec.decode(codec.encode(frame)) == frame
 
 
+def test_version_that_an_older_router_does_not_send_is_empty() -> None:
+    """Guards against the first string of a frame read as a software version."""
+    begun = messages.RunBegun("q-1", "planner-llm", "gpu-1")
+    (decoded,) = codec.decode(codec.encode(make_frame(begun))).messages
+    assert decoded.version == ""
+
+
 def test_strings_are_encoded_once_per_frame() -> None:
     grant = SAMPLES[1]
     one = len(codec.encode(make_frame(grant)))
