Let the soak release engine software while callers take streams up

Cause: nothing of ours played two software versions side by side. Change: engines are released in steps, crashed ones come back under their id with the newest version, and four callers leave streams in the middle and take them up at other routers, beside all other faults. A stream does not go on at a server that can restart under its id while its entry has not been confirmed for four seconds.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,12 +8,13 @@
 connections are delayed, reset, silenced or cut in one direction; the store hangs or
 refuses; servers drain, fail and answer twice; configurations change; some callers leak
 connections; some requests crash the servers that run them; servers announce departures
-and rests in their answers. Afterwards the answers that
+and rests in their answers; engines are released with new software while callers take
+their streams up. Afterwards the answers that
 callers received are compared with what servers executed. The soak counts requests that
 ran twice, that ran although the answer says they did not, or that got the answer to
 another request; servers that got work after they had left; routers that no longer
 become ready; fatal requests that kept crashing servers; and cold servers that got more
-than they tolerate.
+than they tolerate; and streams with events of two software versions.
 """
 
 from __future__ import annotations
@@ -30,7 +31,13 @@
 import time
 from collections.abc import Callable
 
-from bench import soakannouncements, soakfatal, soakparts, soakplaces
+from bench import (
+    soakannouncements,
+    soakfatal,
+    soakparts,
+    soakplaces,
+    soakreleases,
+)
 from standins import objects, platformserver, ports, sampleconfig
 
 ROUTERS = 3
@@ -69,6 +76,8 @@
     start_times : dict of str to int
         Start time of the current incarnation by server, in milliseconds since the
         epoch.
+    versions : dict of str to str
+        Software version of the current incarnation by server.
     leave_times : dict of str to float
         Monotonic time at which a server started to drain.
     disturbed_at : dict of str to list of float
@@ -100,6 +109,8 @@
         self._started_at = time.monotonic()
         self._tasks: list[threading.Thread] = []
         self._folder = folder
+        self.versions: dict[str, str] = {}
+        self.releases = soakreleases.Releases(self, seed)
         self.store.start()
         self.store.put("config", "main", soakplaces.make_configuration(self.version))
         for service, count in SERVERS.items():
@@ -123,6 +134,10 @@
             for index in range(CALLERS)
         ]
         self.fatal = soakfatal.FatalCaller(self, seed)
+        self.resuming = [
+            soakreleases.ResumingCaller(f"s{index}", self.routers, seed)
+            for index in range(soakreleases.CALLERS)
+        ]
         self.evacuations = soakplaces.Evacuations(self, seed)
         self.announcements = soakannouncements.Announcements(self, seed)
 
@@ -140,7 +155,10 @@
 
     def start_server(self, name: str, service: str) -> platformserver.PlatformServer:
         """Start a new incarnation of a backend server."""
-        server = platformserver.PlatformServer(name, streams=service == "planner")
+        version = self.versions[name] = self.releases.version
+        server = platformserver.PlatformServer(
+            name, streams=service == soakreleases.SERVICE, version=version
+        )
         server.event_seconds = 0.02
         server.fatal_bodies = soakfatal.BODIES
         server.start()
@@ -169,11 +187,20 @@
             proxy.address,
             state=state,
             born=self.start_times[name],
+            version=self.versions[name],
             zone=soakplaces.find_data_centre(name),
             **values,
         )
         self.store.put("servers", name, spec)
 
+    def replace_server(self, server: platformserver.PlatformServer) -> None:
+        """Start a new server and drain another of the same service."""
+        service = server.name.partition("-")[0]
+        self.add_server(service)
+        self.record_event(f"{server.name} drains")
+        self.register(server.name, service, self.proxies[server.name], "draining")
+        self.leave_times[server.name] = time.monotonic()
+
     def run_later(self, seconds: float, action: Callable[[], None]) -> None:
         """Run an action after a delay, or earlier when the run stops."""
 
@@ -196,6 +223,8 @@
             self.fatal,
             self.evacuations,
             self.announcements,
+            self.releases,
+            *self.resuming,
         ):
             each.start()
         deadline = time.monotonic() + seconds
@@ -209,9 +238,10 @@
         self.fatal.stop()
         self.evacuations.stop()
         self.announcements.stop()
+        self.releases.stop()
         time.sleep(SETTLE_SECONDS)
         self.unready_routers = sum(not router.is_ready() for router in self.routers)
-        for each in (*self.callers, *self.connection_leakers):
+        for each in (*self.callers, *self.connection_leakers, *self.resuming):
             each.stop()
         self.unexpected_exits = sum(router.has_exited() for router in self.routers)
 
@@ -260,6 +290,9 @@
             "cold_excess": self.evacuations.count_cold_excess(),
             "after_departure": self.announcements.count_after_departure(),
             "rest_excess": self.announcements.count_rest_excess(),
+            "two_versions": sum(len(each.mixed) for each in self.resuming),
+            "taken_up": sum(each.counts["taken_up"] for each in self.resuming),
+            "went_on": sum(each.counts["went_on"] for each in self.resuming),
             "crashes": len(self.crashed),
             "crashed_too_often": self.fatal.count_excess(servers),
             "held_innocents": sum(each.status == 429 for each in exchanges),
@@ -269,6 +302,9 @@
         for each in exchanges:
             if each.mismatch:
                 self.record_event(f"mixed: {each}")
+        for caller in self.resuming:
+            for each in caller.mixed:
+                self.record_event(f"two versions: {each}")
         return counts
 
     def _count_after_leaving(self) -> int:
@@ -405,11 +441,7 @@
     """Start a new server and drain another of the same service."""
     ready = [each for each in soak.servers if each.name not in soak.leave_times]
     server = soak.random.choice(ready)
-    service = server.name.partition("-")[0]
-    soak.add_server(service)
-    soak.record_event(f"{server.name} drains")
-    soak.register(server.name, service, soak.proxies[server.name], "draining")
-    soak.leave_times[server.name] = time.monotonic()
+    soak.replace_server(server)
 
 
 ZERO_COUNTS = (
@@ -422,6 +454,7 @@
     "held_innocents",
     "cold_excess",
     "rest_excess",
+    "two_versions",
 )
 """Counts that must be 0. ``after_leaving`` and ``after_evacuation`` may be more: a
 router that cannot reach the store still sends work to such servers. So may
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -370,5 +370,7 @@
     if path.startswith(("/calls/", "/bookings/")):
         return "" if body == platformserver.BODY else f"unexpected body {body!r}"
     numbers = [int(line[3:]) for line in body.split(b"\n") if line.startswith(b"id:")]
+    if len(set(platformserver.list_versions(body))) > 1:
+        return f"events of two software versions: {body!r}"
     is_complete = numbers == [*range(1, platformserver.EVENTS + 1)]
     return "" if is_complete else f"unexpected events {numbers}"
--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -12,6 +12,8 @@
   spreads streams, so that the loss of some routers never loses all of them.
 * A stream whose origin is unknown does not go on. A version that serves alone is no
   proof: a router that is cut off, or has just started, sees no other one.
+* A server that can restart under its id may have another version than its last known
+  entry says. A stream goes on there only if the entries were confirmed recently.
 * Origins are forgotten once no caller can take the stream up any more, and the oldest
   ones first if there are too many.
 """
@@ -40,7 +42,12 @@
 ORIGINS_MAX = 50_000
 """Origins that one router holds; a home with 250 streams a second holds 10,000."""
 
+ENTRIES_AGE_SECONDS_MAX = 4.0
+"""Age of the entries up to which a restart under the same id would be known; a router
+that reads them from others has them confirmed every 2.6 s."""
+
 VERSION_GONE = "version-gone"
+VERSION_UNCONFIRMED = "version-unconfirmed"
 ORIGIN_UNKNOWN = "origin-unknown"
 
 
@@ -49,6 +56,7 @@
 
     GOES_ON = "goes-on"
     VERSION_GONE = VERSION_GONE
+    VERSION_UNCONFIRMED = VERSION_UNCONFIRMED
     ORIGIN_UNKNOWN = ORIGIN_UNKNOWN
 
 
@@ -148,6 +156,7 @@
     origin: Origin | None,
     service: ids.ServiceId,
     servers: Iterable[catalog.ServerEntry],
+    age: float,
 ) -> Verdict:
     """Return whether a stream may go on at one of some usable servers.
 
@@ -155,23 +164,44 @@
     ----------
     service : ServiceId
         The service to which the request is sent now.
+    age : float
+        Time since the entries of the servers were last confirmed, in seconds.
     """
     if origin is None or not origin.version:
         return Verdict.ORIGIN_UNKNOWN
-    if origin.service != service or not is_served(service, origin.version, servers):
+    if origin.service != service:
         return Verdict.VERSION_GONE
-    return Verdict.GOES_ON
+    return judge_version(origin.version, service, servers, age)
 
 
-def is_served(
-    service: ids.ServiceId,
+def judge_version(
     version: ids.SoftwareVersion,
+    service: ids.ServiceId,
     servers: Iterable[catalog.ServerEntry],
-) -> bool:
-    """Whether any server of a service has a version."""
-    return any(
-        entry.service == service and may_continue(entry, version) for entry in servers
-    )
+    age: float,
+) -> Verdict:
+    """Return whether a stream of a known version may go on; see :func:`judge`."""
+    found = [
+        entry
+        for entry in servers
+        if entry.service == service and may_continue(entry, version)
+    ]
+    if not found:
+        return Verdict.VERSION_GONE
+    if not any(is_confirmed(entry, age) for entry in found):
+        return Verdict.VERSION_UNCONFIRMED
+    return Verdict.GOES_ON
+
+
+def is_confirmed(entry: catalog.ServerEntry, age: float) -> bool:
+    """Whether a server still has the version of its entry if it still has its id.
+
+    Parameters
+    ----------
+    age : float
+        As in :func:`judge`.
+    """
+    return entry.started_ms is None or age <= ENTRIES_AGE_SECONDS_MAX
 
 
 def may_continue(entry: catalog.ServerEntry, version: ids.SoftwareVersion) -> bool:
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -219,7 +219,7 @@
         if channel is None:
             return False
         self._check_before_send(order, place, progress, channel)
-        if not streamversions.may_continue(channel.entry, progress.version):
+        if not self._origins.may_continue(channel.entry, progress.version):
             self._leave_other_version(order, place, progress, channel)
             return False
         if self._is_grant_expired(place) or self._is_resting(place, channel):
--- a/celeryspan/gateway/refusals.py
+++ b/celeryspan/gateway/refusals.py
@@ -27,6 +27,11 @@
         "no server of the software version that began the stream is left; send the "
         "request again without Last-Event-Id to begin from the first event"
     ),
+    streamversions.VERSION_UNCONFIRMED: (
+        "servers may have restarted with another software version since this router "
+        "last heard of them; send the request again without Last-Event-Id to begin "
+        "from the first event"
+    ),
     streamversions.ORIGIN_UNKNOWN: (
         "the software version that began the stream is not known here; send the "
         "request again without Last-Event-Id to begin from the first event"
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -88,6 +88,10 @@
         with self._lock:
             return self._list.find(server)
 
+    def measure_age(self) -> float:
+        """Return the time since the entries were last confirmed, in seconds."""
+        return time.monotonic() - self._follower.last_answer_at()
+
     def is_evacuated(self, service: ids.ServiceId) -> bool:
         """Return whether all servers of a service are in evacuated data centres."""
         with self._lock:
--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -112,7 +112,10 @@
             return catalog.NO_VERSION
         origin = self._find(incoming.origin, order.service)
         verdict = streamversions.judge(
-            origin, order.service, self._servers.usable().values()
+            origin,
+            order.service,
+            self._servers.usable().values(),
+            self._servers.measure_age(),
         )
         version = origin.version if origin else catalog.NO_VERSION
         self._metrics.count_take_up(verdict.value)
@@ -137,11 +140,28 @@
         Raises
         ------
         errors.NotRun
-            If no usable server has the version.
+            If no usable server is known to have the version.
         """
-        usable = self._servers.usable().values()
-        if version and not streamversions.is_served(service, version, usable):
-            raise refusals.make_take_up_error(streamversions.VERSION_GONE)
+        if not version:
+            return
+        verdict = streamversions.judge_version(
+            version,
+            service,
+            self._servers.usable().values(),
+            self._servers.measure_age(),
+        )
+        if verdict is not streamversions.Verdict.GOES_ON:
+            raise refusals.make_take_up_error(verdict.value)
+
+    def may_continue(
+        self, entry: catalog.ServerEntry, version: ids.SoftwareVersion
+    ) -> bool:
+        """Whether a server is known to continue streams of a version."""
+        if not version:
+            return True
+        return streamversions.may_continue(
+            entry, version
+        ) and streamversions.is_confirmed(entry, self._servers.measure_age())
 
     def record(
         self,
