--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -383,7 +383,7 @@
     def _write_events(self, request: ReceivedRequest) -> Iterator[bytes]:
         last = int(request.headers.get(LAST_EVENT_ID.lower(), 0))
         for number in range(last + 1, self.events + 1):
-            event = f"id: {number}\ndata: piece {number}\nversion: {self.version}\n\n"
+            event = f"id: {number}\nversion: {self.version}\ndata: piece {number}\n\n"
             yield event.encode()
 
 
