--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -78,6 +78,26 @@
     assert expected in described
 
 
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        (
+            {"origin": "q-1", "version": "v1.2", "above": "3", "verdict": "goes-on"},
+            "began as q-1 at software version v1.2 taken up after event '3': goes-on",
+        ),
+        (
+            {"origin": "", "version": "", "above": "3", "verdict": "origin-unknown"},
+            "began as an unnamed request taken up after event '3': origin-unknown",
+        ),
+    ],
+)
+def test_take_up_names_origin_version_and_verdict(
+    fields: dict[str, object], expected: str
+) -> None:
+    line = make_line(213, 0.0, **fields)
+    assert expected in explanations.EXPLANATIONS[line.number](line.fields)
+
+
 def test_request_without_a_logged_end() -> None:
     sent = make_line(203, 0.0, server="i-1")
     assert "no end is logged" in explanations.describe_outcome([sent])
