Give the requests of a log test ids of their own

Cause: eliot hands what was logged before its first destination to that destination. Where this test was the first with one, it saw the requests of an earlier test under the same id (seen once).

--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -342,11 +342,11 @@
     """Guards against histories that can't tell how a stream got to another version."""
     add_engines(cluster, {"v1": 1, "v2": 1})
     router = cluster.start_router()
-    stream = Stream("origin")
+    stream = Stream("logged-origin")
     stream.begin(router)
-    stream.take_up(router, "again")
+    stream.take_up(router, "logged-again")
     lines = support.find_lines(logged, events.Event.REQUEST_SENT)
-    (first,) = [line for line in lines if line["request"] == "origin"]
-    (second,) = [line for line in lines if line["request"] == "again"]
+    (first,) = [line for line in lines if line["request"] == "logged-origin"]
+    (second,) = [line for line in lines if line["request"] == "logged-again"]
     assert first["version"] == second["version"] == stream.versions[0]
-    assert (first["origin"], second["origin"]) == ("", "origin")
+    assert (first["origin"], second["origin"]) == ("", "logged-origin")
