--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -457,7 +457,8 @@
         return self._make_refusal(task, announcements.SERVERS_RESTING, seconds, now)
 
     def _refuse_version_gone(self, task: poolqueue.Task, now: float) -> Answer:
-        return self._make_refusal(task, streamversions.VERSION_GONE, 0.0, now)
+        reason = streamversions.Verdict.VERSION_GONE.value
+        return self._make_refusal(task, reason, 0.0, now)
 
     def _make_refusal(
         self, task: poolqueue.Task, reason: str, retry_after: float, now: float
--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -46,18 +46,14 @@
 """Age of the entries up to which a restart under the same id would be known; a router
 that reads them from others has them confirmed every 2.6 s."""
 
-VERSION_GONE = "version-gone"
-VERSION_UNCONFIRMED = "version-unconfirmed"
-ORIGIN_UNKNOWN = "origin-unknown"
-
 
 class Verdict(enum.Enum):
-    """Whether a stream may go on."""
+    """Whether a stream may go on; the values are codes that callers and logs see."""
 
     GOES_ON = "goes-on"
-    VERSION_GONE = VERSION_GONE
-    VERSION_UNCONFIRMED = VERSION_UNCONFIRMED
-    ORIGIN_UNKNOWN = ORIGIN_UNKNOWN
+    VERSION_GONE = "version-gone"
+    VERSION_UNCONFIRMED = "version-unconfirmed"
+    ORIGIN_UNKNOWN = "origin-unknown"
 
 
 class Origin(msgspec.Struct, frozen=True):
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -389,7 +389,7 @@
         progress.excluded = (*progress.excluded, place.server)
         progress.connect_failures += 1
         if progress.connect_failures >= CONNECT_FAILURES_MAX:
-            refusal = refusals.make_take_up_error(streamversions.VERSION_GONE)
+            refusal = refusals.make_take_up_error(streamversions.Verdict.VERSION_GONE)
             raise endings.make_refusal(order, progress, refusal)
 
     def _release_unused(self, place: places.Slot, channel: channels.Channel) -> None:
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -35,7 +35,9 @@
 SWITCHES_MAX = 2
 """How often a request may switch to a better pool, since each switch costs it time."""
 
-OTHER_POOL_REASONS = (announced.SERVERS_RESTING, streamversions.VERSION_GONE)
+VERSION_GONE = streamversions.Verdict.VERSION_GONE
+
+OTHER_POOL_REASONS = (announced.SERVERS_RESTING, VERSION_GONE.value)
 """Reasons of refusals by one pool that may not hold for another."""
 
 REFUSAL_GRACE_SECONDS = 0.3
@@ -397,8 +399,8 @@
 
 
 def _make_refusal_error(refusal: messages.SlotRefusal) -> errors.NotRun:
-    if refusal.reason == streamversions.VERSION_GONE:
-        return refusals.make_take_up_error(refusal.reason)
+    if refusal.reason == VERSION_GONE.value:
+        return refusals.make_take_up_error(VERSION_GONE)
     return make_refusal(refusal.reason, refusal.retry_after)
 
 
--- a/celeryspan/gateway/refusals.py
+++ b/celeryspan/gateway/refusals.py
@@ -23,16 +23,16 @@
 
 
 TAKE_UP_MESSAGES = {
-    streamversions.VERSION_GONE: (
+    streamversions.Verdict.VERSION_GONE: (
         "no server of the software version that began the stream is left; send the "
         "request again without Last-Event-Id to begin from the first event"
     ),
-    streamversions.VERSION_UNCONFIRMED: (
+    streamversions.Verdict.VERSION_UNCONFIRMED: (
         "servers may have restarted with another software version since this router "
         "last heard of them; send the request again without Last-Event-Id to begin "
         "from the first event"
     ),
-    streamversions.ORIGIN_UNKNOWN: (
+    streamversions.Verdict.ORIGIN_UNKNOWN: (
         "the software version that began the stream is not known here; send the "
         "request again without Last-Event-Id to begin from the first event"
     ),
@@ -45,13 +45,16 @@
     outcome = states.Outcome.NOT_RUN
 
 
-def make_take_up_error(code: str) -> errors.NotRun:
+def make_take_up_error(verdict: streamversions.Verdict) -> errors.NotRun:
     """Return the error for a stream that can't go on.
 
     It has no time to come back: the caller may begin anew at once.
     """
     return errors.NotRun(
-        TAKE_UP_MESSAGES[code], code=code, status=503, step="take up a stream"
+        TAKE_UP_MESSAGES[verdict],
+        code=verdict.value,
+        status=503,
+        step="take up a stream",
     )
 
 
--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -29,7 +29,7 @@
 
 MESSAGE_ORIGINS_MAX = 500
 
-QUESTION_TIMEOUT_SECONDS = 0.25
+QUESTION_TIMEOUT_SECONDS = 0.4
 """Time for hosts to answer; those that are up take some milliseconds."""
 
 ASKED_MAX = 8
@@ -130,7 +130,7 @@
         )
         if verdict is streamversions.Verdict.GOES_ON:
             return version
-        raise refusals.make_take_up_error(verdict.value)
+        raise refusals.make_take_up_error(verdict)
 
     def check_served(
         self, service: ids.ServiceId, version: ids.SoftwareVersion
@@ -151,7 +151,7 @@
             self._servers.measure_age(),
         )
         if verdict is not streamversions.Verdict.GOES_ON:
-            raise refusals.make_take_up_error(verdict.value)
+            raise refusals.make_take_up_error(verdict)
 
     def may_continue(
         self, entry: catalog.ServerEntry, version: ids.SoftwareVersion
