--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -338,6 +338,23 @@
     assert target.received == []
 
 
+def test_take_up_finds_the_shard_with_its_version(cluster) -> None:
+    """Guards against a stream that waits in a shard without its version."""
+    add_engines(cluster, {"v1": 19, "v2": 1}, seconds=0.0)
+    router = cluster.start_router()
+    divided = router.container.find("poolmap").report
+    support.wait_for(lambda: len(divided()["planner"]) > 1)
+    origins = router.container.find("streamorigins")
+    for number in range(8):
+        stream = Stream(f"origin-{number}")
+        stream.last_event, stream.versions = 1, ["v2"]
+        origins.record(stream.origin, ids.ServiceId("planner"), "v2")
+        began = time.monotonic()
+        stream.take_up(router, f"again-{number}")
+        assert stream.is_whole()
+        assert time.monotonic() - began < REFUSED_SECONDS_MAX
+
+
 def test_log_names_version_and_origin_of_a_taken_up_stream(cluster, logged) -> None:
     """Guards against histories that can't tell how a stream got to another version."""
     add_engines(cluster, {"v1": 1, "v2": 1})
--- a/tests/platform/test_formats.py
+++ b/tests/platform/test_formats.py
@@ -103,6 +103,15 @@
     assert "Celeryspan-Credential" not in sent and "Connection" not in sent
 
 
+def test_take_up_is_told_from_a_new_request() -> None:
+    """Guards against streams that begin anew, or go on, though nobody asked."""
+    assert not requests.read({"Celeryspan-Request-Id": "r2"}).is_take_up
+    found = requests.read({"Last-Event-Id": "3", "Resumes": "r1"})
+    assert (found.is_take_up, found.last_event, found.origin) == (True, "3", "r1")
+    assert requests.read({"Last-Event-Id": "3"}).is_take_up
+    assert ("Resumes", "r1") in found.headers
+
+
 @pytest.mark.parametrize(
     ("name", "value"),
     [
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -43,6 +43,15 @@
     assert servers.read(make_stored(make_spec())).started_ms is None
 
 
+def test_version_of_the_software_is_kept() -> None:
+    """Guards against streams that go on at any version for want of its name."""
+    first = servers.read(make_stored(make_spec(version="v1.2")))
+    second = servers.read(make_stored(make_spec(version="v1.3")))
+    assert first.version == "v1.2"
+    assert second.replaces(first)
+    assert not first.replaces(first)
+
+
 def test_draining_or_terminating_server_is_leaving() -> None:
     assert not servers.read(make_stored(make_spec())).is_leaving
     assert servers.read(make_stored(make_spec(state="draining"))).is_leaving
