Let streams wait while the list of servers has not arrived

Cause: a home or router that has just started knows no server, and took every version for gone: the caller of a broken stream was told to begin anew. Change: without any server of the service a stream waits as a new request does; a decision tries ten of the waiting streams at most. Result: the new test fails on the code before.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -564,8 +564,13 @@
             server.expire_rests(now)
 
     def has_version(self, version: ids.SoftwareVersion) -> bool:
-        """Whether a stream that began at a version can go on here."""
-        return not version or any(
+        """Whether a stream that began at a version can go on here.
+
+        True without servers, because the list of them may not have arrived yet.
+        """
+        if not version or not self._ordered_servers:
+            return True
+        return any(
             streamversions.may_continue(server.entry, version)
             for server in self._ordered_servers
         )
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -355,7 +355,7 @@
             return []
         least = min(self._shares.level(task.ask.account) for task in self._queue)
         found = []
-        for task in resuming:
+        for task in resuming[:LOOKAHEAD_REQUESTS]:
             level = self._shares.level(task.ask.account) * RESUMING_WEIGHT
             if level <= least and self._can_place(task.ask):
                 found.append(self._place_one([task], now))
--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -177,11 +177,10 @@
     age: float,
 ) -> Verdict:
     """Return whether a stream of a known version may go on; see :func:`judge`."""
-    found = [
-        entry
-        for entry in servers
-        if entry.service == service and may_continue(entry, version)
-    ]
+    known = [entry for entry in servers if entry.service == service]
+    if not known:
+        return Verdict.GOES_ON  # The list of servers may not have arrived yet.
+    found = [entry for entry in known if may_continue(entry, version)]
     if not found:
         return Verdict.VERSION_GONE
     if not any(is_confirmed(entry, age) for entry in found):
--- a/tests/decisions/test_streamversions.py
+++ b/tests/decisions/test_streamversions.py
@@ -241,6 +241,17 @@
     assert find_server(refused) == GONE
 
 
+def test_stream_waits_for_a_list_of_servers_that_has_not_arrived() -> None:
+    """Guards against streams that a router which has just started ends for good."""
+    pool = make_pool()
+    assert pool.ask(ROUTER, make_ask("q-1", "v1"), 0.0) == []
+    pool.set_servers([make_entry("gpu-1", "v1")], ENGINE)
+    assert find_server(pool.tick(0.1)) == "gpu-1"
+    origin = streamversions.Origin(SERVICE, ids.SoftwareVersion("v1"), 0.0)
+    verdict = streamversions.judge(origin, SERVICE, [], 0.0)
+    assert verdict is streamversions.Verdict.GOES_ON
+
+
 def test_engine_that_failed_a_stream_is_tried_again_if_alone_of_its_version() -> None:
     """Guards against streams that end because other versions count as untried."""
     pool = make_pool(make_entry("gpu-1", "v1"), make_entry("gpu-2", "v2"))
