Resume copied runs while the store is away where servers restart under their ids

Cause: the last step of a move asked for confirmed entries too, so that with the store away for four seconds a stopped run could go on nowhere, not even at its source. Change: a move is not begun without confirmed entries; a copy that was made proves its engine by its handle.

--- a/celeryspan/gateway/migrations.py
+++ b/celeryspan/gateway/migrations.py
@@ -12,12 +12,18 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel
-from celeryspan.decisions import shards, streamversions
+from celeryspan.decisions import shards
 from celeryspan.platform import engines
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import announcements, budgets, places, serverlists
+    from celeryspan.gateway import (
+        announcements,
+        budgets,
+        places,
+        serverlists,
+        streamorigins,
+    )
     from celeryspan.services import delivery
 
 COPY_TIMEOUT_SECONDS = 1.0
@@ -56,7 +62,15 @@
 
 
 @kernel.register(
-    "migrations", needs=("announcements", "budgets", "delivery", "places", "servers")
+    "migrations",
+    needs=(
+        "announcements",
+        "budgets",
+        "delivery",
+        "places",
+        "servers",
+        "streamorigins",
+    ),
 )
 class Migrations:
     """Executes the migrations that home routers request."""
@@ -69,6 +83,9 @@
         self._delivery: delivery.DeliveryService = container.find("delivery")
         self._places: places.SlotClient = container.find("places")
         self._servers: serverlists.ServersService = container.find("servers")
+        self._origins: streamorigins.StreamOriginsService = container.find(
+            "streamorigins"
+        )
         self._client = engines.EngineClient(self._announcements.record_answer)
 
     def start(self) -> None:
@@ -119,7 +136,7 @@
             return None
         if source is None or target is None:
             return None
-        if not streamversions.may_continue(target, source.version):
+        if not self._origins.may_continue(target, source.version):
             return None
         if any(self._announcements.find_rest(entry) for entry in (source, target)):
             return None
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -11,6 +11,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel
 from celeryspan.adapters import backend
+from celeryspan.decisions import streamversions
 from celeryspan.gateway import (
     channels,
     migrations,
@@ -260,7 +261,7 @@
             return refusal.message
         known = self._servers.find(entry.server)
         if any(
-            not self._origins.may_continue(each, version)
+            not streamversions.may_continue(each, version)
             for each in (entry, known)
             if each is not None
         ):
