Let streams of callers that name no origin go on while one version serves alone

Change: such a stream goes on while this router has seen one version of the service alone for as long as streams are taken up, with confirmed entries.

--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -10,8 +10,10 @@
   request chooses among the service's hosts. Few routers hold most streams of a
   service, so that a home sends each of them one message for many streams; the hash
   spreads streams, so that the loss of some routers never loses all of them.
-* A stream whose origin is unknown does not go on. A version that serves alone is no
-  proof: a router that is cut off, or has just started, sees no other one.
+* A stream whose origin is named and unknown does not go on. A version that serves alone
+  is no proof: a router that is cut off, or has just started, sees no other one.
+* Callers of an older protocol name no origin. Their streams go on while this router
+  has seen one version alone for as long as streams are taken up.
 * A server that can restart under its id may have another version than its last known
   entry says. A stream goes on there only if the entries were confirmed recently.
 * Origins are forgotten once no caller can take the stream up any more, and the oldest
@@ -130,6 +132,31 @@
         return list(self._found.items())
 
 
+class VersionHistory:
+    """When servers of each version could last begin streams, as seen by one router."""
+
+    def __init__(self) -> None:
+        self._listed: set[tuple[ids.ServiceId, ids.SoftwareVersion]] = set()
+        self._seen_at: dict[tuple[ids.ServiceId, ids.SoftwareVersion], float] = {}
+
+    def record(self, servers: Iterable[catalog.ServerEntry], now: float) -> None:
+        """Record a change of the usable servers."""
+        earlier = self._listed
+        self._listed = {(entry.service, entry.version) for entry in servers}
+        self._seen_at.update(dict.fromkeys(earlier | self._listed, now))
+
+    def find_sole_version(
+        self, service: ids.ServiceId, since: float
+    ) -> ids.SoftwareVersion:
+        """Return the only version of a service since a time; empty if it is unclear."""
+        found = [
+            version
+            for (name, version), seen_at in self._seen_at.items()
+            if name == service and (seen_at >= since or (name, version) in self._listed)
+        ]
+        return found[0] if len(found) == 1 else catalog.NO_VERSION
+
+
 def choose_holders(
     request: ids.RequestId, hosts: Collection[ids.RouterId]
 ) -> tuple[ids.RouterId, ...]:
--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -62,6 +62,7 @@
         self._servers: serverlists.ServersService = container.find("servers")
         self._lock = threading.Lock()
         self._origins = streamversions.Origins()
+        self._history = streamversions.VersionHistory()
         self._unsent: dict[ids.RequestId, None] = {}
         self._questions: dict[ids.RequestId, _Question] = {}
         self._hosts: dict[ids.ServiceId, tuple[ids.RouterId, ...]] = {}
@@ -79,6 +80,7 @@
         self._delivery.subscribe(messages.StreamOrigin, self._handle_answer)
         self._delivery.subscribe(messages.OriginRequest, self._handle_request)
         self._catalogues.subscribe(self._apply_timeouts)
+        self._servers.subscribe(self._record_versions)
         self._thread.start()
 
     def stop(self) -> None:
@@ -110,7 +112,11 @@
         is_stream = order.route.kind is catalog.RouteKind.STREAM
         if not (is_stream and incoming.is_take_up):
             return catalog.NO_VERSION
-        origin = self._find(incoming.origin, order.service)
+        origin = (
+            self._find(incoming.origin, order.service)
+            if incoming.origin
+            else self._infer(order.service)
+        )
         verdict = streamversions.judge(
             origin,
             order.service,
@@ -176,12 +182,19 @@
     def _find(
         self, request: ids.RequestId, service: ids.ServiceId
     ) -> streamversions.Origin | None:
-        if not request:
-            return None
         with self._lock:
             found = self._origins.find(request)
         return found if found is not None else self._ask(request, service)
 
+    def _infer(self, service: ids.ServiceId) -> streamversions.Origin | None:
+        """Return the origin of a stream whose caller names none, if it is certain."""
+        if self._servers.measure_age() > streamversions.ENTRIES_AGE_SECONDS_MAX:
+            return None
+        now = time.monotonic()
+        with self._lock:
+            version = self._history.find_sole_version(service, now - self._retention)
+        return streamversions.Origin(service, version, now) if version else None
+
     def _ask(
         self, request: ids.RequestId, service: ids.ServiceId
     ) -> streamversions.Origin | None:
@@ -255,6 +268,10 @@
         self._list_hosts(told.service)
         self._origins.record(told.request, told.service, told.version, now - told.age)
 
+    def _record_versions(self, usable: dict[ids.ServerId, catalog.ServerEntry]) -> None:
+        with self._lock:
+            self._history.record(usable.values(), time.monotonic())
+
     def _apply_timeouts(self, current: catalog.Catalogue) -> None:
         """Hold origins for as long as callers of the current routes may need them."""
         timeouts = [
--- a/tests/decisions/test_streamversions.py
+++ b/tests/decisions/test_streamversions.py
@@ -128,6 +128,19 @@
     assert streamversions.judge(found, service, entries, age) is verdict
 
 
+def test_sole_version_is_not_inferred_while_streams_of_another_may_be_open() -> None:
+    """Guards against the version left by a release being taken for the only one."""
+    history = streamversions.VersionHistory()
+    assert history.find_sole_version(SERVICE, 0.0) == ""
+    first, second = make_entry("gpu-1", "v1"), make_entry("gpu-2", "v2")
+    history.record([first], 0.0)
+    assert history.find_sole_version(SERVICE, 50.0) == "v1"
+    history.record([first, second], 60.0)
+    history.record([second], 100.0)
+    assert history.find_sole_version(SERVICE, 100.0) == ""
+    assert history.find_sole_version(SERVICE, 100.1) == "v2"
+
+
 class OriginsMachine(stateful.RuleBasedStateMachine):
     """Compares the held origins with a model without a bound."""
 
