Keep the holders of stream origins while routers become busy

Cause: holders were chosen among the homes, which move away from busy routers: under load each change made every holder choose new ones for all origins, under the lock that callers' threads need. Change: the hosts of a service are ranked by a hash alone; holders are chosen outside the lock.

--- a/celeryspan/decisions/homes.py
+++ b/celeryspan/decisions/homes.py
@@ -60,6 +60,19 @@
     )
 
 
+def choose_hosts(
+    service: ids.ServiceId, live: Collection[ids.RouterId], count: int
+) -> tuple[ids.RouterId, ...]:
+    """Return the live routers with the highest weights for a service, best first."""
+    return tuple(
+        heapq.nlargest(
+            count,
+            live,
+            key=lambda router: (rendezvous_weight(router, service), router),
+        )
+    )
+
+
 def assign_homes(
     servers: Iterable[ids.ServerId], live: Collection[ids.RouterId]
 ) -> dict[ids.ServerId, ids.RouterId]:
--- a/celeryspan/gateway/poolmap.py
+++ b/celeryspan/gateway/poolmap.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import events, ids, kernel
-from celeryspan.decisions import shards, streamversions
+from celeryspan.decisions import homes, shards, streamversions
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -46,6 +46,8 @@
         self._router_count = 1
         self._host_cores: dict[ids.RouterId, float] = {self._identity.router: 1.0}
         self._divisions: dict[ids.ServiceId, shards.Division] = {}
+        self._running: tuple[ids.RouterId, ...] = (self._identity.router,)
+        self._hosts: dict[tuple[ids.ServiceId, int], tuple[ids.RouterId, ...]] = {}
         self._homes: dict[tuple[ids.ServiceId, int], tuple[ids.RouterId, ...]] = {}
         self._handlers: list[Callable[[], None]] = []
 
@@ -166,12 +168,26 @@
     def list_hosts(
         self, service: ids.ServiceId, count: int
     ) -> tuple[ids.RouterId, ...]:
-        """Return the homes of a service and those next in line, ``count`` at least.
+        """Return routers that hold state of a service: as many as it has pools.
 
-        There are fewer if the fleet has fewer routers.
+        Unlike homes they stay the same while routers become busy, so that their state
+        need not move under load.
+
+        Parameters
+        ----------
+        count : int
+            Least number of them, if the fleet has as many routers.
         """
         count = max(count, self._find_division(service).count)
-        return tuple(dict.fromkeys(self._list_homes(service, count)))
+        found = self._hosts.get((service, count))
+        if found is None:
+            found = homes.choose_hosts(service, self._running, count)
+            self._hosts[service, count] = found
+        return found
+
+    def list_homes(self, service: ids.ServiceId) -> tuple[ids.RouterId, ...]:
+        """Return the homes of the pools of a service."""
+        return self._list_homes(service, self._find_division(service).count)
 
     def _list_homes(
         self, service: ids.ServiceId, count: int
@@ -198,6 +214,9 @@
         """Set the routers that may be homes."""
         running = shards.list_running(members)
         self._router_count = max(1, len(running))
+        routers = tuple(sorted(member.router for member in running))
+        if routers != self._running:
+            self._running, self._hosts = routers, {}
         self._host_cores = shards.list_hosts(running)
         self._homes = {}
 
--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -33,8 +33,8 @@
 """Time for hosts to answer; those that are up take some milliseconds."""
 
 ASKED_MAX = 8
-"""Hosts that are asked besides the holders: a home may not have passed on yet what it
-was told last."""
+"""Homes that are asked besides the holders: they may not have passed on yet what they
+were told last."""
 
 RETENTION_SECONDS_DEFAULT = 60.0
 
@@ -200,7 +200,8 @@
     ) -> streamversions.Origin | None:
         """Ask other routers for an origin; returns None if none of them knows it."""
         hosts = self._map.list_hosts(service, streamversions.HOSTS_MIN)
-        asked = {*streamversions.choose_holders(request, hosts), *hosts[:ASKED_MAX]}
+        homes = self._map.list_homes(service)[:ASKED_MAX]
+        asked = {*streamversions.choose_holders(request, hosts), *homes}
         asked.discard(self._identity.router)
         if not asked:
             return None
@@ -251,7 +252,7 @@
             return
         service, _, _ = shards.parse_pool(run.pool)
         with self._lock:
-            self._list_hosts(service)
+            self._watch_hosts(service)
             self._origins.record(run.origin, service, run.version, time.monotonic())
             self._unsent[run.origin] = None
 
@@ -265,7 +266,7 @@
 
     def _record_message(self, told: messages.StreamOrigin, now: float) -> None:
         """Record what another router tells; the caller holds the lock."""
-        self._list_hosts(told.service)
+        self._watch_hosts(told.service)
         self._origins.record(told.request, told.service, told.version, now - told.age)
 
     def _record_versions(self, usable: dict[ids.ServerId, catalog.ServerEntry]) -> None:
@@ -297,51 +298,48 @@
 
     def _pass_on(self, now: float) -> None:
         """Send origins to those of their holders that don't have them yet."""
-        outgoing: dict[ids.RouterId, list[messages.StreamOrigin]] = (
-            collections.defaultdict(list)
-        )
         with self._lock:
             self._origins.expire(now - self._retention)
-            unsent, self._unsent = self._unsent, {}
-            for request in unsent:
-                origin = self._origins.find(request)
-                if origin is not None:
-                    hosts = self._list_hosts(origin.service)
-                    for holder in streamversions.choose_holders(request, hosts):
-                        outgoing[holder].append(_make_message(request, origin, now))
-            self._add_redistributed(outgoing, now)
             self._metrics.set_stream_origins(len(self._origins))
+            unsent, self._unsent = self._unsent, {}
+            found = [(request, self._origins.find(request)) for request in unsent]
+            changed = self._update_hosts()
+            held = self._origins.list_all() if changed else []
+        # Holders are chosen without the lock, for which callers' threads wait.
+        outgoing: dict[ids.RouterId, list[messages.StreamOrigin]] = (
+            collections.defaultdict(list)
+        )
+        for request, origin in found:
+            if origin is not None:
+                hosts = self._hosts[origin.service]
+                for holder in streamversions.choose_holders(request, hosts):
+                    outgoing[holder].append(_make_message(request, origin, now))
+        for request, origin in held:
+            if origin.service in changed:
+                hosts, earlier = self._hosts[origin.service], changed[origin.service]
+                for holder in streamversions.find_new_holders(request, hosts, earlier):
+                    outgoing[holder].append(_make_message(request, origin, now))
         outgoing.pop(self._identity.router, None)
         for holder, origins in outgoing.items():
             for start in range(0, len(origins), MESSAGE_ORIGINS_MAX):
                 part = tuple(origins[start : start + MESSAGE_ORIGINS_MAX])
                 self._delivery.send(holder, messages.StreamOrigins(part))
 
-    def _add_redistributed(
-        self, outgoing: dict[ids.RouterId, list[messages.StreamOrigin]], now: float
-    ) -> None:
-        """Add what new holders lack after a change of hosts; caller holds the lock."""
+    def _update_hosts(self) -> dict[ids.ServiceId, tuple[ids.RouterId, ...]]:
+        """Return the earlier hosts of services whose hosts have changed."""
         changed = {}
         for service, earlier in self._hosts.items():
             hosts = self._map.list_hosts(service, streamversions.HOSTS_MIN)
             if hosts != earlier:
-                changed[service] = (hosts, earlier)
-                self._hosts[service] = hosts
-        if not changed:
-            return
-        for request, origin in self._origins.list_all():
-            if origin.service in changed:
-                hosts, earlier = changed[origin.service]
-                for holder in streamversions.find_new_holders(request, hosts, earlier):
-                    outgoing[holder].append(_make_message(request, origin, now))
+                changed[service], self._hosts[service] = earlier, hosts
+        return changed
 
-    def _list_hosts(self, service: ids.ServiceId) -> tuple[ids.RouterId, ...]:
-        """Return the hosts as of the last round, so that changes are noticed."""
+    def _watch_hosts(self, service: ids.ServiceId) -> None:
+        """Notice from now on when the hosts of a service change."""
         if service not in self._hosts:
             self._hosts[service] = self._map.list_hosts(
                 service, streamversions.HOSTS_MIN
             )
-        return self._hosts[service]
 
 
 def _make_message(
