--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -24,7 +24,7 @@
     from celeryspan.gateway import catalogues, orders, poolmap, serverlists
     from celeryspan.services import delivery, identity
 
-ROUND_SECONDS = 0.25
+ROUND_SECONDS = 0.5
 """Interval at which new origins are passed on to their holders."""
 
 MESSAGE_ORIGINS_MAX = 500
