--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -42,7 +42,7 @@
 """Time after the longest stream within which callers take it up again."""
 
 ORIGINS_MAX = 50_000
-"""Origins that one router holds; a home with 250 streams a second holds 10,000."""
+"""Origins that one router holds; 250 streams a second make 6,250 in 25 s."""
 
 ENTRIES_AGE_SECONDS_MAX = 4.0
 """Age of the entries up to which a restart under the same id would be known; a router
