Split the table of a pool's servers from the choice among them

Change: decisions/servertable owns the servers, what they cache and run; placing selects. Comments no longer tell how values were found (docs/CAPACITY.md and the design notes have the figures). No behaviour changes.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -22,28 +22,25 @@
 * A server gets nothing from a router that it has asked for a rest
   (:mod:`announcements`). Other routers avoid it, because it is likely to be overloaded.
 
-With requests sent to any server, 56 % of long streams had a pause that was too long at
-the usual load; with these rules, 8 % had one (see ``docs/design/placing.md``).
+Without these rules most long streams pause beside long prompts. The figures stand in
+``docs/design/placing.md``.
 """
 
 from __future__ import annotations
 
 import math
-import statistics
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
-import xxhash
 
 from celeryspan import catalog, ids, states
 from celeryspan.decisions import (
-    announcements,
-    coldstart,
     engines,
     longprompts,
     migration,
     poolservers,
+    servertable,
     streamversions,
 )
 from celeryspan.wire import messages
@@ -53,8 +50,8 @@
 
 AFFINITY_WAIT_SHARE = 0.25
 """Share of the latency objective that a request waits for the server that caches most
-of its prompt while others are free. The wait is a few tens of milliseconds; prefilling
-5,000 tokens again takes as long and delays every other request at that server."""
+of its prompt while others are free. Prefilling a long prompt again takes as long and
+delays every other request at that server."""
 
 REGRET_SECONDS_MIN = 0.02
 """Cost difference in seconds above which a request waits for a better server: the cost
@@ -77,9 +74,8 @@
 COPY_WEIGHT = 10.0
 """Weight of a second of copying cached parts relative to a second of waiting. A copy
 takes a tenth of the prefill time and delays no stream, but it uses links that
-migrations need and evicts parts that other prompts share. With a weight of 3, half of
-all prompts on a full day were sent away from the server that caches them, and 134 GB
-were copied in 50 s; with 10, a quarter less."""
+migrations need and evicts parts that other prompts share. A lower weight sends many
+prompts away from the server that caches them."""
 
 FAILURE_COST_SECONDS = 2.0
 """Cost of a server that fails all requests, relative to its peers."""
@@ -144,84 +140,25 @@
     regret: float
 
 
-class Placer:
+class Placer(servertable.ServerTable):
     """Assigns requests to the servers of one pool and tracks their runs."""
 
     def __init__(self) -> None:
+        super().__init__()
         self._model = engines.EngineModel()
-        self._servers: dict[ids.ServerId, poolservers.PoolServer] = {}
-        self._ordered_servers: list[poolservers.PoolServer] = []
-        self._removed_servers: dict[ids.ServerId, poolservers.PoolServer] = {}
-        self._slots = 0
         self._burst_pause_seconds = 0.0
-        self._engine: catalog.Engine | None = None
         self._long_prompts = longprompts.LongPrompts()
-        self._median_slowdown = 1.0
         self._mean_run_seconds = 0.0
         self._next_expiry_at = 0.0
-        self._cold_grants_max = coldstart.UNLIMITED
-
-    def limit_cold_grants(self, grants_max: float) -> None:
-        """Set how many requests a cold server may be granted within a second."""
-        if grants_max == self._cold_grants_max:
-            return
-        self._cold_grants_max = grants_max
-        for server in self._ordered_servers:
-            server.cold_grants_max = grants_max
 
     def set_servers(
         self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
     ) -> None:
         """Set the servers that may get new requests; runs at the others continue."""
-        self._engine = engine
-        known = {**self._removed_servers, **self._servers}
-        self._servers = {}
-        for entry in entries:
-            previous = server = known.pop(entry.server, None)
-            if server is None or entry.replaces(server.entry):
-                # A restarted server has an empty cache and no runs. The slots and the
-                # slowdown of its earlier incarnation would be wrong for seconds.
-                server = _make_server(entry, engine)
-                server.slowdown = self._median_slowdown
-                if previous is not None:
-                    # Requests to the earlier incarnation may still arrive.
-                    server.grants = previous.grants
-            server.entry = entry
-            server.cold_grants_max = self._cold_grants_max
-            self._servers[entry.server] = server
-        self._ordered_servers = sorted(
-            self._servers.values(), key=lambda each: each.order
-        )
-        self._slots = sum(entry.slots for entry in entries)
+        super().set_servers(entries, engine)
         self._burst_pause_seconds = (
             self._model.prefill_pause_seconds(engine) if engine else 0.0
         )
-        self._removed_servers = {
-            name: server for name, server in known.items() if server.runs
-        }
-
-    def record_rest(
-        self, router: ids.RouterId, rest: messages.ServerRest, now: float
-    ) -> None:
-        """Record that a server has asked a router for a rest."""
-        server = self._servers.get(rest.server)
-        if server is None:
-            return
-        if announcements.get_incarnation(server.entry) == rest.incarnation:
-            until = now + min(rest.left, announcements.REST_SECONDS_MAX)
-            server.rests[router] = max(until, server.rests.get(router, until))
-
-    def measure_rest(self, router: ids.RouterId, now: float) -> float | None:
-        """Return the seconds until the first server may get requests of a router.
-
-        Returns None if any server may get them now, or if there are no servers.
-        """
-        earliest = math.inf
-        for server in self._ordered_servers:
-            if not server.is_resting(router, now):
-                return None
-            earliest = min(earliest, server.rests[router])
-        return earliest - now if self._ordered_servers else None
 
     def exceeds_memory(self, ask: messages.SlotRequest) -> bool:
         """Whether the request is too large for every server."""
@@ -229,40 +166,6 @@
         tokens = ask.prompt_tokens + ask.output_tokens
         return engine is not None and tokens > engine.memory_tokens
 
-    def pop_unqueried(self) -> list[catalog.ServerEntry]:
-        """Return the engines to query for their cached parts, each of them once.
-
-        Without the query, a home that has just started or taken over a pool would have
-        all shared parts prefilled again, and would classify prompts that are mostly
-        cached as long.
-        """
-        if self._engine is None:
-            return []
-        unqueried = [
-            server for server in self._ordered_servers if not server.is_queried
-        ]
-        for server in unqueried:
-            server.is_queried = True
-        return [server.entry for server in unqueried]
-
-    def add_cached_parts(
-        self,
-        asked: catalog.ServerEntry,
-        parts: Iterable[messages.PromptPart],
-        now: float,
-    ) -> None:
-        """Add the parts that an engine reports as cached.
-
-        Parameters
-        ----------
-        asked : ServerEntry
-            The entry for which the engine was queried; the answer of an earlier
-            incarnation is ignored.
-        """
-        server = self._servers.get(asked.server)
-        if server is not None and not server.entry.succeeds(asked):
-            server.cache.add_cached_parts(parts, now)
-
     def record_arrival(self, ask: messages.SlotRequest, now: float) -> None:
         """Record the prefill of a long prompt; it determines the dedicated engines."""
         if self._engine is None:
@@ -345,45 +248,6 @@
             return self._choose_plain(ask, excluded, now)
         return self._choose_engine(ask, excluded, waited, now)
 
-    def _find_resting(self, router: ids.RouterId, now: float) -> set[ids.ServerId]:
-        """Return the servers that have asked a router for a rest."""
-        return {
-            server.entry.server
-            for server in self._ordered_servers
-            if server.rests and server.is_resting(router, now)
-        }
-
-    def _find_others(self, version: ids.SoftwareVersion) -> set[ids.ServerId]:
-        """Return the servers that can't continue a stream of a version."""
-        if not version:
-            return set()
-        return {
-            server.entry.server
-            for server in self._ordered_servers
-            if not streamversions.may_continue(server.entry, version)
-        }
-
-    def can_isolate(self, ask: messages.SlotRequest) -> bool:
-        """Whether a request that must run isolated could get a slot now.
-
-        Only one copy of it runs at a time, and never beside another isolated request,
-        so that a crash of its server has a single possible cause.
-        """
-        running = self._find_isolated_runs()
-        is_alone = all(ask.isolation not in found for found in running.values())
-        return is_alone and not self._servers.keys() <= running.keys()
-
-    def _find_isolated_runs(self) -> dict[ids.ServerId, set[int]]:
-        """Return the servers with isolated runs and the fingerprints of these runs."""
-        found: dict[ids.ServerId, set[int]] = {}
-        for server in [*self._servers.values(), *self._removed_servers.values()]:
-            fingerprints = {
-                run.isolation for run in server.runs.values() if run.isolation
-            }
-            if fingerprints:
-                found[server.entry.server] = fingerprints
-        return found
-
     def start_run(
         self,
         ask: messages.SlotRequest,
@@ -464,20 +328,6 @@
         if server.slowdown_samples != samples:
             self._share_slowdown()
 
-    def _share_slowdown(self) -> None:
-        """Set servers without samples to the median slowdown of the others.
-
-        The model describes one kind of engine. On a slower kind, each server would
-        first be sent twice what it can prefill in time, and again after every restart.
-        """
-        known = [
-            each.slowdown for each in self._ordered_servers if each.slowdown_samples
-        ]
-        self._median_slowdown = statistics.median(known) if known else 1.0
-        for server in self._ordered_servers:
-            if not server.slowdown_samples:
-                server.slowdown = self._median_slowdown
-
     def migrate(
         self, request: ids.RequestId, name: ids.ServerId, now: float
     ) -> ids.ServerId | None:
@@ -548,11 +398,6 @@
                 self._long_prompts.record_pause(run.expected_pause, pause)
         return run
 
-    def forget_router(self, router: ids.RouterId) -> None:
-        """Drop the runs of a dead router."""
-        for server in [*self._servers.values(), *self._removed_servers.values()]:
-            server.forget(router)
-
     def expire(self, now: float) -> None:
         """Drop runs whose end was never reported."""
         if now < self._next_expiry_at:
@@ -563,43 +408,6 @@
             server.expire(now - EXPIRY_GRACE_SECONDS)
             server.expire_rests(now)
 
-    def has_version(self, version: ids.SoftwareVersion) -> bool:
-        """Whether a stream that began at a version can go on here.
-
-        True without servers, because the list of them may not have arrived yet.
-        """
-        if not version or not self._ordered_servers:
-            return True
-        return any(
-            streamversions.may_continue(server.entry, version)
-            for server in self._ordered_servers
-        )
-
-    def count_servers(self) -> int:
-        """Return the number of servers that may get new requests."""
-        return len(self._servers)
-
-    def count_runs(self) -> int:
-        """Return the number of slots in use."""
-        return sum(
-            len(server.runs)
-            for server in [*self._servers.values(), *self._removed_servers.values()]
-        )
-
-    def measure_pending(self, now: float) -> float:
-        """Return the mean pending prefill per server, in seconds.
-
-        Each server counts for at most the limit up to which it is sent more, so that
-        one that has stopped doesn't make the whole pool look full.
-        """
-        if not self._servers:
-            return 0.0
-        most = poolservers.PENDING_PREFILL_SECONDS_MAX
-        pending = sum(
-            min(server.pending_seconds(now), most) for server in self._ordered_servers
-        )
-        return pending / len(self._servers)
-
     def estimate_slot_wait(self, waiting: int) -> float:
         """Return the seconds until a request behind ``waiting`` others finds a slot."""
         taken = sum(len(server.runs) for server in self._ordered_servers)
@@ -675,9 +483,6 @@
             (s.cache.count_cached(ask.parts) for s in self._ordered_servers), default=0
         )
 
-    def _find(self, name: ids.ServerId) -> poolservers.PoolServer | None:
-        return self._servers.get(name) or self._removed_servers.get(name)
-
     def _choose_plain(
         self, ask: messages.SlotRequest, excluded: Collection[ids.ServerId], now: float
     ) -> Choice | None:
@@ -802,13 +607,6 @@
         return self._make_prompt(ask).is_long(cached, slowdown)
 
 
-def _make_server(
-    entry: catalog.ServerEntry, engine: catalog.Engine | None
-) -> poolservers.PoolServer:
-    order = xxhash.xxh3_64_intdigest(entry.server.encode())
-    return poolservers.PoolServer(entry, engine, order)
-
-
 def _pause_limit(ask: messages.SlotRequest) -> float:
     """Return the longest pause allowed for the streams of a request, in seconds."""
     return ask.gap_max - GAP_MARGIN_SECONDS
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -25,14 +25,12 @@
 SLOWDOWN_FALL_WEIGHT = 0.3
 SLOWDOWN_RISE_WEIGHT = 0.05
 """Weight of the newest sample in a server's slowdown, falling and rising. A busy router
-reports first events late, so samples err only towards slow; with a plain mean, engines
-of the usual speed were taken to be two to eight times slower on a full day."""
+reports first events late, so samples err only towards slow."""
 
 SLOWDOWN_PRIOR_SAMPLES = 2
 """Weight of the initial slowdown, in samples: the first samples move it by a third, a
-quarter and so on. With engines that take 2.3 times the model's time and a fixed weight
-of a twentieth, the mean slowdown was estimated at 1.9 in the first four seconds, and at
-1.2 after a restart of all routers."""
+quarter and so on. A fixed weight takes seconds to find the speed of slower engines
+after each restart."""
 
 SLOWDOWN_SAMPLE_SECONDS_MIN = 0.04
 """Shorter prefills are not used as samples: the step in progress and the messages take
