Hand requests over when the processor is used up while threads are on time

Cause: a small router under one account used all its processor time from the first second on with up to 200 requests in progress, while its threads woke up 4 to 13 ms late; the limit of local requests rose to 262 and nothing was handed over. A third of the requests that it handled were of callers who had left. Change: the share of one core in use lowers the local limit above 0.9 and holds it from 0.75; above the limit a connection whose caller has closed it is dropped unread and counted. time.process_time() is not used, since it counts differently on some VMs.

--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -8,7 +8,7 @@
 
 * The number of requests served locally is adjusted by the lateness of the router's
   threads, like the limit above which requests are refused (:mod:`overload`), but from a
-  lower lateness on.
+  lower lateness on, and by the processor time in use (:mod:`saturation`).
 * A request goes to the least used of two random peers of the same data centre, in
   proportion to the sizes of their VMs. Busy peers are used only if all are: after a
   restart of the whole fleet all routers are busy for some seconds.
--- a/celeryspan/decisions/overload.py
+++ b/celeryspan/decisions/overload.py
@@ -21,6 +21,12 @@
 LATENESS_LOW_SECONDS = 0.02
 """Mean lateness below which the limit is raised."""
 
+PROCESSOR_USE_HIGH = 0.9
+"""Share of one core in use above which the limit is lowered."""
+
+PROCESSOR_USE_LOW = 0.75
+"""Share of one core in use below which the limit is raised."""
+
 LATENESS_SAMPLE_MAX_SECONDS = 0.25
 """Maximum lateness of one sample; larger values are clipped, since a VM that was paused
 for seconds is not overloaded."""
@@ -88,24 +94,28 @@
         """Maximum number of requests in progress."""
         return int(self._limit)
 
-    def record(self, lateness: float, in_progress: int, now: float) -> None:
+    def record(
+        self, lateness: float, in_progress: int, now: float, processor_use: float = 0.0
+    ) -> None:
         """Record a sample and adjust the limit.
 
         Parameters
         ----------
         lateness : float
             How much longer than requested a sleep took, in seconds.
+        processor_use : float
+            Share of one core that the process uses; 0 if it doesn't count.
         """
         elapsed = 0.0 if self._recorded_at is None else now - self._recorded_at
         self._recorded_at = now
         sample = min(lateness, LATENESS_SAMPLE_MAX_SECONDS)
         self.lateness += (sample - self.lateness) * LATENESS_EWMA_WEIGHT
-        if self.lateness > self._lateness_high:
+        if self.lateness > self._lateness_high or processor_use > PROCESSOR_USE_HIGH:
             if now - self._decreased_at >= self._decrease_interval:
                 self._decreased_at = now
                 current = min(self._limit, float(in_progress))
                 self._limit = max(LIMIT_MIN, current * self._decrease_factor)
-        elif self.lateness < self._lateness_low:
+        elif self.lateness < self._lateness_low and processor_use < PROCESSOR_USE_LOW:
             raised = self._limit + elapsed * INCREASE_PER_SECOND
             self._limit = min(self._limit_max, raised)
 
--- a/celeryspan/decisions/saturation.py
+++ b/celeryspan/decisions/saturation.py
@@ -1,5 +1,10 @@
 """Detects when a router's processor is saturated.
 
+Late threads are one sign. They are not enough: a router whose two hundred threads take
+turns on one interpreter lock uses all its processor time while each thread wakes up
+within some milliseconds, and its requests take seconds. The share of processor time in
+use (:class:`ProcessorMeter`) shows that in the first second.
+
 If all callers of one account use one router that is also the home of a pool, the
 threads of that router run late and it delays decisions for the whole fleet. A router
 that reports itself busy hands its ledgers to routers with spare processor time.
@@ -21,6 +26,41 @@
 comes in waves."""
 
 
+METER_SECONDS = 0.3
+"""Time over which the use of the processor is averaged: long enough for the resolution
+of the process's clock and a garbage collection, short against the second for which
+callers wait to be read."""
+
+
+class ProcessorMeter:
+    """Measures which share of one core a router uses; only one thread runs at a time.
+
+    A VM whose processor time is limited to less by a quota stops the process for the
+    rest of each period, which shows as lateness.
+
+    Attributes
+    ----------
+    use : float
+        Share of one core in use, averaged over ``METER_SECONDS``.
+    """
+
+    def __init__(self) -> None:
+        self.use = 0.0
+        self._measured_at: float | None = None
+        self._used_before = 0.0
+
+    def record(self, used: float, now: float) -> None:
+        """Record the processor time used since the start of the process, in seconds."""
+        if self._measured_at is None:
+            self._measured_at, self._used_before = now, used
+            return
+        elapsed = now - self._measured_at
+        if elapsed < METER_SECONDS:
+            return
+        self.use = min((used - self._used_before) / elapsed, 1.0)
+        self._measured_at, self._used_before = now, used
+
+
 class BusyDetector:
     """Decides whether a router is busy from the lateness of its threads.
 
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -9,6 +9,7 @@
 
 import functools
 import random
+import resource
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -26,7 +27,7 @@
     refusals,
 )
 from celeryspan.platform import names
-from celeryspan.services import callerconnections, framing, httpserver
+from celeryspan.services import callerconnections, framing, httpserver, sockets
 
 if TYPE_CHECKING:
     from celeryspan.gateway import carrier, catalogues, handover as handover_service
@@ -118,6 +119,7 @@
         self._overload = overload.ConcurrencyLimiter(self._settings.caller_threads)
         self._local_limit = handover.make_limiter(self._settings.caller_threads)
         self._busyness = saturation.BusyDetector()
+        self._processor = saturation.ProcessorMeter()
         self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
@@ -158,6 +160,7 @@
             "in_progress_max": self._overload.limit,
             "local_max": self._local_limit.limit,
             "lateness_seconds": round(self._overload.lateness, 3),
+            "processor_use": round(self._processor.use, 2),
             "draining": self.draining,
         }
 
@@ -242,6 +245,9 @@
     def divert(self, connection: _Connection) -> bool:
         """Hand over or refuse a request above the limits; returns whether it was done.
 
+        A connection that its caller has closed is dropped: a router that is late would
+        otherwise spend its time on requests that nobody waits for.
+
         Also returns False if the received data is not exactly one complete request; it
         then takes the normal path.
         """
@@ -249,6 +255,9 @@
         if self._local_limit.admits(local) or connection.rfile.has_data():
             return False
         try:
+            if sockets.is_closed(connection.socket.fileno()):
+                self._drop_abandoned(connection)
+                return True
             found = quickrefusals.peek_whole_request(connection.socket, HEADERS)
             if found is None:
                 return False
@@ -268,6 +277,11 @@
             self._handover.hand_over(connection, found, peer, answer)
         return True
 
+    def _drop_abandoned(self, connection: _Connection) -> None:
+        """Close a connection whose caller has left; its request is never read."""
+        self._metrics.count_refusal("abandoned")
+        connection.close()
+
     def _answer_unread(
         self,
         found: quickrefusals.BufferedRequest,
@@ -365,7 +379,10 @@
             late = now - began - LATENESS_TICK_SECONDS
             self._overload.record(late, self.count_local(), now)
             delay = max(late, self._server.take_accept_delay())
-            self._local_limit.record(delay, self.count_local(), now)
+            self._processor.record(_measure_processor_time(), now)
+            self._local_limit.record(
+                delay, self.count_local(), now, self._processor.use
+            )
             if self._busyness.record(self._overload.lateness, now):
                 self._membership.set_busy(self._busyness.is_busy)
             limit = self._overload.limit
@@ -389,3 +406,9 @@
         idle = limits.idle_seconds * IDLE_TIMEOUT_FACTOR + IDLE_TIMEOUT_MARGIN_SECONDS
         # The timeout is never lowered: callers may still use an earlier configuration.
         self._server.timeout = max(self._server.timeout, idle)
+
+
+def _measure_processor_time() -> float:
+    """Return the processor time that this process has used, in seconds."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_utime + usage.ru_stime
--- a/tests/decisions/test_handover.py
+++ b/tests/decisions/test_handover.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from celeryspan import ids, states
-from celeryspan.decisions import handover
+from celeryspan.decisions import handover, overload
 from celeryspan.wire import messages
 
 
@@ -91,3 +91,24 @@
         now += 0.1
         limiter.record(0.2, min(150, limiter.limit), now)
     assert limiter.limit <= 20
+
+
+def test_router_without_processor_time_serves_less_although_threads_are_on_time() -> (
+    None
+):
+    """Guards against a router that serves two hundred requests at once, all late."""
+    limiter = handover.make_limiter(320)
+    for tick in range(30):
+        limiter.record(0.005, 200, 0.1 * tick, 1.0)
+    assert limiter.limit == overload.LIMIT_MIN
+
+
+def test_limit_holds_between_the_thresholds_of_processor_use() -> None:
+    """Guards against a limit that swings between too many and too few requests."""
+    limiter = handover.make_limiter(320)
+    before = limiter.limit
+    for tick in range(30):
+        limiter.record(0.0, 40, 0.1 * tick, 0.8)
+    assert limiter.limit == before
+    limiter.record(0.0, 40, 4.0, 0.5)
+    assert limiter.limit > before
--- a/tests/decisions/test_saturation.py
+++ b/tests/decisions/test_saturation.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from celeryspan.decisions import saturation
 
 LATE, ON_TIME = 0.2, 0.0
@@ -42,3 +44,22 @@
     assert len(changes) == 1
     assert record_lateness(detector, ON_TIME, 40.0, 60.0)
     assert not detector.is_busy
+
+
+def test_meter_shows_a_processor_that_one_thread_uses_up() -> None:
+    """Guards against a saturated router whose threads all wake up on time."""
+    meter = saturation.ProcessorMeter()
+    for tick in range(20):
+        meter.record(0.1 * tick, 0.1 * tick)
+    assert meter.use == pytest.approx(1.0)
+    for tick in range(20, 40):
+        meter.record(2.0 + 0.02 * (tick - 20), 0.1 * tick)
+    assert meter.use == pytest.approx(0.2)
+
+
+def test_meter_ignores_clocks_that_disagree_for_a_moment() -> None:
+    """Guards against a use far above one core, which no VM can have."""
+    meter = saturation.ProcessorMeter()
+    meter.record(0.0, 0.0)
+    meter.record(7.0, 0.5)
+    assert meter.use == 1.0
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 import time
+import types
 
 import msgspec
 import pytest
@@ -283,3 +284,24 @@
         relay.socket.shutdown(socket.SHUT_RDWR)
     for thread in threads:
         thread.join()
+
+
+def test_request_of_a_caller_that_left_before_it_was_read_is_dropped(
+    cluster, routers
+) -> None:
+    """Guards against a late router that spends its time on requests nobody awaits."""
+    service = get_handover(routers[0])
+    front = routers[0].container.find("front")
+    caller, accepted = socket.socketpair()
+    with accepted:
+        connection = types.SimpleNamespace(
+            socket=accepted,
+            rfile=types.SimpleNamespace(has_data=lambda: False),
+            close=accepted.close,
+        )
+        with caller:
+            caller.sendall(b"GET /calls/1 HTTP/1.1\r\nHost: desk.example\r\n\r\n")
+        assert front.divert(connection)
+        assert accepted.fileno() < 0
+    assert service.report()["total"] == 0
+    assert all(not server.ran for server in cluster.servers)
