Never raise the limit of requests above the number of threads

A decrease of the limit of concurrent requests ended at the general minimum of 16, also on a router with fewer request threads. A router with 4 threads whose threads ran 25 ms late so had a local limit of 16: it took requests for which it had no thread and refused them with 503 router-full, instead of handing them over to its peer.

The minimum is now the number of threads if that is smaller. The new test fails on the earlier code.

--- a/celeryspan/decisions/overload.py
+++ b/celeryspan/decisions/overload.py
@@ -40,7 +40,8 @@
 """Increase of the limit, in requests per second: from 80 to 320 requests in 20 s."""
 
 LIMIT_MIN = 16
-"""Minimum limit: the requests that a slow VM handles in one second."""
+"""Minimum limit: the requests that a slow VM handles in one second. A smaller number of
+request threads is the minimum itself."""
 
 
 class ConcurrencyLimiter:
@@ -79,6 +80,7 @@
         self._decrease_factor = decrease_factor
         self._decrease_interval = decrease_interval
         self._limit_max = float(limit_max)
+        self._limit_min = float(min(LIMIT_MIN, limit_max))
         self._limit = float(limit_max if initial is None else min(initial, limit_max))
         self._decreased_at = float("-inf")
         self._recorded_at: float | None = None
@@ -104,7 +106,7 @@
             if now - self._decreased_at >= self._decrease_interval:
                 self._decreased_at = now
                 current = min(self._limit, float(in_progress))
-                self._limit = max(LIMIT_MIN, current * self._decrease_factor)
+                self._limit = max(self._limit_min, current * self._decrease_factor)
         elif self.lateness < self._lateness_low:
             raised = self._limit + elapsed * INCREASE_PER_SECOND
             self._limit = min(self._limit_max, raised)
--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -101,3 +101,16 @@
     for tick in range(4000):
         limiter.record(3.0, 0, tick * TICK_SECONDS)
     assert limiter.admits(overload.LIMIT_MIN - 1)
+
+
+def test_limit_never_exceeds_the_number_of_threads() -> None:
+    """A router with 4 request threads runs late.
+
+    Guards against raising its limit to the general minimum of 16: it then accepted
+    requests for which it had no thread and refused them, instead of handing them over.
+    """
+    limiter = overload.ConcurrencyLimiter(4)
+    for tick in range(400):
+        limiter.record(3.0, 4, tick * TICK_SECONDS)
+    assert limiter.limit == 4
+    assert not limiter.admits(4)
