Count a request only until its answer is written

A router counted a request toward its limits until its thread had returned from the HTTP server and the request had left the table of requests in progress.

The end of the answer now ends the count, in the thread pool and in the front. The count is lowered before the last bytes are sent, since the caller may react before the thread runs again, and raised again while a slow caller does not take them. The number of threads stays bounded as before, and a planned stop still waits for the ends of answered requests. An answer after which the connection closes is followed by its end at once.

--- a/celeryspan/gateway/callersinks.py
+++ b/celeryspan/gateway/callersinks.py
@@ -4,6 +4,9 @@
 
 from cheroot import server as cheroot_server
 
+UNKNOWN_LENGTH = -1
+"""Stands for a Content-Length of a backend server that is not one number."""
+
 
 class CallerSink:
     """Writes one HTTP answer to a caller's connection.
@@ -20,6 +23,7 @@
         self._request = request
         self._close_after = close_after
         self._is_chunked = False
+        self._bytes_left = 0
         self.is_begun = False
         self.is_ended = False
 
@@ -28,10 +32,13 @@
     ) -> None:
         """Write the status line and headers; the body is chunked without a length."""
         request = self._request
-        names = {name.lower() for name, _ in headers}
+        names = {name.lower(): value for name, value in headers}
         lines = [f"HTTP/1.1 {status} {reason}"]
         lines += [f"{name}: {value}" for name, value in headers]
-        if "content-length" not in names:
+        if "content-length" in names:
+            length = names["content-length"]
+            self._bytes_left = int(length) if length.isdecimal() else UNKNOWN_LENGTH
+        else:
             self._is_chunked = True
             lines.append("Transfer-Encoding: chunked")
         if self._close_after:
@@ -39,7 +46,8 @@
         if request.close_connection:
             lines.append("Connection: close")
         self.is_begun = True
-        self._send(("\r\n".join(lines) + "\r\n\r\n").encode("latin-1"))
+        head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+        self._send(head, is_last=not self._is_chunked and self._bytes_left == 0)
 
     def write(self, data: bytes) -> None:
         """Write a part of the body."""
@@ -47,20 +55,28 @@
             return
         if self._is_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
-        self._send(data)
+            self._send(data)
+            return
+        self._bytes_left -= len(data)
+        self._send(data, is_last=self._bytes_left == 0)
 
     def finish(self) -> None:
         """Mark the end of a complete answer."""
         if self._is_chunked:
-            self._send(b"0\r\n\r\n")
+            self._send(b"0\r\n\r\n", is_last=True)
         self.is_ended = True
 
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete answer."""
         self._request.close_connection = True
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes, *, is_last: bool = False) -> None:
+        connection = self._request.conn
         try:
-            self._request.conn.wfile.write(data)
+            if is_last:
+                close_after = self._request.close_connection
+                connection.write_last(data, close_after=close_after)
+            else:
+                connection.wfile.write(data)
         except ValueError as error:
             raise ConnectionAbortedError(str(error)) from error
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -80,6 +80,10 @@
 class _Connection(httpserver.Connection):
     RequestHandlerClass = _Request
 
+    def mark_answered(self) -> None:
+        super().mark_answered()
+        self.server.front.mark_answered(self)
+
 
 class _Server(httpserver.Server):
     ConnectionClass = _Connection
@@ -115,6 +119,7 @@
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
+        self._unanswered: set[int] = set()
         self._overload = overload.ConcurrencyLimiter(self._settings.caller_threads)
         self._local_limit = handover.make_limiter(self._settings.caller_threads)
         self._busyness = saturation.BusyDetector()
@@ -163,11 +168,19 @@
 
     def count_in_progress(self) -> int:
         """Return the number of requests in progress, here or at peers."""
-        return self.count_local() + self._handover.count()
+        return len(self._in_progress) + self._handover.count()
 
     def count_local(self) -> int:
-        """Return the number of requests that this router serves itself."""
-        return len(self._in_progress)
+        """Return the number of requests that this router serves and has not answered.
+
+        The threads of answered requests may still run, for example to log the outcome,
+        when the callers send their next requests.
+        """
+        return len(self._unanswered)
+
+    def mark_answered(self, connection: _Connection) -> None:
+        """Stop counting the request of a connection toward the limits."""
+        self._unanswered.discard(id(connection))
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
@@ -185,6 +198,7 @@
         """Serve a request whose head has been read."""
         key = id(request)
         self._in_progress[key] = None
+        self._unanswered.add(id(request.conn))
         is_full = not self._server.can_add_keepalive_connection
         revision = request.inheaders.get(names.HANDED_OVER.title().encode())
         close_after = self.draining or is_full or revision is not None
@@ -221,6 +235,7 @@
         finally:
             with self._lock:
                 del self._in_progress[key]
+            self._unanswered.discard(id(request.conn))
 
     def _forward(self, order: orders.Order, sink: callersinks.CallerSink) -> None:
         try:
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -62,6 +62,8 @@
         Whether all threads are busy, so that the application should refuse the request.
     has_unread_input : bool
         Whether the caller may still be sending when the connection is closed.
+    is_counted : bool
+        Whether the current request counts toward the limit of the thread pool.
     request_began_at : float
         Monotonic time in seconds at which the current request started to arrive.
     """
@@ -69,6 +71,7 @@
     RequestHandlerClass = framing.Request
     overloaded = False
     has_unread_input = False
+    is_counted = False
 
     def __init__(self, server: Server, sock: socket.socket, *_: object) -> None:
         super().__init__(server, sock, streams.open_stream)
@@ -86,6 +89,31 @@
         """Cancel the read deadline once the whole request has been read."""
         self.server.close_watcher.remove(self.socket)
 
+    def write_last(self, data: bytes, *, close_after: bool) -> None:
+        """Send the end of an answer; the request then no longer counts as in progress.
+
+        If the connection closes after the answer, its end is sent at once: a router
+        that has handed the request over waits for it.
+
+        The caller may send its next request before this thread runs again, so that the
+        count is lowered before the data is sent. It is raised again while the caller
+        does not take the data.
+        """
+        self.mark_answered()
+        sent = self.wfile.write_available(data)
+        if sent < len(data):
+            self.server.requests.set_counted(self, True)
+            self.wfile.write(data[sent:])
+            self.mark_answered()
+        if close_after:
+            self.socket.shutdown(socket.SHUT_WR)
+
+    def mark_answered(self) -> None:
+        """Stop counting the current request toward the limit."""
+        # A connection that lingers after its answer keeps its thread for longer.
+        if not self.has_unread_input:
+            self.server.requests.set_counted(self, False)
+
     def close(self) -> None:
         """Close the connection, after discarding unread input if there may be any.
 
@@ -128,11 +156,15 @@
     cheroot's own pool leaves requests unread when all threads are busy, so that callers
     cannot tell an overloaded router from a dead one. This pool passes requests above
     the limit to the application marked as overloaded, and they are refused at once.
+
+    A request counts toward the limit until its answer has been written. Its thread ends
+    later, when the caller may have sent its next request already.
     """
 
     def __init__(self, limit: int) -> None:
         self._limit = limit
         self._busy = 0
+        self._counted = 0
         self._idle_count = 0
         self._handoff: queue.SimpleQueue[Connection] = queue.SimpleQueue()
         self._lock = threading.Lock()
@@ -140,13 +172,13 @@
 
     @property
     def busy(self) -> int:
-        """Number of requests being read or served."""
+        """Number of threads that read or serve a request or end one."""
         return self._busy
 
     @property
     def idle(self) -> int:
         """Number of further requests that can be served."""
-        return max(self._limit - self._busy, 0)
+        return max(self._limit - self._counted, 0)
 
     def start(self) -> None:
         """Do nothing: threads are started on demand."""
@@ -157,8 +189,10 @@
             if self._busy >= self._limit + REFUSAL_THREADS:
                 connection.close()
                 return
-            connection.overloaded = self._busy >= self._limit
+            connection.overloaded = self._counted >= self._limit
             self._busy += 1
+            self._counted += 1
+            connection.is_counted = True
             has_idle_thread = self._idle_count > 0
             if has_idle_thread:
                 self._idle_count -= 1
@@ -169,6 +203,13 @@
             target=self._run, args=(connection,), name="caller", daemon=True
         ).start()
 
+    def set_counted(self, connection: Connection, value: bool) -> None:
+        """Count the request of a connection toward the limit, or no longer."""
+        with self._lock:
+            if connection.is_counted != value:
+                connection.is_counted = value
+                self._counted += 1 if value else -1
+
     def stop(self, timeout: float | None = STOP_TIMEOUT_SECONDS) -> None:
         """Wait for the requests in progress, for at most ``timeout`` seconds."""
         with self._all_done:
@@ -203,6 +244,7 @@
         except OSError:
             pass  # The caller has disconnected.
         finally:
+            self.set_counted(connection, False)
             with self._all_done:
                 self._busy -= 1
                 self._all_done.notify_all()
--- a/celeryspan/services/streams.py
+++ b/celeryspan/services/streams.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import io
+import os
 import socket
 
 
@@ -58,6 +59,19 @@
             view = view[sent:]
         return len(data)
 
+    def write_available(self, data: bytes) -> int:
+        """Send as many bytes as the system takes at once and return their number.
+
+        ``socket.send`` would wait for up to the timeout. The descriptor of a socket
+        with a timeout does not block.
+        """
+        try:
+            sent = os.write(self._socket.fileno(), data)
+        except BlockingIOError:
+            return 0
+        self.bytes_written += sent
+        return sent
+
     def flush(self) -> None:
         """Do nothing: there is no buffer."""
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -4,6 +4,7 @@
 
 import json
 import socket
+import threading
 import time
 
 import pytest
@@ -51,6 +52,30 @@
     assert server.received == []
 
 
+def test_answered_request_does_not_count_toward_the_limits(cluster) -> None:
+    """A caller has its answer while the router still ends the request.
+
+    Guards against refusing the next request, which the caller may send at once. A
+    planned stop still waits for the end of the first one.
+    """
+    cluster.add_server("gate-1")
+    router = cluster.start_router()
+    front, carrier = router.container.find("front"), router.container.find("carrier")
+    original_forward, may_end = carrier.forward, threading.Event()
+
+    def forward(order, sink):
+        original_forward(order, sink)
+        may_end.wait(support.WAIT_SECONDS)
+
+    carrier.forward = forward
+    try:
+        assert router.call("/bookings/7").status == 200
+        assert (front.count_local(), front.count_in_progress()) == (0, 1)
+    finally:
+        may_end.set()
+    support.wait_for(lambda: front.count_in_progress() == 0)
+
+
 def test_internal_headers_of_callers_are_not_forwarded(cluster) -> None:
     """A caller sets the internal headers for account, server and cached memory.
 
