Do not count requests at peers that have been answered

The router that hands a request over counts it until the peer closes the connection. It read the end of the connection in a later round than the last data, 10 ms or more after the caller had its answer. Printed at the refusals of the handover part of routercost beside 6 busy processes (16 callers, room for 26 requests at peers): 12 to 15 of the 26 had been answered in full, and the next request was refused with 503 router-full.

New requests are now registered after the check of the timeouts, so that each is polled at least once.

--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -172,10 +172,12 @@
                     self._wake_reader.recv(READ_BYTES)
                 else:
                     self._advance_safely(key.data, key.fileobj, mask)
-            self._register_added()
             now = time.monotonic()
             self._expire(now)
             self._log_limit(now)
+            # After the check, so that a request that has waited long for this thread is
+            # not given up before the state of its connection is known.
+            self._register_added()
             time.sleep(BATCH_SECONDS)
 
     def _advance_safely(
@@ -274,6 +276,12 @@
             self._end_unanswered(relay, 502, "the peer closed the connection")
             return
         relay.is_begun = True
+        # The end mostly arrives with the last data. If it were read in the next round,
+        # the caller's next request would be counted beside this one.
+        with contextlib.suppress(OSError):
+            rest = relay.socket.recv(READ_BYTES)
+            relay.is_ended = not rest
+            data += rest
         try:
             self._deliver(relay, data)
         except OSError:
