Read responses on while their callers lag behind

Cause: the thread of a request blocks on its caller's socket, so that a slow caller keeps the slot at the server and the connection to it until it has taken everything. Change: with the setting held_megabytes_max the sink writes without waiting and buffers the rest within the budget of decisions/heldbytes. The thread reads the response on; slot and connection are released when it is complete, and the thread then writes the rest until the caller takes nothing for the caller timeout. Without the setting responses are written as before.

--- a/celeryspan/decisions/heldbytes.py
+++ b/celeryspan/decisions/heldbytes.py
@@ -19,6 +19,11 @@
 """Share of the budget by which it may be exceeded while responses are paused. Beyond
 it a response is aborted."""
 
+PRECEDENCE_RATIO = 0.5
+"""An account takes precedence over the largest one if it has at most this part of its
+bytes buffered. With equal bytes as the bound, two accounts of slow readers would abort
+each other's responses in turn."""
+
 MARK_SECONDS = 0.1
 """Bytes buffered within this time share a mark of their age, so that a stream of many
 small events costs ten marks a second."""
@@ -129,7 +134,7 @@
         if room > 0:
             return self._grant(reader, min(wanted, room), now)
         largest = self._find_largest_account()
-        if self._by_account[account] >= self._by_account[largest]:
+        if self._by_account[account] > PRECEDENCE_RATIO * self._by_account[largest]:
             reader.ceiling = reader.held
             return Grant(0)
         return self._replace_slowest(largest, reader, wanted, now)
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -24,6 +24,7 @@
     orders,
     quickrefusals,
     refusals,
+    slowcallers,
 )
 from celeryspan.platform import names
 from celeryspan.services import callerconnections, framing, httpserver
@@ -92,7 +93,15 @@
 
 
 @kernel.register(
-    "front", needs=("carrier", "catalogues", "handover", "membership", "metrics")
+    "front",
+    needs=(
+        "carrier",
+        "catalogues",
+        "handover",
+        "membership",
+        "metrics",
+        "slowcallers",
+    ),
 )
 class Front:
     """Reads and validates requests, forwards them and writes refusals.
@@ -112,6 +121,7 @@
         self._handover: handover_service.Handover = container.find("handover")
         self._membership: membership.MembershipService = container.find("membership")
         self._metrics: metrics.Metrics = container.find("metrics")
+        self._slow_callers: slowcallers.SlowCallers = container.find("slowcallers")
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
@@ -203,7 +213,9 @@
             self._server.close_watcher.add(
                 request.conn.socket, order.cancellation.note_caller_left
             )
+            slowcallers.attach(self._slow_callers, sink, order)
             self._forward(order, sink)
+            sink.drain()
         except errors.RequestError as error:
             self._refuse(sink, request_id.decode("latin-1"), error, order)
         except OSError:
@@ -219,6 +231,7 @@
             )
             self._refuse(sink, request_id.decode("latin-1"), internal, order)
         finally:
+            sink.close()
             with self._lock:
                 del self._in_progress[key]
 
@@ -349,6 +362,7 @@
             return
         try:
             refusals.write_refusal(sink, request_id, error)
+            sink.drain()
         except OSError:
             sink.abort()  # The caller has disconnected.
 
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -32,6 +32,9 @@
         servers have no bound.
     descriptors_max : int
         Maximum of open files and sockets; 0 uses the limit of the operating system.
+    held_megabytes_max : float or None
+        Megabytes of responses that the router buffers for callers that read slowly;
+        None if it reads a response no faster than its caller.
     processor_share, processor_speed : float
         Fraction of a core that the VM has, and speed of the core relative to the
         reference core.
@@ -48,6 +51,7 @@
     cold_factor: Annotated[float, msgspec.Meta(ge=1)] | None = None
     cold_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
     descriptors_max: Annotated[int, msgspec.Meta(ge=0)] = 0
+    held_megabytes_max: Annotated[float, msgspec.Meta(ge=0.1)] | None = None
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
 
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -8,7 +8,7 @@
 
 import collections
 import threading
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 import prometheus_client
 from prometheus_client import core, exposition, registry
@@ -220,6 +220,11 @@
             "Requests handed over to peers for want of processor time.",
             registry=self.registry,
         )
+        self._held_bytes = prometheus_client.Gauge(
+            "celeryspan_held_bytes",
+            "Bytes of responses buffered for callers that read slowly.",
+            registry=self.registry,
+        )
         self.registry.register(ControlTraffic(container))
 
     def start(self) -> None:
@@ -317,6 +322,10 @@
         for labels, count in counts.items():
             self._server_versions.labels(*labels).set(count)
 
+    def track_held_bytes(self, count: Callable[[], int]) -> None:
+        """Read the number of buffered bytes from a function at each scrape."""
+        self._held_bytes.set_function(count)
+
     def count_handover(self) -> None:
         """Count a request that was handed over to a peer."""
         self._handed_over.inc()
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -83,6 +83,8 @@
         Number of accepted connections.
     events : int
         Number of events in each stream.
+    event_padding : int
+        Additional characters in each event.
     version : str
         Version of its software, which each event names.
     fatal_bodies : set of bytes
@@ -126,6 +128,7 @@
         self.connections = 0
         self.event_seconds = 0.0
         self.events = EVENTS
+        self.event_padding = 0
         self.fatal_bodies: set[bytes] = set()
         self.cold_requests_max = math.inf
         self.is_leaving = False
@@ -383,8 +386,9 @@
     def _write_events(self, request: ReceivedRequest) -> Iterator[bytes]:
         last = int(request.headers.get(LAST_EVENT_ID.lower(), 0))
         for number in range(last + 1, self.events + 1):
-            event = f"id: {number}\nversion: {self.version}\ndata: piece {number}\n\n"
-            yield event.encode()
+            padding = "." * self.event_padding
+            lines = f"id: {number}\nversion: {self.version}\n"
+            yield f"{lines}data: piece {number}{padding}\n\n".encode()
 
 
 def list_versions(body: bytes) -> list[str]:
--- a/tests/decisions/test_heldbytes.py
+++ b/tests/decisions/test_heldbytes.py
@@ -63,6 +63,15 @@
     assert held.total <= LIMIT * 1.1
 
 
+def test_accounts_with_similar_amounts_abort_none_of_each_other() -> None:
+    """Guards against two accounts that take turns in losing their responses."""
+    held = make_full(("a", TOWER, 550), ("b", QUAY, 450))
+    for number in range(100):
+        grant = held.add(("b", number), QUAY, 50, 2.0 + number)
+        assert grant.aborted is None
+    assert held.total <= LIMIT * 1.1
+
+
 def test_end_of_a_response_is_never_held_back() -> None:
     """Guards against a complete response that keeps its slot for want of budget."""
     held = make_full(("a", TOWER, LIMIT))
