--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -25,6 +25,7 @@
     orders,
     quickrefusals,
     refusals,
+    slowcallers,
 )
 from celeryspan.platform import names
 from celeryspan.services import callerconnections, framing, httpserver, sockets
@@ -97,7 +98,15 @@
 
 
 @kernel.register(
-    "front", needs=("carrier", "catalogues", "handover", "membership", "metrics")
+    "front",
+    needs=(
+        "carrier",
+        "catalogues",
+        "handover",
+        "membership",
+        "metrics",
+        "slowcallers",
+    ),
 )
 class Front:
     """Reads and validates requests, forwards them and writes refusals.
@@ -117,6 +126,7 @@
         self._handover: handover_service.Handover = container.find("handover")
         self._membership: membership.MembershipService = container.find("membership")
         self._metrics: metrics.Metrics = container.find("metrics")
+        self._slow_callers: slowcallers.SlowCallers = container.find("slowcallers")
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
@@ -220,7 +230,9 @@
             self._server.close_watcher.add(
                 request.conn.socket, order.cancellation.note_caller_left
             )
+            slowcallers.attach(self._slow_callers, sink, order)
             self._forward(order, sink)
+            sink.drain()
         except errors.RequestError as error:
             self._refuse(sink, request_id.decode("latin-1"), error, order)
         except OSError:
@@ -236,6 +248,7 @@
             )
             self._refuse(sink, request_id.decode("latin-1"), internal, order)
         finally:
+            sink.close()
             with self._lock:
                 del self._in_progress[key]
             self._unanswered.discard(id(request.conn))
@@ -378,6 +391,7 @@
             return
         try:
             refusals.write_refusal(sink, request_id, error)
+            sink.drain()
         except OSError:
             sink.abort()  # The caller has disconnected.
 
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -104,7 +104,11 @@
         if sent < len(data):
             self.server.requests.set_counted(self, True)
             self.wfile.write(data[sent:])
-            self.mark_answered()
+        self.end_answer(close_after=close_after)
+
+    def end_answer(self, *, close_after: bool) -> None:
+        """Stop counting a request that is answered; send the connection's end."""
+        self.mark_answered()
         if close_after:
             # A caller that has the answer may have reset the connection.
             with contextlib.suppress(OSError):
