Split placing by kind of server

The choice among engines (engineplacing), the choice among plain servers (plainplacing), copies of cached parts (cachecopies) and the costs common to both (candidates) are modules of their own now; placing keeps the runs. Formulas and constants are unchanged. The test that changes COPY_WEIGHT names the module that has it now.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -1,88 +1,33 @@
-"""Selects the backend server of a pool that takes a request.
+"""Selects the backend server of a pool that takes a request, and tracks its run.
 
-Prompts share parts and differ widely in length, streams beside them must not pause, and
-servers may be slow, unreachable or failing.
-
-* A request goes to the server that has its prompt cached and the least pending prefill.
-  Prefilling parts again weighs ten times as much as waiting, because it delays every
-  other request as well.
-* At most a tenth of a second of prefill is pending at an engine. More would delay first
-  events, and a request that hasn't been sent can still go to another engine.
-* An engine that has prefilled for as long as a stream beside it may pause completes all
-  pending prefill before it gets more, so that a step without prefill comes between.
-* A request waits briefly for the server that has its prompt cached while others are
-  free: prefilling again costs more and delays everything waiting there.
-* Where engines can copy from each other, cached parts are copied from the engine that
-  has most of the prompt (:class:`CacheSource`): 4,870 tokens take 6 ms instead of 45.
-* A prompt whose prefill alone makes the streams beside it pause past their limit goes
-  to a dedicated engine, one at a time (:mod:`longprompts`).
-* Requests to plain services go to the server with the shortest expected time.
+* Requests to model engines go where their prompt is cached and little prefill is
+  pending (:mod:`engineplacing`).
+* Requests to plain services go to the server with the shortest expected time
+  (:mod:`plainplacing`).
 * A cold server is not available once it has got as many requests as it tolerates
   (:mod:`coldstart`).
 * A server gets nothing from a router that it has asked for a rest
   (:mod:`announcements`). Other routers avoid it, because it is likely to be overloaded.
-
-Without these rules most long streams pause beside long prompts. The figures stand in
-``docs/design/placing.md``.
 """
 
 from __future__ import annotations
 
-import math
-from collections.abc import Collection, Mapping, Sequence
-from typing import NamedTuple
+from collections.abc import Collection
 
 import msgspec
 
-from celeryspan import catalog, ids, states
+from celeryspan import ids, states
 from celeryspan.decisions import (
-    engines,
-    longprompts,
+    cachecopies,
+    candidates,
+    engineplacing,
     migration,
+    plainplacing,
     poolservers,
-    servertable,
     streamversions,
 )
 from celeryspan.wire import messages
 
-PREFILL_WEIGHT = 10.0
-"""Weight of a second of prefill relative to a second of waiting."""
-
-AFFINITY_WAIT_SHARE = 0.25
-"""Share of the latency objective that a request waits for the server that caches most
-of its prompt while others are free. Prefilling a long prompt again takes as long and
-delays every other request at that server."""
-
-REGRET_SECONDS_MIN = 0.02
-"""Cost difference in seconds above which a request waits for a better server: the cost
-of prefilling about 200 tokens or copying 8,000."""
-
-RUN_COST_SECONDS = 0.002
-"""Cost of each run in progress; spreads requests that need no prefill."""
-
-GAP_MARGIN_SECONDS = 0.02
-"""Part of the longest allowed pause reserved for delivering an event to the caller."""
-
-REMOTE_COST_SECONDS = 0.002
-"""Cost of a server in another data centre: one round trip."""
-
-COPY_TOKENS_MIN = 256
-"""Shorter parts are prefilled in 2 ms, as long as it takes to set up a copy."""
-
-COPY_SETUP_SECONDS = 0.002
-
-COPY_WEIGHT = 10.0
-"""Weight of a second of copying cached parts relative to a second of waiting. A copy
-takes a tenth of the prefill time and delays no stream, but it uses links that
-migrations need and evicts parts that other prompts share. A lower weight sends many
-prompts away from the server that caches them."""
-
-FAILURE_COST_SECONDS = 2.0
-"""Cost of a server that fails all requests, relative to its peers."""
-
-RESTING_COST_SECONDS = 0.05
-"""Cost of a server that rests for another router."""
-
 EXPIRY_INTERVAL_SECONDS = 0.25
 """Interval between checks for runs that should have ended."""
 
@@ -98,133 +43,21 @@
 UNKNOWN_ROUTER = ids.RouterId("")
 
 
-class Candidate(NamedTuple):
-    """A server that could take a request; lower costs are better.
-
-    Attributes
-    ----------
-    cost : float
-        Weighted waiting time, in seconds.
-    is_ready : bool
-        Whether the server can take the request now.
-    """
-
-    cost: float
-    server: ids.ServerId
-    is_ready: bool
-
-
-class CacheSource(NamedTuple):
-    """The engine that caches the longest prefix of a prompt, and the length of that."""
-
-    cached_tokens: int
-    server: ids.ServerId
-
-
-NO_CACHE_SOURCE = CacheSource(0, ids.ServerId(""))
-
-NO_CANDIDATE = Candidate(math.inf, ids.ServerId(""), False)
-
-
-class Choice(NamedTuple):
-    """The server that takes a request now.
-
-    Attributes
-    ----------
-    regret : float
-        How much lower the cost of the best server is, if that one can't take the
-        request yet, in seconds.
-    """
-
-    server: ids.ServerId
-    regret: float
-
-
-class Placer(servertable.ServerTable):
+class Placer(engineplacing.EngineTable):
     """Assigns requests to the servers of one pool and tracks their runs."""
 
     def __init__(self) -> None:
         super().__init__()
-        self._model = engines.EngineModel()
-        self._burst_pause_seconds = 0.0
-        self._long_prompts = longprompts.LongPrompts()
         self._mean_run_seconds = 0.0
         self._next_expiry_at = 0.0
 
-    def set_servers(
-        self, entries: Sequence[catalog.ServerEntry], engine: catalog.Engine | None
-    ) -> None:
-        """Set the servers that may get new requests; runs at the others continue."""
-        super().set_servers(entries, engine)
-        self._burst_pause_seconds = (
-            self._model.prefill_pause_seconds(engine) if engine else 0.0
-        )
-
-    def exceeds_memory(self, ask: messages.SlotRequest) -> bool:
-        """Whether the request is too large for every server."""
-        engine = self._engine
-        tokens = ask.prompt_tokens + ask.output_tokens
-        return engine is not None and tokens > engine.memory_tokens
-
-    def record_arrival(self, ask: messages.SlotRequest, now: float) -> None:
-        """Record the prefill of a long prompt; it determines the dedicated engines."""
-        if self._engine is None:
-            return
-        cached = self._count_most_cached(ask)
-        pause = self._make_prompt(ask).gap_seconds(cached, 1.0)
-        prefill = self._model.prefill_seconds(ask.prompt_tokens - cached, cached)
-        self._long_prompts.record_arrival(pause, _pause_limit(ask), prefill, now)
-
-    def is_long(self, ask: messages.SlotRequest) -> bool:
-        """Whether a prompt is long at the server that caches most of it."""
-        if self._engine is None:
-            return False
-        return self._is_long(ask, self._count_most_cached(ask))
-
-    def has_capacity(self, is_long: bool, now: float) -> bool:
-        """Whether any server can take a long prompt, or any other request, now."""
-        for server in self._list_eligible(is_long, now):
-            if not server.is_available(now):
-                continue
-            if (
-                not server.is_prefilling_long()
-                if is_long
-                else self._has_short_prefill_queue(server, now)
-            ):
-                return True
-        return False
-
-    def _has_short_prefill_queue(
-        self, server: poolservers.PoolServer, now: float
-    ) -> bool:
-        return server.pending_seconds(now) <= poolservers.PENDING_PREFILL_SECONDS_MAX
-
-    def _list_eligible(
-        self, is_long: bool, now: float
-    ) -> Sequence[poolservers.PoolServer]:
-        """Return the servers for long prompts, or those for other requests.
-
-        The same engines are dedicated to long prompts for as long as their number
-        doesn't change. Other requests use them only when all the rest are full, so that
-        no slot stays idle while requests wait.
-        """
-        count = self.count_dedicated()
-        if not count:
-            return self._ordered_servers
-        dedicated, rest = self._ordered_servers[:count], self._ordered_servers[count:]
-        if is_long:
-            return dedicated
-        if any(server.is_available(now) for server in rest):
-            return rest
-        return [server for server in dedicated if not server.is_prefilling_long()]
-
     def choose(
         self,
         ask: messages.SlotRequest,
         waited: float,
         now: float,
         router: ids.RouterId = UNKNOWN_ROUTER,
-    ) -> Choice | None:
+    ) -> candidates.Choice | None:
         """Return the server that takes a request now, or None.
 
         Parameters
@@ -245,7 +78,7 @@
                 return None
             excluded = {*excluded, *self._find_isolated_runs()}
         if self._engine is None:
-            return self._choose_plain(ask, excluded, now)
+            return plainplacing.choose(self._ordered_servers, ask, excluded, now)
         return self._choose_engine(ask, excluded, waited, now)
 
     def start_run(
@@ -258,8 +91,11 @@
     ) -> poolservers.Run:
         """Reserve a slot for a request and record its run."""
         server = self._servers[name]
-        cached, copy_seconds, source = self._plan_copy(
-            ask, server, self._find_cache_sources(ask, now)
+        cached, copy_seconds, source = cachecopies.plan(
+            self._engine,
+            ask,
+            server,
+            cachecopies.find_sources(self._ordered_servers, self._engine, ask, now),
         )
         prefill = 0.0
         if self._engine is not None:
@@ -273,7 +109,7 @@
         pause = 0.0
         if self._engine is not None:
             pause = self._make_prompt(ask).gap_seconds(cached, server.slowdown)
-        limit = _pause_limit(ask)
+        limit = engineplacing.limit_pause(ask)
         run = poolservers.Run(
             router=router,
             since=now,
@@ -341,12 +177,12 @@
         dedicated = self._ordered_servers[: self.count_dedicated()]
         if source not in dedicated:
             return None
-        candidates = [
+        targets = [
             server
             for server in self._list_eligible(False, now)
             if streamversions.may_continue(server.entry, source.entry.version)
         ]
-        target = migration.choose_target(source, candidates, now)
+        target = migration.choose_target(source, targets, now)
         if target is None:
             return None
         moved = msgspec.structs.replace(run, prefill_seconds=0.0, is_long=False)
@@ -440,181 +276,3 @@
         return self._model.first_event_seconds + self._model.prefill_seconds(
             uncached, cached
         )
-
-    def count_dedicated(self) -> int:
-        """Return the number of engines dedicated to long prompts."""
-        return self._long_prompts.count_dedicated(len(self._servers))
-
-    def _find_cache_sources(
-        self, ask: messages.SlotRequest, now: float
-    ) -> dict[ids.SoftwareVersion, CacheSource]:
-        """Return the engine with the longest cached prefix of each software version.
-
-        Empty if engines can't copy.
-        """
-        found: dict[ids.SoftwareVersion, CacheSource] = {}
-        if self._engine is None or not self._engine.copy_token_seconds:
-            return found
-        for server in self._ordered_servers:
-            version = server.entry.version
-            cached = server.cache.count_copyable(ask.parts, now)
-            longest = found.get(version, NO_CACHE_SOURCE).cached_tokens
-            if cached > longest and not server.health.is_backing_off(now):
-                found[version] = CacheSource(cached, server.entry.server)
-        return found
-
-    def _plan_copy(
-        self,
-        ask: messages.SlotRequest,
-        server: poolservers.PoolServer,
-        cache_sources: Mapping[ids.SoftwareVersion, CacheSource],
-    ) -> tuple[int, float, ids.ServerId | None]:
-        """Return tokens that need no prefill, copy time and copy source."""
-        cache_source = cache_sources.get(server.entry.version, NO_CACHE_SOURCE)
-        cached = server.cache.count_cached(ask.parts)
-        missing = cache_source.cached_tokens - cached
-        if missing < COPY_TOKENS_MIN or self._engine is None:
-            return cached, 0.0, None
-        seconds = COPY_SETUP_SECONDS + missing * self._engine.copy_token_seconds
-        return cache_source.cached_tokens, seconds, cache_source.server
-
-    def _count_most_cached(self, ask: messages.SlotRequest) -> int:
-        return max(
-            (s.cache.count_cached(ask.parts) for s in self._ordered_servers), default=0
-        )
-
-    def _choose_plain(
-        self, ask: messages.SlotRequest, excluded: Collection[ids.ServerId], now: float
-    ) -> Choice | None:
-        available = [
-            server
-            for server in self._ordered_servers
-            if server.is_available(now) and server.entry.server not in excluded
-        ]
-        if not available:
-            return None
-        healthy = min(server.health.failure_rate for server in available)
-
-        def cost(server: poolservers.PoolServer) -> tuple[float, str]:
-            use = (len(server.runs) + 1) / server.entry.slots
-            failing = (server.health.failure_rate - healthy) * FAILURE_COST_SECONDS
-            extra = failing + _remote_cost(server, ask) + _resting_cost(server)
-            return server.call_seconds * (1.0 + use) + extra, server.entry.server
-
-        return Choice(min(available, key=cost).entry.server, 0.0)
-
-    def _choose_engine(
-        self,
-        ask: messages.SlotRequest,
-        excluded: Collection[ids.ServerId],
-        waited: float,
-        now: float,
-    ) -> Choice | None:
-        best = ready = NO_CANDIDATE
-        prompt = self._make_prompt(ask)
-        cache_sources = self._find_cache_sources(ask, now)
-        for is_long in (False, True):
-            for server in self._list_candidates(ask.version, is_long, now):
-                if not server.is_available(now) or server.entry.server in excluded:
-                    continue
-                cached, copy_seconds, _ = self._plan_copy(ask, server, cache_sources)
-                if prompt.is_long(cached, server.slowdown) is not is_long:
-                    continue
-                prefill = prompt.prefill_seconds(
-                    cached, len(server.runs), server.slowdown
-                )
-                candidate = self._make_candidate(
-                    ask, server, prefill, copy_seconds, is_long, now
-                )
-                best = min(best, candidate)
-                ready = min(ready, candidate) if candidate.is_ready else ready
-        if not ready.is_ready:
-            return None
-        regret = ready.cost - best.cost
-        wait = (
-            AFFINITY_WAIT_SHARE * ask.objective if regret > REGRET_SECONDS_MIN else 0.0
-        )
-        return None if ask.waited + waited < wait else Choice(ready.server, regret)
-
-    def _list_candidates(
-        self, version: ids.SoftwareVersion, is_long: bool, now: float
-    ) -> Sequence[poolservers.PoolServer]:
-        """Return the servers for a request; all of its version if none is eligible."""
-        eligible = self._list_eligible(is_long, now)
-        if not version:
-            return eligible
-        candidates = [
-            server
-            for server in self._ordered_servers
-            if streamversions.may_continue(server.entry, version)
-        ]
-        return [server for server in candidates if server in eligible] or candidates
-
-    def _make_candidate(
-        self,
-        ask: messages.SlotRequest,
-        server: poolservers.PoolServer,
-        prefill: float,
-        copy_seconds: float,
-        is_long: bool,
-        now: float,
-    ) -> Candidate:
-        """Return the cost of placing a request at a server, and whether it is ready."""
-        pending = server.pending_seconds(now)
-        cost = pending + PREFILL_WEIGHT * prefill + RUN_COST_SECONDS * len(server.runs)
-        cost += COPY_WEIGHT * copy_seconds
-        cost += server.health.failure_rate * FAILURE_COST_SECONDS
-        cost += _remote_cost(server, ask) + _resting_cost(server)
-        if is_long:
-            is_ready = not server.is_prefilling_long()
-        else:
-            is_ready = self._can_admit(ask, server, pending, prefill, now)
-        return Candidate(cost, server.entry.server, is_ready)
-
-    def _can_admit(
-        self,
-        ask: messages.SlotRequest,
-        server: poolservers.PoolServer,
-        pending: float,
-        prefill: float,
-        now: float,
-    ) -> bool:
-        """Whether a server can take one more prompt now."""
-        burst = server.measure_burst(self._burst_pause_seconds, now)
-        if burst <= 0.0 and pending <= 0.0:
-            return True
-        steps = self._model.max_gap_seconds(0, 0, ask.stride, len(server.runs))
-        longest = _pause_limit(ask) - steps * server.slowdown
-        is_soon = (
-            pending <= 0.0
-            or pending + prefill <= poolservers.PENDING_PREFILL_SECONDS_MAX
-        )
-        return is_soon and burst + prefill <= longest
-
-    def _make_prompt(self, ask: messages.SlotRequest) -> engines.Prompt:
-        assert self._engine is not None
-        return engines.Prompt(
-            self._model,
-            ask.prompt_tokens,
-            _pause_limit(ask) / self._long_prompts.ratio,
-            self._engine.stride,
-            self._engine.slots // 2,
-        )
-
-    def _is_long(
-        self, ask: messages.SlotRequest, cached: int, slowdown: float = 1.0
-    ) -> bool:
-        return self._make_prompt(ask).is_long(cached, slowdown)
-
-
-def _pause_limit(ask: messages.SlotRequest) -> float:
-    """Return the longest pause allowed for the streams of a request, in seconds."""
-    return ask.gap_max - GAP_MARGIN_SECONDS
-
-
-def _remote_cost(server: poolservers.PoolServer, ask: messages.SlotRequest) -> float:
-    return 0.0 if server.entry.data_centre == ask.data_centre else REMOTE_COST_SECONDS
-
-
-def _resting_cost(server: poolservers.PoolServer) -> float:
-    return RESTING_COST_SECONDS if server.rests else 0.0
--- /dev/null
+++ b/celeryspan/decisions/plainplacing.py
@@ -0,0 +1,40 @@
+"""Selects the plain server that takes a request: that with the least expected time."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+
+from celeryspan import ids
+from celeryspan.decisions import candidates, poolservers
+from celeryspan.wire import messages
+
+
+def choose(
+    servers: Iterable[poolservers.PoolServer],
+    ask: messages.SlotRequest,
+    excluded: Collection[ids.ServerId],
+    now: float,
+) -> candidates.Choice | None:
+    """Return the server that takes a request now, or None if none is available."""
+    available = [
+        server
+        for server in servers
+        if server.is_available(now) and server.entry.server not in excluded
+    ]
+    if not available:
+        return None
+    healthy = min(server.health.failure_rate for server in available)
+
+    def cost(server: poolservers.PoolServer) -> tuple[float, str]:
+        use = (len(server.runs) + 1) / server.entry.slots
+        failing = (
+            server.health.failure_rate - healthy
+        ) * candidates.FAILURE_COST_SECONDS
+        extra = (
+            failing
+            + candidates.estimate_remote_cost(server, ask)
+            + candidates.estimate_resting_cost(server)
+        )
+        return server.call_seconds * (1.0 + use) + extra, server.entry.server
+
+    return candidates.Choice(min(available, key=cost).entry.server, 0.0)
--- a/celeryspan/decisions/shards.py
+++ b/celeryspan/decisions/shards.py
@@ -34,7 +34,7 @@
 import xxhash
 
 from celeryspan import ids, states
-from celeryspan.decisions import engines, homes, placing
+from celeryspan.decisions import engineplacing, engines, homes
 
 if TYPE_CHECKING:
     from celeryspan.wire import messages
@@ -221,7 +221,7 @@
     shared = ask.parts[:-1] or ask.parts
     tokens = sum(part.tokens for part in ask.parts[:-1])
     prefill = engines.EngineModel().prefill_seconds(tokens, 0)
-    return shared[-1].part, placing.PREFILL_WEIGHT * prefill
+    return shared[-1].part, engineplacing.PREFILL_WEIGHT * prefill
 
 
 def _hash(name: str) -> int:
--- a/tests/decisions/test_pools.py
+++ b/tests/decisions/test_pools.py
@@ -13,7 +13,7 @@
 
 from bench.engines import loads, site, trial
 from celeryspan import ids, states
-from celeryspan.decisions import placing, pools, poolservers
+from celeryspan.decisions import cachecopies, placing, pools, poolservers
 from celeryspan.wire import messages
 
 RETURNED_SHARE = 0.6
@@ -335,7 +335,7 @@
     """
     parts = [make_sheets(24.0), make_notes(40.0)]
     found = play(parts, deployment=SLOW_READERS)
-    monkeypatch.setattr(placing, "COPY_WEIGHT", 3.0)
+    monkeypatch.setattr(cachecopies, "COPY_WEIGHT", 3.0)
     before = play(parts, deployment=SLOW_READERS)
     assert found.fetched_tokens < 0.85 * before.fetched_tokens
     assert found.share_in_time("sheets") > before.share_in_time("sheets") + 0.03
