--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -249,6 +249,23 @@
         return self.succeeds(other) or self.version != other.version
 
 
+class ServerLoad(msgspec.Struct, frozen=True):
+    """The load that a backend server reports in the head of an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that run and wait at the server, and how many it runs concurrently.
+    pace : float
+        Service time on its VM relative to the usual; 2 is half as fast.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+
+
 class Announcement(msgspec.Struct, frozen=True):
     """What a backend server states about itself in the head of an answer.
 
