Carry load reports in RunBegun and RunEnded

The home of a pool decides, but other routers read the answers. Both messages have an optional LoadReport with the age of the report. An older router skips it, and its absence (a pace of 0) reads as none; tests decode frames with the schema of the previous version in both directions.

--- a/celeryspan/wire/codec.py
+++ b/celeryspan/wire/codec.py
@@ -10,12 +10,14 @@
 import enum
 import functools
 import importlib.resources
+import math
 import re
 import struct
 import typing
 from collections.abc import Callable
 
 import capnp
+import msgspec
 
 from celeryspan import errors, ids
 from celeryspan.wire import messages
@@ -74,7 +76,9 @@
             kind, fields = _layouts()[type(message)]
             body = entry.init(kind)
             for name, wire_name, (to_wire, _) in fields:
-                setattr(body, wire_name, to_wire(getattr(message, name), indexes))
+                value = to_wire(getattr(message, name), indexes)
+                if value is not None:
+                    setattr(body, wire_name, value)
     except (capnp.KjException, OverflowError) as error:
         raise ValueError(f"a message does not fit the schema: {error}") from error
     builder.texts = SEPARATOR.join(indexes).encode()
@@ -330,6 +334,19 @@
     )
 
 
+@register_converter(messages.LoadReport | None)
+def _make_load_report_converter() -> tuple[Encode, Decode]:
+    def read(entry: typing.Any, _: list[str]) -> messages.LoadReport | None:
+        pace = entry.pace
+        if not 0.0 < pace < math.inf:
+            return None
+        return messages.LoadReport(
+            entry.running, entry.waiting, entry.slots, pace, entry.age
+        )
+
+    return lambda report, _: report and msgspec.structs.asdict(report), read
+
+
 @register_converter(tuple[ids.ServerId, ...])
 def _make_servers_converter() -> tuple[Encode, Decode]:
     return (
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -420,6 +420,26 @@
     version: ids.SoftwareVersion = ids.SoftwareVersion("")
 
 
+class LoadReport(msgspec.Struct, frozen=True):
+    """The load that a backend server reported in an answer.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that run and wait at the server, and how many it runs concurrently.
+    pace : float
+        Service time on its VM relative to the usual; never 0.
+    age : float
+        Time since the answer arrived, in seconds.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+    age: float = 0.0
+
+
 class RunBegun(msgspec.Struct, frozen=True):
     """The first event of a run has arrived.
 
@@ -430,6 +450,8 @@
         can't be taken up.
     version : SoftwareVersion
         Version of the server that began the stream.
+    load : LoadReport or None
+        The load that the server reported.
     """
 
     request: ids.RequestId
@@ -437,6 +459,7 @@
     server: ids.ServerId
     origin: ids.RequestId = ids.RequestId("")
     version: ids.SoftwareVersion = ids.SoftwareVersion("")
+    load: LoadReport | None = None
 
 
 class RunMove(msgspec.Struct, frozen=True):
@@ -475,6 +498,8 @@
     pause : float
         Longest gap between two events of the stream, in seconds; 0 if there was no
         stream or several servers produced it.
+    load : LoadReport or None
+        The load that the server reported, if :class:`RunBegun` didn't carry it.
     """
 
     request: ids.RequestId
@@ -482,6 +507,7 @@
     server: ids.ServerId
     ending: states.RunEnding
     pause: float = 0.0
+    load: LoadReport | None = None
 
 
 class QueueAlive(msgspec.Struct, frozen=True):
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -279,12 +279,22 @@
   version @10 :OptionalText;
 }
 
+# No report if the pace is 0, the default if the sender is older.
+struct LoadReport {
+  running @0 :UInt16;
+  waiting @1 :UInt16;
+  slots @2 :UInt16;
+  pace @3 :Float32;
+  age @4 :Float32;
+}
+
 struct RunBegun {
   request @0 :Text;
   pool @1 :Text;
   server @2 :Text;
   origin @3 :Text;
   version @4 :OptionalText;
+  load @5 :LoadReport;
 }
 
 struct RunEnded {
@@ -293,6 +303,7 @@
   server @2 :Text;
   ending @3 :Text;
   pause @4 :Float32;
+  load @5 :LoadReport;
 }
 
 struct QueueAlive {
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -7,6 +7,7 @@
 
 import capnp
 import hypothesis
+import msgspec
 import pytest
 from hypothesis import strategies
 
@@ -70,6 +71,9 @@
     messages.SlotRefusal("q-1", "planner-llm#1#0", 0.5, "no-place-in-time", 0.25),
     messages.RunHeld("q-1", "planner-llm", "desk", "gpu-1", (), 1210, True, 2.5),
     messages.RunBegun("q-1", "planner-llm", "gpu-1", "q-0", "v1.2"),
+    messages.RunBegun(
+        "q-1", "planner-llm", "gpu-1", load=messages.LoadReport(3, 1, 6, 2.5, 0.25)
+    ),
     messages.RunMove("q-1", "planner-llm#1#0", "gpu-1", "gpu-2"),
     messages.RunMoved("q-1", "planner-llm#1#0", "gpu-1", "gpu-2", True),
     messages.Suspect(
@@ -84,6 +88,13 @@
     messages.SuspectsDigest(2**64 - 1, True),
     messages.SuspectsStored(2**64 - 1, 2**40),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
+    messages.RunEnded(
+        "q-1",
+        "planner-llm",
+        "gpu-1",
+        states.RunEnding.REJECTED,
+        load=messages.LoadReport(6, 2, 6, 0.5),
+    ),
     messages.QueueAlive("planner-llm#1#0", 0.5),
     messages.PoolShares("planner-llm#8#3", 2, (messages.AccountUnits("desk", 420.0),)),
     messages.ServerDeparture("gpu-1", 2**41, 0.5),
@@ -146,6 +157,27 @@
     assert decoded.messages == (messages.Probe(6),)
 
 
+def test_load_report_is_skipped_by_routers_of_the_previous_version(tmp_path) -> None:
+    """Guards against a rolling upgrade in which ends of runs are not understood."""
+    source = codec.importlib.resources.files("celeryspan.wire") / "peer.capnp"
+    older = source.read_text().replace("0xd5c0a5be1f3a7c21", "0xd5c0a5be1f3a7c23")
+    older, count = re.subn(r"  load @5 :LoadReport;\n", "", older)
+    assert count == 2
+    (tmp_path / "older.capnp").write_text(older)
+    schema = capnp.load(str(tmp_path / "older.capnp"))
+    load = messages.LoadReport(3, 1, 6, 2.5, 0.25)
+    ended = messages.RunEnded("q-1", "p", "g-1", states.RunEnding.ANSWERED, 0.5, load)
+    data = codec.encode(make_frame(ended))
+    read = schema.Frame.from_bytes_packed(data).messages[0].runEnded
+    assert (read.server, read.pause) == (3, 0.5)
+    frame = schema.Frame.new_message(texts=b"r-1\0q-1\0p\0g-1\0answered")
+    older_ended = frame.init("messages", 1)[0].init("runEnded")
+    older_ended.request, older_ended.pool, older_ended.server = 1, 2, 3
+    older_ended.ending, older_ended.pause = 4, 0.5
+    (decoded,) = codec.decode(frame.to_bytes_packed()).messages
+    assert decoded == msgspec.structs.replace(ended, load=None)
+
+
 @hypothesis.given(strategies.binary(max_size=200))
 def test_random_bytes_raise_link_error_or_decode(data: bytes) -> None:
     try:
