Place requests by the reported pace of servers

Other workloads on a VM make its server 2.5 times as slow for parts of a second. The home learned that as the lasting speed of the server, too late, and kept it too long. Predictions are multiplied by the expected pace, and samples of the speed are divided by the pace that held. Without reports all factors are exactly 1.

--- a/celeryspan/decisions/candidates.py
+++ b/celeryspan/decisions/candidates.py
@@ -25,17 +25,20 @@
     Attributes
     ----------
     cost : float
-        Weighted waiting time, in seconds.
+        Weighted waiting time, in seconds, at the expected pace of the server.
     is_ready : bool
         Whether the server can take the request now.
+    usual_cost : float
+        The same cost if the server's VM had its usual pace.
     """
 
     cost: float
     server: ids.ServerId
     is_ready: bool
+    usual_cost: float
 
 
-NO_CANDIDATE = Candidate(math.inf, ids.ServerId(""), False)
+NO_CANDIDATE = Candidate(math.inf, ids.ServerId(""), False, math.inf)
 
 
 class Choice(NamedTuple):
--- a/celeryspan/decisions/engineplacing.py
+++ b/celeryspan/decisions/engineplacing.py
@@ -29,6 +29,7 @@
     engines,
     longprompts,
     poolservers,
+    serverpaces,
     servertable,
     streamversions,
 )
@@ -159,6 +160,7 @@
                 )
                 if prompt.is_long(cached, server.slowdown) is not is_long:
                     continue
+                # The prefill at the usual pace of the server's VM.
                 prefill = prompt.prefill_seconds(
                     cached, len(server.runs), server.slowdown
                 )
@@ -169,7 +171,8 @@
                 ready = min(ready, candidate) if candidate.is_ready else ready
         if not ready.is_ready:
             return None
-        regret = ready.cost - best.cost
+        # A request doesn't wait only because an idle engine is slow at the moment.
+        regret = min(ready.cost - best.cost, ready.usual_cost - best.usual_cost)
         wait = (
             AFFINITY_WAIT_SHARE * ask.objective if regret > REGRET_SECONDS_MIN else 0.0
         )
@@ -204,7 +207,9 @@
     ) -> candidates.Candidate:
         """Return the cost of placing a request at a server, and whether it is ready."""
         pending = server.pending_seconds(now)
-        cost = pending + PREFILL_WEIGHT * prefill + RUN_COST_SECONDS * len(server.runs)
+        pace = server.measure_pace(now)
+        present = len(server.runs) + server.count_others(now)
+        cost = pending + PREFILL_WEIGHT * prefill + RUN_COST_SECONDS * present
         cost += cachecopies.COPY_WEIGHT * copy_seconds
         cost += server.health.failure_rate * candidates.FAILURE_COST_SECONDS
         cost += candidates.estimate_remote_cost(
@@ -213,8 +218,12 @@
         if is_long:
             is_ready = not server.is_prefilling_long()
         else:
-            is_ready = self._can_admit(ask, server, pending, prefill, now)
-        return candidates.Candidate(cost, server.entry.server, is_ready)
+            is_ready = self._can_admit(ask, server, pending, prefill, pace, now)
+        if pace == 1.0:
+            return candidates.Candidate(cost, server.entry.server, is_ready, cost)
+        slow = serverpaces.estimate_slow_cost(pace)
+        slow += (PREFILL_WEIGHT * prefill + RUN_COST_SECONDS * present) * (pace - 1.0)
+        return candidates.Candidate(cost + slow, server.entry.server, is_ready, cost)
 
     def _can_admit(
         self,
@@ -222,6 +231,7 @@
         server: poolservers.PoolServer,
         pending: float,
         prefill: float,
+        pace: float,
         now: float,
     ) -> bool:
         """Whether a server can take one more prompt now."""
@@ -229,7 +239,8 @@
         if burst <= 0.0 and pending <= 0.0:
             return True
         steps = self._model.max_gap_seconds(0, 0, ask.stride, len(server.runs))
-        longest = limit_pause(ask) - steps * server.slowdown
+        longest = limit_pause(ask) - steps * server.slowdown * pace
+        prefill *= pace
         is_soon = (
             pending <= 0.0
             or pending + prefill <= poolservers.PENDING_PREFILL_SECONDS_MAX
--- a/celeryspan/decisions/migration.py
+++ b/celeryspan/decisions/migration.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 
 from celeryspan import catalog
-from celeryspan.decisions import poolservers
+from celeryspan.decisions import poolservers, serverpaces
 
 MIN_EVENTS = 3
 """Expected events below which a run ends before a copy would pay off."""
@@ -49,7 +49,11 @@
         is_near = server.entry.data_centre == source.entry.data_centre
         return (
             PENDING_SECOND_COST * server.pending_seconds(now)
-            + RUN_COST_SECONDS * len(server.runs) * server.slowdown
+            + RUN_COST_SECONDS
+            * len(server.runs)
+            * server.slowdown
+            * server.measure_pace(now)
+            + serverpaces.estimate_slow_cost(server.measure_pace(now))
             + (0.0 if is_near else OTHER_DATA_CENTRE_COST_SECONDS)
         )
 
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -98,14 +98,15 @@
             cachecopies.find_sources(self._ordered_servers, self._engine, ask, now),
         )
         prefill = 0.0
+        pace = server.measure_pace(now)
         if self._engine is not None:
             prefill = self._make_prompt(ask).prefill_seconds(
-                cached, len(server.runs), server.slowdown
+                cached, len(server.runs), server.slowdown * pace
             )
             prefill += copy_seconds
         pending = server.pending_seconds(now)
         prefill_done_at = max(now, server.prefill_done_at) + prefill
-        due_at = prefill_done_at + self._model.first_event_seconds
+        due_at = prefill_done_at + self._model.first_event_seconds * pace
         pause = 0.0
         if self._engine is not None:
             pause = self._make_prompt(ask).gap_seconds(cached, server.slowdown)
@@ -116,16 +117,17 @@
             cached_tokens=cached,
             pending_seconds=pending,
             prefill_seconds=prefill,
-            slowdown=server.slowdown,
+            slowdown=server.slowdown * pace,
             due_at=due_at,
             end_at=end_at,
             is_long=self._long_prompts.is_long(pause, limit),
-            pause=pause if pause > limit else 0.0,
+            pause=pause * pace if pause > limit else 0.0,
             output_tokens=ask.output_tokens,
             parts=ask.parts,
             source=source,
             isolation=ask.isolation,
             account=ask.account,
+            pace=pace,
         )
         server.add(ask.request, run, now, self._burst_pause_seconds)
         server.cache.record_use(ask.parts, due_at)
@@ -154,11 +156,19 @@
         )
         server.add(run.request, held, now)
 
-    def begin(self, request: ids.RequestId, name: ids.ServerId, now: float) -> None:
-        """Record the first event of a run."""
+    def begin(
+        self,
+        request: ids.RequestId,
+        name: ids.ServerId,
+        now: float,
+        load: messages.LoadReport | None = None,
+    ) -> None:
+        """Record the first event of a run and the load that its server reported."""
         server = self._find(name)
         if server is None:
             return
+        if load is not None:
+            server.record_load(request, load, now)
         samples = server.slowdown_samples
         server.begin(request, self._model.first_event_seconds, now)
         if server.slowdown_samples != samples:
@@ -211,6 +221,7 @@
         ending: states.RunEnding,
         now: float,
         pause: float = 0.0,
+        load: messages.LoadReport | None = None,
     ) -> poolservers.Run | None:
         """Free the slot of a run and learn from how it ended; returns the run.
 
@@ -218,14 +229,19 @@
         ----------
         pause : float
             Longest time between two events of its stream; 0 if unknown.
+        load : LoadReport, optional
+            The load that its server reported.
         """
         server = self._find(name)
+        if server is not None and load is not None:
+            server.record_load(request, load, now)
         run = server.remove(request, now) if server else None
         if run is None:
             return None
         if not server.runs:
             self._removed_servers.pop(name, None)
-        server.record_ending(ending, now - run.since, now)
+        pace = run.average_pace(server.measure_pace(now))
+        server.record_ending(ending, (now - run.since) / pace, now)
         if ending is states.RunEnding.ANSWERED:
             self._mean_run_seconds += (
                 now - run.since - self._mean_run_seconds
--- a/celeryspan/decisions/plainplacing.py
+++ b/celeryspan/decisions/plainplacing.py
@@ -26,7 +26,9 @@
     healthy = min(server.health.failure_rate for server in available)
 
     def cost(server: poolservers.PoolServer) -> tuple[float, str]:
-        use = (len(server.runs) + 1) / server.entry.slots
+        present = len(server.runs) + server.count_others(now)
+        use = (present + 1) / server.entry.slots
+        call_seconds = server.call_seconds * server.measure_pace(now)
         failing = (
             server.health.failure_rate - healthy
         ) * candidates.FAILURE_COST_SECONDS
@@ -35,6 +37,6 @@
             + candidates.estimate_remote_cost(server, ask)
             + candidates.estimate_resting_cost(server)
         )
-        return server.call_seconds * (1.0 + use) + extra, server.entry.server
+        return call_seconds * (1.0 + use) + extra, server.entry.server
 
     return candidates.Choice(min(available, key=cost).entry.server, 0.0)
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -248,10 +248,14 @@
         self._queue.cancel(request)
 
     def begin(
-        self, request: ids.RequestId, server: ids.ServerId, now: float
+        self,
+        request: ids.RequestId,
+        server: ids.ServerId,
+        now: float,
+        load: messages.LoadReport | None = None,
     ) -> ids.ServerId | None:
         """Record the first event of a run; returns its target server if it moves."""
-        self._placer.begin(request, server, now)
+        self._placer.begin(request, server, now, load)
         return self._placer.migrate(request, server, now)
 
     def settle_migration(self, moved: messages.RunMoved, now: float) -> None:
@@ -267,9 +271,10 @@
         ending: states.RunEnding,
         now: float,
         pause: float = 0.0,
+        load: messages.LoadReport | None = None,
     ) -> None:
         """Free the slot of a run; ``pause`` is its longest time between two events."""
-        run = self._placer.end(request, server, ending, now, pause)
+        run = self._placer.end(request, server, ending, now, pause, load)
         if run is not None and ending in REFUNDED_ENDINGS and not run.is_begun:
             self._shares.refund(run.account, run.units, run.since, now)
             self._unused[run.account] += 1
@@ -304,6 +309,10 @@
         """Return the number of slots in use."""
         return self._placer.count_runs()
 
+    def list_paces(self, now: float) -> dict[ids.ServerId, float]:
+        """Return the expected paces of the servers whose pace differs from 1."""
+        return self._placer.list_paces(now)
+
     def sum_shares(
         self, dimension: int, now: float
     ) -> tuple[messages.AccountUnits, ...]:
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import coldstart, promptcache, serverhealth
+from celeryspan.decisions import coldstart, promptcache, serverhealth, serverpaces
 
 if TYPE_CHECKING:
     from celeryspan.wire import messages
@@ -57,7 +57,7 @@
     pending_seconds, prefill_seconds : float
         Predicted prefill time of earlier prompts and of this one.
     slowdown : float
-        Slowdown of the server when the run was placed.
+        Slowdown of the server when the run was placed, times its pace.
     due_at : float
         Predicted time of the first event.
     source : ServerId
@@ -76,6 +76,8 @@
         The account that was charged for the run; empty if another home did so.
     units : float
         The charge, in tokens.
+    pace : float
+        Expected pace of the server when the run was placed.
     """
 
     router: ids.RouterId
@@ -97,6 +99,11 @@
     isolation: int = 0
     account: ids.AccountId = NO_ACCOUNT
     units: float = 0.0
+    pace: float = 1.0
+
+    def average_pace(self, pace: float) -> float:
+        """Return the pace that held during the run, which is ``pace`` at its end."""
+        return (self.pace + pace) / 2
 
 
 class PoolServer:
@@ -107,7 +114,7 @@
     order : int
         Sort key that selects the dedicated engines; the same on all routers.
     slowdown : float
-        Prefill time relative to the model's.
+        Prefill time relative to the model's, at the usual pace of the server's VM.
     slowdown_samples : int
         Samples from which the slowdown was estimated.
     is_queried : bool
@@ -120,6 +127,8 @@
         Requests that may be granted within a second while the server is cold.
     rests : dict
         When the rests end that the server has asked routers for.
+    pace : ServerPace or None
+        The pace of its VM; None if it has not reported its load.
     """
 
     def __init__(
@@ -138,6 +147,7 @@
         self.grants = coldstart.GrantWindow()
         self.cold_grants_max = coldstart.UNLIMITED
         self.rests: dict[ids.RouterId, float] = {}
+        self.pace: serverpaces.ServerPace | None = None
         self._prefill_done_at = 0.0
         self._prefilling: dict[ids.RequestId, Run] = {}
 
@@ -172,10 +182,34 @@
         run.begun_at = now
         if run.pause:
             self._record_pause(run)
-        predicted = (run.due_at - run.since - first_seconds) / run.slowdown
-        self._update_slowdown(predicted, now - run.since - first_seconds)
+        pace = run.average_pace(self.measure_pace(now))
+        predicted = run.due_at - run.since - first_seconds * run.pace
+        observed = (now - run.since - first_seconds * pace) / pace
+        self._update_slowdown(predicted / run.slowdown, observed)
         self._trim_prefill_estimate(now)
 
+    def record_load(
+        self, request: ids.RequestId, load: messages.LoadReport, now: float
+    ) -> None:
+        """Record the load reported in the answer of a run."""
+        if request not in self.runs:
+            return
+        before = self.measure_pace(now)
+        if self.pace is None:
+            self.pace = serverpaces.ServerPace()
+        self.pace.record(load, len(self.runs), now)
+        pending = self._prefill_done_at - now
+        if pending > 0.0:
+            self._prefill_done_at = now + pending * self.pace.expect(now) / before
+
+    def measure_pace(self, now: float) -> float:
+        """Return the expected pace of the server's VM; 1 without reports."""
+        return 1.0 if self.pace is None else self.pace.expect(now)
+
+    def count_others(self, now: float) -> int:
+        """Return how many requests are there that this home has not placed."""
+        return 0 if self.pace is None else self.pace.count_others(now)
+
     def _record_pause(self, prompt: Run) -> None:
         """Record a long prompt at the streams that were running beside it."""
         for run in self.runs.values():
@@ -232,7 +266,8 @@
 
     def measure_burst(self, pause_seconds: float, now: float) -> float:
         """Return the prefill since the last pause of at least ``pause_seconds``."""
-        has_paused = now >= self._prefill_done_at + pause_seconds * self.slowdown
+        pause = pause_seconds * self.slowdown * self.measure_pace(now)
+        has_paused = now >= self._prefill_done_at + pause
         return 0.0 if has_paused and self.pending_seconds(now) <= 0.0 else self.burst
 
     def is_prefilling_long(self) -> bool:
@@ -277,7 +312,10 @@
 
     def _trim_prefill_estimate(self, now: float) -> None:
         """Limit the predicted prefill to that of the runs still in prefill."""
-        remaining = sum(run.prefill_seconds for run in self._prefilling.values())
+        pace = self.measure_pace(now)
+        remaining = sum(
+            run.prefill_seconds * pace / run.pace for run in self._prefilling.values()
+        )
         self._prefill_done_at = min(self._prefill_done_at, now + remaining)
 
     def _retain_runs(self, requests: list[ids.RequestId]) -> None:
--- a/celeryspan/decisions/servertable.py
+++ b/celeryspan/decisions/servertable.py
@@ -168,6 +168,14 @@
             for server in [*self._servers.values(), *self._removed_servers.values()]
         )
 
+    def list_paces(self, now: float) -> dict[ids.ServerId, float]:
+        """Return the expected paces of the servers whose pace differs from 1."""
+        paces = {
+            server.entry.server: server.measure_pace(now)
+            for server in self._ordered_servers
+        }
+        return {name: pace for name, pace in paces.items() if pace != 1.0}
+
     def measure_pending(self, now: float) -> float:
         """Return the mean pending prefill per server, in seconds.
 
