Report the load of servers to the homes of their pools

The router that reads an answer, also one that rejects the request or fails, passes the report on with the first event or the end of the run. A report goes only to the home of the slot at the server that sent it. The gauge celeryspan_server_pace and PoolHomes.report() show the paces at a home.

--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -259,7 +259,7 @@
         finally:
             self._migrations.discard(place)
             pause = progress.longest_gap if progress.sends == 1 else 0.0
-            self._places.end(place, ending, pause)
+            self._places.end(place, ending, pause, progress.take_load(place.server))
             progress.excluded = (*progress.excluded, place.server)
             if ending is states.RunEnding.ANSWERED and channel.server == place.server:
                 self._channels.release(channel)
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -165,12 +165,13 @@
         slot: Slot,
         origin: ids.RequestId,
         version: ids.SoftwareVersion,
+        load: messages.LoadReport | None = None,
     ) -> None:
         """Report the first event of a run, and at which version its stream began."""
         slot.is_begun = True
         slot.origin, slot.version = origin, version
         begun = messages.RunBegun(
-            slot.ask.request, slot.pool, slot.server, origin, version
+            slot.ask.request, slot.pool, slot.server, origin, version, load
         )
         self._delivery.send(slot.home, begun)
 
@@ -189,12 +190,28 @@
             slot.server = target
         self._delivery.send(slot.home, moved)
 
-    def end(self, slot: Slot, ending: states.RunEnding, pause: float = 0.0) -> None:
-        """Release a slot; ``pause`` is the longest time between two events."""
+    def end(
+        self,
+        slot: Slot,
+        ending: states.RunEnding,
+        pause: float = 0.0,
+        load: messages.LoadReport | None = None,
+    ) -> None:
+        """Release a slot.
+
+        Parameters
+        ----------
+        pause : float
+            Longest time between two events, in seconds.
+        load : LoadReport, optional
+            The load that the server has reported since the run began.
+        """
         ask = slot.ask
         with self._lock:
             self._slots.pop(ask.request, None)
-        ended = messages.RunEnded(ask.request, slot.pool, slot.server, ending, pause)
+        ended = messages.RunEnded(
+            ask.request, slot.pool, slot.server, ending, pause, load
+        )
         self._delivery.send(slot.home, ended)
 
     def report_rest(
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, events, ids, kernel
+from celeryspan import catalog, events, ids, kernel, metrics
 from celeryspan.decisions import poolqueue, pools, shards
 from celeryspan.gateway import coldlimits
 from celeryspan.wire import messages
@@ -40,6 +40,9 @@
 BACKLOG_LOG_SECONDS = 1.0
 """Interval at which a home logs the accounts with waiting requests."""
 
+PACES_INTERVAL_SECONDS = 1.0
+"""Interval at which the gauges of the servers' paces are set."""
+
 LOGGED_BACKLOGS_MAX = 8
 """Maximum number of accounts per pool in such a log line."""
 
@@ -57,6 +60,7 @@
         "identity",
         "keptparts",
         "membership",
+        "metrics",
         "poolmap",
         "servers",
     ),
@@ -75,6 +79,7 @@
         self._identity: identity.IdentityService = container.find("identity")
         self._kept_parts: keptparts.KeptParts = container.find("keptparts")
         self._membership: membership.MembershipService = container.find("membership")
+        self._metrics: metrics.Metrics = container.find("metrics")
         self._map: poolmap.PoolMap = container.find("poolmap")
         self._servers: serverlists.ServersService = container.find("servers")
         self._random = random.Random(self._identity.incarnation)
@@ -86,6 +91,7 @@
         self._alive_sent_at = 0.0
         self._shares_sent_at = 0.0
         self._backlogs_logged_at = 0.0
+        self._paces_set_at = 0.0
         self._changed = threading.Event()
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="poolhomes", daemon=True)
@@ -113,7 +119,10 @@
         self._thread.join()
 
     def report(self) -> dict[str, object]:
-        """Return, by pool, waiting requests, runs and whether tenure is established."""
+        """Return, by pool, waiting requests, runs and whether tenure is established.
+
+        With the paces of the servers whose pace is not the usual one.
+        """
         now = time.monotonic()
         with self._lock:
             return {
@@ -121,6 +130,11 @@
                     "waiting": pool.count_waiting(),
                     "runs": pool.count_runs(),
                     "established": self._cold_limits.is_established(name, now),
+                    "paces": {
+                        server: round(pace, 2)
+                        for server, pace in pool.list_paces(now).items()
+                        if round(pace, 2) != 1.0
+                    },
                 }
                 for name, pool in self._pools.items()
             }
@@ -163,7 +177,8 @@
     ) -> None:
         with self._lock:
             pool = self._find_pool(begun.pool)
-            target = pool.begin(begun.request, begun.server, time.monotonic())
+            now = time.monotonic()
+            target = pool.begin(begun.request, begun.server, now, begun.load)
         if target is not None:
             move = messages.RunMove(begun.request, begun.pool, begun.server, target)
             self._delivery.send(router, move)
@@ -175,7 +190,14 @@
         with self._lock:
             pool = self._find_pool(ended.pool)
             now = time.monotonic()
-            pool.end(ended.request, ended.server, ended.ending, now, ended.pause)
+            pool.end(
+                ended.request,
+                ended.server,
+                ended.ending,
+                now,
+                ended.pause,
+                ended.load,
+            )
         self._changed.set()
 
     def _handle_shares(
@@ -311,6 +333,7 @@
         """Run a tick of all pools; return whether any request is waiting."""
         self._send_shares(now)
         self._log_backlogs(now)
+        self._set_paces(now)
         with self._lock:
             for pool in self._pools.values():
                 self._cold_limits.update(pool, now)
@@ -328,6 +351,17 @@
         self._send_answers(answers)
         return has_waiting
 
+    def _set_paces(self, now: float) -> None:
+        """Set the gauges of the paces that servers report."""
+        if now - self._paces_set_at < PACES_INTERVAL_SECONDS:
+            return
+        self._paces_set_at = now
+        paces: dict[ids.ServerId, float] = {}
+        with self._lock:
+            for pool in self._pools.values():
+                paces.update(pool.list_paces(now))
+        self._metrics.set_paces(paces)
+
     def _log_backlogs(self, now: float) -> None:
         """Log the accounts that wait and the service each has recently received."""
         if now - self._backlogs_logged_at < BACKLOG_LOG_SECONDS:
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, NamedTuple
 
 from celeryspan import catalog, ids
+from celeryspan.wire import messages
 
 if TYPE_CHECKING:
     from celeryspan.decisions import fingerprints
     from celeryspan.gateway import replies
 
 
+class LoadReading(NamedTuple):
+    """The load that a server reported in an answer, and when that arrived."""
+
+    server: ids.ServerId
+    load: catalog.ServerLoad
+    read_at: float
+
+
 class Progress:
     """The progress of one request through its attempts.
 
@@ -46,6 +56,8 @@
     version : SoftwareVersion
         Version of the server that began the stream, at which alone it may go on; empty
         if any server may run the request.
+    load : LoadReading or None
+        The load in the last answer, until it has been reported to a home.
     """
 
     def __init__(self) -> None:
@@ -65,12 +77,26 @@
         self.strikes = 0
         self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
+        self.load: LoadReading | None = None
 
     def record_send(self, now: float) -> None:
         """Record that the request is sent to another server."""
         self.sends += 1
         self.last_sent_at = now
         self.answer_begun_at = None
+        self.load = None
+
+    def take_load(self, server: ids.ServerId) -> messages.LoadReport | None:
+        """Return the load that a server has reported, once."""
+        reading = self.load
+        if reading is None or reading.server != server:
+            return None
+        self.load = None
+        load = reading.load
+        age = time.monotonic() - reading.read_at
+        return messages.LoadReport(
+            load.running, load.waiting, load.slots, load.pace, age
+        )
 
     def record_event(self, now: float) -> None:
         """Record that a stream event is sent to the caller."""
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -14,6 +14,7 @@
 from celeryspan.decisions import streamversions
 from celeryspan.gateway import (
     channels,
+    loadreports,
     migrations,
     orders,
     places,
@@ -66,6 +67,7 @@
         self._origins: streamorigins.StreamOriginsService = container.find(
             "streamorigins"
         )
+        self._loads = loadreports.LoadReports()
 
     def start(self) -> None:
         """Do nothing: the service has no background work."""
@@ -134,6 +136,9 @@
         self._announcements.record_answer(
             channel.entry, answer.status, answer.getheader, order.request
         )
+        load = self._loads.read(channel.entry, answer.getheader, order.request)
+        if load is not None:
+            progress.load = requestprogress.LoadReading(server, load, time.monotonic())
         reply = replies.Reply(order, channel, answer)
         self._check_reply(reply, server)
         return reply
@@ -190,12 +195,13 @@
     ) -> None:
         """Report the first event of a run before it is passed on to the caller."""
         progress.version = reply.version
+        load = progress.take_load(place.server)
         if not order.route.is_resumable:
-            self._places.begin(place, order.request, catalog.NO_VERSION)
+            self._places.begin(place, order.request, catalog.NO_VERSION, load)
             return
         origin = order.incoming.origin or order.request
         self._origins.record(origin, order.service, progress.version)
-        self._places.begin(place, origin, progress.version)
+        self._places.begin(place, origin, progress.version, load)
 
     def resume(
         self,
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import itertools
 import threading
 from collections.abc import Iterator, Mapping
 
@@ -215,6 +216,12 @@
             "Usable servers by software version.",
             ["service", "version"],
         )
+        self._paces = self._make_gauge(
+            "server_pace",
+            "Service time on the VM of a backend server, relative to the usual; only "
+            "of servers whose home is this router and that report it.",
+            ["server"],
+        )
         self._handed_over = prometheus_client.Counter(
             "celeryspan_handed_over",
             "Requests handed over to peers for want of processor time.",
@@ -317,6 +324,15 @@
         for labels, count in counts.items():
             self._server_versions.labels(*labels).set(count)
 
+    def set_paces(self, paces: Mapping[ids.ServerId, float]) -> None:
+        """Set the paces of the backend servers whose home is this router.
+
+        Servers beyond :data:`SERVERS_MAX` have no gauge.
+        """
+        self._paces.clear()
+        for server, pace in itertools.islice(paces.items(), SERVERS_MAX):
+            self._paces.labels(server).set(pace)
+
     def count_handover(self) -> None:
         """Count a request that was handed over to a peer."""
         self._handed_over.inc()
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -23,6 +23,7 @@
 EVENTS = 6
 SERVER_STAMP = "Celeryspan-Server-Stamp"
 NOT_EXECUTED = "Celeryspan-Not-Executed"
+SERVER_LOAD = "Celeryspan-Server-Load"
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 REQUEST_ID = "Celeryspan-Request-Id"
@@ -93,6 +94,8 @@
         Whether all its answers announce that it is about to stop.
     rest : str
         ``Retry-After`` of its answers with status 503; none if empty.
+    load : str
+        The load that all its answers report; none if empty.
     is_shedding : bool
         Whether it turns all requests away.
     crashed : Event
@@ -130,6 +133,7 @@
         self.cold_requests_max = math.inf
         self.is_leaving = False
         self.rest = ""
+        self.load = ""
         self.is_shedding = False
         self.crashed = threading.Event()
         self.crashed_by = b""
@@ -369,6 +373,8 @@
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
         if self.is_leaving:
             lines.append(f"{LEAVING}: 1")
+        if self.load:
+            lines.append(f"{SERVER_LOAD}: {self.load}")
         if status == 503 and self.rest:
             lines.append(f"{RETRY_AFTER}: {self.rest}")
         if status in (200, 413, 500):
