--- a/tests/gateway/test_loadreports.py
+++ b/tests/gateway/test_loadreports.py
@@ -4,7 +4,9 @@
 
 import pytest
 
-from celeryspan import events
+from celeryspan import catalog, events, ids
+from celeryspan.gateway import loadreports
+from celeryspan.platform import names
 from tests.gateway import support
 
 
@@ -69,3 +71,22 @@
     (line,) = support.find_lines(logged, events.Event.SERVER_LOAD_INVALID)
     assert (line["server"], line["found"]) == ("gate-1", "1,0,0,fast")
     assert find_paces(router) == {}
+
+
+def test_invalid_report_of_a_restarted_server_is_logged_again(logged) -> None:
+    """Guards against a release that reports wrong values and goes unnoticed."""
+    loads = loadreports.LoadReports()
+    for started_ms in (1_000, 1_000, 2_000, 2_000):
+        entry = catalog.ServerEntry(
+            server=ids.ServerId("gate-1"),
+            service=ids.ServiceId("gate"),
+            address=ids.Address("10.0.0.1", 80),
+            data_centre=ids.DataCentreId("hala-a"),
+            slots=6,
+            is_leaving=False,
+            revision=started_ms,
+            started_ms=started_ms,
+        )
+        invalid = {names.LOAD: "1,0,0,100"}
+        assert loads.read(entry, invalid.get, ids.RequestId("r1")) is None
+    assert len(support.find_lines(logged, events.Event.SERVER_LOAD_INVALID)) == 2
