Give rejecting servers trial requests instead of most requests

Change: decisions/rejections tells a full server (lower limit) from a rejecting one (half-open circuit breaker, trials, slow start). The home refuses requests at once with servers-rejecting and the time of the next trial if no server takes any, and a retry if all servers are expected to reject it; the router then returns the retry to its budget, so that no further message is needed. A retry keeps its position in the queue. A server that asked for a rest gets one trial first. The tests of tests/decisions pass.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -19,6 +19,8 @@
 * Requests to plain services go to the server with the shortest expected time.
 * A cold server is not available once it has got as many requests as it tolerates
   (:mod:`coldstart`).
+* A server that rejects requests gets trials, and what no other server has a slot for
+  (:mod:`rejections`); no retry goes to a server that is expected to reject it.
 * A server gets nothing from a router that it has asked for a rest
   (:mod:`announcements`). Other routers avoid it, because it is likely to be overloaded.
 
@@ -29,7 +31,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -184,7 +186,7 @@
     def has_capacity(self, is_long: bool, now: float) -> bool:
         """Whether any server can take a long prompt, or any other request, now."""
         for server in self._list_eligible(is_long, now):
-            if not server.is_available(now):
+            if not (server.is_available(now) or server.is_available_for_rest(now)):
                 continue
             if (
                 not server.is_prefilling_long()
@@ -236,6 +238,7 @@
         """
         excluded: Collection[ids.ServerId] = ask.excluded
         barred = self._find_resting(router, now) | self._find_others(ask.version)
+        barred |= self._find_expected_to_reject(ask)
         if len({*excluded, *barred}) >= len(self._servers):
             excluded = ()  # Retry servers that failed the request if no other is left.
         if barred:
@@ -292,6 +295,7 @@
             account=ask.account,
         )
         server.add(ask.request, run, now, self._burst_pause_seconds)
+        self._space_trials(server, now)
         server.cache.record_use(ask.parts, due_at)
         return run
 
@@ -486,13 +490,19 @@
     def _choose_plain(
         self, ask: messages.SlotRequest, excluded: Collection[ids.ServerId], now: float
     ) -> Choice | None:
-        available = [
+        candidates = [
             server
             for server in self._ordered_servers
-            if server.is_available(now) and server.entry.server not in excluded
+            if server.entry.server not in excluded
+        ]
+        available = [server for server in candidates if server.is_available(now)] or [
+            server for server in candidates if server.is_available_for_rest(now)
         ]
         if not available:
             return None
+        tried = self._find_trial(available, now)
+        if tried is not None:
+            return Choice(tried.entry.server, 0.0)
         healthy = min(server.health.failure_rate for server in available)
 
         def cost(server: poolservers.PoolServer) -> tuple[float, str]:
@@ -503,19 +513,47 @@
 
         return Choice(min(available, key=cost).entry.server, 0.0)
 
+    def _find_trial(
+        self, available: Sequence[poolservers.PoolServer], now: float
+    ) -> poolservers.PoolServer | None:
+        """Return the server whose trial is due for the longest time, or None."""
+        due = [
+            server
+            for server in available
+            if server.is_on_trial() and server.is_available(now)
+        ]
+        return min(due, key=lambda each: each.rejections.trial_at, default=None)
+
     def _choose_engine(
         self,
         ask: messages.SlotRequest,
         excluded: Collection[ids.ServerId],
         waited: float,
         now: float,
+    ) -> Choice | None:
+        found = self._choose_engine_among(
+            ask, excluded, waited, now, poolservers.PoolServer.is_available
+        )
+        if found is None and self._has_rejecting():
+            found = self._choose_engine_among(
+                ask, excluded, waited, now, poolservers.PoolServer.is_available_for_rest
+            )
+        return found
+
+    def _choose_engine_among(
+        self,
+        ask: messages.SlotRequest,
+        excluded: Collection[ids.ServerId],
+        waited: float,
+        now: float,
+        is_available: Callable[[poolservers.PoolServer, float], bool],
     ) -> Choice | None:
         best = ready = NO_CANDIDATE
         prompt = self._make_prompt(ask)
         cache_sources = self._find_cache_sources(ask, now)
         for is_long in (False, True):
             for server in self._list_candidates(ask.version, is_long, now):
-                if not server.is_available(now) or server.entry.server in excluded:
+                if not is_available(server, now) or server.entry.server in excluded:
                     continue
                 cached, copy_seconds, _ = self._plan_copy(ask, server, cache_sources)
                 if prompt.is_long(cached, server.slowdown) is not is_long:
@@ -526,6 +564,8 @@
                 candidate = self._make_candidate(
                     ask, server, prefill, copy_seconds, is_long, now
                 )
+                if candidate.is_ready and self._find_trial([server], now) is not None:
+                    return Choice(server.entry.server, 0.0)
                 best = min(best, candidate)
                 ready = min(ready, candidate) if candidate.is_ready else ready
         if not ready.is_ready:
--- a/celeryspan/decisions/poolqueue.py
+++ b/celeryspan/decisions/poolqueue.py
@@ -34,6 +34,11 @@
     is_long: bool
     work: float
 
+    @property
+    def queued_at(self) -> float:
+        """Time that determines the order; a retry keeps its position."""
+        return self.arrived_at - (self.ask.waited if self.ask.excluded else 0.0)
+
     @property
     def units(self) -> float:
         """Service that the request asks for, in tokens; 1 for a plain call."""
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -41,6 +41,7 @@
     placing,
     poolqueue,
     poolservers,
+    rejections,
     streamversions,
 )
 from celeryspan.wire import messages
@@ -189,6 +190,9 @@
         rest = self._placer.measure_rest(router, now)
         if rest is not None:
             return [self._refuse_resting(task, rest, now)]
+        trial = self._placer.measure_rejection(router, ask, now)
+        if trial is not None:
+            return [self._refuse_rejecting(task, trial, now)]
         self._placer.record_arrival(ask, now)
         if self._exceeds_queue_limit(ask, now):
             return [self._refuse(task, "no-place-in-time", now)]
@@ -300,6 +304,10 @@
             lambda account: self._shares.measure(account, now), unused, now
         )
 
+    def list_rejecting(self) -> list[rejections.RejectingServer]:
+        """Return the servers that reject requests."""
+        return self._placer.list_rejecting()
+
     def count_runs(self) -> int:
         """Return the number of slots in use."""
         return self._placer.count_runs()
@@ -327,7 +335,7 @@
         """Expire overdue requests and runs, then place waiting requests."""
         self._placer.expire(now)
         answers = self._expire(now) + self._refuse_gone_versions(now)
-        answers += self.decide(now)
+        answers += self.decide(now) + self._refuse_rejected(now)
         self._queue_seconds = self._estimate_wait()
         return answers
 
@@ -383,7 +391,7 @@
                 group = GroupKey(task.start_by < now, task.ask.account)
                 found.setdefault(group, []).append(task)
         for fitting in found.values():
-            fitting.sort(key=lambda task: task.arrived_at)
+            fitting.sort(key=lambda task: task.queued_at)
         return found
 
     def _can_place(self, ask: messages.SlotRequest) -> bool:
@@ -456,6 +464,26 @@
     ) -> Answer:
         return self._make_refusal(task, announcements.SERVERS_RESTING, seconds, now)
 
+    def _refuse_rejecting(
+        self, task: poolqueue.Task, seconds: float, now: float
+    ) -> Answer:
+        return self._make_refusal(task, rejections.SERVERS_REJECTING, seconds, now)
+
+    def _refuse_rejected(self, now: float) -> list[Answer]:
+        """Refuse waiting requests that all servers are expected to reject."""
+        if not self._queue or not self._placer.list_rejecting():
+            return []
+        found = [
+            (task, self._placer.measure_rejection(task.router, task.ask, now))
+            for task in self._queue
+        ]
+        answers = []
+        for task, seconds in found:
+            if seconds is not None:
+                self._queue.remove(task)
+                answers.append(self._refuse_rejecting(task, seconds, now))
+        return answers
+
     def _refuse_version_gone(self, task: poolqueue.Task, now: float) -> Answer:
         reason = streamversions.Verdict.VERSION_GONE.value
         return self._make_refusal(task, reason, 0.0, now)
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from celeryspan import catalog, ids, states
-from celeryspan.decisions import coldstart, promptcache, serverhealth
+from celeryspan.decisions import coldstart, promptcache, rejections, serverhealth
 
 if TYPE_CHECKING:
     from celeryspan.wire import messages
@@ -120,6 +120,8 @@
         Requests that may be granted within a second while the server is cold.
     rests : dict
         When the rests end that the server has asked routers for.
+    rested_at : float
+        When it last asked for one.
     """
 
     def __init__(
@@ -138,6 +140,8 @@
         self.grants = coldstart.GrantWindow()
         self.cold_grants_max = coldstart.UNLIMITED
         self.rests: dict[ids.RouterId, float] = {}
+        self.rested_at = -math.inf
+        self.rejections = rejections.Rejections()
         self._prefill_done_at = 0.0
         self._prefilling: dict[ids.RequestId, Run] = {}
 
@@ -157,6 +161,7 @@
             Time without prefill after which a new burst starts, in seconds.
         """
         self.grants.record(now)
+        self.rejections.record_placed(now)
         self.burst = self.measure_burst(pause_seconds, now) + run.prefill_seconds
         self.runs[request] = run
         if not run.is_begun:
@@ -170,6 +175,7 @@
             return
         run.is_begun = True
         run.begun_at = now
+        self.rejections.record_accepted(self.entry.slots, run.since, now)
         if run.pause:
             self._record_pause(run)
         predicted = (run.due_at - run.since - first_seconds) / run.slowdown
@@ -205,18 +211,21 @@
 
     def record_ending(self, ending: states.RunEnding, took: float, now: float) -> None:
         """Update health and timing estimates from the end of a run."""
+        since = now - took
         match ending:
             case states.RunEnding.ANSWERED:
                 self.health.record_success()
+                self.rejections.record_accepted(self.entry.slots, since, now)
                 self.call_seconds += (took - self.call_seconds) * CALL_TIME_WEIGHT
             case states.RunEnding.FAILED:
                 self.health.record_failure(now)
             case states.RunEnding.UNREACHABLE | states.RunEnding.GONE:
                 self.health.record_failure(now, unreachable=True)
             case states.RunEnding.REJECTED:
-                self._prefill_done_at = max(
-                    self._prefill_done_at, now + PENDING_PREFILL_SECONDS_MAX
-                )
+                in_use = len(self.runs) + 1
+                self.rejections.record_rejection(in_use, self.entry.slots, since, now)
+            case states.RunEnding.UNUSED:
+                self.rejections.record_unused(since, now)
 
     def pending_seconds(self, now: float) -> float:
         """Return the prefill time ahead of a new prompt, in seconds.
@@ -242,21 +251,42 @@
     def is_available(self, now: float) -> bool:
         """Whether the server has a free slot, is not backing off and not too cold."""
         return (
-            len(self.runs) < self.entry.slots
+            self.rejections.admits(len(self.runs), self.entry.slots, now)
+            and not self._has_open_trial()
             and not self.health.is_backing_off(now)
             and not self._is_cold_limited(now)
         )
 
+    def is_available_for_rest(self, now: float) -> bool:
+        """Whether it can take a request that no accepting server has a slot for."""
+        return (
+            self.rejections.admits_rest(len(self.runs), self.entry.slots, now)
+            and not self.health.is_backing_off(now)
+            and not self._is_cold_limited(now)
+        )
+
+    def is_on_trial(self) -> bool:
+        """Whether the next request that is placed is a trial."""
+        return self.rejections.state is rejections.State.REJECTING
+
+    def _has_open_trial(self) -> bool:
+        """Whether a trial request has neither been answered nor rejected."""
+        return self.is_on_trial() and any(
+            run.since >= self.rejections.trial_at and not run.is_begun
+            for run in self.runs.values()
+        )
+
     def is_resting(self, router: ids.RouterId, now: float) -> bool:
         """Whether the server has asked a router for a rest that has not ended."""
         return bool(self.rests) and self.rests.get(router, now) > now
 
     def expire_rests(self, now: float) -> None:
         """Forget the rests that have ended."""
-        if self.rests:
+        if any(until <= now for until in self.rests.values()):
             self.rests = {
                 router: until for router, until in self.rests.items() if until > now
             }
+            self.rejections.end_rest(self.rested_at, now)
 
     def _is_cold_limited(self, now: float) -> bool:
         """Whether the server is cold and has got as many requests as it tolerates."""
--- a/celeryspan/decisions/retrybudget.py
+++ b/celeryspan/decisions/retrybudget.py
@@ -61,6 +61,11 @@
         self._retries.append(now)
         return True
 
+    def give_back(self) -> None:
+        """Return the newest retry, which was not sent to any server."""
+        if self._retries:
+            self._retries.pop()
+
     def _expire(self, now: float) -> None:
         for times in (self._requests, self._retries):
             while times and times[0] < now - self._window:
--- a/celeryspan/decisions/servertable.py
+++ b/celeryspan/decisions/servertable.py
@@ -17,10 +17,15 @@
     announcements,
     coldstart,
     poolservers,
+    rejections,
     streamversions,
 )
 from celeryspan.wire import messages
 
+REJECTION_RETRY_SECONDS_MIN = 0.05
+"""Shortest Retry-After of requests refused because all servers reject: a trial may be
+under way."""
+
 
 class ServerTable:
     """The servers of one pool, in an order that is the same on all routers.
@@ -69,6 +74,12 @@
             self._servers.values(), key=lambda each: each.order
         )
         self._slots = sum(entry.slots for entry in entries)
+        for server in self._ordered_servers:
+            server.rejections.trial_interval = (
+                rejections.TRIAL_INTERVAL_SECONDS
+                if len(entries) > 1
+                else rejections.POOL_TRIAL_INTERVAL_SECONDS
+            )
         self._removed_servers = {
             name: server for name, server in known.items() if server.runs
         }
@@ -83,6 +94,7 @@
         if announcements.get_incarnation(server.entry) == rest.incarnation:
             until = now + min(rest.left, announcements.REST_SECONDS_MAX)
             server.rests[router] = max(until, server.rests.get(router, until))
+            server.rested_at = now
 
     def measure_rest(self, router: ids.RouterId, now: float) -> float | None:
         """Return the seconds until the first server may get requests of a router.
@@ -96,6 +108,72 @@
             earliest = min(earliest, server.rests[router])
         return earliest - now if self._ordered_servers else None
 
+    def measure_rejection(
+        self, router: ids.RouterId, ask: messages.SlotRequest, now: float
+    ) -> float | None:
+        """Return the seconds until the next trial if all servers reject a request.
+
+        Servers that back off are left out. Returns None if a server may take it, or if
+        none rejects.
+        """
+        earliest = math.inf
+        for server in self._ordered_servers:
+            found = server.rejections
+            if server.health.is_backing_off(now):
+                continue
+            if not streamversions.may_continue(server.entry, ask.version):
+                continue
+            if server.is_resting(router, now):
+                earliest = min(earliest, server.rests[router])
+            elif ask.excluded:
+                if not found.expects_rejection():
+                    return None
+                earliest = min(earliest, found.next_trial_at)
+            elif not found.is_silent(now) or server.is_available(now):
+                return None
+            else:
+                earliest = min(earliest, found.next_trial_at)
+        if math.isinf(earliest) or not self._has_rejecting():
+            return None
+        return max(REJECTION_RETRY_SECONDS_MIN, earliest - now)
+
+    def list_rejecting(self) -> list[rejections.RejectingServer]:
+        """Return the servers that have rejected more than a single request."""
+        return [
+            rejections.RejectingServer(
+                server.entry.server,
+                server.rejections.since,
+                server.rejections.next_trial_at,
+            )
+            for server in self._ordered_servers
+            if server.rejections.is_confirmed
+        ]
+
+    def _has_rejecting(self) -> bool:
+        return any(not each.rejections.is_accepting for each in self._ordered_servers)
+
+    def _space_trials(self, tried: poolservers.PoolServer, now: float) -> None:
+        """Hold back the trials at other servers if all servers reject."""
+        if tried.rejections.trial_at < now or not all(
+            server.is_on_trial() or server.health.is_backing_off(now)
+            for server in self._ordered_servers
+        ):
+            return
+        for server in self._ordered_servers:
+            server.rejections.postpone_trial(
+                now + rejections.POOL_TRIAL_INTERVAL_SECONDS
+            )
+
+    def _find_expected_to_reject(self, ask: messages.SlotRequest) -> set[ids.ServerId]:
+        """Return the servers that would probably reject a retry; none for others."""
+        if not ask.excluded:
+            return set()
+        return {
+            server.entry.server
+            for server in self._ordered_servers
+            if server.rejections.expects_rejection()
+        }
+
     def pop_unqueried(self) -> list[catalog.ServerEntry]:
         """Return the engines to query for their cached parts, each of them once.
 
--- a/celeryspan/gateway/attempts.py
+++ b/celeryspan/gateway/attempts.py
@@ -118,4 +118,17 @@
             or order.cancellation.is_cancelled
         ):
             return False
-        return self._budgets.try_take(order.service)
+        progress.has_unsent_retry = self._budgets.try_take(order.service)
+        return progress.has_unsent_retry
+
+    def return_retry(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> None:
+        """Return a retry to the budget if no server could take the request.
+
+        The home knows which servers reject, and refuses the retry at once; a check here
+        would need a message for each request.
+        """
+        if progress.has_unsent_retry:
+            progress.has_unsent_retry = False
+            self._budgets.give_back(order.service)
--- a/celeryspan/gateway/budgets.py
+++ b/celeryspan/gateway/budgets.py
@@ -40,6 +40,11 @@
             routers = self._pool_map.count_routers()
             return self._get_budget(service).try_take(time.monotonic(), routers)
 
+    def give_back(self, service: ids.ServiceId) -> None:
+        """Return one retry that was not sent to any server."""
+        with self._lock:
+            self._get_budget(service).give_back()
+
     def _get_budget(self, service: ids.ServiceId) -> retrybudget.RetryBudget:
         if service not in self._budgets:
             self._budgets[service] = retrybudget.RetryBudget(
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -152,6 +152,7 @@
                 order.service, self._build_slot_request(order, progress)
             )
         except errors.NotRun as refusal:
+            self._attempts.return_retry(order, progress)
             if progress.server_failure is not None:
                 return None
             raise endings.make_refusal(order, progress, refusal) from refusal
--- a/celeryspan/gateway/places.py
+++ b/celeryspan/gateway/places.py
@@ -14,7 +14,12 @@
 import msgspec
 
 from celeryspan import catalog, errors, events, ids, kernel, states
-from celeryspan.decisions import announcements as announced, shards, streamversions
+from celeryspan.decisions import (
+    announcements as announced,
+    rejections,
+    shards,
+    streamversions,
+)
 from celeryspan.gateway import refusals
 from celeryspan.wire import messages
 
@@ -37,7 +42,11 @@
 
 VERSION_GONE = streamversions.Verdict.VERSION_GONE
 
-OTHER_POOL_REASONS = (announced.SERVERS_RESTING, VERSION_GONE.value)
+OTHER_POOL_REASONS = (
+    announced.SERVERS_RESTING,
+    rejections.SERVERS_REJECTING,
+    VERSION_GONE.value,
+)
 """Reasons of refusals by one pool that may not hold for another."""
 
 REFUSAL_GRACE_SECONDS = 0.3
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -41,6 +41,8 @@
         When the request was last sent, and when the first event of that answer arrived.
     strikes : int
         Consecutive crashes attributed to this request, as known when it was last sent.
+    has_unsent_retry : bool
+        Whether a retry was taken from the budget and has not been sent.
     fingerprint : Fingerprint or None
         Computed on first use.
     version : SoftwareVersion
@@ -63,12 +65,14 @@
         self.last_sent_at = 0.0
         self.answer_begun_at: float | None = None
         self.strikes = 0
+        self.has_unsent_retry = False
         self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
 
     def record_send(self, now: float) -> None:
         """Record that the request is sent to another server."""
         self.sends += 1
+        self.has_unsent_retry = False
         self.last_sent_at = now
         self.answer_begun_at = None
 
