Spare the retry budget beside servers that reject most requests

Cause: while the accepting servers were full, requests overflowed to servers that reject at least half of them, and retries went to returning servers. Change: while any server accepts, such servers get trials alone, and retries go only to accepting servers.

--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -31,7 +31,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -185,8 +185,9 @@
 
     def has_capacity(self, is_long: bool, now: float) -> bool:
         """Whether any server can take a long prompt, or any other request, now."""
+        partial = self._list_available_for_rest(now)
         for server in self._list_eligible(is_long, now):
-            if not (server.is_available(now) or server.is_available_for_rest(now)):
+            if not server.is_available(now) and server not in partial:
                 continue
             if (
                 not server.is_prefilling_long()
@@ -238,7 +239,7 @@
         """
         excluded: Collection[ids.ServerId] = ask.excluded
         barred = self._find_resting(router, now) | self._find_others(ask.version)
-        barred |= self._find_expected_to_reject(ask)
+        barred |= self._find_expected_to_reject(ask, now)
         if len({*excluded, *barred}) >= len(self._servers):
             excluded = ()  # Retry servers that failed the request if no other is left.
         if barred:
@@ -496,7 +497,9 @@
             if server.entry.server not in excluded
         ]
         available = [server for server in candidates if server.is_available(now)] or [
-            server for server in candidates if server.is_available_for_rest(now)
+            server
+            for server in self._list_available_for_rest(now)
+            if server.entry.server not in excluded
         ]
         if not available:
             return None
@@ -531,29 +534,27 @@
         waited: float,
         now: float,
     ) -> Choice | None:
-        found = self._choose_engine_among(
-            ask, excluded, waited, now, poolservers.PoolServer.is_available
-        )
-        if found is None and self._has_rejecting():
-            found = self._choose_engine_among(
-                ask, excluded, waited, now, poolservers.PoolServer.is_available_for_rest
-            )
+        available = [each for each in self._ordered_servers if each.is_available(now)]
+        found = self._choose_engine_among(available, ask, excluded, waited, now)
+        if found is None:
+            partial = self._list_available_for_rest(now)
+            found = self._choose_engine_among(partial, ask, excluded, waited, now)
         return found
 
     def _choose_engine_among(
         self,
+        available: Collection[poolservers.PoolServer],
         ask: messages.SlotRequest,
         excluded: Collection[ids.ServerId],
         waited: float,
         now: float,
-        is_available: Callable[[poolservers.PoolServer, float], bool],
     ) -> Choice | None:
         best = ready = NO_CANDIDATE
         prompt = self._make_prompt(ask)
         cache_sources = self._find_cache_sources(ask, now)
         for is_long in (False, True):
             for server in self._list_candidates(ask.version, is_long, now):
-                if not is_available(server, now) or server.entry.server in excluded:
+                if server not in available or server.entry.server in excluded:
                     continue
                 cached, copy_seconds, _ = self._plan_copy(ask, server, cache_sources)
                 if prompt.is_long(cached, server.slowdown) is not is_long:
--- a/celeryspan/decisions/servertable.py
+++ b/celeryspan/decisions/servertable.py
@@ -8,7 +8,7 @@
 
 import math
 import statistics
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import xxhash
 
@@ -164,16 +164,49 @@
                 now + rejections.POOL_TRIAL_INTERVAL_SECONDS
             )
 
-    def _find_expected_to_reject(self, ask: messages.SlotRequest) -> set[ids.ServerId]:
-        """Return the servers that would probably reject a retry; none for others."""
-        if not ask.excluded:
+    def _find_expected_to_reject(
+        self, ask: messages.SlotRequest, now: float
+    ) -> set[ids.ServerId]:
+        """Return the servers that a retry should not go to; none for other requests.
+
+        While another server accepts requests, these are all that reject any.
+        """
+        if not ask.excluded or not self._has_rejecting():
             return set()
+        has_accepting = self._has_accepting(now, ask.excluded)
         return {
             server.entry.server
             for server in self._ordered_servers
             if server.rejections.expects_rejection()
+            or (has_accepting and not server.rejections.is_accepting)
         }
 
+    def _has_accepting(
+        self, now: float, excluded: Collection[ids.ServerId] = ()
+    ) -> bool:
+        return any(
+            server.rejections.is_accepting
+            and server.entry.server not in excluded
+            and not server.health.is_backing_off(now)
+            for server in self._ordered_servers
+        )
+
+    def _list_available_for_rest(self, now: float) -> list[poolservers.PoolServer]:
+        """Return the rejecting servers that may take what no other has a slot for.
+
+        While some servers accept requests, those that reject at least half of them are
+        left out: their rejections would use up the retry budget.
+        """
+        if not self._has_rejecting():
+            return []
+        has_accepting = self._has_accepting(now)
+        return [
+            server
+            for server in self._ordered_servers
+            if server.is_available_for_rest(now)
+            and not (has_accepting and server.rejections.expects_rejection())
+        ]
+
     def pop_unqueried(self) -> list[catalog.ServerEntry]:
         """Return the engines to query for their cached parts, each of them once.
 
--- a/tests/decisions/test_isolation.py
+++ b/tests/decisions/test_isolation.py
@@ -14,22 +14,26 @@
 ENGINE = catalog.Engine(slots=8, memory_tokens=100_000, stride=6)
 
 
-def make_pool(servers: int, engine: catalog.Engine | None = None) -> pools.Pool:
-    """Return a pool of servers with eight slots each."""
-    pool = pools.Pool(ids.PoolId("desk#1#0"), random.Random(1))
-    entries = [
+def make_entries(servers: int, slots: int = 8) -> list[catalog.ServerEntry]:
+    """Return the entries of servers that are named by their numbers."""
+    return [
         catalog.ServerEntry(
             server=ids.ServerId(f"gpu-{number}"),
             service=ids.ServiceId("desk"),
             address=ids.Address("127.0.0.1", 1000 + number),
             data_centre=ids.DataCentreId("here"),
-            slots=8,
+            slots=slots,
             is_leaving=False,
             revision=1,
         )
         for number in range(servers)
     ]
-    pool.set_servers(entries, engine)
+
+
+def make_pool(servers: int, engine: catalog.Engine | None = None) -> pools.Pool:
+    """Return a pool of servers with eight slots each."""
+    pool = pools.Pool(ids.PoolId("desk#1#0"), random.Random(1))
+    pool.set_servers(make_entries(servers), engine)
     return pool
 
 
