--- a/celeryspan/explanations.py
+++ b/celeryspan/explanations.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from celeryspan import errors, events, loglines
+from celeryspan.decisions import rejections
 
 Fields = Mapping[str, object]
 Explanation = Callable[[Fields], str]
@@ -46,10 +47,18 @@
     return text + ("; counted as a long prompt" if fields.get("is_long") else "")
 
 
+REFUSAL_REASONS = {
+    rejections.SERVERS_REJECTING: "all servers of the pool reject requests",
+}
+"""Reasons of refusals that are explained in words."""
+
+
 @explains(events.Event.PLACE_REFUSED)
 def _explain_no_place(fields: Fields) -> str:
+    reason = str(fields.get("reason"))
+    words = REFUSAL_REASONS.get(reason)
     return (
-        f"pool home granted no place ({fields.get('reason')})"
+        f"pool home granted no place ({reason}{f': {words}' if words else ''})"
         f" after {render_seconds(fields, 'waited')};"
         f" retry after {render_seconds(fields, 'retry_after')}"
     )
@@ -232,6 +241,8 @@
     assert trace.refused is not None
     fields = trace.refused.fields
     code, outcome = fields.get("code"), fields.get("outcome")
+    if code == rejections.SERVERS_REJECTING and outcome == "not-run":
+        return f"refused ({code}): {REFUSAL_REASONS[code]}; it did not run"
     if outcome == "not-run" and not trace.sent:
         return f"refused ({code}) before anything was sent; it did not run"
     if outcome == "not-run":
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -9,8 +9,8 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, events, ids, kernel
-from celeryspan.decisions import poolqueue, pools, shards
+from celeryspan import catalog, events, ids, kernel, metrics
+from celeryspan.decisions import poolqueue, pools, rejections, shards
 from celeryspan.gateway import coldlimits
 from celeryspan.wire import messages
 
@@ -48,6 +48,10 @@
 another number of pools, or this router is no longer its home."""
 
 
+RejectingServers = dict[tuple[ids.PoolId, ids.ServerId], rejections.RejectingServer]
+"""The rejecting servers of all pools, by pool and server."""
+
+
 @kernel.register(
     "poolhomes",
     needs=(
@@ -57,6 +61,7 @@
         "identity",
         "keptparts",
         "membership",
+        "metrics",
         "poolmap",
         "servers",
     ),
@@ -75,6 +80,7 @@
         self._identity: identity.IdentityService = container.find("identity")
         self._kept_parts: keptparts.KeptParts = container.find("keptparts")
         self._membership: membership.MembershipService = container.find("membership")
+        self._metrics: metrics.Metrics = container.find("metrics")
         self._map: poolmap.PoolMap = container.find("poolmap")
         self._servers: serverlists.ServersService = container.find("servers")
         self._random = random.Random(self._identity.incarnation)
@@ -83,6 +89,7 @@
         self._pools: dict[ids.PoolId, pools.Pool] = {}
         self._used_at: dict[ids.PoolId, float] = {}
         self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
+        self._rejecting: RejectingServers = {}
         self._alive_sent_at = 0.0
         self._shares_sent_at = 0.0
         self._backlogs_logged_at = 0.0
@@ -113,7 +120,11 @@
         self._thread.join()
 
     def report(self) -> dict[str, object]:
-        """Return, by pool, waiting requests, runs and whether tenure is established."""
+        """Return, by pool, waiting requests, runs and whether tenure is established.
+
+        Servers that reject requests are named, with the seconds since they do and those
+        until their next trial request.
+        """
         now = time.monotonic()
         with self._lock:
             return {
@@ -121,6 +132,10 @@
                     "waiting": pool.count_waiting(),
                     "runs": pool.count_runs(),
                     "established": self._cold_limits.is_established(name, now),
+                    "rejecting": {
+                        each.server: make_times(each, now)
+                        for each in pool.list_rejecting()
+                    },
                 }
                 for name, pool in self._pools.items()
             }
@@ -316,6 +331,11 @@
                 self._cold_limits.update(pool, now)
             answers = [a for pool in self._pools.values() for a in pool.tick(now)]
             has_waiting = any(pool.count_waiting() for pool in self._pools.values())
+            rejecting = {
+                (name, each.server): each
+                for name, pool in self._pools.items()
+                for each in pool.list_rejecting()
+            }
             alive = (
                 self._make_alive_messages(now)
                 if now - self._alive_sent_at > QUEUE_ALIVE_SECONDS
@@ -326,8 +346,31 @@
         for router, message in alive:
             self._delivery.send(router, message)
         self._send_answers(answers)
+        if rejecting or self._rejecting:
+            self._log_rejecting(rejecting, now)
         return has_waiting
 
+    def _log_rejecting(self, rejecting: RejectingServers, now: float) -> None:
+        """Log the servers that have begun or ceased to reject since the last tick."""
+        earlier, self._rejecting = self._rejecting, rejecting
+        self._metrics.set_rejecting_servers(len(rejecting))
+        for (pool, server), each in rejecting.items():
+            if (pool, server) not in earlier:
+                events.log(
+                    events.Event.SERVER_REJECTS,
+                    pool=pool,
+                    server=server,
+                    **make_times(each, now),
+                )
+        for (pool, server), each in earlier.items():
+            if (pool, server) not in rejecting:
+                events.log(
+                    events.Event.SERVER_REJECTS_NO_MORE,
+                    pool=pool,
+                    server=server,
+                    seconds=round(now - each.since, 3),
+                )
+
     def _log_backlogs(self, now: float) -> None:
         """Log the accounts that wait and the service each has recently received."""
         if now - self._backlogs_logged_at < BACKLOG_LOG_SECONDS:
@@ -358,6 +401,14 @@
         ]
 
 
+def make_times(rejecting: rejections.RejectingServer, now: float) -> dict[str, float]:
+    """Return since when a server rejects and when its next trial is, in seconds."""
+    return {
+        "since": round(now - rejecting.since, 3),
+        "next_trial": round(max(0.0, rejecting.next_trial_at - now), 3),
+    }
+
+
 def format_backlog(backlog: poolqueue.Backlog) -> list[object]:
     """Return a backlog's fields as they are logged."""
     return [
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -193,6 +193,11 @@
             ["kind"],
             registry=self.registry,
         )
+        self._rejecting = prometheus_client.Gauge(
+            "celeryspan_rejecting_servers",
+            "Servers of the pools whose home this router is that reject requests.",
+            registry=self.registry,
+        )
         self._announcements = prometheus_client.Counter(
             "celeryspan_server_announcements",
             "Departures and rests that servers have announced to this router.",
@@ -299,6 +304,10 @@
         self._announced.labels("leaving").set(leaving)
         self._announced.labels("resting").set(resting)
 
+    def set_rejecting_servers(self, count: int) -> None:
+        """Set the number of servers that reject requests."""
+        self._rejecting.set(count)
+
     def count_announcement(self, kind: str) -> None:
         """Count an announcement of a backend server."""
         self._announcements.labels(kind).inc()
