--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -98,6 +98,15 @@
     assert expected in explanations.EXPLANATIONS[line.number](line.fields)
 
 
+def test_refusal_because_all_servers_reject_is_told_in_words() -> None:
+    """Guards against operators who look for a full pool."""
+    refused = make_line(202, 0.1, code="servers-rejecting", outcome="not-run")
+    home = make_line(311, 0.0, reason="servers-rejecting", waited=0.0, retry_after=0.4)
+    words = "all servers of the pool reject requests"
+    assert words in explanations.describe_outcome([home, refused])
+    assert words in explanations.EXPLANATIONS[home.number](home.fields)
+
+
 def test_request_without_a_logged_end() -> None:
     sent = make_line(203, 0.0, server="i-1")
     assert "no end is logged" in explanations.describe_outcome([sent])
