--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -330,6 +330,7 @@
             return
         samples = server.slowdown_samples
         server.begin(request, self._model.first_event_seconds, now)
+        self._release_trials(server)
         if server.slowdown_samples != samples:
             self._share_slowdown()
 
@@ -395,6 +396,7 @@
         if not server.runs:
             self._removed_servers.pop(name, None)
         server.record_ending(ending, now - run.since, now)
+        self._release_trials(server)
         if ending is states.RunEnding.ANSWERED:
             self._mean_run_seconds += (
                 now - run.since - self._mean_run_seconds
--- a/celeryspan/decisions/rejections.py
+++ b/celeryspan/decisions/rejections.py
@@ -166,6 +166,12 @@
         """Hold the next trial back until a time."""
         self.next_trial_at = max(self.next_trial_at, until)
 
+    def release_trial(self) -> None:
+        """Let the next trial follow as soon as the interval of this server allows."""
+        self.next_trial_at = min(
+            self.next_trial_at, self.trial_at + self.trial_interval
+        )
+
     def record_unused(self, since: float, now: float) -> None:
         """Record a request that was placed at ``since`` and not sent."""
         if self.state is State.REJECTING and since >= self.trial_at:
--- a/celeryspan/decisions/servertable.py
+++ b/celeryspan/decisions/servertable.py
@@ -164,6 +164,12 @@
                 now + rejections.POOL_TRIAL_INTERVAL_SECONDS
             )
 
+    def _release_trials(self, accepting: poolservers.PoolServer) -> None:
+        """Try the others soon if a server accepts again: the pool may have no other."""
+        if accepting.rejections.state is rejections.State.RETURNING:
+            for server in self._ordered_servers:
+                server.rejections.release_trial()
+
     def _find_expected_to_reject(
         self, ask: messages.SlotRequest, now: float
     ) -> set[ids.ServerId]:
--- a/tests/decisions/test_rejections.py
+++ b/tests/decisions/test_rejections.py
@@ -251,7 +251,7 @@
     """Guards against floods at servers that reject, and against a late return."""
     arrivals = make_arrivals(50.0, 8.0, 5)
     share = reject_between(servers, 1.0, end)
-    play = Play(share, engine=engine, servers=servers).run(arrivals, 8.0)
+    play = Play(share, engine=engine, servers=servers).run(arrivals, 11.0)
     trials = [at for at, _ in play.sent if 2.5 <= at < end]
     assert len(trials) <= 2 * (end - 2.5) + 1
     for server in range(servers):
@@ -264,7 +264,18 @@
     assert min(at for at, _ in play.sent if at >= end) <= end + 0.55
     asked = sum(end + 1.5 <= at < 8.0 for at, _ in arrivals)
     limit = min(asked, (6.5 - end) * get_rate(engine, servers, 1.0))
-    assert play.count_served(end + 1.5, 8.0) >= 0.95 * limit
+    assert play.count_served(end + 1.5, 11.0) >= 0.95 * limit
+
+
+def test_all_servers_are_tried_soon_after_one_accepts_again() -> None:
+    """Guards against trials that stay half a second apart once a server answers."""
+    served = asked = 0
+    for seed in range(4):
+        arrivals = make_arrivals(get_rate(None, SERVERS, 0.7), 5.0, seed)
+        play = Play(reject_between(SERVERS, 1.0, 4.0), seed=seed).run(arrivals, 5.0)
+        served += play.count_served(4.0, 5.0)
+        asked += sum(4.0 <= at < 5.0 for at, _ in arrivals)
+    assert served >= 0.7 * asked
 
 
 @KINDS
