--- a/celeryspan/decisions/engineplacing.py
+++ b/celeryspan/decisions/engineplacing.py
@@ -95,8 +95,9 @@
 
     def has_capacity(self, is_long: bool, now: float) -> bool:
         """Whether any server can take a long prompt, or any other request, now."""
+        partial = self._list_available_for_rest(now)
         for server in self._list_eligible(is_long, now):
-            if not server.is_available(now):
+            if not server.is_available(now) and server not in partial:
                 continue
             if (
                 not server.is_prefilling_long()
@@ -146,6 +147,23 @@
         waited: float,
         now: float,
     ) -> candidates.Choice | None:
+        available = [each for each in self._ordered_servers if each.is_available(now)]
+        found = self._choose_engine_among(available, ask, excluded, waited, now)
+        if found is None:
+            partial = self._list_available_for_rest(now)
+            found = self._choose_engine_among(partial, ask, excluded, waited, now)
+        return found
+
+    def _choose_engine_among(
+        self,
+        available: Collection[poolservers.PoolServer],
+        ask: messages.SlotRequest,
+        excluded: Collection[ids.ServerId],
+        waited: float,
+        now: float,
+    ) -> candidates.Choice | None:
+        if not available:
+            return None
         best = ready = candidates.NO_CANDIDATE
         prompt = self._make_prompt(ask)
         cache_sources = cachecopies.find_sources(
@@ -153,7 +171,7 @@
         )
         for is_long in (False, True):
             for server in self._list_candidates(ask.version, is_long, now):
-                if not server.is_available(now) or server.entry.server in excluded:
+                if server not in available or server.entry.server in excluded:
                     continue
                 cached, copy_seconds, _ = cachecopies.plan(
                     self._engine, ask, server, cache_sources
@@ -167,6 +185,8 @@
                 candidate = self._make_candidate(
                     ask, server, prefill, copy_seconds, is_long, now
                 )
+                if candidate.is_ready and self._find_trial([server], now) is not None:
+                    return candidates.Choice(server.entry.server, 0.0)
                 best = min(best, candidate)
                 ready = min(ready, candidate) if candidate.is_ready else ready
         if not ready.is_ready:
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -6,6 +6,8 @@
   (:mod:`plainplacing`).
 * A cold server is not available once it has got as many requests as it tolerates
   (:mod:`coldstart`).
+* A server that rejects requests gets trials, and what no other server has a slot for
+  (:mod:`rejections`); no retry goes to a server that is expected to reject it.
 * A server gets nothing from a router that it has asked for a rest
   (:mod:`announcements`). Other routers avoid it, because it is likely to be overloaded.
 """
@@ -69,6 +71,7 @@
         """
         excluded: Collection[ids.ServerId] = ask.excluded
         barred = self._find_resting(router, now) | self._find_others(ask.version)
+        barred |= self._find_expected_to_reject(ask, now)
         if len({*excluded, *barred}) >= len(self._servers):
             excluded = ()  # Retry servers that failed the request if no other is left.
         if barred:
@@ -78,9 +81,26 @@
                 return None
             excluded = {*excluded, *self._find_isolated_runs()}
         if self._engine is None:
-            return plainplacing.choose(self._ordered_servers, ask, excluded, now)
+            return self._choose_plain(ask, excluded, now)
         return self._choose_engine(ask, excluded, waited, now)
 
+    def _choose_plain(
+        self, ask: messages.SlotRequest, excluded: Collection[ids.ServerId], now: float
+    ) -> candidates.Choice | None:
+        available = [
+            server
+            for server in self._ordered_servers
+            if server.is_available(now) and server.entry.server not in excluded
+        ] or [
+            server
+            for server in self._list_available_for_rest(now)
+            if server.entry.server not in excluded
+        ]
+        tried = self._find_trial(available, now)
+        if tried is not None:
+            return candidates.Choice(tried.entry.server, 0.0)
+        return plainplacing.choose(available, ask, now)
+
     def start_run(
         self,
         ask: messages.SlotRequest,
@@ -130,6 +150,7 @@
             pace=pace,
         )
         server.add(ask.request, run, now, self._burst_pause_seconds)
+        self._space_trials(server, now)
         server.cache.record_use(ask.parts, due_at)
         return run
 
@@ -171,6 +192,7 @@
             server.record_load(request, load, now)
         samples = server.slowdown_samples
         server.begin(request, self._model.first_event_seconds, now)
+        self._release_trials(server)
         if server.slowdown_samples != samples:
             self._share_slowdown()
 
@@ -240,8 +262,8 @@
             return None
         if not server.runs:
             self._removed_servers.pop(name, None)
-        pace = run.average_pace(server.measure_pace(now))
-        server.record_ending(ending, (now - run.since) / pace, now)
+        server.record_ending(ending, run, now)
+        self._release_trials(server)
         if ending is states.RunEnding.ANSWERED:
             self._mean_run_seconds += (
                 now - run.since - self._mean_run_seconds
--- a/celeryspan/decisions/plainplacing.py
+++ b/celeryspan/decisions/plainplacing.py
@@ -2,25 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 
-from celeryspan import ids
 from celeryspan.decisions import candidates, poolservers
 from celeryspan.wire import messages
 
 
 def choose(
-    servers: Iterable[poolservers.PoolServer],
+    available: Collection[poolservers.PoolServer],
     ask: messages.SlotRequest,
-    excluded: Collection[ids.ServerId],
     now: float,
 ) -> candidates.Choice | None:
     """Return the server that takes a request now, or None if none is available."""
-    available = [
-        server
-        for server in servers
-        if server.is_available(now) and server.entry.server not in excluded
-    ]
     if not available:
         return None
     healthy = min(server.health.failure_rate for server in available)
