Move the placement order and the wait limits of pools to modules of their own

Change: decisions/placementorder.py selects the next request to place, and decisions/waitlimits.py computes the times until which a request may wait and the length of an account's queue.

--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -5,18 +5,10 @@
 each see a sixth of an engine's prompts can neither keep long prompts apart nor give
 accounts equal shares. A service with many servers has several pools (:mod:`shards`).
 
-* The account that has received the least service goes first (:mod:`accountshares`).
-  Within an account, requests that can still meet their objective go before late ones: a
-  late answer is worth less to its caller, and in a queue where all requests wait
-  equally long all of them are late. Otherwise they are served in order of arrival.
+* Accounts get equal service (:mod:`placementorder`).
 * A grant is charged to its account at once, and refunded if it comes back unused:
   callers of an overloaded router leave before their requests are sent, and their
   account would get less than others for it.
-* An account with only late requests yields to others, up to a bound. Without the bound,
-  an account whose router delays its requests gets nothing beside a flood.
-* A request that continues a stream goes only to servers of the version that began it
-  (:mod:`streamversions`). It goes before new requests of accounts that have received at
-  least half as much service.
 * :mod:`placing` selects the server. Requests that no server can take yet wait here and
   never in an engine's queue.
 * Requests that can't be served in reasonable time are refused at once, with the time
@@ -29,7 +21,6 @@
 import collections
 import random
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
 import msgspec
 
@@ -37,38 +28,16 @@
 from celeryspan.decisions import (
     accountshares,
     announcements,
+    placementorder,
     placementrates,
     placing,
     poolqueue,
     poolservers,
     streamversions,
+    waitlimits,
 )
 from celeryspan.wire import messages
 
-WAIT_TIMEOUT_SHARE = 0.25
-"""Share of the timeout after which a waiting request is refused, so that the caller
-still has time to retry. A late answer is worth more to it than none."""
-
-WAIT_OBJECTIVES_MAX = 3.0
-"""Latency objectives after which a waiting request is refused: callers abandon a stream
-without an event after four of them."""
-
-START_MARGIN_SECONDS = 0.1
-"""A request counts as in time only if it could start this much later, because a server
-may have this much prefill pending. At twice the load that engines can prefill, the
-margin raised the answers in time from 443 of 786 to 649 of 772."""
-
-LATE_WEIGHT = 1.5
-"""Weight of service that an account has received if all its waiting requests are late.
-It then gets two thirds of what others get; fairness requires half."""
-
-ACCOUNT_QUEUE_OBJECTIVES = 3.0
-"""Work that one account may have waiting at its placement rate, in latency objectives:
-as long as a request waits at most."""
-
-ACCOUNT_QUEUE_PER_SERVER_MIN = 16
-"""Requests of one account that may wait per server, whatever its placement rate."""
-
 REFUNDED_ENDINGS = (
     states.RunEnding.GONE,
     states.RunEnding.REJECTED,
@@ -80,14 +49,6 @@
 
 NO_SERVER = ids.ServerId("")
 
-RESUMING_WEIGHT = 0.5
-"""Weight of the service that an account has received for requests that continue its
-streams. Only some servers can take them, which new requests would fill."""
-
-LOOKAHEAD_REQUESTS = 10
-"""Requests of one account compared in each decision. One that fits no server yet
-doesn't block the rest, and the time of a decision is bounded."""
-
 RETRY_JITTER = 0.5
 """Largest random part added to the retry time of refused callers, relative to it."""
 
@@ -115,20 +76,6 @@
     run: poolservers.Run | None = None
 
 
-class GroupKey(NamedTuple):
-    """Key of a group of waiting requests of one account that are compared.
-
-    Requests in time sort before late ones of the same account, because late ones weigh
-    the account's received service higher.
-    """
-
-    is_late: bool
-    account: ids.AccountId
-
-
-TasksByGroup = dict[GroupKey, list[poolqueue.Task]]
-
-
 class Pool:
     """The slots at the servers of one pool and the requests waiting for them.
 
@@ -145,6 +92,9 @@
         self._shares = accountshares.AccountShares()
         self._rates = placementrates.PlacementRates()
         self._queue = poolqueue.PoolQueue()
+        self._order = placementorder.PlacementOrder(
+            self._placer, self._queue, self._shares
+        )
         self._queue_seconds = 0.0
         self._must_check_versions = False
         self._unused: collections.Counter[ids.AccountId] = collections.Counter()
@@ -181,7 +131,7 @@
         While other requests wait, the next :meth:`tick` decides for all: deciding again
         for each message took a whole core with a few hundred requests waiting.
         """
-        task = self._make_task(router, ask, now)
+        task = waitlimits.make_task(self._placer, router, ask, now)
         if self._placer.exceeds_memory(ask):
             return [self._refuse(task, "too-large", now)]
         if not self._placer.has_version(ask.version):
@@ -204,29 +154,10 @@
         """
         servers = self._placer.count_servers()
         waiting = self._queue.count(ask.account)
-        if not servers or waiting < ACCOUNT_QUEUE_PER_SERVER_MIN * servers:
+        if not servers or waiting < waitlimits.ACCOUNT_QUEUE_PER_SERVER_MIN * servers:
             return False
         rate = self._rates.measure(ask.account, now)
-        return waiting >= rate * ask.objective * ACCOUNT_QUEUE_OBJECTIVES
-
-    def _make_task(
-        self, router: ids.RouterId, ask: messages.SlotRequest, now: float
-    ) -> poolqueue.Task:
-        arrived = now - ask.waited
-        first_event = self._placer.estimate_first_event(ask)
-        wait_max = min(
-            ask.timeout * WAIT_TIMEOUT_SHARE, ask.objective * WAIT_OBJECTIVES_MAX
-        )
-        return poolqueue.Task(
-            ask,
-            router,
-            arrived_at=now,
-            start_by=arrived + ask.objective - first_event - START_MARGIN_SECONDS,
-            give_up_at=arrived + wait_max - first_event,
-            end_at=arrived + ask.timeout,
-            is_long=self._placer.is_long(ask),
-            work=self._placer.estimate_work(ask),
-        )
+        return waiting >= waitlimits.count_waiting_max(ask, rate)
 
     def record_rest(
         self, router: ids.RouterId, rest: messages.ServerRest, now: float
@@ -332,34 +263,10 @@
         return answers
 
     def decide(self, now: float) -> list[Answer]:
-        """Place as many waiting requests as servers can take now.
-
-        Long prompts and other requests are placed separately, because they go to
-        different servers; neither kind waits behind the oldest requests of the other.
-        """
-        answers = self._place_resuming(now)
-        for is_long in (False, True):
-            if self._placer.has_capacity(is_long, now):
-                candidates = self._group_waiting(is_long, now)
-                answers += self._place_groups(candidates, is_long, now)
-        return answers
-
-    def _place_resuming(self, now: float) -> list[Answer]:
-        """Place requests that continue streams, as far as their accounts may go first.
-
-        Their servers may be few, and none of them may be one that usually takes prompts
-        of their length, so that each of them is tried.
-        """
-        resuming = self._queue.list_resuming()
-        if not resuming:
-            return []
-        least = min(self._shares.level(task.ask.account) for task in self._queue)
-        found = []
-        for task in resuming[:LOOKAHEAD_REQUESTS]:
-            level = self._shares.level(task.ask.account) * RESUMING_WEIGHT
-            if level <= least and self._can_place(task.ask):
-                found.append(self._place_one([task], now))
-        return [answer for answer in found if answer is not None]
+        """Place as many waiting requests as servers can take now."""
+        return [
+            self._offer(task, server, now) for task, server in self._order.select(now)
+        ]
 
     def _refuse_gone_versions(self, now: float) -> list[Answer]:
         """Refuse requests for whose streams no server is left."""
@@ -375,61 +282,6 @@
             self._queue.remove(task)
         return [self._refuse_version_gone(task, now) for task in gone]
 
-    def _group_waiting(self, is_long: bool, now: float) -> TasksByGroup:
-        """Return the waiting requests that could run, grouped and oldest first."""
-        found: TasksByGroup = {}
-        for task in self._queue:
-            if task.is_long == is_long and self._can_place(task.ask):
-                group = GroupKey(task.start_by < now, task.ask.account)
-                found.setdefault(group, []).append(task)
-        for fitting in found.values():
-            fitting.sort(key=lambda task: task.arrived_at)
-        return found
-
-    def _can_place(self, ask: messages.SlotRequest) -> bool:
-        """Whether a request needs no isolation, or can be isolated now."""
-        return not ask.isolation or self._placer.can_isolate(ask)
-
-    def _place_groups(
-        self, candidates: TasksByGroup, is_long: bool, now: float
-    ) -> list[Answer]:
-        answers: list[Answer] = []
-        while candidates and self._placer.has_capacity(is_long, now):
-            group = min(candidates, key=self._priority)
-            answer = self._place_one(candidates[group], now)
-            if answer is not None:
-                answers.append(answer)
-            if answer is None or not candidates[group]:
-                del candidates[group]
-        return answers
-
-    def _priority(self, group: GroupKey) -> tuple[float, GroupKey]:
-        """Return the sort key of a group; the lowest is placed first."""
-        level = self._shares.level(group.account)
-        return level * (LATE_WEIGHT if group.is_late else 1.0), group
-
-    def _place_one(self, tasks: list[poolqueue.Task], now: float) -> Answer | None:
-        """Place one of the oldest requests of a group and remove it from the group.
-
-        The request that fits the free servers best is chosen: in a peak, one engine at
-        a time is free, and it would otherwise prefill parts that another engine has
-        cached.
-        """
-        best: tuple[float, int, ids.ServerId] | None = None
-        for index, task in enumerate(tasks[:LOOKAHEAD_REQUESTS]):
-            choice = self._placer.choose(
-                task.ask, now - task.arrived_at, now, task.router
-            )
-            if choice is None:
-                continue
-            if best is None or choice.regret < best[0]:
-                best = (choice.regret, index, choice.server)
-            if choice.regret <= 0.0:
-                break
-        if best is None:
-            return None
-        return self._offer(tasks.pop(best[1]), best[2], now)
-
     def _offer(self, task: poolqueue.Task, server: ids.ServerId, now: float) -> Answer:
         self._queue.remove(task)
         run = self._placer.start_run(task.ask, task.router, server, task.end_at, now)
