Refuse requests on arrival that are expected to start too late

Cause: a request that can't be served in time waited in its pool until it gave up, although the queue before it is known on arrival. Pool takes early_refusals, off by default; with it off the pool decides as before.

--- a/celeryspan/decisions/poolqueue.py
+++ b/celeryspan/decisions/poolqueue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Protocol
 
 import msgspec
 
@@ -61,17 +62,33 @@
     unused: int = 0
 
 
+class QueueObserver(Protocol):
+    """Is told of each request that begins and that ends to wait."""
+
+    def add(self, task: Task) -> None:
+        """Add a request."""
+
+    def remove(self, task: Task) -> None:
+        """Remove a request."""
+
+
 class PoolQueue:
     """Waiting requests and their total work.
 
+    Parameters
+    ----------
+    observer : QueueObserver, optional
+        Is told of each request that is added or removed.
+
     Attributes
     ----------
     work : float
         Estimated server time of all waiting requests, in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, observer: QueueObserver | None = None) -> None:
         self.work = 0.0
+        self._observer = observer
         self._tasks: dict[ids.AccountId, dict[ids.RequestId, Task]] = {}
         self._resuming: dict[ids.RequestId, Task] = {}
 
@@ -92,6 +109,8 @@
         if task.ask.version:
             self._resuming[task.ask.request] = task
         self.work += task.work
+        if self._observer is not None:
+            self._observer.add(task)
 
     def remove(self, task: Task) -> None:
         """Remove a request if it is queued."""
@@ -156,6 +175,8 @@
         if task is None:
             return False
         self._resuming.pop(request, None)
+        if self._observer is not None:
+            self._observer.remove(task)
         if not tasks:
             del self._tasks[account]
         # Reset when the queue is empty so that rounding errors don't accumulate.
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -13,7 +13,8 @@
   never in an engine's queue.
 * Requests that can't be served in reasonable time are refused at once, with the time
   after which a slot is likely to be free. So are requests of an account that already
-  has more waiting than its placement rate (:mod:`placementrates`) can serve in time.
+  has more waiting than its placement rate (:mod:`placementrates`) can serve in time,
+  and, if enabled, those that are expected to start too late (:mod:`earlyrefusals`).
 """
 
 from __future__ import annotations
@@ -28,6 +29,7 @@
 from celeryspan.decisions import (
     accountshares,
     announcements,
+    earlyrefusals,
     placementorder,
     placementrates,
     placing,
@@ -49,11 +51,6 @@
 
 NO_SERVER = ids.ServerId("")
 
-RETRY_JITTER = 0.5
-"""Largest random part added to the retry time of refused callers, relative to it."""
-
-RETRY_SECONDS_MIN = 0.05
-
 
 class Answer(msgspec.Struct, frozen=True):
     """A decision on a request and the data behind it.
@@ -83,15 +80,26 @@
     ----------
     generator : random.Random
         Source of the jitter in retry times.
+    early_refusals : bool
+        Whether requests that are expected to start too late are refused on arrival.
     """
 
-    def __init__(self, name: ids.PoolId, generator: random.Random) -> None:
+    def __init__(
+        self,
+        name: ids.PoolId,
+        generator: random.Random,
+        *,
+        early_refusals: bool = False,
+    ) -> None:
         self.name = name
         self._generator = generator
         self._placer = placing.Placer()
         self._shares = accountshares.AccountShares()
         self._rates = placementrates.PlacementRates()
-        self._queue = poolqueue.PoolQueue()
+        self._early_refusals = earlyrefusals.EarlyRefusals(
+            self._placer, self._shares, is_enabled=early_refusals
+        )
+        self._queue = poolqueue.PoolQueue(self._early_refusals)
         self._order = placementorder.PlacementOrder(
             self._placer, self._queue, self._shares
         )
@@ -138,9 +146,11 @@
             return [self._refuse_version_gone(task, now)]
         rest = self._placer.measure_rest(router, now)
         if rest is not None:
-            return [self._refuse_resting(task, rest, now)]
+            return [self._make_refusal(task, announcements.SERVERS_RESTING, rest, now)]
         self._placer.record_arrival(ask, now)
-        if self._exceeds_queue_limit(ask, now):
+        if self._exceeds_queue_limit(ask, now) or not self._early_refusals.admits(
+            task, now
+        ):
             return [self._refuse(task, "no-place-in-time", now)]
         others_wait = bool(self._queue)
         self._queue.add(task)
@@ -172,7 +182,8 @@
         if seconds is None:
             return []
         waiting = self._queue.remove_matching(lambda task: task.router == router)
-        return [self._refuse_resting(task, seconds, now) for task in waiting]
+        reason = announcements.SERVERS_RESTING
+        return [self._make_refusal(task, reason, seconds, now) for task in waiting]
 
     def cancel(self, request: ids.RequestId) -> None:
         """Remove a request from the queue."""
@@ -257,8 +268,10 @@
     def tick(self, now: float) -> list[Answer]:
         """Expire overdue requests and runs, then place waiting requests."""
         self._placer.expire(now)
-        answers = self._expire(now) + self._refuse_gone_versions(now)
+        overdue = [task for task in self._queue if task.give_up_at <= now]
+        answers = self._refuse_all(overdue, now) + self._refuse_gone_versions(now)
         answers += self.decide(now)
+        answers += self._refuse_all(self._early_refusals.select(now), now)
         self._queue_seconds = self._estimate_wait()
         return answers
 
@@ -288,26 +301,27 @@
         run.units = task.units
         self._shares.charge(task.ask.account, task.units, now)
         self._rates.record(task.ask.account, now)
+        self._early_refusals.record_start(task, now)
         pressure = self.measure_pressure(now)
         offer = messages.SlotOffer(
             task.ask.request, self.name, server, pressure, run.source or NO_SERVER
         )
         return _make_answer(task, offer, now, run)
 
-    def _expire(self, now: float) -> list[Answer]:
-        late = self._queue.remove_matching(lambda task: task.give_up_at <= now)
-        return [self._refuse(task, "no-place-in-time", now) for task in late]
+    def _refuse_all(self, tasks: Sequence[poolqueue.Task], now: float) -> list[Answer]:
+        """Remove requests from the queue and refuse them."""
+        for task in tasks:
+            self._queue.remove(task)
+        return [self._refuse(task, "no-place-in-time", now) for task in tasks]
 
     def _refuse(self, task: poolqueue.Task, reason: str, now: float) -> Answer:
-        jitter = 1.0 + RETRY_JITTER * self._generator.random()
-        wait = max(RETRY_SECONDS_MIN, self._estimate_wait()) * jitter
+        wait = None
+        if reason != "too-large":
+            wait = self._early_refusals.reserve_retry(task, now)
+        if wait is None:
+            wait = waitlimits.spread_retry(self._estimate_wait(), self._generator)
         return self._make_refusal(task, reason, wait, now)
 
-    def _refuse_resting(
-        self, task: poolqueue.Task, seconds: float, now: float
-    ) -> Answer:
-        return self._make_refusal(task, announcements.SERVERS_RESTING, seconds, now)
-
     def _refuse_version_gone(self, task: poolqueue.Task, now: float) -> Answer:
         reason = streamversions.Verdict.VERSION_GONE.value
         return self._make_refusal(task, reason, 0.0, now)
--- a/celeryspan/decisions/waitlimits.py
+++ b/celeryspan/decisions/waitlimits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from celeryspan import ids
 from celeryspan.decisions import placing, poolqueue
 from celeryspan.wire import messages
@@ -26,6 +28,11 @@
 ACCOUNT_QUEUE_PER_SERVER_MIN = 16
 """Requests of one account that may wait per server, whatever its placement rate."""
 
+RETRY_JITTER = 0.5
+"""Largest random part added to the retry time of refused callers, relative to it."""
+
+RETRY_SECONDS_MIN = 0.05
+
 
 def make_task(
     placer: placing.Placer,
@@ -54,3 +61,9 @@
 def count_waiting_max(ask: messages.SlotRequest, rate: float) -> float:
     """Return how many requests of an account may wait at its placement rate."""
     return rate * ask.objective * ACCOUNT_QUEUE_OBJECTIVES
+
+
+def spread_retry(wait: float, generator: random.Random) -> float:
+    """Return when a refused caller should retry after an expected wait, in seconds."""
+    jitter = 1.0 + RETRY_JITTER * generator.random()
+    return max(RETRY_SECONDS_MIN, wait) * jitter
