Enable early refusals by a setting of routers on the platform

Cause: pools can refuse requests that would start too late, but nothing lets an operator choose it. Change: the setting early_refusals, false by default, is passed to each pool that a router keeps. The deploy template does not name it yet. Routers of tests take further settings.

--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -77,6 +77,7 @@
         self._membership: membership.MembershipService = container.find("membership")
         self._map: poolmap.PoolMap = container.find("poolmap")
         self._servers: serverlists.ServersService = container.find("servers")
+        self._refuses_early: bool = container.settings.early_refusals
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
         self._cold_limits = coldlimits.ColdLimits(container)
@@ -199,7 +200,9 @@
         self._used_at[name] = time.monotonic()
         pool = self._pools.get(name)
         if pool is None:
-            pool = self._pools[name] = pools.Pool(name, self._random)
+            pool = self._pools[name] = pools.Pool(
+                name, self._random, early_refusals=self._refuses_early
+            )
             self._set_pool_servers(pool)
             self._cold_limits.update(pool, time.monotonic())
             events.log(events.Event.HOME_TAKEN, pool=name)
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -35,6 +35,8 @@
     processor_share, processor_speed : float
         Fraction of a core that the VM has, and speed of the core relative to the
         reference core.
+    early_refusals : bool
+        Whether pools refuse requests on arrival that are expected to start too late.
     """
 
     ready_address: structs.HostPort
@@ -50,6 +52,7 @@
     descriptors_max: Annotated[int, msgspec.Meta(ge=0)] = 0
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    early_refusals: bool = False
 
     @property
     def cores(self) -> float:
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -52,9 +52,9 @@
         spec = sampleconfig.make_entry(service, server.address, **values)
         self.store.put("servers", server.name, spec)
 
-    def start_router(self, name: str = "edge-1") -> Router:
-        """Start a router and wait until it has read the store."""
-        router = Router(name, str(self.store.address))
+    def start_router(self, name: str = "edge-1", **values: object) -> Router:
+        """Start a router with further settings and wait until it has read the store."""
+        router = Router(name, str(self.store.address), **values)
         self._stack.callback(router.stop)
         registered = set(self.store._objects["servers"])
         wait_for(lambda: registered <= set(router.container.find("servers").usable()))
@@ -66,7 +66,7 @@
 class Router:
     """All services of a router on the platform, listening on the loopback interface."""
 
-    def __init__(self, name: str, store: str) -> None:
+    def __init__(self, name: str, store: str, **values: object) -> None:
         addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
         self.settings = settings.Settings(
             router=name,
@@ -81,6 +81,7 @@
             follows_evacuations=True,
             cold_factor=1.5,
             cold_slack=5.0,
+            **values,
         )
         gateway.import_services()
         self.container = kernel.Kernel(self.settings)
--- a/tests/gateway/test_poolhomes.py
+++ b/tests/gateway/test_poolhomes.py
@@ -94,3 +94,19 @@
     pool.end(first.request, answer.message.server, unused, 0.01)
     assert [each.unused for each in pool.list_backlogs(0.02)] == [1]
     assert [each.unused for each in pool.list_backlogs(0.03)] == [0]
+
+
+@pytest.mark.parametrize("values", [{}, {"early_refusals": True}])
+def test_setting_of_early_refusals_reaches_pools(cluster, monkeypatch, values) -> None:
+    """Guards against a setting that is read but has no effect."""
+    made = []
+    make_pool = pools.Pool
+
+    def record(*arguments: object, **named: object) -> pools.Pool:
+        made.append(named["early_refusals"])
+        return make_pool(*arguments, **named)
+
+    monkeypatch.setattr(pools, "Pool", record)
+    cluster.add_server("gate-1")
+    assert cluster.start_router(**values).call("/bookings/1").status == 200
+    assert made == [bool(values)]
