Measure how long refused requests waited, by reason

Cause: only log lines told how long a request waited for its refusal, which early refusals are to shorten.

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -324,6 +324,8 @@
         details: dict[str, object] = {}
         if order is not None:
             took = time.monotonic() - order.received_at
+            if error.outcome is states.Outcome.NOT_RUN:
+                self._metrics.observe_refusal_wait(error.code, took)
             details = {"account": order.account or "", "waited": round(took, 3)}
         events.log(
             events.Event.REQUEST_REFUSED,
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -158,6 +158,13 @@
             ["code"],
             registry=self.registry,
         )
+        self._refusal_wait = prometheus_client.Histogram(
+            "celeryspan_refusal_wait_seconds",
+            "Time from acceptance of a request to its refusal, by reason.",
+            ["code"],
+            buckets=TIME_BUCKETS,
+            registry=self.registry,
+        )
         self._connections = self._make_gauge(
             "caller_connections", "Connections of callers, by use.", ["use"]
         )
@@ -277,6 +284,10 @@
         """Count a refused request by its error code."""
         self._refusals.labels(code).inc()
 
+    def observe_refusal_wait(self, code: str, seconds: float) -> None:
+        """Record how long a request waited until it was refused, by error code."""
+        self._refusal_wait.labels(code).observe(seconds)
+
     def count_server_crash(self, evidence: str) -> None:
         """Count a crash of a backend server by the evidence for it."""
         self._crashes.labels(evidence).inc()
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -220,6 +220,16 @@
     connection.close()
 
 
+def test_wait_of_refused_requests_is_measured(cluster) -> None:
+    """Guards against refusals whose waiting time only log lines tell."""
+    router = cluster.start_router()
+    assert router.call("/bookings/1").status == 503
+    text = router.get(router.settings.ready_address, names.METRICS)[1].decode()
+    name = "celeryspan_refusal_wait_seconds"
+    assert f'{name}_count{{code="no-place-in-time"}} 1.0' in text
+    assert f'{name}_bucket{{code="no-place-in-time",le="0.1"}} 0.0' in text
+
+
 def test_router_listens_to_callers_before_it_says_that_it_is_ready() -> None:
     """Guards against a readiness answer before the router listens for callers.
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -28,6 +28,14 @@
     assert cost == 300
 
 
+def test_wait_of_refused_requests_is_recorded_by_code() -> None:
+    counts = metrics.Metrics()
+    counts.observe_refusal_wait("no-place-in-time", 0.7)
+    name, labels = "celeryspan_refusal_wait_seconds", {"code": "no-place-in-time"}
+    assert counts.registry.get_sample_value(f"{name}_sum", labels) == 0.7
+    assert counts.registry.get_sample_value(f"{name}_count", labels) == 1
+
+
 def test_gauges_of_a_server_are_removed_when_its_home_moves() -> None:
     counts = metrics.Metrics()
     server = ids.ServerId("gate-1")
