Count only live requests toward the reviews of a tick

Cause: entries of requests that had left used up the four reviews of a tick, so that a flood could add entries faster than they were dropped. No test covered requests that wait when servers become slow. Change: such entries are dropped without being counted; a test in which servers take four times as long for 3 s.

--- a/celeryspan/decisions/startforecasts.py
+++ b/celeryspan/decisions/startforecasts.py
@@ -154,12 +154,14 @@
     def review(self, now: float) -> list[poolqueue.Task]:
         """Return waiting requests that can no longer start before they give up."""
         found = []
-        for _ in range(REVIEWS_MAX):
-            if not self._reviews or self._reviews[0][0] > now:
-                break
+        reviewed = 0
+        # Entries of requests that have left don't count; otherwise those of a flood
+        # would pile up.
+        while reviewed < REVIEWS_MAX and self._reviews and self._reviews[0][0] <= now:
             entry = self._entries.get(heapq.heappop(self._reviews)[1])
             if entry is None:
                 continue
+            reviewed += 1
             self._update_lateness(entry, now)
             if self.is_known() and not self._can_still_start(entry, now):
                 found.append(entry.task)
--- a/tests/decisions/test_startforecasts.py
+++ b/tests/decisions/test_startforecasts.py
@@ -263,6 +263,21 @@
     assert measure_served(after) >= 0.9 * measure_served(before)
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_waiting_requests_are_refused_when_servers_become_slow(seed: int) -> None:
+    """Guards against requests that wait until they give up, admitted before a change.
+
+    From 6 s to 9 s the servers take four times as long.
+    """
+    arrivals = [
+        each._replace(took=4 * each.took) if 6.0 < each.at < 9.0 else each
+        for each in make_arrivals(0.9, seed)
+    ]
+    waits = [fate.waited for fate in list_refused(list_settled(play(arrivals)))]
+    assert max(waits) <= 1.0
+    assert statistics.mean(waits) <= 0.04
+
+
 def test_retry_times_are_spread() -> None:
     """Guards against all callers of a refused burst coming back at once."""
     burst = [Arrival(5.0, "a", KINDS[0], UNIT_SECONDS)] * 600
