--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -53,7 +53,7 @@
         self.store.put("servers", server.name, spec)
 
     def start_router(self, name: str = "edge-1", **values: object) -> Router:
-        """Start a router with these settings and wait until it has read the store."""
+        """Start a router with further settings and wait until it has read the store."""
         router = Router(name, str(self.store.address), **values)
         self._stack.callback(router.stop)
         registered = set(self.store._objects["servers"])
