Check for rejecting servers at a lower cost in each placement

Change: the state is read before anything else, lists are made only where a server rejects, and the pace only where one was reported.

--- a/celeryspan/decisions/engineplacing.py
+++ b/celeryspan/decisions/engineplacing.py
@@ -95,21 +95,24 @@
 
     def has_capacity(self, is_long: bool, now: float) -> bool:
         """Whether any server can take a long prompt, or any other request, now."""
-        partial = self._list_available_for_rest(now)
-        for server in self._list_eligible(is_long, now):
-            if not server.is_available(now) and server not in partial:
-                continue
-            if (
-                not server.is_prefilling_long()
-                if is_long
-                else self._has_short_prefill_queue(server, now)
-            ):
+        eligible = self._list_eligible(is_long, now)
+        for server in eligible:
+            if server.is_available(now) and self._has_room(server, is_long, now):
                 return True
-        return False
+        if not self._has_rejecting():
+            return False
+        partial = self._list_available_for_rest(now)
+        return any(
+            server in partial and self._has_room(server, is_long, now)
+            for server in eligible
+        )
 
-    def _has_short_prefill_queue(
-        self, server: poolservers.PoolServer, now: float
+    def _has_room(
+        self, server: poolservers.PoolServer, is_long: bool, now: float
     ) -> bool:
+        """Whether an engine with a free slot can begin to prefill a prompt soon."""
+        if is_long:
+            return not server.is_prefilling_long()
         return server.pending_seconds(now) <= poolservers.PENDING_PREFILL_SECONDS_MAX
 
     def _list_eligible(
@@ -147,23 +150,21 @@
         waited: float,
         now: float,
     ) -> candidates.Choice | None:
-        available = [each for each in self._ordered_servers if each.is_available(now)]
-        found = self._choose_engine_among(available, ask, excluded, waited, now)
-        if found is None:
+        found = self._choose_engine_among(None, ask, excluded, waited, now)
+        if found is None and self._has_rejecting():
             partial = self._list_available_for_rest(now)
             found = self._choose_engine_among(partial, ask, excluded, waited, now)
         return found
 
     def _choose_engine_among(
         self,
-        available: Collection[poolservers.PoolServer],
+        allowed: Collection[poolservers.PoolServer] | None,
         ask: messages.SlotRequest,
         excluded: Collection[ids.ServerId],
         waited: float,
         now: float,
     ) -> candidates.Choice | None:
-        if not available:
-            return None
+        """Return the engine to use among some, or among all that are available."""
         best = ready = candidates.NO_CANDIDATE
         prompt = self._make_prompt(ask)
         cache_sources = cachecopies.find_sources(
@@ -171,7 +172,9 @@
         )
         for is_long in (False, True):
             for server in self._list_candidates(ask.version, is_long, now):
-                if server not in available or server.entry.server in excluded:
+                if server.entry.server in excluded or not (
+                    server.is_available(now) if allowed is None else server in allowed
+                ):
                     continue
                 cached, copy_seconds, _ = cachecopies.plan(
                     self._engine, ask, server, cache_sources
@@ -185,7 +188,7 @@
                 candidate = self._make_candidate(
                     ask, server, prefill, copy_seconds, is_long, now
                 )
-                if candidate.is_ready and self._find_trial([server], now) is not None:
+                if candidate.is_ready and server.is_trial_due(now):
                     return candidates.Choice(server.entry.server, 0.0)
                 best = min(best, candidate)
                 ready = min(ready, candidate) if candidate.is_ready else ready
@@ -227,8 +230,10 @@
     ) -> candidates.Candidate:
         """Return the cost of placing a request at a server, and whether it is ready."""
         pending = server.pending_seconds(now)
-        pace = server.measure_pace(now)
-        present = len(server.runs) + server.count_others(now)
+        pace, present = 1.0, len(server.runs)
+        if server.pace is not None:
+            pace = server.measure_pace(now)
+            present += server.count_others(now)
         cost = pending + PREFILL_WEIGHT * prefill + RUN_COST_SECONDS * present
         cost += cachecopies.COPY_WEIGHT * copy_seconds
         cost += server.health.failure_rate * candidates.FAILURE_COST_SECONDS
--- a/celeryspan/decisions/poolservers.py
+++ b/celeryspan/decisions/poolservers.py
@@ -292,12 +292,17 @@
 
     def is_available(self, now: float) -> bool:
         """Whether the server has a free slot, is not backing off and not too cold."""
-        return (
-            self.rejections.admits(len(self.runs), self.entry.slots, now)
-            and not self._has_open_trial()
-            and not self.health.is_backing_off(now)
-            and not self._is_cold_limited(now)
-        )
+        in_use = len(self.runs)
+        if in_use >= self.entry.slots:
+            return False
+        if self.rejections.state is rejections.State.ACCEPTING:
+            if in_use >= self.rejections.limit:
+                return False
+        elif self._has_open_trial() or not self.rejections.admits(
+            in_use, self.entry.slots, now
+        ):
+            return False
+        return not self.health.is_backing_off(now) and not self._is_cold_limited(now)
 
     def is_available_for_rest(self, now: float) -> bool:
         """Whether it can take a request that no accepting server has a slot for."""
@@ -311,6 +316,10 @@
         """Whether the next request that is placed is a trial."""
         return self.rejections.state is rejections.State.REJECTING
 
+    def is_trial_due(self, now: float) -> bool:
+        """Whether the next request that is placed is a trial, and may be placed now."""
+        return self.is_on_trial() and self.is_available(now)
+
     def _has_open_trial(self) -> bool:
         """Whether a trial request has neither been answered nor rejected."""
         return self.is_on_trial() and any(
--- a/celeryspan/decisions/rejections.py
+++ b/celeryspan/decisions/rejections.py
@@ -83,6 +83,8 @@
     Attributes
     ----------
     state : State
+    limit : float
+        Slots that may be in use while the server accepts requests; may be infinity.
     rate : float
         Moving average of the share of requests rejected while the server wasn't full.
     since : float
@@ -102,7 +104,7 @@
         self.next_trial_at = -math.inf
         self.trial_at = -math.inf
         self.trial_interval = TRIAL_INTERVAL_SECONDS
-        self._limit = math.inf
+        self.limit = math.inf
         self._raise_after = RAISE_ANSWERS
         self._answers = 0
         self._is_raised = False
@@ -125,12 +127,12 @@
 
     def measure_limit(self, slots: int) -> int:
         """Return the slots that may be in use while the server accepts requests."""
-        return int(min(slots, self._limit))
+        return int(min(slots, self.limit))
 
     def admits(self, in_use: int, slots: int, now: float) -> bool:
         """Whether a request may be placed; for a rejecting server, as a trial."""
         if self.state is State.ACCEPTING:
-            return in_use < self.measure_limit(slots)
+            return in_use < slots and in_use < self.limit
         if self.state is State.RETURNING:
             return in_use < min(slots, self._ramp)
         return in_use < slots and now >= self.next_trial_at
@@ -221,7 +223,7 @@
             if self._ramp > slots:
                 self.state = State.ACCEPTING
                 self.rate = 0.0
-                self._limit, self._raise_after = math.inf, RAISE_ANSWERS
+                self.limit, self._raise_after = math.inf, RAISE_ANSWERS
 
     def end_rest(self, rested_at: float, now: float) -> None:
         """Begin with a trial if nothing was accepted since a rest was asked for."""
@@ -247,19 +249,19 @@
         lowered = max(_get_lowest_limit(slots), in_use - 1)
         if lowered >= self.measure_limit(slots):
             return
-        self._limit = lowered
+        self.limit = lowered
         if self._is_raised:
             self._raise_after = min(self._raise_after * 2, RAISE_ANSWERS_MAX)
         self._is_raised = False
 
     def _raise_limit(self, slots: int) -> None:
-        if self._limit >= slots:
+        if self.limit >= slots:
             return
         self._answers += 1
         if self._answers >= self._raise_after:
             self._raise_after = RAISE_ANSWERS if self._is_raised else self._raise_after
             self._answers = 0
-            self._limit += 1
+            self.limit += 1
             self._is_raised = True
 
 
--- a/celeryspan/decisions/servertable.py
+++ b/celeryspan/decisions/servertable.py
@@ -139,6 +139,8 @@
 
     def list_rejecting(self) -> list[rejections.RejectingServer]:
         """Return the servers that have rejected more than a single request."""
+        if not self._has_rejecting():
+            return []
         return [
             rejections.RejectingServer(
                 server.entry.server,
@@ -150,7 +152,11 @@
         ]
 
     def _has_rejecting(self) -> bool:
-        return any(not each.rejections.is_accepting for each in self._ordered_servers)
+        # A loop, because this is called for each placement and a generator costs more.
+        for server in self._ordered_servers:
+            if server.rejections.state is not rejections.State.ACCEPTING:
+                return True
+        return False
 
     def _space_trials(self, tried: poolservers.PoolServer, now: float) -> None:
         """Hold back the trials at other servers if all servers reject."""
@@ -201,11 +207,7 @@
         self, available: Sequence[poolservers.PoolServer], now: float
     ) -> poolservers.PoolServer | None:
         """Return the server whose trial is due for the longest time, or None."""
-        due = [
-            server
-            for server in available
-            if server.is_on_trial() and server.is_available(now)
-        ]
+        due = [server for server in available if server.is_trial_due(now)]
         return min(due, key=lambda each: each.rejections.trial_at, default=None)
 
     def _list_available_for_rest(self, now: float) -> list[poolservers.PoolServer]:
