Derive the budget for slow callers from the memory of the process

Cause: the budget had to be given in megabytes, which a template for VMs of 160 to 552 MB can't work out. Change: the setting memory_megabytes; a tenth of it is the budget unless held_megabytes_max names another one.

--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -8,6 +8,10 @@
 
 from celeryspan import settings, structs
 
+HELD_MEMORY_SHARE = 0.1
+"""Part of the process's memory used as the budget of buffered responses. A buffer that
+empties may occupy twice its bytes, which leaves room for the rest of a small VM."""
+
 
 class Settings(settings.Settings, frozen=True, kw_only=True):
     """Settings in addition to those of every router.
@@ -33,8 +37,11 @@
     descriptors_max : int
         Maximum of open files and sockets; 0 uses the limit of the operating system.
     held_megabytes_max : float or None
-        Megabytes of responses that the router buffers for callers that read slowly;
-        None if it reads a response no faster than its caller.
+        Megabytes of responses that the router buffers for callers that read slowly. By
+        default a part of ``memory_megabytes``; None without these, if it reads a
+        response no faster than its caller.
+    memory_megabytes : float or None
+        Memory that the process may use; None if it has no limit of its own.
     processor_share, processor_speed : float
         Fraction of a core that the VM has, and speed of the core relative to the
         reference core.
@@ -54,10 +61,18 @@
     cold_slack: Annotated[float, msgspec.Meta(ge=0)] | None = None
     descriptors_max: Annotated[int, msgspec.Meta(ge=0)] = 0
     held_megabytes_max: Annotated[float, msgspec.Meta(ge=0.1)] | None = None
+    memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] | None = None
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     early_refusals: bool = False
 
+    @property
+    def held_megabytes(self) -> float | None:
+        """Budget of buffered responses, in megabytes; None for no buffer."""
+        if self.held_megabytes_max is not None or self.memory_megabytes is None:
+            return self.held_megabytes_max
+        return HELD_MEMORY_SHARE * self.memory_megabytes
+
     @property
     def cores(self) -> float:
         """Processing capacity of the VM, in reference cores."""
--- a/celeryspan/gateway/slowcallers.py
+++ b/celeryspan/gateway/slowcallers.py
@@ -39,7 +39,7 @@
     """
 
     def __init__(self, container: kernel.Kernel) -> None:
-        megabytes = container.settings.held_megabytes_max
+        megabytes = container.settings.held_megabytes
         self._metrics: metrics.Metrics = container.find("metrics")
         self.is_enabled = megabytes is not None
         self._held = heldbytes.HeldBytes(int((megabytes or 0) * BYTES_PER_MEGABYTE))
