--- a/celeryspan/decisions/earlyrefusals.py
+++ b/celeryspan/decisions/earlyrefusals.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from celeryspan import states
 from celeryspan.decisions import accountshares, placing, poolqueue, startforecasts
 
 
@@ -15,19 +16,19 @@
 
     Parameters
     ----------
-    is_enabled : bool
-        Whether any request is refused early.
+    mode : EarlyRefusals
+        Which pools refuse requests early. A forecast at engines whose VMs slow down
+        for moments needs to know their present pace.
     """
 
     def __init__(
         self,
         placer: placing.Placer,
         shares: accountshares.AccountShares,
-        *,
-        is_enabled: bool,
+        mode: states.EarlyRefusals,
     ) -> None:
         self._placer = placer
-        self._is_enabled = is_enabled
+        self._mode = mode
         # Whether all slots were in use at the last tick. Engines may be full with slots
         # left, whose number then doesn't tell what has become free since.
         self._had_no_slot = False
@@ -38,23 +39,23 @@
 
     def add(self, task: poolqueue.Task) -> None:
         """Add a request that begins to wait."""
-        if self._is_enabled:
+        if self._is_enabled():
             self._forecasts[task.is_long].add(task)
 
     def remove(self, task: poolqueue.Task) -> None:
         """Remove a request that no longer waits."""
-        if self._is_enabled:
+        if self._is_enabled():
             self._forecasts[task.is_long].remove(task)
 
     def record_start(self, task: poolqueue.Task, now: float) -> None:
         """Record that a request has been placed."""
-        if self._is_enabled:
+        if self._is_enabled():
             self._forecasts[task.is_long].record_start(task, now)
 
     def admits(self, task: poolqueue.Task, now: float) -> bool:
         """Whether a request that arrives now may wait."""
         return (
-            not self._is_enabled
+            not self._is_enabled()
             or _is_exempt(task)
             or self._forecasts[task.is_long].can_start(task, now)
             or self._has_free_slot(task.is_long, now)
@@ -63,7 +64,7 @@
     def select(self, now: float) -> list[poolqueue.Task]:
         """Return waiting requests to refuse; called after the placements of a tick."""
         found: list[poolqueue.Task] = []
-        if not self._is_enabled:
+        if not self._is_enabled():
             return found
         self._had_no_slot = self._placer.estimate_slot_wait(0) > 0.0
         for is_long, forecasts in self._forecasts.items():
@@ -74,6 +75,11 @@
                 found += [task for task in tasks if not _is_exempt(task)]
         return found
 
+    def _is_enabled(self) -> bool:
+        if self._mode is states.EarlyRefusals.REPORTING_ENGINES:
+            return self._placer.has_reporting_engines()
+        return self._mode is states.EarlyRefusals.ALWAYS
+
     def _has_free_slot(self, is_long: bool, now: float) -> bool:
         """Whether a server can take a request that arrives now.
 
--- a/celeryspan/decisions/placing.py
+++ b/celeryspan/decisions/placing.py
@@ -51,8 +51,13 @@
     def __init__(self) -> None:
         super().__init__()
         self._mean_run_seconds = 0.0
+        self._has_reports = False
         self._next_expiry_at = 0.0
 
+    def has_reporting_engines(self) -> bool:
+        """Whether the servers are engines and any of them has reported its load."""
+        return self._has_reports and self._engine is not None
+
     def choose(
         self,
         ask: messages.SlotRequest,
@@ -190,6 +195,7 @@
             return
         if load is not None:
             server.record_load(request, load, now)
+            self._has_reports = True
         samples = server.slowdown_samples
         server.begin(request, self._model.first_event_seconds, now)
         self._release_trials(server)
@@ -257,6 +263,7 @@
         server = self._find(name)
         if server is not None and load is not None:
             server.record_load(request, load, now)
+            self._has_reports = True
         run = server.remove(request, now) if server else None
         if run is None:
             return None
--- a/celeryspan/decisions/pools.py
+++ b/celeryspan/decisions/pools.py
@@ -81,8 +81,8 @@
     ----------
     generator : random.Random
         Source of the jitter in retry times.
-    early_refusals : bool
-        Whether requests that are expected to start too late are refused on arrival.
+    early_refusals : EarlyRefusals
+        Whether to refuse requests on arrival that are expected to start too late.
     """
 
     def __init__(
@@ -90,7 +90,7 @@
         name: ids.PoolId,
         generator: random.Random,
         *,
-        early_refusals: bool = False,
+        early_refusals: states.EarlyRefusals = states.EarlyRefusals.NEVER,
     ) -> None:
         self.name = name
         self._generator = generator
@@ -98,7 +98,7 @@
         self._shares = accountshares.AccountShares()
         self._rates = placementrates.PlacementRates()
         self._early_refusals = earlyrefusals.EarlyRefusals(
-            self._placer, self._shares, is_enabled=early_refusals
+            self._placer, self._shares, early_refusals
         )
         self._queue = poolqueue.PoolQueue(self._early_refusals)
         self._order = placementorder.PlacementOrder(
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, events, ids, kernel, metrics
+from celeryspan import catalog, events, ids, kernel, metrics, states
 from celeryspan.decisions import poolqueue, pools, rejections, shards
 from celeryspan.gateway import coldlimits
 from celeryspan.wire import messages
@@ -86,7 +86,7 @@
         self._metrics: metrics.Metrics = container.find("metrics")
         self._map: poolmap.PoolMap = container.find("poolmap")
         self._servers: serverlists.ServersService = container.find("servers")
-        self._refuses_early: bool = container.settings.early_refusals
+        self._early_refusals: states.EarlyRefusals = container.settings.early_refusals
         self._random = random.Random(self._identity.incarnation)
         self._lock = threading.Lock()
         self._cold_limits = coldlimits.ColdLimits(container)
@@ -234,7 +234,7 @@
         pool = self._pools.get(name)
         if pool is None:
             pool = self._pools[name] = pools.Pool(
-                name, self._random, early_refusals=self._refuses_early
+                name, self._random, early_refusals=self._early_refusals
             )
             self._set_pool_servers(pool)
             self._cold_limits.update(pool, time.monotonic())
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from celeryspan import settings, structs
+from celeryspan import settings, states, structs
 
 HELD_MEMORY_SHARE = 0.1
 """Part of the process's memory used as the budget of buffered responses. A buffer that
@@ -45,8 +45,9 @@
     processor_share, processor_speed : float
         Fraction of a core that the VM has, and speed of the core relative to the
         reference core.
-    early_refusals : bool
-        Whether pools refuse requests on arrival that are expected to start too late.
+    early_refusals : EarlyRefusals
+        Which pools refuse requests on arrival that are expected to start too late:
+        none, those of engines that report the pace of their VMs, or all.
     """
 
     ready_address: structs.HostPort
@@ -64,7 +65,7 @@
     memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] | None = None
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    early_refusals: bool = False
+    early_refusals: states.EarlyRefusals = states.EarlyRefusals.NEVER
 
     @property
     def held_megabytes(self) -> float | None:
--- a/celeryspan/states.py
+++ b/celeryspan/states.py
@@ -57,3 +57,11 @@
 
     MODEL = "model"
     PLAIN = "plain"
+
+
+class EarlyRefusals(enum.Enum):
+    """The pools that refuse requests which are expected to start too late."""
+
+    NEVER = "never"
+    REPORTING_ENGINES = "reporting-engines"
+    ALWAYS = "always"
--- a/tests/decisions/test_startforecasts.py
+++ b/tests/decisions/test_startforecasts.py
@@ -88,8 +88,8 @@
     return found
 
 
-def make_pool(*, early_refusals: bool) -> pools.Pool:
-    pool = pools.Pool(POOL, random.Random(1), early_refusals=early_refusals)
+def make_pool(mode: states.EarlyRefusals) -> pools.Pool:
+    pool = pools.Pool(POOL, random.Random(1), early_refusals=mode)
     entries = [
         catalog.ServerEntry(
             ids.ServerId(f"desk-{number}"),
@@ -125,9 +125,12 @@
     )
 
 
-def play(arrivals: list[Arrival], *, early_refusals: bool = True) -> list[Fate]:
+def play(
+    arrivals: list[Arrival],
+    mode: states.EarlyRefusals = states.EarlyRefusals.ALWAYS,
+) -> list[Fate]:
     """Play requests to a pool and return what became of each."""
-    pool = make_pool(early_refusals=early_refusals)
+    pool = make_pool(mode)
     order = itertools.count()
     todo = [
         (each.at, next(order), lambda now, n=n, each=each: arrive(n, each, now))
@@ -286,3 +289,10 @@
     returns = collections.Counter(int(fate.retry_after or 0.0) for fate in refused)
     assert len(refused) >= 400
     assert max(returns.values()) <= 1.5 * SERVERS * SLOTS / UNIT_SECONDS / 3
+
+
+def test_pools_of_plain_servers_do_not_refuse_early_where_only_engines_do() -> None:
+    """Guards against early refusals that the settings do not ask for."""
+    mode = states.EarlyRefusals.REPORTING_ENGINES
+    arrivals = make_arrivals(2.5, seed=1, seconds=3.0)
+    assert play(arrivals, mode) == play(arrivals, states.EarlyRefusals.NEVER)
--- a/tests/gateway/test_poolhomes.py
+++ b/tests/gateway/test_poolhomes.py
@@ -96,7 +96,9 @@
     assert [each.unused for each in pool.list_backlogs(0.03)] == [0]
 
 
-@pytest.mark.parametrize("values", [{}, {"early_refusals": True}])
+@pytest.mark.parametrize(
+    "values", [{}, *({"early_refusals": mode} for mode in states.EarlyRefusals)]
+)
 def test_setting_of_early_refusals_reaches_pools(cluster, monkeypatch, values) -> None:
     """Guards against a setting that is read but has no effect."""
     made = []
@@ -109,4 +111,4 @@
     monkeypatch.setattr(pools, "Pool", record)
     cluster.add_server("gate-1")
     assert cluster.start_router(**values).call("/bookings/1").status == 200
-    assert made == [bool(values)]
+    assert made == [values.get("early_refusals", states.EarlyRefusals.NEVER)]
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -35,4 +35,4 @@
         if field.required:
             assert rows[name] == "required"
         elif field.default:
-            assert rows[name] == str(field.default)
+            assert rows[name] == str(getattr(field.default, "value", field.default))
