--- a/tests/decisions/test_overload.py
+++ b/tests/decisions/test_overload.py
@@ -104,11 +104,7 @@
 
 
 def test_limit_never_exceeds_the_number_of_threads() -> None:
-    """A router with 4 request threads runs late.
-
-    Guards against raising its limit to the general minimum of 16: it then accepted
-    requests for which it had no thread and refused them, instead of handing them over.
-    """
+    """Guards against requests that are accepted and refused for want of a thread."""
     limiter = overload.ConcurrencyLimiter(4)
     for tick in range(400):
         limiter.record(3.0, 4, tick * TICK_SECONDS)
--- a/tests/decisions/test_rejections.py
+++ b/tests/decisions/test_rejections.py
@@ -1,8 +1,4 @@
-"""Servers that reject requests, in a model of one pool on a virtual clock.
-
-Four servers with six slots each; routers repeat a rejected request once, within the
-usual retry budget.
-"""
+"""Four servers with six slots each reject requests, which are retried once."""
 
 from __future__ import annotations
 
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -53,11 +53,7 @@
 
 
 def test_answered_request_does_not_count_toward_the_limits(cluster) -> None:
-    """A caller has its answer while the router still ends the request.
-
-    Guards against refusing the next request, which the caller may send at once. A
-    planned stop still waits for the end of the first one.
-    """
+    """Guards against refusing the next request of a caller that has its answer."""
     cluster.add_server("gate-1")
     router = cluster.start_router()
     front, carrier = router.container.find("front"), router.container.find("carrier")
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -190,11 +190,7 @@
 def test_request_is_not_given_up_before_its_connection_was_looked_at(
     monkeypatch, routers
 ) -> None:
-    """The relaying thread of a busy machine runs later than a peer may take to accept.
-
-    Guards against refusing a request as `peer-unreachable` although its connection to
-    the peer was open when the thread first saw it.
-    """
+    """Guards against a late relaying thread that takes an open peer for unreachable."""
     monkeypatch.setattr(handover, "CONNECT_SECONDS", 0.0)
     monkeypatch.setattr(handover, "CHECK_INTERVAL_SECONDS", 0.0)
     for number in range(REQUESTS):
@@ -202,11 +198,7 @@
 
 
 def test_end_of_an_answer_is_seen_together_with_its_last_data(routers) -> None:
-    """A peer sends an answer and closes the connection.
-
-    Guards against counting the request while its caller, who has the whole answer,
-    sends the next one, which was then above the limit of requests at peers.
-    """
+    """Guards against counting a request at a peer whose caller has the whole answer."""
     near, far = socket.socketpair()
     delivered: list[tuple[bytes, bool]] = []
     service = get_handover(routers[0])
