--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,9 +8,9 @@
 connections are delayed, reset, silenced or cut in one direction; the store hangs or
 refuses; servers drain, fail and answer twice; configurations change; some callers leak
 connections; some requests crash the servers that run them; servers announce departures
-and rests in their answers; engines are released with new software while callers take
-their streams up. Afterwards the answers that
-callers received are compared with what servers executed. The soak counts requests that
+and rests in their answers, report loads and reject requests; engines are released with
+new software while callers take their streams up. Afterwards the answers that callers
+received are compared with what servers executed. The soak counts requests that
 ran twice, that ran although the answer says they did not, or that got the answer to
 another request; servers that got work after they had left; routers that no longer
 become ready; fatal requests that kept crashing servers; and cold servers that got more
@@ -34,6 +34,7 @@
 from bench import (
     soakannouncements,
     soakfatal,
+    soakloads,
     soakparts,
     soakplaces,
     soakreleases,
@@ -57,6 +58,9 @@
 STORE = "store"
 """Name under which faults of the store itself are recorded."""
 
+SETTINGS = {"early_refusals": "always", "memory_megabytes": 200}
+"""Settings that enable what is off by default."""
+
 FAULTS: dict[str, Callable[[Soak], None]] = {}
 
 
@@ -123,7 +127,7 @@
             own_ports = free_ports[4 * index : 4 * index + 4]
             self.routers.append(
                 soakparts.RouterProcess(
-                    f"edge-{index}", proxy.address, own_ports, folder
+                    f"edge-{index}", proxy.address, own_ports, folder, **SETTINGS
                 )
             )
         self.connection_leakers = [
@@ -140,6 +144,7 @@
         ]
         self.evacuations = soakplaces.Evacuations(self, seed)
         self.announcements = soakannouncements.Announcements(self, seed)
+        self.loads = soakloads.Loads(self, seed)
 
     def record_event(self, text: str) -> None:
         """Record an event of the run with its time."""
@@ -223,6 +228,7 @@
             self.fatal,
             self.evacuations,
             self.announcements,
+            self.loads,
             self.releases,
             *self.resuming,
         ):
@@ -238,6 +244,7 @@
         self.fatal.stop()
         self.evacuations.stop()
         self.announcements.stop()
+        self.loads.stop()
         self.releases.stop()
         time.sleep(SETTLE_SECONDS)
         self.unready_routers = sum(not router.is_ready() for router in self.routers)
--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -153,6 +153,7 @@
         threads: int = 256,
         data_centre: str = "hala-a",
         seeds: Sequence[str] = (),
+        **values: object,
     ) -> None:
         self.name = name
         self.front, self.peer, self.ready, self.directory = (
@@ -160,7 +161,7 @@
         )
         self._path = folder / f"{name}.yaml"
         self._log = folder / f"{name}.log"
-        values = {
+        settings = {
             "router": name,
             "data_centre": data_centre,
             "caller_address": str(self.front),
@@ -175,8 +176,9 @@
             "cold_factor": COLD_FACTOR,
             "cold_slack": COLD_SLACK,
             "caller_threads": threads,
+            **values,
         }
-        self._path.write_text(json.dumps(values))
+        self._path.write_text(json.dumps(settings))
         self._process: subprocess.Popen | None = None
         self.is_stopping = False
 
