--- a/celeryspan/daemons/launch.py
+++ b/celeryspan/daemons/launch.py
@@ -21,6 +21,11 @@
 """Time after which a thread yields to others that wait for the interpreter. With the
 default of 5 ms the accepting thread waits for the turns of all others."""
 
+COLLECTION_THRESHOLDS = (20_000, 10, 10)
+"""Allocations before a collection of the youngest objects, and collections before one of
+the next generation. A request makes few reference cycles, and with the default of 700
+the collector traverses its live objects several times."""
+
 BLOCKED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
 signal.pthread_sigmask(signal.SIG_BLOCK, BLOCKED_SIGNALS)
@@ -32,6 +37,7 @@
     daemon = importlib.import_module("celeryspan.daemons.gateway")
     daemon.import_services()
     gc.freeze()
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     gc.enable()
     sys.setswitchinterval(SWITCH_INTERVAL_SECONDS)
     daemon.main()
