--- a/celeryspan/daemons/launch.py
+++ b/celeryspan/daemons/launch.py
@@ -22,9 +22,9 @@
 default of 5 ms the accepting thread waits for the turns of all others."""
 
 COLLECTION_THRESHOLDS = (20_000, 10, 10)
-"""Allocations before a collection of the youngest objects, and collections before one of
-the next generation. A request makes few reference cycles, and with the default of 700
-the collector traverses its live objects several times."""
+"""Allocations before a collection of the youngest objects, and collections before one
+of the next generation. A request makes few reference cycles, and with the default of
+700 the collector traverses its live objects several times."""
 
 BLOCKED_SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
 
