--- a/standins/ports.py
+++ b/standins/ports.py
@@ -12,10 +12,12 @@
 import contextlib
 import fcntl
 import functools
+import itertools
 import pathlib
 import random
 import socket
 import tempfile
+from collections.abc import Iterator
 
 HOST = "127.0.0.1"
 
@@ -35,7 +37,7 @@
     found: list[int] = []
     with contextlib.ExitStack() as stack:
         while len(found) < count:
-            port = random.SystemRandom().choice(_reserve_block())
+            port = next(_reserve_ports())
             with contextlib.suppress(OSError):
                 stack.enter_context(socket.create_server((HOST, port)))
                 found.append(port)
@@ -48,8 +50,11 @@
 
 
 @functools.cache
-def _reserve_block() -> range:
-    """Return the ports that no other process uses; all if each block is taken."""
+def _reserve_ports() -> Iterator[int]:
+    """Return the ports that no other process uses, in turn; all if none are left.
+
+    In turn, because a port that was found earlier may not be bound yet.
+    """
     folder = pathlib.Path(tempfile.gettempdir())
     starts = list(PORTS[::BLOCK_PORTS])
     random.SystemRandom().shuffle(starts)
@@ -61,5 +66,5 @@
             file.close()
             continue
         _locks.append(file)
-        return range(start, start + BLOCK_PORTS)
-    return PORTS
+        return itertools.cycle(range(start, start + BLOCK_PORTS))
+    return itertools.cycle(random.SystemRandom().sample(PORTS, len(PORTS)))
--- a/tests/standins/test_ports.py
+++ b/tests/standins/test_ports.py
@@ -19,3 +19,9 @@
     others = {int(port) // ports.BLOCK_PORTS for port in found.stdout.split()}
     assert len(blocks) == len(others) == 1
     assert blocks.isdisjoint(others)
+
+
+def test_port_that_may_not_be_bound_yet_is_not_found_again() -> None:
+    """Guards against two services of one process that get the same port."""
+    found = [ports.find_port() for _ in range(ports.BLOCK_PORTS // 2)]
+    assert len(set(found)) == len(found)
