--- a/tests/gateway/test_rejecting_servers.py
+++ b/tests/gateway/test_rejecting_servers.py
@@ -91,11 +91,7 @@
 
 @pytest.mark.parametrize("rejecting", [1, 2])
 def test_requests_are_served_beside_rejecting_servers(cluster, rejecting) -> None:
-    """Guards against a rejecting server that looks idle and so attracts requests.
-
-    Its rejections also use up the retry budget, so that callers get 503 although the
-    other servers have free slots.
-    """
+    """Guards against a rejecting server that looks idle and so attracts requests."""
     servers, routers = start(cluster)
     assert measure_served(send_load(routers, 1.0, "before-")) == 1.0
     bad = servers[:rejecting]
--- a/tests/gateway/test_slowcallers.py
+++ b/tests/gateway/test_slowcallers.py
@@ -139,11 +139,7 @@
 
 
 def test_aborted_response_never_looks_complete(cluster, logged) -> None:
-    """Guards against an aborted response that its caller takes for a whole one.
-
-    Callers of one account have stopped reading and fill the budget when a caller of
-    another account needs room.
-    """
+    """Guards against an aborted response that its caller takes for a whole one."""
     add_engine(cluster, 200, slots=8)
     router = start_router(cluster, BUDGET_MEGABYTES)
     service = get_slow_callers(router)
--- a/tests/services/test_threadlimit.py
+++ b/tests/services/test_threadlimit.py
@@ -73,11 +73,7 @@
 
 
 def test_answered_request_leaves_room_for_the_next(server) -> None:
-    """A caller sends its next request as soon as it has the answer to the last one.
-
-    Guards against refusing it while the thread of the last one has not ended, which
-    takes long while the machine is busy with other work.
-    """
+    """Guards against refusing a caller whose last request is answered but not ended."""
     for _ in range(3):
         with connect(server) as caller:
             caller.sendall(REQUEST)
@@ -126,11 +122,7 @@
 
 @pytest.mark.parametrize("data", [b"", REQUEST])
 def test_connection_closed_by_its_caller_takes_no_thread(server, data: bytes) -> None:
-    """Callers open a connection for each request and close it after the answer.
-
-    Guards against occupying a thread with each closed connection, so that 16 callers
-    exceeded a limit of 32. A request is served even if its caller sends no more.
-    """
+    """Guards against closed connections that occupy the threads of requests."""
     dispatched: list[httpserver.Connection] = []
     server.requests.put = dispatched.append
     with open_connection(server) as (caller, connection):
