Log how an answer was framed and what followed its last event

The log could not tell an end inside an event from one between events, nor which frame the server had used. No logic is changed.

--- a/celeryspan/gateway/endings.py
+++ b/celeryspan/gateway/endings.py
@@ -51,6 +51,8 @@
         seconds=round(took, 3),
         prompt=order.incoming.prompt_tokens,
         outcome=states.Outcome.RAN.value,
+        framing=progress.reply.framing.value if progress.reply else "",
+        rest=progress.reply.rest_bytes if progress.reply else 0,
     )
 
 
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import http.client
 import re
 from collections.abc import Iterator
@@ -20,6 +21,14 @@
 EVENT_ID = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
 
 
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class Reply:
     """One answer, read from a channel.
 
@@ -28,6 +37,10 @@
     status : int
     headers : list of (name, value)
         Headers to forward to the caller.
+    framing : Framing
+        What marks the end of the body.
+    rest_bytes : int
+        Bytes of a stream that followed its last complete event.
     version : SoftwareVersion
         Version of the server that answers.
     """
@@ -42,6 +55,8 @@
         self.reason = answer.reason
         self.headers = requests.filter_response_headers(answer.getheaders())
         self.version = channel.entry.version
+        self.framing = _find_framing(answer)
+        self.rest_bytes = 0
         self._order = order
         self._channel = channel
         self._answer = answer
@@ -106,6 +121,7 @@
             event = _drop_delivered(block, last_number)
             if event is not None:
                 yield event
+        self.rest_bytes = len(buffer)
         if buffer:
             yield EventBlock(buffer, "")
 
@@ -134,6 +150,12 @@
         self.last_id = last_id
 
 
+def _find_framing(answer: http.client.HTTPResponse) -> Framing:
+    if answer.chunked:
+        return Framing.CHUNKS
+    return Framing.CONNECTION if answer.length is None else Framing.LENGTH
+
+
 def _drop_delivered(block: bytes, last_number: int | None) -> EventBlock | None:
     """Return a block without events that were delivered before; None if empty."""
     if last_number is not None:
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -60,6 +60,8 @@
         if any server may run the request.
     load : LoadReading or None
         The load in the last answer, until it has been reported to a home.
+    reply : Reply or None
+        The last answer whose head was accepted.
     """
 
     def __init__(self) -> None:
@@ -81,6 +83,7 @@
         self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
         self.load: LoadReading | None = None
+        self.reply: replies.Reply | None = None
 
     def record_send(self, now: float) -> None:
         """Record that the request is sent to another server."""
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -141,6 +141,7 @@
             progress.load = requestprogress.LoadReading(server, load, time.monotonic())
         reply = replies.Reply(order, channel, answer)
         self._check_reply(reply, server)
+        progress.reply = reply
         return reply
 
     def _check_reply(self, reply: replies.Reply, server: ids.ServerId) -> None:
