--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -12,12 +12,12 @@
 import json
 import math
 import socket
-import struct
 import threading
 import time
 from collections.abc import Iterator
 
 from celeryspan import ids
+from standins import answerendings
 
 BODY = b"served"
 EVENTS = 6
@@ -38,8 +38,7 @@
 CRASH_DELAY_SECONDS = 0.03
 """Time from the start of a run that crashes the server to the crash."""
 
-RESET_LINGER = struct.pack("ii", 1, 0)
-"""Value of ``SO_LINGER`` that makes ``close`` reset the connection."""
+RESET_LINGER = answerendings.RESET_LINGER
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +65,8 @@
     script : deque of str
         Behaviour for each of the next requests: ``early`` or the suffix of a method
         ``_do_*``.
+    endings : deque of Ending
+        How the answers to the next requests end, if nothing is scripted for them.
     received : list of ReceivedRequest
         All received requests except those that list the kept parts.
     ran, ran_at : list of str, list of float
@@ -86,6 +87,8 @@
         Number of events in each stream.
     event_padding : int
         Additional characters in each event.
+    is_framed : bool
+        Whether streams come in chunks; otherwise they end with their connection.
     version : str
         Version of its software, which each event names.
     fatal_bodies : set of bytes
@@ -118,6 +121,7 @@
         self.streams = streams
         self.version = version
         self.script: collections.deque[str] = collections.deque()
+        self.endings: collections.deque[answerendings.Ending] = collections.deque()
         self.received: list[ReceivedRequest] = []
         self.ran: list[str] = []
         self.ran_at: list[float] = []
@@ -132,6 +136,7 @@
         self.event_seconds = 0.0
         self.events = EVENTS
         self.event_padding = 0
+        self.is_framed = True
         self.fatal_bodies: set[bytes] = set()
         self.cold_requests_max = math.inf
         self.is_leaving = False
@@ -239,6 +244,8 @@
             return self._run_fatal(request, connection)
         if self.is_shedding:
             return self._do_full(request, connection)
+        if self.endings and not self.script:
+            return self._end_answer(self.endings.popleft(), request, connection)
         behaviour = self.script.popleft() if self.script else "serve"
         return getattr(self, f"_do_{behaviour}")(request, connection)
 
@@ -280,14 +287,20 @@
             connection.sendall(self._write_head(request, 200, len(BODY)) + BODY)
             return True
         stop_event = self._streams[request.request_id] = threading.Event()
-        connection.sendall(self._write_head(request, 200, None))
+        head = self._write_head(request, 200, None)
+        framing = answerendings.Framing.CHUNKS
+        if not self.is_framed:
+            framing = answerendings.Framing.CONNECTION
+        ending = answerendings.Ending(framing)
+        connection.sendall(ending.format_answer(head, []))
         for event in self._write_events(request):
-            connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+            connection.sendall(ending.format_answer(b"", [event]))
             if stop_event.wait(self.event_seconds):
                 return False  # Another engine resumes the stream.
         del self._streams[request.request_id]
-        connection.sendall(b"0\r\n\r\n")
-        return True
+        if self.is_framed:
+            connection.sendall(b"0\r\n\r\n")
+        return self.is_framed
 
     def _run_fatal(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         """Start a run and crash; for a stream, after the response head."""
@@ -299,6 +312,24 @@
         self.crash()
         return False
 
+    def _end_answer(
+        self,
+        ending: answerendings.Ending,
+        request: ReceivedRequest,
+        connection: socket.socket,
+    ) -> bool:
+        """Run and end the answer in a given way."""
+        self._record_run(request)
+        head = self._write_head(request, 200, None)
+        if self.streams:
+            parts = list(self._write_events(request))
+        else:
+            head = head.replace(b"text/event-stream", b"text/plain")
+            parts = [BODY[at : at + 1] for at in range(len(BODY))]
+        connection.sendall(ending.format_answer(head, parts))
+        ending.prepare_close(connection)
+        return False
+
     def _do_full(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         connection.sendall(self._write_head(request, 503, 0, {NOT_EXECUTED: "1"}))
         return True
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -4,7 +4,8 @@
 
 import contextlib
 import http.client
-from collections.abc import Iterator
+import threading
+from collections.abc import Callable, Iterator
 
 from celeryspan import events, kernel
 from celeryspan.daemons import gateway
@@ -171,3 +172,10 @@
             return
         get_twice_sendable(router, number)
     raise AssertionError(f"expected a request at {server.name}, found none")
+
+
+def run_in_thread(function: Callable[[], None]) -> threading.Thread:
+    """Call a function on a thread that does not keep the tests from ending."""
+    thread = threading.Thread(target=function, daemon=True)
+    thread.start()
+    return thread
--- a/tests/gateway/test_migrations.py
+++ b/tests/gateway/test_migrations.py
@@ -27,13 +27,16 @@
         The caller's answer, once it is complete.
     """
 
-    def __init__(self, cluster: support.Cluster, path: str) -> None:
+    def __init__(
+        self, cluster: support.Cluster, path: str, *, is_framed: bool = True
+    ) -> None:
         engines = [
             cluster.add_server("gpu-1", "planner"),
             cluster.add_server("gpu-2", "planner"),
         ]
         for engine in engines:
             engine.event_seconds = 0.2
+            engine.is_framed = is_framed
         self.router = cluster.start_router()
         self.answers: list = []
         self._thread = threading.Thread(target=self._ask, args=(path,))
