Take a stream that ends inside an event for broken, whatever frames it

What callers saw: a stream that its server had broken off was framed as complete. Cause: the reader of events passed on what followed the last whole event when the body ended, and an orderly close ends a body that has neither a length nor chunks; a last chunk after half an event looked complete as well. An end inside an event is now a lost answer: resumable streams go on at another server, of others the caller sees the break. So is an end before the first event, unless a length or, after the caller's last event, the last chunk says that nothing follows.

--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -4,9 +4,9 @@
 
 import enum
 import http.client
-import re
 from collections.abc import Iterator
 
+from celeryspan import eventstreams
 from celeryspan.adapters import backend
 from celeryspan.gateway import channels, orders
 from celeryspan.platform import names, requests
@@ -17,9 +17,6 @@
 """Answers of plain services up to this size are read completely before any of it is
 forwarded, so that an answer that breaks off can be retried or reported as an error."""
 
-EVENT_END = b"\n\n"
-EVENT_ID = re.compile(rb"^id: ?(.*?)\r?$", re.MULTILINE)
-
 
 class Framing(enum.Enum):
     """What marks the end of an answer's body."""
@@ -106,24 +103,44 @@
 
         A partial event is buffered until its end: if a server fails in the middle of an
         event, the next server sends the event from its start.
+
+        Raises
+        ------
+        backend.AnswerLost
+            If the stream ends inside an event or, unless its length or the caller's
+            last event explains that, before the first one.
         """
+        if not eventstreams.is_event_stream(self._answer.getheader("Content-Type")):
+            yield EventBlock(self.read_whole(), "")
+            return
         last_number = _parse_number(last_event)
-        buffer = b""
+        splitter = eventstreams.EventSplitter()
+        is_empty = True
         for piece in self.read():
-            buffer += piece
-            end = buffer.rfind(EVENT_END)
-            if end < 0:
+            block = splitter.add(piece)
+            if not block:
                 continue
-            block, buffer = (
-                buffer[: end + len(EVENT_END)],
-                buffer[end + len(EVENT_END) :],
-            )
+            is_empty = False
             event = _drop_delivered(block, last_number)
             if event is not None:
                 yield event
-        self.rest_bytes = len(buffer)
-        if buffer:
-            yield EventBlock(buffer, "")
+        self.rest_bytes = len(splitter.rest)
+        if splitter.is_inside_event():
+            raise self.make_answer_lost("the stream ends inside an event")
+        if is_empty and not self._may_have_no_events(last_event):
+            raise self.make_answer_lost("the stream ends before its first event")
+        if splitter.rest:
+            yield EventBlock(splitter.rest, "")
+
+    def _may_have_no_events(self, last_event: str) -> bool:
+        """Whether a stream without events can be complete.
+
+        That a connection has ended says nothing. A server that has sent the last chunk
+        has no events after the one that the caller names.
+        """
+        if self.framing is Framing.CHUNKS:
+            return bool(last_event or self._order.incoming.last_event)
+        return self.framing is Framing.LENGTH
 
     def make_answer_lost(self, reason: object) -> backend.AnswerLost:
         """Return the error for an incomplete answer."""
@@ -159,21 +176,15 @@
 def _drop_delivered(block: bytes, last_number: int | None) -> EventBlock | None:
     """Return a block without events that were delivered before; None if empty."""
     if last_number is not None:
-        new_events = [
+        block = b"".join(
             event
-            for event in block.split(EVENT_END)[:-1]
-            if (number := _parse_number(_find_id(event))) is None
+            for event in eventstreams.split_events(block)
+            if (number := _parse_number(eventstreams.find_id(event))) is None
             or number > last_number
-        ]
-        if not new_events:
+        )
+        if not block:
             return None
-        block = EVENT_END.join(new_events) + EVENT_END
-    return EventBlock(block, _find_id(block))
-
-
-def _find_id(block: bytes) -> str:
-    found = EVENT_ID.findall(block)
-    return found[-1].decode("latin-1") if found else ""
+    return EventBlock(block, eventstreams.find_id(block))
 
 
 def _parse_number(text: str) -> int | None:
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -145,14 +145,23 @@
 def test_take_up_that_breaks_off_goes_on(cluster) -> None:
     """Guards against the broken rest of a stream that is framed as complete."""
     for name in ("planner-1", "planner-2"):
-        server = cluster.add_server(name, "planner")
-        server.endings.append(Ending(CONNECTION, 1, 9))
+        cluster.add_server(name, "planner")
+    cluster.servers[0].endings.append(Ending(CONNECTION, 1, 9))
     router = cluster.start_router()
     headers = {platformserver.LAST_EVENT_ID: "2"}
     answer = router.call("/drafts/1", headers=headers)
     assert (answer.status, list_ids(answer.text)) == (200, WHOLE[2:])
 
 
+def test_take_up_after_the_last_event_gets_an_empty_rest(cluster) -> None:
+    """Guards against an empty rest, framed as complete, that is taken for a break."""
+    cluster.add_server("planner-1", "planner")
+    router = cluster.start_router()
+    headers = {platformserver.LAST_EVENT_ID: str(platformserver.EVENTS)}
+    answer = router.call("/drafts/1", headers=headers)
+    assert (answer.status, answer.text) == (200, b"")
+
+
 def test_caller_of_a_handed_over_request_sees_that_it_was_broken_off(cluster) -> None:
     """Guards against a peer's broken answer that is relayed as a complete one."""
     server = cluster.add_server("planner-1", "planner")
@@ -258,7 +267,12 @@
     server = cluster.add_server("planner-1", "planner")
     router = cluster.start_router()
     server.endings.append(Ending(CONNECTION))
-    router.call("/notes/1")
-    support.wait_for(lambda: support.find_lines(logged, events.Event.REQUEST_SETTLED))
-    line = support.find_lines(logged, events.Event.REQUEST_SETTLED)[-1]
+    router.call("/notes/1", "framed")
+
+    def find_settled() -> list[dict]:
+        lines = support.find_lines(logged, events.Event.REQUEST_SETTLED)
+        return [line for line in lines if line["request"] == "framed"]
+
+    support.wait_for(find_settled)
+    (line,) = find_settled()
     assert (line["framing"], line["rest"]) == ("connection", 0)
