Take an answer that ends inside its head for broken

What callers could see: a success with an empty body, framed as complete, from a server that broke off inside the head of its answer. Cause: http.client takes the end of the connection for the end of the headers and a part of a line for a line, so that a head without its length, or half the size of a chunk, reads as a whole answer without a body. Evidence: the two tests of plain answers cut inside the head got 200. Both our interfaces now read lines strictly; a missing line after the last chunk still ends a whole answer.

--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -8,7 +8,7 @@
 import msgspec
 from urllib3 import connection as urllib3_connection, response as urllib3_response
 
-from celeryspan import calls, errors, ids, states
+from celeryspan import answerheads, calls, errors, ids, states
 
 # Largest chunk of a response body to read at once.
 READ_CHUNK_BYTES = 16_384
@@ -76,6 +76,7 @@
 class Connection(urllib3_connection.HTTPConnection):
     """A connection to a backend server, used by one request at a time."""
 
+    response_class = answerheads.Answer
     server: ids.ServerId
 
 
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -16,7 +16,7 @@
 
 from urllib3.util import connection as urllib3_connection, wait as urllib3_wait
 
-from celeryspan import catalog, errors, events, ids, kernel
+from celeryspan import answerheads, catalog, errors, events, ids, kernel
 from celeryspan.platform import names
 from celeryspan.services import callerconnections
 
@@ -71,7 +71,7 @@
     answer, bytes of the next answer would be lost in the closed file's buffer.
     """
 
-    def __init__(self, reader: io.BufferedReader) -> None:
+    def __init__(self, reader: answerheads.Reader) -> None:
         super().__init__()
         self._reader = reader
         self.read = reader.read
@@ -108,7 +108,7 @@
         self.idle_since = time.monotonic()
         self.is_new = True
         self._socket = sock
-        self._reader = sock.makefile("rb")
+        self._reader = answerheads.Reader(sock.makefile("rb", buffering=0))
         self._is_unusable = False
         self._use_number = 0
         self._use_lock = threading.Lock()
@@ -153,7 +153,8 @@
             self.set_read_deadline(until)
             shared = _SharedReader(self._reader)
             answer = http.client.HTTPResponse(shared, method=method)
-            answer.begin()
+            with self._reader.require_head():
+                answer.begin()
             named = answer.getheader(names.REQUEST_ID)
             if named == request or (named is None and answer.status >= 300):
                 return answer
