Relay a peer's answer only when its head is complete

What callers could see: half a head and the end of the connection, which common HTTP libraries take for an answer without a body. Cause: a router that relays an answer passes on whatever the peer has sent, and only an end before the first byte became an error. Evidence: the test of a peer that ends inside its head got status 200. The head is now held back until it is complete; an end before that is answered with 502. The test of the last data of an answer now sends a head before it, as each answer has one.

--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -44,6 +44,8 @@
 
 READ_BYTES = 65_536
 
+HEAD_END = b"\r\n\r\n"
+
 CALLERS_SHARE = 0.5
 """Share of the connections of callers whose requests may be handed over at once."""
 
@@ -275,6 +277,12 @@
         if relay.is_ended and not relay.is_begun:
             self._end_unanswered(relay, 502, "the peer closed the connection")
             return
+        if not relay.is_begun:
+            # Callers take half a head for an answer without a body.
+            relay.partial_head += data
+            if HEAD_END not in relay.partial_head:
+                return
+            data, relay.partial_head = relay.partial_head, b""
         relay.is_begun = True
         # The end mostly arrives with the last data. If it were read in the next round,
         # the caller's next request would be counted beside this one.
--- a/celeryspan/gateway/relayedrequest.py
+++ b/celeryspan/gateway/relayedrequest.py
@@ -35,6 +35,8 @@
     ----------
     unsent : bytes
         Part of the request that has not been sent to the peer.
+    partial_head : bytes
+        What has arrived of the answer while its head is not complete.
     undelivered : bytes
         Part of the answer that the caller has not taken.
     is_connected : bool
@@ -55,6 +57,7 @@
         "is_begun",
         "is_connected",
         "is_ended",
+        "partial_head",
         "peer",
         "socket",
         "started_at",
@@ -76,6 +79,7 @@
         self.peer = peer
         self.socket = sock
         self.unsent = data
+        self.partial_head = b""
         self.undelivered = b""
         self.is_connected = False
         self.is_begun = False
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -205,13 +205,15 @@
     service._deliver = lambda relay, data: delivered.append((data, relay.is_ended))
     with near, far:
         near.setblocking(False)
-        relay = types.SimpleNamespace(socket=near, is_begun=False, is_ended=False)
-        far.sendall(b"first")
+        relay = types.SimpleNamespace(
+            socket=near, is_begun=False, is_ended=False, partial_head=b""
+        )
+        far.sendall(b"head\r\n\r\nfirst")
         service._receive_answer(relay)
         far.sendall(b"last")
         far.close()
         service._receive_answer(relay)
-    assert delivered == [(b"first", False), (b"last", True)]
+    assert delivered == [(b"head\r\n\r\nfirst", False), (b"last", True)]
 
 
 def test_outcome_is_unknown_if_the_peer_dies_before_its_answer(
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -5,11 +5,10 @@
 import http.client
 import socket
 
+import msgspec
 import pytest
 
 from celeryspan import events, ids
-from celeryspan.gateway import handover
-from celeryspan.wire import messages
 from standins import answerendings, platformserver
 from tests.gateway import support, test_handover, test_migrations
 
@@ -180,18 +179,13 @@
     router = cluster.start_router()
     test_handover.exhaust(router)
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        member = messages.Member
-        peer = router.container.find("membership").own()
-        peer = type(peer)(
-            **{
-                **{name: getattr(peer, name) for name in member.__struct_fields__},
-                "router": ids.RouterId("edge-9"),
-                "caller_address": ids.Address(*listener.getsockname()),
-            }
+        peer = msgspec.structs.replace(
+            router.container.find("membership").own(),
+            router=ids.RouterId("edge-9"),
+            caller_address=ids.Address(*listener.getsockname()),
         )
-        service: handover.Handover = router.container.find("handover")
+        service = test_handover.get_handover(router)
         monkeypatch.setattr(service, "choose_peer", lambda: peer)
-        router.container.find("front")._handover = service
 
         def answer_half_a_head() -> None:
             connection, _ = listener.accept()
