Show callers of HTTP/1.0 that an answer was broken off

What callers could see: a caller that knows no chunks got chunks as a part of its body, and a broken answer ended with an orderly close, which marks the end of a whole body there. Cause: the writer of answers framed every answer without a length in chunks, whatever the version of the request; the product's own interface closed such an answer in order. Such bodies now end with the connection, and a broken one with its reset, at both interfaces; their answers are not buffered, since a buffered one is aborted by a shutdown.

--- a/celeryspan/gateway/callersinks.py
+++ b/celeryspan/gateway/callersinks.py
@@ -20,6 +20,9 @@
 UNKNOWN_LENGTH = -1
 """Stands for a Content-Length of a backend server that is not one number."""
 
+HTTP_1_0 = "HTTP/1.0"
+"""Version whose callers know no chunks; a body without a length ends by closing."""
+
 RETRY_SECONDS = 0.1
 """Interval at which a paused response asks for room in the budget again."""
 
@@ -49,6 +52,7 @@
     ) -> None:
         self._request = request
         self._close_after = close_after
+        self._may_use_chunks = request.response_protocol != HTTP_1_0
         self._is_chunked = False
         self._bytes_left = 0
         self.is_begun = False
@@ -73,8 +77,11 @@
     ) -> None:
         """Buffer what the caller does not take at once.
 
-        The socket's descriptor is in non-blocking mode, because it has a timeout.
+        The socket's descriptor is in non-blocking mode, because it has a timeout. A
+        caller without chunks would take an aborted answer for a complete one.
         """
+        if not self._may_use_chunks:
+            return
         self._slow_callers = slow_callers
         self.request, self.account = request, account
         self._cancellation = cancellation
@@ -90,9 +97,12 @@
         if "content-length" in names:
             length = names["content-length"]
             self._bytes_left = int(length) if length.isdecimal() else UNKNOWN_LENGTH
-        else:
+        elif self._may_use_chunks:
             self._is_chunked = True
             lines.append("Transfer-Encoding: chunked")
+        else:
+            self._bytes_left = UNKNOWN_LENGTH
+            request.close_connection = True
         if self._close_after:
             request.close_connection = True
         if request.close_connection:
@@ -119,8 +129,13 @@
         self.is_ended = True
 
     def abort(self) -> None:
-        """Close the connection so that the caller sees an incomplete answer."""
+        """Close the connection so that the caller sees an incomplete answer.
+
+        Where the end of the connection marks the end of the body, it is reset.
+        """
         self._request.close_connection = True
+        if self.is_begun and self._bytes_left < 0:
+            self._request.conn.reset_on_close()
 
     def drain(self) -> None:
         """Write the buffered rest of a complete answer.
--- a/celeryspan/services/framing.py
+++ b/celeryspan/services/framing.py
@@ -90,8 +90,11 @@
         """Close the connection without sending the last chunk.
 
         The caller's HTTP library then reports an incomplete body. With the last chunk
-        the truncated answer would look complete.
+        the truncated answer would look complete, and so would an orderly close to a
+        caller without chunks.
         """
+        if not self.chunked_write:
+            self.conn.reset_on_close()
         self.chunked_write = False
         self.close_connection = True
 
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -5,6 +5,7 @@
 import contextlib
 import queue
 import socket
+import struct
 import sys
 import threading
 import time
@@ -38,6 +39,9 @@
 LINGER_READS_MAX = 64
 LINGER_READ_BYTES = 65_536
 
+# Value of SO_LINGER with which closing a connection resets it.
+RESET_LINGER = struct.pack("ii", 1, 0)
+
 # Interval for closing expired idle connections; a stop waits up to two intervals.
 IDLE_CHECK_SECONDS = 0.5
 
@@ -72,6 +76,7 @@
     overloaded = False
     has_unread_input = False
     is_counted = False
+    _is_reset = False
 
     def __init__(self, server: Server, sock: socket.socket, *_: object) -> None:
         super().__init__(server, sock, streams.open_stream)
@@ -120,13 +125,23 @@
         if not self.has_unread_input:
             self.server.requests.set_counted(self, False)
 
+    def reset_on_close(self) -> None:
+        """Let the connection be reset, so that its end marks no end of a body."""
+        self._is_reset = True
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
+
+    def _close_kernel_socket(self) -> None:
+        if not self._is_reset:  # A shutdown would send an orderly end first.
+            super()._close_kernel_socket()
+
     def close(self) -> None:
         """Close the connection, after discarding unread input if there may be any.
 
         Closing a socket with unread data resets the connection, and the caller then
         loses the part of the answer that it has not read yet.
         """
-        if self.has_unread_input:
+        if self.has_unread_input and not self._is_reset:
             self._linger()
         super().close()
 
--- a/tests/gateway/test_slowcallers.py
+++ b/tests/gateway/test_slowcallers.py
@@ -207,7 +207,9 @@
     with ours, theirs:
         ours.settimeout(1.0)
         connection = types.SimpleNamespace(socket=ours, mark_answered=lambda: None)
-        request = types.SimpleNamespace(conn=connection, close_connection=False)
+        request = types.SimpleNamespace(
+            conn=connection, close_connection=False, response_protocol="HTTP/1.1"
+        )
         sink = callersinks.CallerSink(request, close_after=False)
         sink.enable_buffer(None, ids.RequestId("r"), ids.AccountId(""), None)
         sink._slow_callers = object()  # Any use of it fails.
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import socket
+from collections.abc import Iterator
 
 import msgspec
 import pytest
@@ -56,6 +58,64 @@
 } | INSIDE_HEAD
 
 
+class Servers:
+    """Servers of which the first that is asked ends its answer in a given way.
+
+    Attributes
+    ----------
+    endings : deque of Ending
+        Ways in which the next answers end, at whichever server.
+    """
+
+    def __init__(
+        self, cluster: support.Cluster, router: support.Router, number: int
+    ) -> None:
+        names = [f"planner-{number}-1", f"planner-{number}-2", f"gate-{number}"]
+        self._servers = [
+            cluster.add_server(name, name.partition("-")[0]) for name in names
+        ]
+        self.endings = self._servers[0].endings
+        for server in self._servers:
+            server.endings = self.endings
+        self.router = router
+        self.request = f"r{number}"
+        usable = router.container.find("servers").usable
+        support.wait_for(lambda: set(names) == set(usable()))
+
+    def call(self, path: str) -> http.client.HTTPResponse:
+        """Send a request of its own id and body."""
+        return self.router.call(path, self.request, body=self.request.encode())
+
+    def is_seen_as_broken(self, path: str) -> bool:
+        """Whether the caller of a request sees that its answer is not complete."""
+        try:
+            return self.call(path).status == 502
+        except (OSError, http.client.HTTPException):
+            return True
+
+    def count_runs(self) -> int:
+        """Return how often servers ran the request."""
+        return sum(len(server.ran) for server in self._servers)
+
+
+@pytest.fixture(scope="module")
+def running() -> Iterator[tuple[support.Cluster, support.Router, Iterator[int]]]:
+    """Return a cluster, its router and the numbers of the tests that use them."""
+    with support.open_cluster() as cluster:
+        yield cluster, cluster.start_router(), itertools.count(1)
+
+
+@pytest.fixture
+def servers(running) -> Servers:
+    """Return new servers, which alone are in use."""
+    cluster, router, numbers = running
+    for server in cluster.servers:
+        cluster.store.remove("servers", server.name)
+        server.stop()
+    cluster.servers.clear()
+    return Servers(cluster, router, next(numbers))
+
+
 def for_endings(endings: dict[str, Ending]) -> pytest.MarkDecorator:
     """Parametrize a test by ways in which an answer ends."""
     names = [name.replace(", ", "-").replace(" ", "_") for name in endings]
@@ -67,73 +127,54 @@
     return [line for line in body.split(b"\n") if line.startswith(b"id:")]
 
 
-def is_seen_as_broken(router: support.Router, path: str, **values: object) -> bool:
-    """Whether the caller of a request sees that its answer is not complete."""
-    try:
-        return router.call(path, **values).status == 502
-    except (OSError, http.client.HTTPException):
-        return True
-
-
 @for_endings(BROKEN)
 def test_resumable_stream_that_breaks_off_goes_on_at_another_server(
-    cluster, ending: Ending
+    servers, ending: Ending
 ) -> None:
     """Guards against a broken stream that is framed as complete."""
-    for name in ("planner-1", "planner-2"):
-        cluster.add_server(name, "planner")
-    cluster.servers[0].endings.append(ending)
-    router = cluster.start_router()
-    answer = router.call("/drafts/1")
+    servers.endings.append(ending)
+    answer = servers.call("/drafts/1")
     assert (answer.status, list_ids(answer.text)) == (200, WHOLE)
     assert answer.text.endswith(b"\n\n")
-    assert len(cluster.servers[0].ran) == len(cluster.servers[1].ran) == 1
+    assert servers.count_runs() == 2
 
 
 @for_endings(BROKEN)
-def test_caller_sees_that_a_stream_was_broken_off(cluster, ending: Ending) -> None:
+def test_caller_sees_that_a_stream_was_broken_off(servers, ending: Ending) -> None:
     """Guards against a broken stream that is framed as complete."""
-    server = cluster.add_server("planner-1", "planner")
-    server.endings.append(ending)
-    router = cluster.start_router()
-    assert is_seen_as_broken(router, "/notes/1")
-    assert len(server.ran) == 1
+    servers.endings.append(ending)
+    assert servers.is_seen_as_broken("/notes/1")
+    assert servers.count_runs() == 1
 
 
 @for_endings(INSIDE_EVENT)
 def test_caller_sees_that_every_server_broke_a_stream_off(
-    cluster, ending: Ending
+    servers, ending: Ending
 ) -> None:
     """Guards against retries whose last answer is passed on though it is broken."""
-    for name in ("planner-1", "planner-2"):
-        cluster.add_server(name, "planner").endings.extend([ending] * 4)
-    router = cluster.start_router()
-    assert is_seen_as_broken(router, "/drafts/1")
+    servers.endings.extend([ending] * 4)
+    assert servers.is_seen_as_broken("/drafts/1")
+    servers.endings.clear()
 
 
 @for_endings(BROKEN_PLAIN)
 def test_caller_sees_that_a_plain_answer_was_broken_off(
-    cluster, ending: Ending
+    servers, ending: Ending
 ) -> None:
     """Guards against a broken plain answer that is framed as complete."""
-    server = cluster.add_server("gate-1")
-    server.endings.append(ending)
-    router = cluster.start_router()
-    assert is_seen_as_broken(router, "/bookings/1")
-    assert len(server.ran) == 1
+    servers.endings.append(ending)
+    assert servers.is_seen_as_broken("/bookings/1")
+    assert servers.count_runs() == 1
 
 
 @pytest.mark.parametrize("path", ["/drafts/1", "/notes/1", "/bookings/1"])
 @pytest.mark.parametrize("framing", answerendings.Framing)
 def test_whole_answer_stays_whole_whatever_frames_it(
-    cluster, path: str, framing: answerendings.Framing
+    servers, path: str, framing: answerendings.Framing
 ) -> None:
     """Guards against whole answers without a length that are taken for broken."""
-    for name in ("planner-1", "gate-1"):
-        server = cluster.add_server(name, name.partition("-")[0])
-        server.endings.append(Ending(framing, has_end_mark=True))
-    router = cluster.start_router()
-    answer = router.call(path)
+    servers.endings.append(Ending(framing, has_end_mark=True))
+    answer = servers.call(path)
     assert answer.status == 200
     if path == "/bookings/1":
         assert answer.text == platformserver.BODY
