Take an event stream of a plain service for broken if it ends inside an event

The body now ends with an error, so that the answer is retried where that is safe, or truncated. The streams of model engines have a last line of their own and need nothing.

--- a/celeryspan/adapters/plain.py
+++ b/celeryspan/adapters/plain.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 from collections.abc import Iterator
 
 import urllib3
 from urllib3 import response as urllib3_response
 
-from celeryspan import calls, ids, states
+from celeryspan import calls, eventstreams, ids, states
 from celeryspan.adapters import backend
 
 REQUEST_ID_HEADER = "Celeryspan-Request-Id"
@@ -55,7 +56,7 @@
         response = connection.getresponse()
         if response.status == LEAVING_STATUS:
             return self._read_refusal(connection, response)
-        return _make_head(response), backend.read_body(response)
+        return _make_head(response), _read_body(response)
 
     def _read_refusal(
         self, connection: backend.Connection, response: urllib3_response.HTTPResponse
@@ -71,6 +72,20 @@
         return _make_head(response), iter([body])
 
 
+def _read_body(response: urllib3_response.HTTPResponse) -> Iterator[bytes]:
+    """Yield the body; raises IncompleteRead if a stream ends inside an event."""
+    content_type = response.headers.get("Content-Type")
+    if not content_type or not eventstreams.is_event_stream(content_type):
+        yield from backend.read_body(response)
+        return
+    splitter = eventstreams.EventSplitter()
+    for piece in backend.read_body(response):
+        splitter.add(piece)
+        yield piece
+    if splitter.is_inside_event():
+        raise http.client.IncompleteRead(splitter.rest)
+
+
 def is_leaving(body: bytes) -> bool:
     """Return whether an error body says that the server is leaving."""
     return read_reason(body) == "leaving"
--- /dev/null
+++ b/tests/adapters/test_plain.py
@@ -0,0 +1,94 @@
+"""Answers of plain services that break off, as the own interface reads them."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import threading
+from collections.abc import Iterator
+
+import pytest
+
+from celeryspan import calls, ids
+from celeryspan.adapters import backend, plain
+from celeryspan.services import backends
+from standins import answerendings
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n"
+)
+EVENTS = [b"id: %d\ndata: piece\n\n" % number for number in range(1, 4)]
+FRAMINGS = list(answerendings.Framing)
+
+
+@contextlib.contextmanager
+def open_link(ending: answerendings.Ending) -> Iterator[backend.Connection]:
+    """Yield a connection to a service that ends its first answer in a given way."""
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        connection.recv(65_536)
+        connection.sendall(ending.format_answer(HEAD, EVENTS))
+        ending.prepare_close(connection)
+        connection.close()
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        link = backend.Connection(*listener.getsockname(), timeout=5.0)
+        link.server = ids.ServerId("desk-1")
+        link.connect()
+        with contextlib.closing(link):
+            yield link
+        thread.join()
+
+
+def read_answer(ending: answerendings.Ending) -> bytes:
+    """Return the body of an answer; raises one of the errors of a link."""
+    call = calls.Call(
+        request=ids.RequestId("r1"),
+        service=ids.ServiceId("desk"),
+        account=ids.AccountId("quay"),
+        idempotent=True,
+        deadline=0.0,
+        method="GET",
+        target="/",
+        headers=(),
+        body=b"",
+        hint=1.0,
+        cancellation=calls.Cancellation(),
+    )
+    service = plain.PlainService()
+    with open_link(ending) as link:
+        service.send(link, call, call.request)
+        _, pieces = service.receive(link)
+        return b"".join(pieces)
+
+
+@pytest.mark.parametrize("is_reset", [False, True])
+@pytest.mark.parametrize("parts", [0, 2])
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_stream_that_ends_inside_an_event_is_incomplete(
+    framing: answerendings.Framing, parts: int, is_reset: bool
+) -> None:
+    """Guards against a broken stream that the own interface frames as complete."""
+    ending = answerendings.Ending(
+        framing, parts, 5, has_end_mark=not is_reset, is_reset=is_reset
+    )
+    with pytest.raises(backends.LINK_ERRORS):
+        read_answer(ending)
+
+
+@pytest.mark.parametrize("size", [-20, -2])
+def test_answer_that_ends_inside_its_head_is_incomplete(size: int) -> None:
+    """Guards against headers that end with the connection and look complete."""
+    ending = answerendings.Ending(answerendings.Framing.CONNECTION, head_bytes=size)
+    with pytest.raises(backends.LINK_ERRORS):
+        read_answer(ending)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_whole_stream_stays_whole(framing: answerendings.Framing) -> None:
+    ending = answerendings.Ending(framing, has_end_mark=True)
+    assert read_answer(ending) == b"".join(EVENTS)
