--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -9,6 +9,7 @@
 import itertools
 import threading
 import time
+from collections.abc import Collection
 
 from celeryspan import ids
 from standins import objects, platformserver, sampleconfig
@@ -32,6 +33,8 @@
     ----------
     fatal_bodies : set of bytes
         Bodies of requests that crash any server.
+    fatal_parts : set of str
+        Parts of prompts that do.
     expiry_seconds, restart_seconds : float
         Delays from a crash to the removal of the entry and to the next start.
     """
@@ -43,12 +46,14 @@
         count: int,
         fatal_bodies: set[bytes],
         *,
+        fatal_parts: Collection[str] = (),
         expiry_seconds: float = 0.3,
         restart_seconds: float = 0.5,
     ) -> None:
         self._store = store
         self._service = service
         self._fatal_bodies = fatal_bodies
+        self._fatal_parts = set(fatal_parts)
         self._expiry_seconds = expiry_seconds
         self._restart_seconds = restart_seconds
         self._numbers = itertools.count(1)
@@ -75,11 +80,15 @@
 
     def list_received(self, body: bytes) -> list[platformserver.ReceivedRequest]:
         """Return the requests with a body that any incarnation received, by time."""
+        return [each for each in self._list_all() if each.body == body]
+
+    def list_received_with(self, part: str) -> list[platformserver.ReceivedRequest]:
+        """Return the requests with a part that any incarnation received, by time."""
+        return [each for each in self._list_all() if part in each.parts]
+
+    def _list_all(self) -> list[platformserver.ReceivedRequest]:
         received = [
-            request
-            for server in self.incarnations
-            for request in list(server.received)
-            if request.body == body
+            request for server in self.incarnations for request in list(server.received)
         ]
         return sorted(received, key=lambda request: request.at)
 
@@ -89,6 +98,7 @@
             name, streams=self._service == "planner", port=port
         )
         server.fatal_bodies = self._fatal_bodies
+        server.fatal_parts = self._fatal_parts
         server.start()
         self.incarnations.append(server)
         spec = sampleconfig.make_entry(self._service, server.address)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -29,6 +29,7 @@
 REQUEST_ID = "Celeryspan-Request-Id"
 EXPECT_INSTANCE = "Celeryspan-Expect-Instance"
 LAST_EVENT_ID = "Last-Event-Id"
+PROMPT_PARTS = "Celeryspan-Prefix-Hash"
 RESUMES = "Resumes"
 KV_MOVE_PATH = "/v1/kv-move"
 KV_HANDLE_PATH = "/v1/kv-handle/"
@@ -56,6 +57,12 @@
         """Value of the request id header, or an empty string."""
         return self.headers.get(REQUEST_ID.lower(), "")
 
+    @property
+    def parts(self) -> set[str]:
+        """Names of the parts of the prompt."""
+        listed = self.headers.get(PROMPT_PARTS.lower(), "").split(",")
+        return {item.partition(":")[0] for item in listed if item}
+
 
 class PlatformServer:
     """Answers requests, with the faults that ``script`` lists for the next ones.
@@ -93,6 +100,8 @@
         Version of its software, which each event names.
     fatal_bodies : set of bytes
         Bodies of requests that crash the server shortly after they begin to run.
+    fatal_parts : set of str
+        Parts of prompts that crash the server in the same way.
     cold_requests_max : float
         Requests within a second above which the server crashes, because it is cold.
     is_leaving : bool
@@ -138,6 +147,7 @@
         self.event_padding = 0
         self.is_framed = True
         self.fatal_bodies: set[bytes] = set()
+        self.fatal_parts: set[str] = set()
         self.cold_requests_max = math.inf
         self.is_leaving = False
         self.rest = ""
@@ -240,7 +250,8 @@
         if request.headers.get(EXPECT_INSTANCE.lower()) != self.name:
             connection.sendall(self._write_head(request, 421, 0))
             return True
-        if request.body and request.body in self.fatal_bodies:
+        is_fatal = request.body and request.body in self.fatal_bodies
+        if is_fatal or request.parts & self.fatal_parts:
             return self._run_fatal(request, connection)
         if self.is_shedding:
             return self._do_full(request, connection)
