Hold parts of prompts that crash servers, and other features that requests share

Cause: what crashes servers was known by the hash of a whole request, which is new each time if only a part of the prompt is fatal, so that each such request had one crash and no router ever held one. Each lost run now makes suspects of its features as well: parts but the last, path, size, model. Answers acquit them, the narrowest that explains the crashes is blamed, and isolation, verdict, gossip and the stored record are those of requests. A retry waits until it is known whether the server crashed, so that the crash counts for it; an answer that ended with its connection acquits only once its server has accepted another one. A feature that had been answered before counts half, and a broader one than a part needs one crash more.

--- a/celeryspan/decisions/crashes.py
+++ b/celeryspan/decisions/crashes.py
@@ -11,12 +11,12 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
 from celeryspan import catalog, ids
-from celeryspan.decisions import fingerprints
+from celeryspan.decisions import fingerprints, suspectfeatures
 
 EVIDENCE_TIMEOUT_SECONDS = 8.0
 """How long a lost run waits for evidence of a crash: the entry of a crashed server
@@ -28,6 +28,8 @@
 CRASH_RETENTION_SECONDS = 30.0
 """How long a crash is remembered for runs whose loss is detected late."""
 
+NO_TRIALS: Mapping[int, int] = {}
+
 FindEntry = Callable[[ids.ServerId], catalog.ServerEntry | None]
 
 
@@ -54,6 +56,10 @@
         Whether a part of the answer had arrived.
     trial : int
         One more than the number of consecutive crashes known when the run was sent.
+    features : tuple of Feature
+        Features that the request shares with others.
+    feature_trials : mapping of value to int
+        As ``trial``, for the features that were suspected by then.
     """
 
     request: ids.RequestId
@@ -62,6 +68,8 @@
     seconds: float
     is_begun: bool
     trial: int = 1
+    features: tuple[suspectfeatures.Feature, ...] = ()
+    feature_trials: Mapping[int, int] = NO_TRIALS
 
 
 class Crash(msgspec.Struct, frozen=True):
@@ -101,7 +109,7 @@
         name = format_incarnation(run.entry)
         if name in self._crashed_at:
             return Crash(name, run.entry.server, Evidence.REPORTED, (run,))
-        if now < self._healthy_until.get(name, 0.0):
+        if self.is_healthy(name, now):
             return None
         losses = self._pending.setdefault(name, _PendingLosses(run.entry, now))
         losses.runs.append(run)
@@ -111,6 +119,10 @@
         """Return whether lost runs of a server incarnation wait for evidence."""
         return name in self._pending
 
+    def is_healthy(self, name: str, now: float) -> bool:
+        """Return whether a server incarnation has just accepted a connection."""
+        return now < self._healthy_until.get(name, 0.0)
+
     def record_accepted_connection(
         self, entry: catalog.ServerEntry, now: float
     ) -> None:
--- a/celeryspan/decisions/fingerprints.py
+++ b/celeryspan/decisions/fingerprints.py
@@ -11,6 +11,11 @@
 
 import msgspec
 
+from celeryspan.decisions import suspectfeatures
+
+FEATURES_MAX = 4_096
+"""Number of features whose hashes are kept."""
+
 FINGERPRINT_BYTES = 8
 
 KEY_BYTES_MAX = 64
@@ -47,6 +52,7 @@
 
     def __init__(self, key: str) -> None:
         self._key = hashlib.sha512(key.encode()).digest()[:KEY_BYTES_MAX]
+        self._features: dict[tuple[suspectfeatures.Kind, str], int] = {}
 
     def compute_scope(self, host: str, target: bytes, account: str) -> int:
         """Return the hash of host, target and client account."""
@@ -66,6 +72,16 @@
         scope_bytes = scope.to_bytes(FINGERPRINT_BYTES, "big")
         return Fingerprint(scope, self._hash(scope_bytes, method.encode(), body))
 
+    def compute_feature(self, kind: suspectfeatures.Kind, content: str) -> int:
+        """Return the hash of a feature that requests share."""
+        value = self._features.get((kind, content))
+        if value is None:
+            if len(self._features) >= FEATURES_MAX:
+                self._features.clear()
+            value = self._hash(b"feature", bytes([kind]), content.encode())
+            self._features[kind, content] = value
+        return value
+
     def _hash(self, *fields: bytes) -> int:
         digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES, key=self._key)
         for field in fields:
--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -12,6 +12,9 @@
 * After three it is quarantined: routers refuse it. Requests that ran next to it are not
   blamed for its crashes, since only the fewest requests that explain all crashes are
   quarantined.
+* Features that requests share, such as parts of their prompts, are suspected in the
+  same way: requests that crash servers may be different each time. The narrowest one
+  that explains the crashes is blamed.
 * Servers that crash together, for example in a power failure, count as one trial. A
   popular request runs on many of them and has had no time to be acquitted.
 
@@ -23,12 +26,12 @@
 import collections
 import enum
 import heapq
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
 import msgspec
 import xxhash
 
-from celeryspan.decisions import crashes
+from celeryspan.decisions import crashes, suspectfeatures
 from celeryspan.wire import messages
 
 PROMPT_POINTS = 2
@@ -42,6 +45,14 @@
 """Minimum number of trials, so that simultaneous crashes never suffice to quarantine a
 request."""
 
+ANSWERED_POINTS_DIVISOR = 2
+"""Divisor of the points of a feature that had been answered before the crashes. Most
+requests share it, so that it is on many crashed servers by chance."""
+
+BROAD_POINTS = 2
+"""Points that a feature broader than a part of a prompt needs beyond the others. What
+is known of the narrower ones may arrive a moment later."""
+
 PROMPT_SECONDS = 1.0
 """A crash is prompt if it follows the start of a run within this time."""
 
@@ -69,6 +80,8 @@
 TRIAL_MAX = 255
 
 
+NO_CRASHES: frozenset[str] = frozenset()
+
 EvictionPriority = tuple[int, int]
 
 
@@ -98,8 +111,10 @@
     def __init__(self) -> None:
         self._suspects: dict[int, messages.Suspect] = {}
         self._standings: dict[int, Standing] = {}
-        self._candidates: dict[int, list[messages.Strike]] = {}
+        self._candidates: dict[int, messages.Suspect] = {}
         self._causes: frozenset[int] = frozenset()
+        self._isolated: frozenset[int] = frozenset()
+        self._feature_count = 0
         self._scope_counts: collections.Counter[int] = collections.Counter()
         self._eviction_heap: list[tuple[EvictionPriority, int]] = []
         self._digest = 0
@@ -115,7 +130,12 @@
     @property
     def is_empty(self) -> bool:
         """Whether every request is clear."""
-        return not self._scope_counts
+        return not self._scope_counts and not self._feature_count
+
+    @property
+    def has_features(self) -> bool:
+        """Whether any feature has strikes that count."""
+        return self._feature_count > 0
 
     def may_be_suspect(self, scope: int) -> bool:
         """Return whether any request with this scope has strikes that count."""
@@ -200,10 +220,12 @@
         self._suspects[suspect.whole] = suspect
         self._digest ^= hash_suspect(suspect)
         strikes = list_strikes(suspect)
-        if strikes:
+        if strikes and suspect.kind:
+            self._feature_count += 1
+        elif strikes:
             self._scope_counts[suspect.scope] += 1
-        if meets_quarantine_threshold(strikes):
-            self._candidates[suspect.whole] = strikes
+        if count_points(strikes, suspect) >= ISOLATION_POINTS:
+            self._candidates[suspect.whole] = suspect
         heapq.heappush(
             self._eviction_heap, (_compute_eviction_priority(suspect), suspect.whole)
         )
@@ -216,6 +238,9 @@
         self._candidates.pop(whole, None)
         if not list_strikes(suspect):
             return
+        if suspect.kind:
+            self._feature_count -= 1
+            return
         self._scope_counts[suspect.scope] -= 1
         if not self._scope_counts[suspect.scope]:
             del self._scope_counts[suspect.scope]
@@ -241,12 +266,19 @@
         self, touched: Iterable[messages.Suspect]
     ) -> list[StandingChange]:
         """Recompute the standing of changed suspects and of changed causes."""
-        causes = frozenset(find_causes(self._candidates))
+        causes = find_causes(self._candidates, QUARANTINE_POINTS, QUARANTINE_TRIALS)
+        isolated = find_causes(
+            self._candidates,
+            ISOLATION_POINTS,
+            0,
+            find_crashes(causes, self._candidates),
+        )
         suspects = {suspect.whole: suspect for suspect in touched}
-        for whole in causes ^ self._causes:
+        changed = (self._causes ^ {*causes}) | (self._isolated ^ {*isolated})
+        for whole in changed:
             if whole in self._suspects:
                 suspects[whole] = self._suspects[whole]
-        self._causes = causes
+        self._causes, self._isolated = frozenset(causes), frozenset(isolated)
         changes = []
         for whole, suspect in suspects.items():
             before, after = self.find_standing(whole), self._compute_standing(whole)
@@ -261,22 +293,42 @@
         if whole in self._causes:
             return Standing.QUARANTINED
         suspect = self._suspects.get(whole)
-        points = count_points(list_strikes(suspect)) if suspect else 0
-        if points >= ISOLATION_POINTS:
+        points = count_points(list_strikes(suspect), suspect) if suspect else 0
+        is_request = suspect is not None and not suspect.kind
+        if whole in self._isolated or (is_request and points >= ISOLATION_POINTS):
             return Standing.ISOLATED
         return Standing.SUSPECT if points else Standing.CLEAR
 
 
+def make_suspects(
+    run: crashes.LostRun,
+    crash: str,
+    now_ms: int,
+    was_answered: Callable[[suspectfeatures.Feature], bool],
+) -> Iterator[messages.Suspect]:
+    """Yield a suspect with one strike for a lost run and for each of its features.
+
+    Parameters
+    ----------
+    was_answered : callable
+        Whether a request with a feature has been answered of late.
+    """
+    yield make_suspect(run, crash, now_ms)
+    for feature in run.features:
+        trial = run.feature_trials.get(feature.value, 1)
+        yield messages.Suspect(
+            scope=0,
+            whole=feature.value,
+            acquitted_ms=0,
+            strikes=(_make_strike(run, crash, now_ms, trial),),
+            kind=int(feature.kind),
+            was_answered=was_answered(feature),
+        )
+
+
 def make_suspect(run: crashes.LostRun, crash: str, now_ms: int) -> messages.Suspect:
     """Return a suspect with one strike for a run lost in a crash."""
-    is_prompt = not run.is_begun or run.seconds <= PROMPT_SECONDS
-    strike = messages.Strike(
-        crash=crash,
-        at_ms=now_ms,
-        trial=min(run.trial, TRIAL_MAX),
-        run_ms=max(0, int(run.seconds * 1000)),
-        is_prompt=is_prompt,
-    )
+    strike = _make_strike(run, crash, now_ms, run.trial)
     fingerprint = run.fingerprint
     return messages.Suspect(fingerprint.scope, fingerprint.whole, 0, (strike,))
 
@@ -315,6 +367,8 @@
             first.whole,
             max(first.acquitted_ms, second.acquitted_ms),
             tuple(strikes.values()),
+            first.kind,
+            first.was_answered or second.was_answered,
         )
     )
 
@@ -325,39 +379,58 @@
     return msgspec.structs.replace(suspect, strikes=tuple(strikes[-STRIKES_MAX:]))
 
 
-def find_causes(strikes: Mapping[int, list[messages.Strike]]) -> list[int]:
-    """Return the requests that caused the crashes, most certain first.
+def find_causes(
+    candidates: Mapping[int, messages.Suspect],
+    points_min: int = QUARANTINE_POINTS,
+    trials_min: int = QUARANTINE_TRIALS,
+    explained: frozenset[str] = NO_CRASHES,
+) -> list[int]:
+    """Return the suspects that caused the crashes, most certain first.
 
-    Greedy set cover: a request is only blamed for crashes that the causes already
+    Greedy set cover: a suspect is only blamed for crashes that the causes already
     selected don't explain.
+
+    Parameters
+    ----------
+    points_min, trials_min : int
+        What the unexplained strikes of a suspect must reach.
+    explained : frozenset of str
+        Crashes that need no further cause.
     """
-    unexplained = dict(strikes)
     causes: list[int] = []
-    while unexplained:
+    explained = set(explained)
+    unexplained = candidates
+    while True:
+        unexplained = {
+            whole: candidates[whole]
+            for whole in unexplained
+            if whole not in causes
+            and _is_blamed(candidates[whole], explained, points_min, trials_min)
+        }
+        if not unexplained:
+            return causes
         cause = min(
-            unexplained, key=lambda whole: _make_blame_key(whole, unexplained[whole])
+            unexplained, key=lambda whole: _make_blame_key(candidates[whole], explained)
         )
         causes.append(cause)
-        explained = {strike.crash for strike in strikes[cause]}
-        unexplained = {
-            whole: remaining
-            for whole, found in unexplained.items()
-            if meets_quarantine_threshold(
-                remaining := [each for each in found if each.crash not in explained]
-            )
-        }
-    return causes
+        explained.update(each.crash for each in list_strikes(candidates[cause]))
 
 
-def meets_quarantine_threshold(strikes: list[messages.Strike]) -> bool:
-    """Return whether the strikes are too many to be a coincidence."""
-    trials = max((strike.trial for strike in strikes), default=0)
-    return count_points(strikes) >= QUARANTINE_POINTS and trials >= QUARANTINE_TRIALS
+def find_crashes(
+    causes: Iterable[int], candidates: Mapping[int, messages.Suspect]
+) -> frozenset[str]:
+    """Return the crashes that some causes explain."""
+    return frozenset(
+        strike.crash for whole in causes for strike in list_strikes(candidates[whole])
+    )
 
 
-def count_points(strikes: Iterable[messages.Strike]) -> int:
-    """Return the total points of some strikes."""
-    return sum(PROMPT_POINTS if strike.is_prompt else LATE_POINTS for strike in strikes)
+def count_points(strikes: Iterable[messages.Strike], suspect: messages.Suspect) -> int:
+    """Return the total points of some strikes of a suspect."""
+    points = sum(
+        PROMPT_POINTS if strike.is_prompt else LATE_POINTS for strike in strikes
+    )
+    return points // ANSWERED_POINTS_DIVISOR if suspect.was_answered else points
 
 
 def hash_suspects(suspects: Iterable[messages.Suspect]) -> int:
@@ -373,12 +446,45 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(suspect))
 
 
+def _list_unexplained(
+    suspect: messages.Suspect, explained: Collection[str]
+) -> list[messages.Strike]:
+    return [each for each in list_strikes(suspect) if each.crash not in explained]
+
+
+def _is_blamed(
+    suspect: messages.Suspect,
+    explained: Collection[str],
+    points_min: int,
+    trials_min: int,
+) -> bool:
+    """Whether the unexplained strikes are too many to be a coincidence."""
+    strikes = _list_unexplained(suspect, explained)
+    trials = max((strike.trial for strike in strikes), default=0)
+    if suspect.kind > suspectfeatures.Kind.PART:
+        points_min += BROAD_POINTS
+    return count_points(strikes, suspect) >= points_min and trials >= trials_min
+
+
 def _make_blame_key(
-    whole: int, strikes: list[messages.Strike]
-) -> tuple[float, float, int]:
-    """Return a sort key that puts the likeliest cause first."""
+    suspect: messages.Suspect, explained: Collection[str]
+) -> tuple[float, int, float, int]:
+    """Return a sort key that puts the likeliest cause first, then the narrowest."""
+    strikes = _list_unexplained(suspect, explained)
     mean_ms = sum(strike.run_ms for strike in strikes) / len(strikes)
-    return -count_points(strikes), mean_ms, whole
+    return -count_points(strikes, suspect), suspect.kind, mean_ms, suspect.whole
+
+
+def _make_strike(
+    run: crashes.LostRun, crash: str, now_ms: int, trial: int
+) -> messages.Strike:
+    return messages.Strike(
+        crash=crash,
+        at_ms=now_ms,
+        trial=min(trial, TRIAL_MAX),
+        run_ms=max(0, int(run.seconds * 1000)),
+        is_prompt=not run.is_begun or run.seconds <= PROMPT_SECONDS,
+    )
 
 
 def _merge_strikes(first: messages.Strike, second: messages.Strike) -> messages.Strike:
--- a/celeryspan/decisions/suspectfeatures.py
+++ b/celeryspan/decisions/suspectfeatures.py
@@ -75,7 +75,7 @@
 @register(Kind.PART)
 def list_parts(traits: Traits) -> Iterable[str]:
     """List the parts of the prompt but the last, which no other request has."""
-    return [part.name for part in traits.parts[:-1]]
+    return [each.part for each in traits.parts[:-1]]
 
 
 @register(Kind.TARGET)
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -195,19 +195,10 @@
             gap_max=route.gap_max,
             stride=engine.stride if engine else 1,
             excluded=progress.excluded,
-            isolation=self._get_isolation_fingerprint(order, progress),
+            isolation=self._quarantine.find_isolation(order, progress),
             version=progress.version,
         )
 
-    def _get_isolation_fingerprint(
-        self, order: orders.Order, progress: requestprogress.Progress
-    ) -> int:
-        """Return the fingerprint of a request that must run in isolation, or 0."""
-        standing = self._quarantine.find_standing(order, progress)
-        if standing is quarantine.Standing.ISOLATED:
-            return progress.fingerprint.whole
-        return 0
-
     def _attempt(
         self,
         order: orders.Order,
@@ -238,7 +229,7 @@
                 order, place.server, progress, channel, until, source=place.source
             )
             ending = self._relay_reply(order, place, progress, reply, sink)
-            self._quarantine.record_answered(order, progress)
+            self._record_answered(order, channel, progress)
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
@@ -249,7 +240,7 @@
             if not order.cancellation.is_cancelled:
                 if self._sender.resume(order, place, progress, sink):
                     ending = states.RunEnding.ANSWERED
-                    self._quarantine.record_answered(order, progress)
+                    self._record_answered(order, channel, progress)
                     return True
                 ending = states.RunEnding.FAILED
                 self._report_lost_answer(order, channel, progress, lost)
@@ -422,6 +413,29 @@
             progress.first_event_at = time.monotonic()
         return states.RunEnding.ANSWERED
 
+    def _record_answered(
+        self,
+        order: orders.Order,
+        channel: channels.Channel,
+        progress: requestprogress.Progress,
+    ) -> None:
+        """Let an answer acquit the request and the features that it shares.
+
+        An answer that ended with its connection may have been cut off by a crash
+        between two events, so that the server has to show that it is running.
+        """
+        reply = progress.reply
+        if reply is not None and reply.framing is replies.Framing.CONNECTION:
+            standing = self._quarantine.find_standing(order, progress)
+            if standing is quarantine.Standing.CLEAR:
+                return
+            end = reply.make_answer_lost("the connection ended")
+            self._crashwatch.record_loss(order, channel.entry, progress, end)
+            self._crashwatch.wait_for_probe(channel.entry)
+            if not self._crashwatch.is_healthy(channel.entry):
+                return
+        self._quarantine.record_answered(order, progress)
+
     def _report_lost_answer(
         self,
         order: orders.Order,
@@ -429,14 +443,12 @@
         progress: requestprogress.Progress,
         lost: backend.AnswerLost,
     ) -> None:
-        """Report a lost answer to the crash detector.
+        """Report a lost answer to the crash detector and wait for the result.
 
-        A suspected request waits for the result before it may be retried.
+        Without the wait, a retry would be sent before the crash counts against it.
         """
         self._crashwatch.record_loss(order, channel.entry, progress, lost)
-        standing = self._quarantine.find_standing(order, progress)
-        if standing is not quarantine.Standing.CLEAR:
-            self._crashwatch.wait_for_probe(channel.entry)
+        self._crashwatch.wait_for_probe(channel.entry)
 
     def _write_server_failure(
         self, order: orders.Order, progress: requestprogress.Progress, sink: orders.Sink
--- a/celeryspan/gateway/crashwatch.py
+++ b/celeryspan/gateway/crashwatch.py
@@ -15,7 +15,7 @@
 
 from celeryspan import catalog, events, ids, kernel
 from celeryspan.adapters import backend
-from celeryspan.decisions import crashes, fingerprints
+from celeryspan.decisions import crashes, fingerprints, suspectfeatures
 
 if TYPE_CHECKING:
     from celeryspan.gateway import (
@@ -85,6 +85,22 @@
             order.body,
         )
 
+    def compute_features(
+        self, order: orders.Order
+    ) -> tuple[suspectfeatures.Feature, ...]:
+        """Return the features that a request shares with others."""
+        incoming = order.incoming
+        traits = suspectfeatures.Traits(
+            host=order.route.host,
+            path=order.target.partition(b"?")[0].decode("latin-1"),
+            model=incoming.model,
+            parts=incoming.parts,
+            prompt_tokens=incoming.prompt_tokens,
+        )
+        return suspectfeatures.list_features(
+            traits, self._fingerprinter.compute_feature
+        )
+
     def record_loss(
         self,
         order: orders.Order,
@@ -108,6 +124,11 @@
             seconds=now - since,
             is_begun=progress.answer_begun_at is not None,
             trial=progress.strikes + 1,
+            features=progress.features or self.compute_features(order),
+            feature_trials={
+                value: strikes + 1
+                for value, strikes in progress.feature_strikes.items()
+            },
         )
         events.log(
             events.Event.RUN_LOST,
@@ -115,6 +136,7 @@
             account=order.account or "",
             server=entry.server,
             fingerprint=str(run.fingerprint),
+            features=[str(feature) for feature in run.features],
             seconds=round(run.seconds, 3),
             is_begun=run.is_begun,
             error=str(lost),
@@ -134,6 +156,13 @@
         if probe_done is not None:
             probe_done.wait(PROBE_DELAY_SECONDS + 2 * CONNECT_TIMEOUT_SECONDS)
 
+    def is_healthy(self, entry: catalog.ServerEntry) -> bool:
+        """Return whether a server has just accepted a probe."""
+        with self._lock:
+            return self._detector.is_healthy(
+                crashes.format_incarnation(entry), time.monotonic()
+            )
+
     def confirm(self, name: str) -> None:
         """Record a crash of a server incarnation that another router reports."""
         with self._lock:
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -15,7 +15,13 @@
 import msgspec
 
 from celeryspan import errors, events, ids, kernel, metrics
-from celeryspan.decisions import crashes, fingerprints, gossip, quarantine
+from celeryspan.decisions import (
+    crashes,
+    fingerprints,
+    gossip,
+    quarantine,
+    suspectfeatures,
+)
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -46,6 +52,23 @@
 STORED_KEY = "stored"
 """Gossip key of the fact that the store holds the suspects."""
 
+SEVERITY = (
+    quarantine.Standing.CLEAR,
+    quarantine.Standing.SUSPECT,
+    quarantine.Standing.ISOLATED,
+    quarantine.Standing.QUARANTINED,
+)
+"""Standings of a request and its features; the last one found holds."""
+
+CAUSES = {
+    suspectfeatures.Kind.REQUEST: "this request",
+    suspectfeatures.Kind.PART: "requests with a part of this prompt",
+    suspectfeatures.Kind.TARGET: "requests of this path",
+    suspectfeatures.Kind.SIZE: "requests with prompts of this size",
+    suspectfeatures.Kind.MODEL: "requests of this model",
+}
+"""What is said of a refused request, by what it is refused for."""
+
 Handler = Callable[[list[quarantine.StandingChange]], None]
 
 
@@ -79,6 +102,7 @@
         self._metrics: metrics.Metrics = container.find("metrics")
         self._random = random.Random(self._identity.incarnation)
         self._quarantine = quarantine.Quarantine()
+        self._history = suspectfeatures.AnswerHistory()
         self._gossip = gossip.Gossip()
         self._lock = threading.Lock()
         self._watched: dict[int, _Watched] = {}
@@ -148,7 +172,7 @@
     def find_standing(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> quarantine.Standing:
-        """Return the standing of a request.
+        """Return the standing of a request: the strictest of its own and its features'.
 
         No request is hashed while there are no suspects, so the check then costs
         nothing.
@@ -156,11 +180,28 @@
         suspects = self._quarantine
         if suspects.is_empty:
             return quarantine.Standing.CLEAR
-        if progress.fingerprint is None:
-            if not suspects.may_be_suspect(self._crashwatch.compute_scope(order)):
-                return quarantine.Standing.CLEAR
-            progress.fingerprint = self._crashwatch.compute_fingerprint(order)
-        return suspects.find_standing(progress.fingerprint.whole)
+        whole, values = self._find_suspected(order, progress)
+        standings = [suspects.find_standing(value) for value in values]
+        if whole is not None:
+            standings.append(suspects.find_standing(whole))
+        return max(standings, key=SEVERITY.index, default=quarantine.Standing.CLEAR)
+
+    def find_isolation(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> int:
+        """Return what a request must be isolated for, or 0.
+
+        The home runs one request at a time for each such value: a request itself, or
+        the feature that it shares with others.
+        """
+        if self.find_standing(order, progress) is not quarantine.Standing.ISOLATED:
+            return 0
+        whole, values = self._find_suspected(order, progress)
+        return next(
+            value
+            for value in (*([whole] if whole is not None else ()), *values)
+            if self._quarantine.find_standing(value) is quarantine.Standing.ISOLATED
+        )
 
     def check(self, order: orders.Order, progress: requestprogress.Progress) -> None:
         """Refuse a quarantined request.
@@ -173,29 +214,67 @@
         """
         standing = self.find_standing(order, progress)
         if standing is quarantine.Standing.QUARANTINED:
-            raise self._make_refusal(progress.fingerprint)
+            raise self._make_refusal(order, progress)
 
     def record_sent(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> None:
         """Record the number of consecutive crashes known when a request is sent."""
+        progress.strikes = 0
+        progress.feature_strikes = {}
         if self.find_standing(order, progress) is quarantine.Standing.CLEAR:
-            progress.strikes = 0
             return
+        whole, values = self._find_suspected(order, progress)
         with self._lock:
-            suspect = self._quarantine.find_suspect(progress.fingerprint.whole)
-            progress.strikes = quarantine.count_trials(suspect)
+            if whole is not None:
+                progress.strikes = self._count_trials(whole)
+            progress.feature_strikes = {
+                value: trials
+                for value in values
+                if (trials := self._count_trials(value))
+            }
 
     def record_answered(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> None:
-        """Acquit a request that a server has answered without crashing."""
+        """Acquit a request that a server has answered, and the features that it has."""
+        if progress.features is None:
+            progress.features = self._crashwatch.compute_features(order)
+        self._history.record(progress.features, time.monotonic())
         if self.find_standing(order, progress) is quarantine.Standing.CLEAR:
             return
+        whole, values = self._find_suspected(order, progress)
+        suspected = values if whole is None else [whole, *values]
         with self._lock:
-            acquitted = self._quarantine.acquit(progress.fingerprint.whole)
-        if acquitted is not None:
-            self.merge([acquitted])
+            acquitted = [self._quarantine.acquit(value) for value in suspected]
+        known = [each for each in acquitted if each is not None]
+        if known:
+            self.merge(known)
+
+    def _find_suspected(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> tuple[int | None, list[int]]:
+        """Return what may be suspected of a request.
+
+        Returns
+        -------
+        int or None
+            Its fingerprint; None if it need not be computed.
+        list of int
+            Values of its features.
+        """
+        suspects = self._quarantine
+        if progress.fingerprint is None:
+            if suspects.may_be_suspect(self._crashwatch.compute_scope(order)):
+                progress.fingerprint = self._crashwatch.compute_fingerprint(order)
+        if progress.features is None and suspects.has_features:
+            progress.features = self._crashwatch.compute_features(order)
+        whole = progress.fingerprint.whole if progress.fingerprint else None
+        return whole, [feature.value for feature in progress.features or ()]
+
+    def _count_trials(self, whole: int) -> int:
+        """Return the consecutive crashes of a suspect; the caller holds the lock."""
+        return quarantine.count_trials(self._quarantine.find_suspect(whole))
 
     def merge(
         self, suspects: Iterable[messages.Suspect], *, spread: bool = True
@@ -237,14 +316,24 @@
             self._gossip.put(STORED_KEY, stored)
         self._wake.set()
 
-    def _make_refusal(self, fingerprint: fingerprints.Fingerprint) -> errors.NotRun:
+    def _make_refusal(
+        self, order: orders.Order, progress: requestprogress.Progress
+    ) -> errors.NotRun:
+        whole, values = self._find_suspected(order, progress)
         with self._lock:
-            suspect = self._quarantine.find_suspect(fingerprint.whole)
-        strikes = suspect.strikes if suspect else ()
-        latest = max((strike.at_ms for strike in strikes), default=0)
+            suspect = next(
+                found
+                for value in (*([whole] if whole is not None else ()), *values)
+                if self._quarantine.find_standing(value)
+                is quarantine.Standing.QUARANTINED
+                and (found := self._quarantine.find_suspect(value)) is not None
+            )
+        latest = max(strike.at_ms for strike in suspect.strikes)
         left_ms = latest + quarantine.STRIKE_RETENTION_MS - read_clock_ms()
+        fingerprint = fingerprints.format_fingerprint(suspect.whole)
+        cause = CAUSES[suspectfeatures.Kind(suspect.kind)]
         return errors.NotRun(
-            f"{len(strikes)} servers crashed while running this request, so it is no"
+            f"{len(suspect.strikes)} servers crashed while running {cause}, so it is no"
             " longer sent to any. Change it, or ask the operators to release"
             f" {fingerprint}",
             code="request-quarantined",
@@ -256,8 +345,16 @@
     def _handle_crash(self, crash: crashes.Crash) -> None:
         self._metrics.count_server_crash(crash.evidence.value)
         now_ms = read_clock_ms()
+        now = time.monotonic()
         self.merge(
-            quarantine.make_suspect(run, crash.name, now_ms) for run in crash.runs
+            suspect
+            for run in crash.runs
+            for suspect in quarantine.make_suspects(
+                run,
+                crash.name,
+                now_ms,
+                lambda feature: self._history.was_answered(feature, now),
+            )
         )
 
     def _apply_changes(self, changes: list[quarantine.StandingChange]) -> None:
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -9,7 +9,7 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.decisions import fingerprints
+    from celeryspan.decisions import fingerprints, suspectfeatures
     from celeryspan.gateway import replies
 
 
@@ -51,6 +51,10 @@
         When the request was last sent, and when the first event of that answer arrived.
     strikes : int
         Consecutive crashes attributed to this request, as known when it was last sent.
+    features : tuple of Feature or None
+        Features that the request shares with others; computed on first use.
+    feature_strikes : dict of value to int
+        As ``strikes``, for each suspected feature.
     has_unsent_retry : bool
         Whether a retry was taken from the budget and has not been sent.
     fingerprint : Fingerprint or None
@@ -79,6 +83,8 @@
         self.last_sent_at = 0.0
         self.answer_begun_at: float | None = None
         self.strikes = 0
+        self.features: tuple[suspectfeatures.Feature, ...] | None = None
+        self.feature_strikes: dict[int, int] = {}
         self.has_unsent_retry = False
         self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
--- a/celeryspan/platform/quarantine.py
+++ b/celeryspan/platform/quarantine.py
@@ -18,6 +18,8 @@
                 "fingerprint": fingerprints.format_fingerprint(suspect.whole),
                 "scope": fingerprints.format_fingerprint(suspect.scope),
                 "acquitted_ms": suspect.acquitted_ms,
+                "kind": suspect.kind,
+                "was_answered": suspect.was_answered,
                 # Lists, because field names would take up most of the object.
                 "crashes": [
                     [
@@ -61,6 +63,9 @@
         whole=_parse_fingerprint(entry, "fingerprint"),
         acquitted_ms=_check_unsigned(entry["acquitted_ms"], "acquitted_ms", 64),
         strikes=strikes,
+        # Routers of the previous version write neither of these.
+        kind=_check_unsigned(entry.get("kind", 0), "kind", 8),
+        was_answered=bool(entry.get("was_answered", False)),
     )
 
 
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -65,6 +65,8 @@
     origin : RequestId
         The request that brought the first event of that stream; empty if the caller
         names none.
+    model : str
+        The model that is asked for; empty if the request names none.
     """
 
     request: ids.RequestId
@@ -76,6 +78,7 @@
     headers: tuple[tuple[str, str], ...]
     last_event: str = ""
     origin: ids.RequestId = NO_REQUEST
+    model: str = ""
 
     @property
     def is_take_up(self) -> bool:
@@ -109,6 +112,7 @@
         ),
         last_event=values.get(names.LAST_EVENT.lower(), ""),
         origin=ids.RequestId(values.get(names.RESUMES.lower(), "")),
+        model=values.get(names.MODEL.lower(), ""),
     )
 
 
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -637,22 +637,29 @@
 
 
 class Suspect(msgspec.Struct, frozen=True):
-    """Crash history of one request during which servers have crashed.
+    """Crash history of one request, or of a feature that requests share.
 
-    Records of the same request are merged; merging is commutative and idempotent.
+    Records of the same suspect are merged; merging is commutative and idempotent.
 
     Attributes
     ----------
     scope, whole : int
-        The fingerprint of the request.
+        The fingerprint of the request; of a feature ``whole`` is its value and
+        ``scope`` is 0.
     acquitted_ms : int
         Crashes up to this time are disregarded, in Unix milliseconds.
+    kind : int
+        The kind of feature, see ``suspectfeatures.Kind``; 0 for a request.
+    was_answered : bool
+        Whether it had been answered of late when it was first suspected.
     """
 
     scope: int
     whole: int
     acquitted_ms: int
     strikes: tuple[Strike, ...]
+    kind: int = 0
+    was_answered: bool = False
 
 
 class SuspectsDigest(msgspec.Struct, frozen=True):
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -394,6 +394,8 @@
   whole @1 :UInt64;
   acquittedMs @2 :UInt64;
   strikes @3 :List(Strike);
+  kind @4 :UInt8;
+  wasAnswered @5 :Bool;
 }
 
 struct SuspectsDigest {
