Split blame and standings out, and suspect no feature that has just been answered

Change: blame is a module of decisions, the look-up of a request one of the gateway, which returns the standing together with the suspect that has it. A feature that the router has seen answered within ten seconds before the crash is not suspected, and crashes at once isolate no feature. The scope of a request is hashed once. The table of `celeryspan quarantine` names the kind.

--- a/bench/crashing.py
+++ b/bench/crashing.py
@@ -17,7 +17,7 @@
 from collections.abc import Callable
 
 from bench import tables
-from celeryspan.decisions import quarantine
+from celeryspan.decisions import blame, quarantine
 from celeryspan.wire import messages
 
 SEEDS = 10
@@ -67,7 +67,7 @@
 @policy("answers acquit")
 def _count_unanswered(replica: quarantine.Quarantine, whole: int) -> Standing:
     suspect = replica.find_suspect(whole)
-    strikes = quarantine.list_strikes(suspect) if suspect else ()
+    strikes = blame.list_strikes(suspect) if suspect else ()
     return Standing.QUARANTINED if len(strikes) >= 3 else Standing.CLEAR
 
 
--- a/celeryspan/daemons/quarantine.py
+++ b/celeryspan/daemons/quarantine.py
@@ -11,7 +11,7 @@
 
 from celeryspan import errors
 from celeryspan.daemons import registry
-from celeryspan.decisions import fingerprints, quarantine
+from celeryspan.decisions import blame, fingerprints, quarantine, suspectfeatures
 from celeryspan.platform import names, objects, quarantine as records
 from celeryspan.wire import messages
 
@@ -36,10 +36,11 @@
 def list_requests(arguments: list[str], values: flags.FlagValues) -> registry.Exit:
     """Show the requests that crash servers and are quarantined or isolated.
 
-    Each line shows the fingerprint of a request, how it is treated and since when, how
-    long it ran before each crash, and the servers that crashed. Event 210 in the
-    routers' logs contains the fingerprint and the id of a request. With --all it also
-    shows requests with too few crashes for a decision.
+    Each line shows the fingerprint of a request or of a feature that requests share,
+    which kind it is, how it is treated and since when, how long it ran before each
+    crash, and the servers that crashed. Event 210 in the routers' logs contains the
+    fingerprint, the features and the id of a request. With --all it also shows requests
+    with too few crashes for a decision.
     """
     client = objects.ObjectClient(registry.require(values, "store", "HOST:PORT"))
     known = quarantine.Quarantine()
@@ -122,16 +123,18 @@
 ) -> rich.table.Table:
     """Return a table with one row for each request."""
     table = rich.table.Table(title="requests that crash servers", title_justify="left")
-    table.add_column("fingerprint", no_wrap=True)
-    for column in ("treated as", "since", "ran for ms", "servers"):
+    for column in ("fingerprint", "kind", "treated as"):
+        table.add_column(column, no_wrap=True)
+    for column in ("since", "ran for ms", "servers"):
         table.add_column(column)
     for suspect in shown:
-        strikes = quarantine.list_strikes(suspect) or suspect.strikes
+        strikes = blame.list_strikes(suspect) or suspect.strikes
         since = datetime.datetime.fromtimestamp(
             max(strike.at_ms for strike in strikes) / 1000, datetime.UTC
         )
         table.add_row(
             fingerprints.format_fingerprint(suspect.whole),
+            suspectfeatures.name_kind(suspect.kind),
             known.find_standing(suspect.whole).value,
             f"{since:%Y-%m-%d %H:%M:%S} UTC",
             ", ".join(str(strike.run_ms) for strike in strikes),
--- a/celeryspan/decisions/crashes.py
+++ b/celeryspan/decisions/crashes.py
@@ -28,7 +28,7 @@
 CRASH_RETENTION_SECONDS = 30.0
 """How long a crash is remembered for runs whose loss is detected late."""
 
-NO_TRIALS: Mapping[int, int] = {}
+NO_STRIKES: Mapping[int, int] = {}
 
 FindEntry = Callable[[ids.ServerId], catalog.ServerEntry | None]
 
@@ -54,12 +54,11 @@
         had arrived.
     is_begun : bool
         Whether a part of the answer had arrived.
-    trial : int
-        One more than the number of consecutive crashes known when the run was sent.
     features : tuple of Feature
         Features that the request shares with others.
-    feature_trials : mapping of value to int
-        As ``trial``, for the features that were suspected by then.
+    strikes : mapping of value to int
+        Consecutive crashes of the request and of its features that were known when the
+        run was sent.
     """
 
     request: ids.RequestId
@@ -67,9 +66,12 @@
     fingerprint: fingerprints.Fingerprint
     seconds: float
     is_begun: bool
-    trial: int = 1
     features: tuple[suspectfeatures.Feature, ...] = ()
-    feature_trials: Mapping[int, int] = NO_TRIALS
+    strikes: Mapping[int, int] = NO_STRIKES
+
+    def count_trials(self, value: int) -> int:
+        """Return one more than the consecutive crashes of the request or a feature."""
+        return self.strikes.get(value, 0) + 1
 
 
 class Crash(msgspec.Struct, frozen=True):
--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -26,33 +26,14 @@
 import collections
 import enum
 import heapq
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator
 
 import msgspec
 import xxhash
 
-from celeryspan.decisions import crashes, suspectfeatures
+from celeryspan.decisions import blame, crashes, suspectfeatures
 from celeryspan.wire import messages
 
-PROMPT_POINTS = 2
-LATE_POINTS = 1
-ISOLATION_POINTS = 4
-QUARANTINE_POINTS = 6
-"""Two prompt crashes isolate a request and three quarantine it. A run that had worked
-for a while before its server crashed is less likely to be the cause and counts half."""
-
-QUARANTINE_TRIALS = 2
-"""Minimum number of trials, so that simultaneous crashes never suffice to quarantine a
-request."""
-
-ANSWERED_POINTS_DIVISOR = 2
-"""Divisor of the points of a feature that had been answered before the crashes. Most
-requests share it, so that it is on many crashed servers by chance."""
-
-BROAD_POINTS = 2
-"""Points that a feature broader than a part of a prompt needs beyond the others. What
-is known of the narrower ones may arrive a moment later."""
-
 PROMPT_SECONDS = 1.0
 """A crash is prompt if it follows the start of a run within this time."""
 
@@ -80,8 +61,6 @@
 TRIAL_MAX = 255
 
 
-NO_CRASHES: frozenset[str] = frozenset()
-
 EvictionPriority = tuple[int, int]
 
 
@@ -209,7 +188,7 @@
         strike counts against the request.
         """
         suspect = self._suspects.get(whole)
-        strikes = list_strikes(suspect) if suspect else []
+        strikes = blame.list_strikes(suspect) if suspect else []
         if not strikes:
             return None
         latest = max(strike.at_ms for strike in strikes)
@@ -219,12 +198,12 @@
         self._remove(suspect.whole)
         self._suspects[suspect.whole] = suspect
         self._digest ^= hash_suspect(suspect)
-        strikes = list_strikes(suspect)
+        strikes = blame.list_strikes(suspect)
         if strikes and suspect.kind:
             self._feature_count += 1
         elif strikes:
             self._scope_counts[suspect.scope] += 1
-        if count_points(strikes, suspect) >= ISOLATION_POINTS:
+        if blame.count_points(strikes, suspect) >= blame.ISOLATION_POINTS:
             self._candidates[suspect.whole] = suspect
         heapq.heappush(
             self._eviction_heap, (_compute_eviction_priority(suspect), suspect.whole)
@@ -236,7 +215,7 @@
             return
         self._digest ^= hash_suspect(suspect)
         self._candidates.pop(whole, None)
-        if not list_strikes(suspect):
+        if not blame.list_strikes(suspect):
             return
         if suspect.kind:
             self._feature_count -= 1
@@ -266,12 +245,14 @@
         self, touched: Iterable[messages.Suspect]
     ) -> list[StandingChange]:
         """Recompute the standing of changed suspects and of changed causes."""
-        causes = find_causes(self._candidates, QUARANTINE_POINTS, QUARANTINE_TRIALS)
-        isolated = find_causes(
+        causes = blame.find_causes(
+            self._candidates, blame.QUARANTINE_POINTS, blame.QUARANTINE_TRIALS
+        )
+        isolated = blame.find_causes(
             self._candidates,
-            ISOLATION_POINTS,
-            0,
-            find_crashes(causes, self._candidates),
+            blame.ISOLATION_POINTS,
+            blame.QUARANTINE_TRIALS,
+            blame.find_crashes(causes, self._candidates),
         )
         suspects = {suspect.whole: suspect for suspect in touched}
         changed = (self._causes ^ {*causes}) | (self._isolated ^ {*isolated})
@@ -293,9 +274,11 @@
         if whole in self._causes:
             return Standing.QUARANTINED
         suspect = self._suspects.get(whole)
-        points = count_points(list_strikes(suspect), suspect) if suspect else 0
+        points = (
+            blame.count_points(blame.list_strikes(suspect), suspect) if suspect else 0
+        )
         is_request = suspect is not None and not suspect.kind
-        if whole in self._isolated or (is_request and points >= ISOLATION_POINTS):
+        if whole in self._isolated or (is_request and points >= blame.ISOLATION_POINTS):
             return Standing.ISOLATED
         return Standing.SUSPECT if points else Standing.CLEAR
 
@@ -304,31 +287,39 @@
     run: crashes.LostRun,
     crash: str,
     now_ms: int,
-    was_answered: Callable[[suspectfeatures.Feature], bool],
+    history: suspectfeatures.AnswerHistory,
+    now: float,
 ) -> Iterator[messages.Suspect]:
     """Yield a suspect with one strike for a lost run and for each of its features.
 
+    Features that have just been answered are left out: popular ones run on every server
+    that crashes.
+
     Parameters
     ----------
-    was_answered : callable
-        Whether a request with a feature has been answered of late.
+    now_ms : int
+        Time of day, in Unix milliseconds.
+    now : float
+        Time in the clock of the history, in seconds.
     """
     yield make_suspect(run, crash, now_ms)
     for feature in run.features:
-        trial = run.feature_trials.get(feature.value, 1)
+        age = history.measure_age(feature, now)
+        if age < suspectfeatures.ACQUITTING_SECONDS:
+            continue
         yield messages.Suspect(
             scope=0,
             whole=feature.value,
             acquitted_ms=0,
-            strikes=(_make_strike(run, crash, now_ms, trial),),
+            strikes=(_make_strike(run, crash, now_ms, feature.value),),
             kind=int(feature.kind),
-            was_answered=was_answered(feature),
+            was_answered=age < suspectfeatures.RETENTION_SECONDS,
         )
 
 
 def make_suspect(run: crashes.LostRun, crash: str, now_ms: int) -> messages.Suspect:
     """Return a suspect with one strike for a run lost in a crash."""
-    strike = _make_strike(run, crash, now_ms, run.trial)
+    strike = _make_strike(run, crash, now_ms, run.fingerprint.whole)
     fingerprint = run.fingerprint
     return messages.Suspect(fingerprint.scope, fingerprint.whole, 0, (strike,))
 
@@ -337,19 +328,14 @@
     """Return whether a suspect has passed its retention time."""
     latest = max(strike.at_ms for strike in suspect.strikes)
     retention_ms = (
-        STRIKE_RETENTION_MS if list_strikes(suspect) else ACQUITTED_RETENTION_MS
+        STRIKE_RETENTION_MS if blame.list_strikes(suspect) else ACQUITTED_RETENTION_MS
     )
     return latest + retention_ms < now_ms - now_ms % EXPIRY_STEP_MS
 
 
-def list_strikes(suspect: messages.Suspect) -> list[messages.Strike]:
-    """Return the strikes that count: those after the last acquittal."""
-    return [each for each in suspect.strikes if each.at_ms > suspect.acquitted_ms]
-
-
 def count_trials(suspect: messages.Suspect | None) -> int:
     """Return the number of consecutive crashes that count against a request."""
-    strikes = list_strikes(suspect) if suspect else []
+    strikes = blame.list_strikes(suspect) if suspect else []
     return max((strike.trial for strike in strikes), default=0)
 
 
@@ -379,60 +365,6 @@
     return msgspec.structs.replace(suspect, strikes=tuple(strikes[-STRIKES_MAX:]))
 
 
-def find_causes(
-    candidates: Mapping[int, messages.Suspect],
-    points_min: int = QUARANTINE_POINTS,
-    trials_min: int = QUARANTINE_TRIALS,
-    explained: frozenset[str] = NO_CRASHES,
-) -> list[int]:
-    """Return the suspects that caused the crashes, most certain first.
-
-    Greedy set cover: a suspect is only blamed for crashes that the causes already
-    selected don't explain.
-
-    Parameters
-    ----------
-    points_min, trials_min : int
-        What the unexplained strikes of a suspect must reach.
-    explained : frozenset of str
-        Crashes that need no further cause.
-    """
-    causes: list[int] = []
-    explained = set(explained)
-    unexplained = candidates
-    while True:
-        unexplained = {
-            whole: candidates[whole]
-            for whole in unexplained
-            if whole not in causes
-            and _is_blamed(candidates[whole], explained, points_min, trials_min)
-        }
-        if not unexplained:
-            return causes
-        cause = min(
-            unexplained, key=lambda whole: _make_blame_key(candidates[whole], explained)
-        )
-        causes.append(cause)
-        explained.update(each.crash for each in list_strikes(candidates[cause]))
-
-
-def find_crashes(
-    causes: Iterable[int], candidates: Mapping[int, messages.Suspect]
-) -> frozenset[str]:
-    """Return the crashes that some causes explain."""
-    return frozenset(
-        strike.crash for whole in causes for strike in list_strikes(candidates[whole])
-    )
-
-
-def count_points(strikes: Iterable[messages.Strike], suspect: messages.Suspect) -> int:
-    """Return the total points of some strikes of a suspect."""
-    points = sum(
-        PROMPT_POINTS if strike.is_prompt else LATE_POINTS for strike in strikes
-    )
-    return points // ANSWERED_POINTS_DIVISOR if suspect.was_answered else points
-
-
 def hash_suspects(suspects: Iterable[messages.Suspect]) -> int:
     """Return a hash of some suspects that does not depend on their order."""
     digest = 0
@@ -446,42 +378,13 @@
     return xxhash.xxh3_64_intdigest(msgspec.msgpack.encode(suspect))
 
 
-def _list_unexplained(
-    suspect: messages.Suspect, explained: Collection[str]
-) -> list[messages.Strike]:
-    return [each for each in list_strikes(suspect) if each.crash not in explained]
-
-
-def _is_blamed(
-    suspect: messages.Suspect,
-    explained: Collection[str],
-    points_min: int,
-    trials_min: int,
-) -> bool:
-    """Whether the unexplained strikes are too many to be a coincidence."""
-    strikes = _list_unexplained(suspect, explained)
-    trials = max((strike.trial for strike in strikes), default=0)
-    if suspect.kind > suspectfeatures.Kind.PART:
-        points_min += BROAD_POINTS
-    return count_points(strikes, suspect) >= points_min and trials >= trials_min
-
-
-def _make_blame_key(
-    suspect: messages.Suspect, explained: Collection[str]
-) -> tuple[float, int, float, int]:
-    """Return a sort key that puts the likeliest cause first, then the narrowest."""
-    strikes = _list_unexplained(suspect, explained)
-    mean_ms = sum(strike.run_ms for strike in strikes) / len(strikes)
-    return -count_points(strikes, suspect), suspect.kind, mean_ms, suspect.whole
-
-
 def _make_strike(
-    run: crashes.LostRun, crash: str, now_ms: int, trial: int
+    run: crashes.LostRun, crash: str, now_ms: int, value: int
 ) -> messages.Strike:
     return messages.Strike(
         crash=crash,
         at_ms=now_ms,
-        trial=min(trial, TRIAL_MAX),
+        trial=min(run.count_trials(value), TRIAL_MAX),
         run_ms=max(0, int(run.seconds * 1000)),
         is_prompt=not run.is_begun or run.seconds <= PROMPT_SECONDS,
     )
@@ -500,4 +403,4 @@
 def _compute_eviction_priority(suspect: messages.Suspect) -> EvictionPriority:
     """Return a sort key that puts the suspect to evict next first."""
     latest = max(strike.at_ms for strike in suspect.strikes)
-    return len(list_strikes(suspect)), latest
+    return len(blame.list_strikes(suspect)), latest
--- a/celeryspan/decisions/suspectfeatures.py
+++ b/celeryspan/decisions/suspectfeatures.py
@@ -9,12 +9,22 @@
 
 import collections
 import enum
+import math
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from celeryspan.wire import messages
 
+FEATURES_MAX = 4_096
+"""Number of features of which a router remembers the last answer."""
+
+ACQUITTING_SECONDS = 10.0
+"""A feature that was answered within this time before a crash is not suspected."""
+
+RETENTION_SECONDS = 600.0
+"""A feature that was answered within this time before a crash is suspected less."""
+
 
 class Kind(enum.IntEnum):
     """Kinds of features, the narrowest first: it is blamed before a broader one."""
@@ -26,6 +36,11 @@
     MODEL = 4
 
 
+def name_kind(kind: int) -> str:
+    """Return the name of a kind for operators; later versions may know more kinds."""
+    return Kind(kind).name.lower() if kind in iter(Kind) else f"kind {kind}"
+
+
 class Traits(msgspec.Struct, frozen=True):
     """What is known of a request without its body.
 
@@ -116,14 +131,11 @@
 
 
 class AnswerHistory:
-    """Which features were in answered requests of late, as one router knows.
+    """When the features of answered requests were last answered, as one router knows.
 
-    A feature that has been answered before the crashes is less likely their cause.
+    A feature that was answered before the crashes is less likely their cause.
     """
 
-    FEATURES_MAX = 4_096
-    RETENTION_SECONDS = 600.0
-
     def __init__(self) -> None:
         self._answered_at: collections.OrderedDict[int, float] = (
             collections.OrderedDict()
@@ -134,10 +146,10 @@
         for feature in features:
             self._answered_at[feature.value] = now
             self._answered_at.move_to_end(feature.value)
-        while len(self._answered_at) > self.FEATURES_MAX:
+        while len(self._answered_at) > FEATURES_MAX:
             self._answered_at.popitem(last=False)
 
-    def was_answered(self, feature: Feature, now: float) -> bool:
-        """Return whether a request with a feature was answered of late."""
+    def measure_age(self, feature: Feature, now: float) -> float:
+        """Return the seconds since a feature was last answered; infinite if unknown."""
         at = self._answered_at.get(feature.value)
-        return at is not None and now - at < self.RETENTION_SECONDS
+        return math.inf if at is None else now - at
--- a/celeryspan/gateway/crashwatch.py
+++ b/celeryspan/gateway/crashwatch.py
@@ -123,12 +123,8 @@
             fingerprint=progress.fingerprint or self.compute_fingerprint(order),
             seconds=now - since,
             is_begun=progress.answer_begun_at is not None,
-            trial=progress.strikes + 1,
             features=progress.features or self.compute_features(order),
-            feature_trials={
-                value: strikes + 1
-                for value, strikes in progress.feature_strikes.items()
-            },
+            strikes=progress.strikes,
         )
         events.log(
             events.Event.RUN_LOST,
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -16,12 +16,14 @@
 
 from celeryspan import errors, events, ids, kernel, metrics
 from celeryspan.decisions import (
+    blame,
     crashes,
     fingerprints,
     gossip,
     quarantine,
     suspectfeatures,
 )
+from celeryspan.gateway import standings
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -52,14 +54,6 @@
 STORED_KEY = "stored"
 """Gossip key of the fact that the store holds the suspects."""
 
-SEVERITY = (
-    quarantine.Standing.CLEAR,
-    quarantine.Standing.SUSPECT,
-    quarantine.Standing.ISOLATED,
-    quarantine.Standing.QUARANTINED,
-)
-"""Standings of a request and its features; the last one found holds."""
-
 CAUSES = {
     suspectfeatures.Kind.REQUEST: "this request",
     suspectfeatures.Kind.PART: "requests with a part of this prompt",
@@ -69,6 +63,9 @@
 }
 """What is said of a refused request, by what it is refused for."""
 
+UNKNOWN_CAUSE = "requests of this kind"
+"""What is said for a kind of feature that only later versions know."""
+
 Handler = Callable[[list[quarantine.StandingChange]], None]
 
 
@@ -102,6 +99,7 @@
         self._metrics: metrics.Metrics = container.find("metrics")
         self._random = random.Random(self._identity.incarnation)
         self._quarantine = quarantine.Quarantine()
+        self._standings = standings.Standings(self._quarantine, self._crashwatch)
         self._history = suspectfeatures.AnswerHistory()
         self._gossip = gossip.Gossip()
         self._lock = threading.Lock()
@@ -172,19 +170,8 @@
     def find_standing(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> quarantine.Standing:
-        """Return the standing of a request: the strictest of its own and its features'.
-
-        No request is hashed while there are no suspects, so the check then costs
-        nothing.
-        """
-        suspects = self._quarantine
-        if suspects.is_empty:
-            return quarantine.Standing.CLEAR
-        whole, values = self._find_suspected(order, progress)
-        standings = [suspects.find_standing(value) for value in values]
-        if whole is not None:
-            standings.append(suspects.find_standing(whole))
-        return max(standings, key=SEVERITY.index, default=quarantine.Standing.CLEAR)
+        """Return the strictest standing of a request and of its features."""
+        return self._standings.find(order, progress)[0]
 
     def find_isolation(
         self, order: orders.Order, progress: requestprogress.Progress
@@ -194,14 +181,8 @@
         The home runs one request at a time for each such value: a request itself, or
         the feature that it shares with others.
         """
-        if self.find_standing(order, progress) is not quarantine.Standing.ISOLATED:
-            return 0
-        whole, values = self._find_suspected(order, progress)
-        return next(
-            value
-            for value in (*([whole] if whole is not None else ()), *values)
-            if self._quarantine.find_standing(value) is quarantine.Standing.ISOLATED
-        )
+        standing, value = self._standings.find(order, progress)
+        return value if standing is quarantine.Standing.ISOLATED else 0
 
     def check(self, order: orders.Order, progress: requestprogress.Progress) -> None:
         """Refuse a quarantined request.
@@ -212,70 +193,38 @@
             If it is quarantined. If the request has been sent before, the calling code
             has to adjust the outcome.
         """
-        standing = self.find_standing(order, progress)
+        standing, value = self._standings.find(order, progress)
         if standing is quarantine.Standing.QUARANTINED:
-            raise self._make_refusal(order, progress)
+            raise self._make_refusal(value)
 
     def record_sent(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> None:
         """Record the number of consecutive crashes known when a request is sent."""
-        progress.strikes = 0
-        progress.feature_strikes = {}
+        progress.strikes = {}
         if self.find_standing(order, progress) is quarantine.Standing.CLEAR:
             return
-        whole, values = self._find_suspected(order, progress)
+        values = self._standings.list_values(order, progress)
         with self._lock:
-            if whole is not None:
-                progress.strikes = self._count_trials(whole)
-            progress.feature_strikes = {
-                value: trials
-                for value in values
-                if (trials := self._count_trials(value))
-            }
+            for value in values:
+                suspect = self._quarantine.find_suspect(value)
+                progress.strikes[value] = quarantine.count_trials(suspect)
 
     def record_answered(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> None:
         """Acquit a request that a server has answered, and the features that it has."""
-        if progress.features is None:
-            progress.features = self._crashwatch.compute_features(order)
-        self._history.record(progress.features, time.monotonic())
+        features = self._standings.list_features(order, progress)
+        self._history.record(features, time.monotonic())
         if self.find_standing(order, progress) is quarantine.Standing.CLEAR:
             return
-        whole, values = self._find_suspected(order, progress)
-        suspected = values if whole is None else [whole, *values]
+        values = self._standings.list_values(order, progress)
         with self._lock:
-            acquitted = [self._quarantine.acquit(value) for value in suspected]
+            acquitted = [self._quarantine.acquit(value) for value in values]
         known = [each for each in acquitted if each is not None]
         if known:
             self.merge(known)
 
-    def _find_suspected(
-        self, order: orders.Order, progress: requestprogress.Progress
-    ) -> tuple[int | None, list[int]]:
-        """Return what may be suspected of a request.
-
-        Returns
-        -------
-        int or None
-            Its fingerprint; None if it need not be computed.
-        list of int
-            Values of its features.
-        """
-        suspects = self._quarantine
-        if progress.fingerprint is None:
-            if suspects.may_be_suspect(self._crashwatch.compute_scope(order)):
-                progress.fingerprint = self._crashwatch.compute_fingerprint(order)
-        if progress.features is None and suspects.has_features:
-            progress.features = self._crashwatch.compute_features(order)
-        whole = progress.fingerprint.whole if progress.fingerprint else None
-        return whole, [feature.value for feature in progress.features or ()]
-
-    def _count_trials(self, whole: int) -> int:
-        """Return the consecutive crashes of a suspect; the caller holds the lock."""
-        return quarantine.count_trials(self._quarantine.find_suspect(whole))
-
     def merge(
         self, suspects: Iterable[messages.Suspect], *, spread: bool = True
     ) -> None:
@@ -297,7 +246,7 @@
         self._changed_at = time.monotonic()
         self._apply_changes(changes)
         for suspect in updated:
-            for strike in quarantine.list_strikes(suspect):
+            for strike in blame.list_strikes(suspect):
                 self._crashwatch.confirm(strike.crash)
         for handler in self._handlers:
             handler(changes)
@@ -316,26 +265,17 @@
             self._gossip.put(STORED_KEY, stored)
         self._wake.set()
 
-    def _make_refusal(
-        self, order: orders.Order, progress: requestprogress.Progress
-    ) -> errors.NotRun:
-        whole, values = self._find_suspected(order, progress)
+    def _make_refusal(self, value: int) -> errors.NotRun:
         with self._lock:
-            suspect = next(
-                found
-                for value in (*([whole] if whole is not None else ()), *values)
-                if self._quarantine.find_standing(value)
-                is quarantine.Standing.QUARANTINED
-                and (found := self._quarantine.find_suspect(value)) is not None
-            )
-        latest = max(strike.at_ms for strike in suspect.strikes)
+            suspect = self._quarantine.find_suspect(value)
+        strikes = suspect.strikes if suspect else ()
+        latest = max((strike.at_ms for strike in strikes), default=0)
         left_ms = latest + quarantine.STRIKE_RETENTION_MS - read_clock_ms()
-        fingerprint = fingerprints.format_fingerprint(suspect.whole)
-        cause = CAUSES[suspectfeatures.Kind(suspect.kind)]
+        cause = CAUSES.get(suspect.kind if suspect else 0, UNKNOWN_CAUSE)
         return errors.NotRun(
-            f"{len(suspect.strikes)} servers crashed while running {cause}, so it is no"
-            " longer sent to any. Change it, or ask the operators to release"
-            f" {fingerprint}",
+            f"{len(strikes)} servers crashed while running {cause}, so it is no longer"
+            " sent to any. Change it, or ask the operators to release"
+            f" {fingerprints.format_fingerprint(value)}",
             code="request-quarantined",
             status=429,
             retry_after=max(1.0, left_ms / 1000),
@@ -350,10 +290,7 @@
             suspect
             for run in crash.runs
             for suspect in quarantine.make_suspects(
-                run,
-                crash.name,
-                now_ms,
-                lambda feature: self._history.was_answered(feature, now),
+                run, crash.name, now_ms, self._history, now
             )
         )
 
@@ -471,7 +408,7 @@
         event = events.Event.REQUEST_RELEASED
     if event is None:
         return
-    strikes = quarantine.list_strikes(change.suspect)
+    strikes = blame.list_strikes(change.suspect)
     events.log(
         event,
         fingerprint=fingerprints.format_fingerprint(change.suspect.whole),
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -49,15 +49,14 @@
         Longest pause between two events, in seconds.
     last_sent_at, answer_begun_at : float
         When the request was last sent, and when the first event of that answer arrived.
-    strikes : int
-        Consecutive crashes attributed to this request, as known when it was last sent.
+    strikes : dict of value to int
+        Consecutive crashes attributed to this request and to each of its features, as
+        known when it was last sent.
     features : tuple of Feature or None
         Features that the request shares with others; computed on first use.
-    feature_strikes : dict of value to int
-        As ``strikes``, for each suspected feature.
     has_unsent_retry : bool
         Whether a retry was taken from the budget and has not been sent.
-    fingerprint : Fingerprint or None
+    scope, fingerprint : int, Fingerprint or None
         Computed on first use.
     version : SoftwareVersion
         Version of the server that began the stream, at which alone it may go on; empty
@@ -82,9 +81,9 @@
         self.longest_gap = 0.0
         self.last_sent_at = 0.0
         self.answer_begun_at: float | None = None
-        self.strikes = 0
+        self.strikes: dict[int, int] = {}
         self.features: tuple[suspectfeatures.Feature, ...] | None = None
-        self.feature_strikes: dict[int, int] = {}
+        self.scope: int | None = None
         self.has_unsent_retry = False
         self.version = catalog.NO_VERSION
         self.fingerprint: fingerprints.Fingerprint | None = None
--- a/tests/decisions/test_quarantine.py
+++ b/tests/decisions/test_quarantine.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies
 
 from celeryspan import catalog, ids
-from celeryspan.decisions import crashes, fingerprints, quarantine
+from celeryspan.decisions import blame, crashes, fingerprints, quarantine
 from celeryspan.wire import messages
 
 CAUSE, BYSTANDER, OTHER = 1, 2, 3
@@ -249,7 +249,7 @@
 ) -> None:
     known = make_quarantine(*suspects)
     for each in known.list_suspects():
-        strikes = quarantine.list_strikes(each)
+        strikes = blame.list_strikes(each)
         if known.find_standing(each.whole) is Standing.QUARANTINED:
             assert len({found.crash for found in strikes}) >= 3
 
--- a/tests/decisions/test_suspectfeatures.py
+++ b/tests/decisions/test_suspectfeatures.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import pytest
 
 from celeryspan import catalog, ids
@@ -9,6 +11,10 @@
 from celeryspan.wire import messages
 
 NOW_MS = 1_790_000_000_000
+ANSWERED_AT = 100.0
+CRASHED_AT = 130.0
+"""Longer after the answer than what is answered counts as acquitted."""
+
 FINGERPRINTER = fingerprints.Fingerprinter("key")
 Kind = suspectfeatures.Kind
 Standing = quarantine.Standing
@@ -36,11 +42,18 @@
 
     def __init__(self, answered: tuple[str, ...] = ()) -> None:
         self.known = quarantine.Quarantine()
-        self._answered = {find_value(part) for part in answered}
+        self._history = suspectfeatures.AnswerHistory()
+        features = [suspectfeatures.Feature(Kind.PART, find_value(a)) for a in answered]
+        self._history.record(features, ANSWERED_AT)
         self._crashes = 0
         self._requests = 0
 
-    def crash(self, *prompts: tuple[str, ...], seconds: float = 0.1) -> None:
+    def crash(
+        self,
+        *prompts: tuple[str, ...],
+        seconds: float = 0.1,
+        at: float = CRASHED_AT,
+    ) -> None:
         """Let a server crash under requests with these parts."""
         self._crashes += 1
         name = f"gpu-{self._crashes}"
@@ -56,9 +69,8 @@
         for parts in prompts:
             self._requests += 1
             features = list_features(*parts)
-            trials = {
-                each.value: 1
-                + quarantine.count_trials(self.known.find_suspect(each.value))
+            strikes = {
+                each.value: quarantine.count_trials(self.known.find_suspect(each.value))
                 for each in features
             }
             fingerprint = fingerprints.Fingerprint(7, 1000 + self._requests)
@@ -69,14 +81,10 @@
                 seconds=seconds,
                 is_begun=seconds > 1,
                 features=features,
-                feature_trials=trials,
-            )
-            made = quarantine.make_suspects(
-                run,
-                f"{name}@0",
-                NOW_MS + self._crashes,
-                lambda feature: feature.value in self._answered,
+                strikes=strikes,
             )
+            now_ms = NOW_MS + self._crashes
+            made = quarantine.make_suspects(run, f"{name}@0", now_ms, self._history, at)
             self.known.merge(made, NOW_MS)
 
     def answer(self, *parts: str) -> None:
@@ -193,6 +201,13 @@
     features = [suspectfeatures.Feature(Kind.PART, number) for number in range(5_000)]
     for feature in features:
         history.record([feature], 0.0)
-    assert not history.was_answered(features[0], 1.0)
-    assert history.was_answered(features[-1], 1.0)
-    assert not history.was_answered(features[-1], 700.0)
+    assert history.measure_age(features[0], 1.0) == math.inf
+    assert history.measure_age(features[-1], 1.0) == 1.0
+
+
+def test_feature_that_was_just_answered_is_not_suspected() -> None:
+    """Guards against gossip about every popular part at each crash."""
+    fleet = Fleet(answered=("a",))
+    fleet.crash(("a", "b"), at=ANSWERED_AT + 5.0)
+    assert fleet.find_standing("a") is Standing.CLEAR
+    assert fleet.find_standing("b") is Standing.SUSPECT
