--- a/celeryspan/daemons/quarantine.py
+++ b/celeryspan/daemons/quarantine.py
@@ -123,10 +123,9 @@
 ) -> rich.table.Table:
     """Return a table with one row for each request."""
     table = rich.table.Table(title="requests that crash servers", title_justify="left")
-    for column in ("fingerprint", "kind", "treated as"):
-        table.add_column(column, no_wrap=True)
-    for column in ("since", "ran for ms", "servers"):
-        table.add_column(column)
+    for column in ("fingerprint", "kind", "treated as", "since", "ran for ms"):
+        table.add_column(column, no_wrap=column != "since")
+    table.add_column("servers")
     for suspect in shown:
         strikes = blame.list_strikes(suspect) or suspect.strikes
         since = datetime.datetime.fromtimestamp(
