--- a/tests/gateway/test_slowcallers.py
+++ b/tests/gateway/test_slowcallers.py
@@ -15,7 +15,7 @@
 from celeryspan import events, ids
 from celeryspan.gateway import callersinks, slowcallers
 from celeryspan.services import httpserver
-from standins import sampleconfig
+from standins import answerendings, sampleconfig
 from tests.gateway import support
 
 EVENT_BYTES = 8192
@@ -226,3 +226,17 @@
         sink.finish()
         assert len(written) == 12
         assert theirs.recv(4096).endswith(b"5\r\nevent\r\n0\r\n\r\n")
+
+
+def test_slow_caller_sees_that_its_stream_was_broken_off(cluster) -> None:
+    """Guards against a buffered part of a broken stream that looks like a whole one."""
+    engine = add_engine(cluster, 40)
+    engine.endings.append(
+        answerendings.Ending(answerendings.Framing.CONNECTION, 30, 100)
+    )
+    router = start_router(cluster, BUDGET_MEGABYTES)
+    with open_stream(router, "r1") as answer:
+        places = router.container.find("places")
+        support.wait_for(lambda: places.report()["held"] == 0)
+        with pytest.raises(http.client.IncompleteRead):
+            answer.read()
