Blame what had not begun to answer before what had, and play fatal parts in the soak

The soak now sends requests that share a fatal part as well as copies of fatal requests. A test of the decision fails without the change.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -166,6 +166,7 @@
         )
         server.event_seconds = 0.02
         server.fatal_bodies = soakfatal.BODIES
+        server.fatal_parts = {soakfatal.FATAL_PART}
         server.start()
         self.start_times[name] = time.time_ns() // 1_000_000
         return server
--- a/bench/soakfatal.py
+++ b/bench/soakfatal.py
@@ -25,6 +25,14 @@
     b"fatal call": "/calls/fatal",
     b"fatal draft": "/drafts/fatal",
 }
+
+FATAL_PART = "f00d"
+"""Part of prompts that crashes servers; requests with it are all different."""
+
+PART_PATH = "/drafts/"
+PART_CRASHES_MAX = 5
+"""Number of crashes by the part before the window starts."""
+
 CALL_SECONDS = 4.0
 COPIES = (2, 8)
 """Range of the number of copies of a request in one burst."""
@@ -84,17 +92,20 @@
     def count_excess(self, servers: Iterable[platformserver.PlatformServer]) -> int:
         """Return the number of late copies beyond the allowed number."""
         found = list(servers)
-        return sum(max(0, count_late(body, found) - CRASHES_MAX) for body in BODIES)
+        late = [count_late(body, found) for body in BODIES]
+        late.append(count_late_with_part(found))
+        return sum(max(0, count - CRASHES_MAX) for count in late)
 
     def _send_bursts(self) -> None:
         while not self._stopped.wait(self._random.uniform(*QUIET_SECONDS)):
-            body = self._random.choice(sorted(BODIES))
+            body = self._random.choice([*sorted(BODIES), b""])
             for _ in range(self._random.randint(*COPIES)):
                 self._send(body, self._random.choice(self._run.routers))
                 if self._stopped.wait(self._random.uniform(*GAP_SECONDS)):
                     return
 
     def _send(self, body: bytes, router: soakparts.RouterProcess) -> None:
+        """Send a copy of a fatal request, or one with the fatal part without a body."""
         self._count += 1
         request = f"fatal-{self._count}"
         if body == b"fatal booking":
@@ -105,10 +116,17 @@
             "Celeryspan-Deadline-Ms": "3000",
             "Celeryspan-Credential": sampleconfig.KEY,
         }
+        path = PATHS.get(body, f"{PART_PATH}{self._count}")
+        if not body:
+            body = b"%d" % self._count
+            headers[platformserver.PROMPT_PARTS] = (
+                f"aaaa:100,{FATAL_PART}:50,{self._count:08x}:10"
+            )
+            headers["Celeryspan-Token-Count"] = "160,40"
         with contextlib.suppress(OSError, http.client.HTTPException, ValueError):
             connection = http.client.HTTPConnection(*router.front, timeout=CALL_SECONDS)
             with contextlib.closing(connection):
-                connection.request("POST", PATHS[body], body=body, headers=headers)
+                connection.request("POST", path, body=body, headers=headers)
                 connection.getresponse().read()
 
     def _watch_crashes(self) -> None:
@@ -142,13 +160,32 @@
 def count_late(body: bytes, servers: Iterable[platformserver.PlatformServer]) -> int:
     """Return how many copies reached servers after the window."""
     found = list(servers)
-    crashes = sorted(each.crashed_at for each in found if each.crashed_by == body)
-    if len(crashes) < CRASHES_MAX:
-        return 0
-    late_from = crashes[2] + WINDOW_SECONDS
-    return sum(
-        request.at > late_from
+    crashes = [each.crashed_at for each in found if each.crashed_by == body]
+    received = [
+        request.at
         for server in found
         for request in list(server.received)
         if request.body == body
-    )
+    ]
+    return _count_after(crashes, CRASHES_MAX, received)
+
+
+def count_late_with_part(servers: Iterable[platformserver.PlatformServer]) -> int:
+    """Return how many requests with the fatal part reached servers after the window."""
+    found = list(servers)
+    crashes = [each.crashed_at for each in found if FATAL_PART in each.crashed_parts]
+    received = [
+        request.at
+        for server in found
+        for request in list(server.received)
+        if FATAL_PART in request.parts
+    ]
+    return _count_after(crashes, PART_CRASHES_MAX, received)
+
+
+def _count_after(crashes: list[float], free: int, received: list[float]) -> int:
+    """Count what was received after the window that the last free crash starts."""
+    if len(crashes) < free:
+        return 0
+    late_from = sorted(crashes)[free - 1] + WINDOW_SECONDS
+    return sum(at > late_from for at in received)
--- a/celeryspan/decisions/blame.py
+++ b/celeryspan/decisions/blame.py
@@ -110,8 +110,17 @@
 
 def _make_blame_key(
     suspect: messages.Suspect, explained: Collection[str]
-) -> tuple[float, int, float, int]:
-    """Return a sort key that puts the likeliest cause first, then the narrowest."""
+) -> tuple[float, bool, float, int, int]:
+    """Return a sort key that puts the likeliest cause first, then the narrowest.
+
+    A request that had answered for a while ran beside the cause rather than was it.
+    """
     strikes = _list_unexplained(suspect, explained)
     mean_ms = sum(strike.run_ms for strike in strikes) / len(strikes)
-    return -count_points(strikes, suspect), suspect.kind, mean_ms, suspect.whole
+    return (
+        -count_points(strikes, suspect),
+        suspect.kind > suspectfeatures.Kind.PART,
+        mean_ms,
+        suspect.kind,
+        suspect.whole,
+    )
--- a/celeryspan/decisions/quarantine.py
+++ b/celeryspan/decisions/quarantine.py
@@ -385,7 +385,7 @@
         crash=crash,
         at_ms=now_ms,
         trial=min(run.count_trials(value), TRIAL_MAX),
-        run_ms=max(0, int(run.seconds * 1000)),
+        run_ms=max(0, int(run.seconds * 1000)) if run.is_begun else 0,
         is_prompt=not run.is_begun or run.seconds <= PROMPT_SECONDS,
     )
 
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -624,7 +624,8 @@
     trial : int
         Number of consecutive crashes known when the run was sent, plus one.
     run_ms : int
-        Time from the start of the run to the crash, in milliseconds.
+        Time from the first part of the answer to the crash, in milliseconds; 0 if no
+        part of it had arrived.
     is_prompt : bool
         Whether the crash happened soon after the start of the run.
     """
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -114,8 +114,9 @@
         Whether it turns all requests away.
     crashed : Event
         Set once the server has crashed.
-    crashed_by, crashed_at : bytes, float
-        Body of the request that crashed it, if any, and monotonic time of the crash.
+    crashed_by, crashed_parts, crashed_at : bytes, set of str, float
+        Body and parts of the prompt of the request that crashed it, if any, and
+        monotonic time of the crash.
 
     Parameters
     ----------
@@ -155,6 +156,7 @@
         self.is_shedding = False
         self.crashed = threading.Event()
         self.crashed_by = b""
+        self.crashed_parts: set[str] = set()
         self.crashed_at = math.inf
         self._listener = socket.create_server(("127.0.0.1", port))
         self.address = ids.Address(*self._listener.getsockname())
@@ -320,6 +322,7 @@
             connection.sendall(self._write_head(request, 200, None))
         time.sleep(CRASH_DELAY_SECONDS)
         self.crashed_by = request.body
+        self.crashed_parts = request.parts
         self.crash()
         return False
 
--- a/tests/decisions/test_suspectfeatures.py
+++ b/tests/decisions/test_suspectfeatures.py
@@ -170,6 +170,25 @@
     assert fleet.find_standing("a") is not Standing.QUARANTINED
 
 
+def test_request_that_had_begun_to_answer_is_not_blamed_for_a_part() -> None:
+    """Guards against a popular request held since it ran beside each fatal part."""
+    fleet = Fleet()
+    innocent = messages.Suspect(
+        7,
+        8,
+        0,
+        tuple(
+            messages.Strike(f"gpu-{trial}@0", NOW_MS, trial, 30, True)
+            for trial in range(1, 4)
+        ),
+    )
+    for _ in range(3):
+        fleet.crash(("fatal",))
+    fleet.known.merge([innocent], NOW_MS)
+    assert fleet.find_standing("fatal") is Standing.QUARANTINED
+    assert fleet.known.find_standing(8) is not Standing.QUARANTINED
+
+
 def test_whole_request_is_blamed_before_what_it_shares() -> None:
     """Guards against holding a part for one request that comes again and again."""
     known = quarantine.Quarantine()
