Ask the server that answered whether it is running before its answer acquits

A stream that was resumed in the same answer was asked about at the server that began it, so that the crash of the one that ended it could acquit its cause. The history of answers is now used under the lock of the record: two threads that record at once at its bound could have failed a request whose answer was complete. A test lets a server end a stream with its connection and accept no other one: its features keep their strikes; those of a server that lives on are acquitted.

--- a/celeryspan/decisions/suspectfeatures.py
+++ b/celeryspan/decisions/suspectfeatures.py
@@ -133,7 +133,8 @@
 class AnswerHistory:
     """When the features of answered requests were last answered, as one router knows.
 
-    A feature that was answered before the crashes is less likely their cause.
+    A feature that was answered before the crashes is less likely their cause. Not
+    thread-safe.
     """
 
     def __init__(self) -> None:
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -229,7 +229,7 @@
                 order, place.server, progress, channel, until, source=place.source
             )
             ending = self._relay_reply(order, place, progress, reply, sink)
-            self._record_answered(order, channel, progress)
+            self._record_answered(order, progress)
         except backend.Declined as declined:
             gone = states.RunEnding.GONE
             ending = gone if declined.leaving else states.RunEnding.REJECTED
@@ -240,7 +240,7 @@
             if not order.cancellation.is_cancelled:
                 if self._sender.resume(order, place, progress, sink):
                     ending = states.RunEnding.ANSWERED
-                    self._record_answered(order, channel, progress)
+                    self._record_answered(order, progress)
                     return True
                 ending = states.RunEnding.FAILED
                 self._report_lost_answer(order, channel, progress, lost)
@@ -414,10 +414,7 @@
         return states.RunEnding.ANSWERED
 
     def _record_answered(
-        self,
-        order: orders.Order,
-        channel: channels.Channel,
-        progress: requestprogress.Progress,
+        self, order: orders.Order, progress: requestprogress.Progress
     ) -> None:
         """Let an answer acquit the request and the features that it shares.
 
@@ -430,9 +427,9 @@
             if standing is quarantine.Standing.CLEAR:
                 return
             end = reply.make_answer_lost("the connection ended")
-            self._crashwatch.record_loss(order, channel.entry, progress, end)
-            self._crashwatch.wait_for_probe(channel.entry)
-            if not self._crashwatch.is_healthy(channel.entry):
+            self._crashwatch.record_loss(order, reply.entry, progress, end)
+            self._crashwatch.wait_for_probe(reply.entry)
+            if not self._crashwatch.is_healthy(reply.entry):
                 return
         self._quarantine.record_answered(order, progress)
 
--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -215,7 +215,8 @@
     ) -> None:
         """Acquit a request that a server has answered, and the features that it has."""
         features = self._standings.list_features(order, progress)
-        self._history.record(features, time.monotonic())
+        with self._lock:
+            self._history.record(features, time.monotonic())
         if self.find_standing(order, progress) is quarantine.Standing.CLEAR:
             return
         values = self._standings.list_values(order, progress)
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -38,8 +38,10 @@
         What marks the end of the body.
     rest_bytes : int
         Bytes of a stream that followed its last complete event.
-    server, version : ServerId, SoftwareVersion
-        The server that answers, and its version.
+    entry : ServerEntry
+        Entry of the server that answers.
+    version : SoftwareVersion
+        Its version.
     """
 
     def __init__(
@@ -51,7 +53,7 @@
         self.status = answer.status
         self.reason = answer.reason
         self.headers = requests.filter_response_headers(answer.getheaders())
-        self.server = channel.server
+        self.entry = channel.entry
         self.version = channel.entry.version
         self.framing = _find_framing(answer)
         self.rest_bytes = 0
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -348,7 +348,7 @@
     return (
         migration is not None
         and reply.framing is replies.Framing.CONNECTION
-        and reply.server == migration.source.server
+        and reply.entry.server == migration.source.server
         and migration.may_have_stopped()
     )
 
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -94,6 +94,8 @@
         Number of events in each stream.
     event_padding : int
         Additional characters in each event.
+    stops_after_answer : bool
+        Whether it ends with the next answer whose ending is given.
     is_framed : bool
         Whether streams come in chunks; otherwise they end with their connection.
     version : str
@@ -146,6 +148,7 @@
         self.event_seconds = 0.0
         self.events = EVENTS
         self.event_padding = 0
+        self.stops_after_answer = False
         self.is_framed = True
         self.fatal_bodies: set[bytes] = set()
         self.fatal_parts: set[str] = set()
@@ -168,12 +171,14 @@
         """Start serving in threads."""
         self._thread.start()
 
-    def stop(self) -> None:
-        """Close the listener and all connections."""
+    def stop(self, *, is_cutting: bool = True) -> None:
+        """Close the listener and, by default, all connections."""
         self._stopping.set()
         with contextlib.suppress(OSError):
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
+        if not is_cutting:
+            return
         for connection in list(self._open_connections):
             with contextlib.suppress(OSError):
                 connection.shutdown(socket.SHUT_RDWR)
@@ -340,6 +345,8 @@
         else:
             head = head.replace(b"text/event-stream", b"text/plain")
             parts = [BODY[at : at + 1] for at in range(len(BODY))]
+        if self.stops_after_answer:
+            self.stop(is_cutting=False)
         connection.sendall(ending.format_answer(head, parts))
         ending.prepare_close(connection)
         return False
--- a/tests/gateway/test_crashing_parts.py
+++ b/tests/gateway/test_crashing_parts.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from standins import crashing, platformserver
+from celeryspan.decisions import suspectfeatures
+from celeryspan.wire import messages
+from standins import answerendings, crashing, platformserver
 from tests.gateway import support
 
 FATAL_PART = "f00d"
@@ -152,3 +154,24 @@
     assert len(servers.crashes) >= CRASHES_FREE
     assert 429 not in statuses
     assert statuses[-5:] == [200] * 5
+
+
+@pytest.mark.parametrize("is_crash", [False, True])
+def test_unframed_answer_acquits_only_if_its_server_is_alive(
+    cluster, is_crash: bool
+) -> None:
+    """Guards against a crash between two events that acquits its cause."""
+    server = cluster.add_server("planner-1", "planner")
+    server.endings.append(answerendings.Ending(answerendings.Framing.CONNECTION))
+    server.stops_after_answer = is_crash
+    router = cluster.start_router()
+    service = router.container.find("quarantine")
+    fingerprinter = router.container.find("crashwatch")._fingerprinter
+    value = fingerprinter.compute_feature(suspectfeatures.Kind.PART, FIRST_PART)
+    strike = messages.Strike("gone@0", int(time.time() * 1000), 1, 0, True)
+    service.merge([messages.Suspect(0, value, 0, (strike,), 1)])
+    assert ask(router, "/notes/1", [FIRST_PART]) == [200]
+    places = router.container.find("places")
+    support.wait_for(lambda: places.report()["held"] == 0)
+    (suspect,) = [each for each in service.list_suspects() if each.whole == value]
+    assert bool(suspect.acquitted_ms) is not is_crash
