Pass streams on in chunks, and suspect features sooner after their last answer

A stream whose server states a length that is none, or several, was passed on with it, framed by nothing; one with a length was the only stream of which a caller saw no chunks. Streams now always come in chunks; a test gives three false lengths, of which one had come through.

--- a/celeryspan/decisions/suspectfeatures.py
+++ b/celeryspan/decisions/suspectfeatures.py
@@ -19,7 +19,7 @@
 FEATURES_MAX = 4_096
 """Number of features of which a router remembers the last answer."""
 
-ACQUITTING_SECONDS = 10.0
+ACQUITTING_SECONDS = 3.0
 """A feature that was answered within this time before a crash is not suspected."""
 
 RETENTION_SECONDS = 600.0
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -175,18 +175,13 @@
                 self._begin(order, place, progress, reply)
             if not progress.is_answering:
                 progress.is_answering = True
-                headers = [
-                    (name, value)
-                    for name, value in reply.headers
-                    if name.lower() != "content-length" or not order.route.is_resumable
-                ]
-                sink.write_head(reply.status, reply.reason, headers)
+                sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
             sink.write(event.data)
             progress.last_event = event.last_id or progress.last_event
         if _may_be_stopped(place, reply):
             raise reply.make_answer_lost("the run was stopped for a migration")
         if not progress.is_answering:
-            sink.write_head(reply.status, reply.reason, reply.headers)
+            sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
         sink.finish()
 
     def _begin(
@@ -339,6 +334,14 @@
         return is_whole
 
 
+def _list_stream_headers(reply: replies.Reply) -> list[tuple[str, str]]:
+    """Return the headers of a stream for the caller, who gets it in chunks.
+
+    The length of a part is not that of the whole, and a server may state several.
+    """
+    return [each for each in reply.headers if each[0].lower() != "content-length"]
+
+
 def _may_be_stopped(place: places.Slot, reply: replies.Reply) -> bool:
     """Whether a stream may have ended because its run was stopped for a migration.
 
--- a/standins/answerendings.py
+++ b/standins/answerendings.py
@@ -38,6 +38,8 @@
         Whether the last chunk is sent.
     is_reset : bool
         Whether the connection is reset instead of closed in order.
+    headers : str
+        Further header lines.
     """
 
     framing: Framing
@@ -46,6 +48,7 @@
     head_bytes: int | None = None
     has_end_mark: bool = False
     is_reset: bool = False
+    headers: str = ""
 
     def format_answer(self, head: bytes, parts: list[bytes]) -> bytes:
         """Return the bytes to send.
@@ -62,6 +65,8 @@
         elif self.framing is Framing.LENGTH:
             length = b"Content-Length: %d" % sum(map(len, parts))
             head = head.replace(b"Transfer-Encoding: chunked", length)
+        if self.headers:
+            head = head.removesuffix(b"\r\n") + f"{self.headers}\r\n\r\n".encode()
         if self.head_bytes is not None:
             return head[: self.head_bytes]
         count = len(parts) if self.parts is None else self.parts
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -182,6 +182,21 @@
         assert list_ids(answer.text) == WHOLE
 
 
+@pytest.mark.parametrize("path", ["/drafts/1", "/notes/1"])
+@pytest.mark.parametrize("length", ["7, 7", "+9", "99999999"])
+def test_stream_with_a_false_length_is_not_passed_on_with_it(
+    servers, path: str, length: str
+) -> None:
+    """Guards against a length that frames nothing or another part of the stream."""
+    servers.endings.append(Ending(CONNECTION, headers=f"Content-Length: {length}"))
+    if length != "7, 7" and path == "/notes/1":
+        assert servers.is_seen_as_broken(path)
+        return
+    answer = servers.call(path)
+    assert (answer.status, list_ids(answer.text)) == (200, WHOLE)
+    assert answer.getheader("Content-Length") is None
+
+
 def test_take_up_that_breaks_off_goes_on(cluster) -> None:
     """Guards against the broken rest of a stream that is framed as complete."""
     for name in ("planner-1", "planner-2"):
