Let the stand-in of the platform's store be restored from a copy

Cause: the platform's store may come back from a copy some seconds old; its revisions go back and are given out again, and Store-Era rises by one.

Change: the stand-in states its era in every answer, can be copied and restored, ends waiting watches at a restoration, and answers 410 to a watch from a revision that it does not have.

--- a/standins/objects.py
+++ b/standins/objects.py
@@ -1,4 +1,8 @@
-"""Stand-in for the platform's object store: revisions, watches, pages and faults."""
+"""Stand-in for the platform's object store: revisions, watches, pages and faults.
+
+The store may also be restored from a copy: what was written since then is lost, and its
+revisions are given out again in the next era.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +14,7 @@
 
 from standins import web
 
+ERA_HEADER = "Store-Era"
 PAGE_SIZE = 500
 WATCH_SECONDS_MAX = 30.0
 
@@ -33,6 +38,15 @@
     silent: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Copy:
+    """The contents of a store at one revision."""
+
+    revision: int
+    objects: dict[str, dict[str, dict]]
+    changes: list[tuple[int, str, dict, bool]]
+
+
 class ObjectStore(web.StandIn):
     """Holds objects by kind and name in memory.
 
@@ -42,6 +56,9 @@
         Number of calls by method; watches count as ``WATCH``.
     calls_by_kind : Counter
         Number of calls by method and object kind.
+    era : int or None
+        Number of times that the store was restored, stated in all answers; None if
+        this store states none.
     page_size : int
         Maximum number of objects in one response to a list call.
     """
@@ -52,12 +69,14 @@
         super().__init__(port=port, host=host, threads=threads)
         self.calls: collections.Counter[str] = collections.Counter()
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self.era: int | None = 1
         self.faults = ObjectFaults()
         self.page_size = PAGE_SIZE
         self._revision = 1
         self._objects: dict[str, dict[str, dict]] = collections.defaultdict(dict)
         self._changes: list[tuple[int, str, dict, bool]] = []
         self._compacted_revision = 0
+        self._restorations = 0
         self._changed = threading.Condition()
 
     def put(self, kind: str, name: str, spec: object) -> int:
@@ -77,12 +96,38 @@
             self._changes.clear()
             self._changed.notify_all()
 
+    def copy(self) -> Copy:
+        """Return a copy of the present contents."""
+        with self._changed:
+            objects = {kind: dict(named) for kind, named in self._objects.items()}
+            return Copy(self._revision, objects, list(self._changes))
+
+    def restore(self, copy: Copy) -> None:
+        """Replace the contents by an earlier copy and begin the next era."""
+        with self._changed:
+            self._revision = copy.revision
+            self._objects.clear()
+            for kind, named in copy.objects.items():
+                self._objects[kind] = dict(named)
+            self._changes = list(copy.changes)
+            self._compacted_revision = min(self._compacted_revision, copy.revision)
+            if self.era is not None:
+                self.era += 1
+            self._restorations += 1
+            self._changed.notify_all()
+
     def find(self, kind: str, name: str) -> dict | None:
         """Return an object, or None if it does not exist."""
         return self._objects[kind].get(name)
 
     def handle(self, request: web.Request) -> web.Response:
         """Handle one request of the object API."""
+        answer = self._handle(request)
+        if self.era is not None:
+            answer.headers[ERA_HEADER] = str(self.era)
+        return answer
+
+    def _handle(self, request: web.Request) -> web.Response:
         kind, _, name = request.path.removeprefix("/v1/objects/").partition("/")
         is_watch = "watch" in request.query
         method = "WATCH" if is_watch else request.method
@@ -124,8 +169,11 @@
         wait = min(int(query.get("wait_ms", 0)) / 1000, WATCH_SECONDS_MAX)
         deadline = time.monotonic() + wait
         with self._changed:
+            restorations = self._restorations
             while True:
-                if at < self._compacted_revision:
+                if restorations != self._restorations:
+                    raise web.DropConnection
+                if not self._compacted_revision <= at <= self._revision:
                     return web.make_json_response({}, HTTPStatus.GONE)
                 events = [
                     {"object": item, "deleted": deleted}
--- a/standins/sampleconfig.py
+++ b/standins/sampleconfig.py
@@ -75,11 +75,9 @@
     }
 
 
-def wait_for(condition: Callable[[], object]) -> None:
-    """Wait until a condition holds; fails after ``WAIT_SECONDS``."""
-    deadline = time.monotonic() + WAIT_SECONDS
+def wait_for(condition: Callable[[], object], seconds: float = WAIT_SECONDS) -> None:
+    """Wait until a condition holds; fails after some seconds."""
+    deadline = time.monotonic() + seconds
     while not condition():
-        assert time.monotonic() < deadline, (
-            f"condition not met within {WAIT_SECONDS:g} s"
-        )
+        assert time.monotonic() < deadline, f"condition not met within {seconds:g} s"
         time.sleep(0.01)
