--- a/celeryspan/ids.py
+++ b/celeryspan/ids.py
@@ -6,6 +6,7 @@
 
 AccountId = NewType("AccountId", str)
 DataCentreId = NewType("DataCentreId", str)
+Era = NewType("Era", int)
 Generation = NewType("Generation", int)
 GrantId = NewType("GrantId", int)
 Incarnation = NewType("Incarnation", int)
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -185,6 +185,12 @@
             "Requests under which servers crashed, by standing.",
             ["standing"],
         )
+        self._store_era = prometheus_client.Gauge(
+            "celeryspan_store_era",
+            "Era that the platform's store states; it rises when the store comes back "
+            "from a copy.",
+            registry=self.registry,
+        )
         self._evacuated = prometheus_client.Gauge(
             "celeryspan_evacuated_data_centres",
             "Data centres whose servers get no new requests.",
@@ -314,6 +320,10 @@
         for standing, count in counts.items():
             self._suspects.labels(standing).set(count)
 
+    def set_store_era(self, era: int) -> None:
+        """Set the era that the platform's store states."""
+        self._store_era.set(era)
+
     def set_evacuated(self, count: int) -> None:
         """Set the number of evacuated data centres."""
         self._evacuated.set(count)
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -19,6 +19,7 @@
 RESUMES = "Resumes"
 RETRY_AFTER = "Retry-After"
 LEAVING = "Server-Leaving"
+ERA = "Store-Era"
 
 # Set by this system only; removed from callers' requests.
 HANDED_OVER = "Celeryspan-Handed-Over"
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -8,11 +8,12 @@
 
 import json
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
 
 import urllib3
 
-from celeryspan import errors, events, storedobjects
+from celeryspan import errors, events, ids, storedobjects
 from celeryspan.platform import names
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -26,10 +27,20 @@
 MALFORMED_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
 """Raised by :func:`_parse_object` for an object that violates the protocol."""
 
+ERA_DIGITS_MAX = 9
+"""Longest era that is accepted; it fits the field of messages between routers."""
+
 REFUSED_STATUSES = (429, 503)
 """The store did not execute the call."""
 
 
+class _Answer(NamedTuple):
+    """The fields of a response, and the era that the store states in it."""
+
+    fields: dict
+    era: ids.Era
+
+
 class ObjectClient:
     """Calls the object API.
 
@@ -41,10 +52,17 @@
     ----------
     address : str
         ``host:port`` of the object API.
+    record_era : callable
+        Called with the era that the store states, before an answer is returned.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        record_era: Callable[[ids.Era], None] = lambda _: None,
+    ) -> None:
         self.address = address
+        self._record_era = record_era
         self._pool = urllib3.PoolManager(
             maxsize=CONNECTIONS_MAX, retries=False, block=False
         )
@@ -65,16 +83,26 @@
         """
         objects: list[storedobjects.StoredObject] = []
         query: dict[str, object] = {"is_stale": 1} if is_stale else {}
+        first_era: ids.Era | None = None
         while True:
-            page = self._call("GET", kind, "", query=query)
+            page, era = self._call("GET", kind, "", query=query)
+            if first_era is None:
+                first_era = era
+            if era != first_era:
+                raise errors.StoreUnavailable(
+                    "the store was restored between two pages",
+                    step=f"GET {kind}",
+                    peer=self.address,
+                )
             parsed = [
-                self._parse_or_log(kind, entry) for entry in _get_list(page, "entries")
+                self._parse_or_log(kind, entry, era)
+                for entry in _get_list(page, "entries")
             ]
             readable = [each for each in parsed if each is not None]
             objects += readable
             if not page.get("has_more"):
                 return storedobjects.Listing(
-                    tuple(objects), self._read_revision(page, kind)
+                    tuple(objects), self._read_revision(page, kind), era
                 )
             if not readable:
                 # The next page is requested by the name of the last object of this one.
@@ -94,14 +122,15 @@
             If the store no longer has the changes; list the objects again.
         """
         query = {"watch": revision, "wait_ms": int(seconds * 1000)}
-        response = self._call("GET", kind, "", query=query, wait=seconds)
+        response, era = self._call("GET", kind, "", query=query, wait=seconds)
         changes = [
-            self._parse_change_or_log(kind, event)
+            self._parse_change_or_log(kind, event, era)
             for event in _get_list(response, "events")
         ]
         return storedobjects.Changes(
             tuple(change for change in changes if change is not None),
             self._read_revision(response, kind),
+            era,
         )
 
     def get(self, kind: str, name: str) -> storedobjects.StoredObject:
@@ -141,7 +170,7 @@
         query: Mapping[str, object] | None = None,
         body: object = None,
         wait: float = 0.0,
-    ) -> dict:
+    ) -> _Answer:
         path = f"{names.OBJECTS}/{kind}" + (f"/{name}" if name else "")
         step = f"{method} {kind}"
         address = f"http://{self.address}{path}"
@@ -157,12 +186,23 @@
                     connect=CONNECT_TIMEOUT_SECONDS, read=wait + READ_TIMEOUT_SECONDS
                 ),
             )
-            return self._read(response, step)
+            era = self._read_era(response, step)
+            self._record_era(era)
+            return _Answer(self._read(response, step), era)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.StoreUnavailable(
                 f"no response: {error}", step=step, peer=self.address
             ) from error
 
+    def _read_era(self, response: urllib3.BaseHTTPResponse, step: str) -> ids.Era:
+        """Return the era that a response states; NO_ERA if it states none."""
+        text = response.headers.get(names.ERA)
+        if text is None:
+            return storedobjects.NO_ERA
+        if not (text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS_MAX):
+            raise self._malformed(f"expected an era, found {text!r:.40}", step)
+        return ids.Era(int(text))
+
     def _read(self, response: urllib3.BaseHTTPResponse, step: str) -> dict:
         """Return the body of a response, or raise the error for its status."""
         status = response.status
@@ -201,17 +241,17 @@
             raise self._malformed(f"expected a revision, found {revision!r:.40}", kind)
         return revision
 
-    def _parse_one(self, fields: object, step: str) -> storedobjects.StoredObject:
+    def _parse_one(self, answer: _Answer, step: str) -> storedobjects.StoredObject:
         try:
-            return _parse_object(fields)
+            return _parse_object(answer.fields, answer.era)
         except MALFORMED_ERRORS as error:
             raise self._malformed(repr(error), step) from error
 
     def _parse_or_log(
-        self, kind: str, fields: object
+        self, kind: str, fields: object, era: ids.Era
     ) -> storedobjects.StoredObject | None:
         try:
-            return _parse_object(fields)
+            return _parse_object(fields, era)
         except MALFORMED_ERRORS as error:
             events.log(
                 events.Event.STORE_OBJECT_IGNORED,
@@ -222,11 +262,11 @@
             return None
 
     def _parse_change_or_log(
-        self, kind: str, event: object
+        self, kind: str, event: object, era: ids.Era
     ) -> storedobjects.Change | None:
         if not isinstance(event, Mapping):
             event = {}
-        changed = self._parse_or_log(kind, event.get("object"))
+        changed = self._parse_or_log(kind, event.get("object"), era)
         if changed is None:
             return None
         return storedobjects.Change(changed, event.get("deleted") is True)
@@ -237,7 +277,7 @@
     return listed if isinstance(listed, list) else []
 
 
-def _parse_object(fields: object) -> storedobjects.StoredObject:
+def _parse_object(fields: object, era: ids.Era) -> storedobjects.StoredObject:
     """Return one object; raises one of MALFORMED_ERRORS."""
     meta = fields["metadata"]
     if not isinstance(meta["name"], str) or type(meta["revision"]) is not int:
@@ -249,4 +289,5 @@
         spec=fields.get("spec"),
         status=fields.get("status"),
         is_terminating=bool(meta.get("is_deleting")),
+        era=era,
     )
--- a/celeryspan/storedobjects.py
+++ b/celeryspan/storedobjects.py
@@ -2,8 +2,30 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 import msgspec
 
+from celeryspan import ids
+
+NO_ERA = ids.Era(0)
+"""Stands for the era of a store or of a router that states none."""
+
+
+class Position(NamedTuple):
+    """A point in the history of the store; later ones compare as greater.
+
+    Attributes
+    ----------
+    era : Era
+        Rises by one each time the store is restored from a copy.
+    revision : int
+        Rises with each write of one era. A restored store gives revisions again.
+    """
+
+    era: ids.Era
+    revision: int
+
 
 class StoredObject(msgspec.Struct, frozen=True):
     """One object of the store.
@@ -16,6 +38,8 @@
         Contents set by its writer, as decoded JSON.
     is_terminating : bool
         Whether it is deleted as soon as its finalizers have run.
+    era : Era
+        Era of the store in which it was read.
     """
 
     name: str
@@ -23,6 +47,12 @@
     spec: object
     status: object
     is_terminating: bool
+    era: ids.Era = NO_ERA
+
+    @property
+    def position(self) -> Position:
+        """Where in the history of the store it was last changed."""
+        return Position(self.era, self.revision)
 
 
 class Listing(msgspec.Struct, frozen=True):
@@ -30,6 +60,7 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
+    era: ids.Era = NO_ERA
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -44,3 +75,4 @@
 
     changes: tuple[Change, ...]
     revision: int
+    era: ids.Era = NO_ERA
