Order what is read from the store by era, and hold what a copy contradicts

Callers saw requests at servers that had said they leave, up to 2.55 s before. Cause: followers and relays took revisions for a clock that only rises. After the store's return from a copy its lists were dropped as old; once the revisions had passed the known one, a watch went on there and what lay between was never seen.

Change: batches carry the era; only a list leads from one era to the next, and batches of an earlier era count neither as changes nor as reports. A replica compares the first list of an era with what was known: an older state of an object, a missing one or one that had been removed does not count until it is written again, or for 10 s (servers), 2 s (missing servers) or 60 s (evacuations). Routers tell their sources and subscribers what they hold.

Evidence: in the record nothing between two revisions was in force, and both readers listed and watched in turn, 17 times a second, until the revisions had passed.

--- a/celeryspan/catalog.py
+++ b/celeryspan/catalog.py
@@ -12,7 +12,7 @@
 import msgspec
 import xxhash
 
-from celeryspan import ids
+from celeryspan import ids, storedobjects
 
 SPLIT_BUCKETS = 10_000
 """Number of hash buckets by which a route splits its requests among services."""
@@ -162,8 +162,9 @@
     Attributes
     ----------
     revision : int
-        Revision of the store at which this version was written; a router never
-        returns to a lower one.
+        Revision of the store at which this version was written.
+    era : Era
+        Era of the store to which the revision belongs.
     accounts : dict
         Client account by key.
     needs_keys : bool
@@ -177,6 +178,12 @@
     accounts: dict[str, ids.AccountId]
     needs_keys: bool
     limits: Limits
+    era: ids.Era = ids.NO_ERA
+
+    @property
+    def position(self) -> storedobjects.Position:
+        """Where in the history of the store this version was written."""
+        return storedobjects.Position(self.era, self.revision)
 
     @functools.cached_property
     def _by_host(self) -> dict[str, tuple[Route, ...]]:
@@ -204,6 +211,8 @@
     ----------
     revision : int
         Revision of the store at which this entry was written.
+    era : Era
+        Era of the store in which it was read.
     started_ms : int or None
         When this incarnation started, in Unix milliseconds; None if the server doesn't
         report it. A server may restart under its id; it then has lost all its state.
@@ -227,6 +236,12 @@
     cold_seconds: float = 0.0
     cold_until: float = 0.0
     version: ids.SoftwareVersion = NO_VERSION
+    era: ids.Era = ids.NO_ERA
+
+    @property
+    def position(self) -> storedobjects.Position:
+        """Where in the history of the store it was written."""
+        return storedobjects.Position(self.era, self.revision)
 
     def is_cold(self, now: float) -> bool:
         """Whether the server tolerates only a limited rate of requests."""
--- a/celeryspan/decisions/serverlist.py
+++ b/celeryspan/decisions/serverlist.py
@@ -55,9 +55,10 @@
         """
         known = self._entries.get(entry.server)
         if known is not None and (
-            known.revision > entry.revision or known.succeeds(entry)
+            known.position > entry.position or known.succeeds(entry)
         ):
             return
+        # A restored store shows the same entry, at the same revision of a later era.
         is_known = known is not None and known.revision == entry.revision
         reported = (
             0.0 if is_known else min(entry.cold_seconds, coldstart.COLD_SECONDS_MAX)
--- /dev/null
+++ b/celeryspan/decisions/storeorder.py
@@ -0,0 +1,286 @@
+"""Order of what is read from the store, also after it was restored from a copy.
+
+Revisions order the writes of one era. When the store comes back from a copy some
+seconds old, its next era begins: the revisions since the copy are given out again, and
+objects look as they did. A router that compares revisions alone ignores what is written
+until they exceed the known ones; one that takes the copy for new serves revoked keys
+and sends requests to servers that have left.
+
+* What one router knew of an object holds against an older state in the copy until the
+  object is written again, or for a limited time.
+* The configuration in force is replaced only by one with a higher version, or by a
+  later write of the same era.
+* A router that states no era is of an earlier build. It counts as being in the same era
+  until the store is restored.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import msgspec
+
+from celeryspan import ids, storedobjects
+
+REMOVAL_RETENTION_SECONDS = 60.0
+"""How long the removal of an object is remembered; a copy is seconds old."""
+
+Objects = Mapping[str, storedobjects.StoredObject]
+
+
+def resolve_era(stated: ids.Era, known: ids.Era, *, is_restored: bool) -> ids.Era:
+    """Return the era of what another router states.
+
+    Parameters
+    ----------
+    known : Era
+        Era of the receiver.
+    is_restored : bool
+        Whether the receiver has seen a restoration. The revisions of a router that
+        states no era can't be compared with its own any more.
+    """
+    if stated == ids.NO_ERA and not is_restored:
+        return known
+    return stated
+
+
+class ConfigurationStamp(msgspec.Struct, frozen=True):
+    """What orders two configurations.
+
+    Attributes
+    ----------
+    version : int
+        Number that operators give; it rises with each configuration they write.
+    """
+
+    era: ids.Era
+    revision: int
+    version: int
+
+    def supersedes(self, other: ConfigurationStamp) -> bool:
+        """Whether this configuration replaces another one.
+
+        In one era the store knows the order. Between eras the operators' versions do,
+        as a copy shows an older configuration in a later era.
+        """
+        if self.era == other.era:
+            return self.revision > other.revision
+        return (self.version, self.era) > (other.version, other.era)
+
+
+NO_CONFIGURATION = ConfigurationStamp(ids.NO_ERA, 0, 0)
+
+
+def _never_yields(
+    _: storedobjects.StoredObject, __: storedobjects.StoredObject
+) -> bool:
+    return False
+
+
+class HoldPolicy(msgspec.Struct, frozen=True):
+    """How long objects of one kind hold against a copy.
+
+    Attributes
+    ----------
+    seconds : float
+        For an object or a removal that the copy contradicts.
+    missing_seconds : float
+        For an object that the copy lacks.
+    yields : callable
+        Whether a known object yields to the listed one at once.
+    """
+
+    seconds: float
+    missing_seconds: float
+    yields: Callable[[storedobjects.StoredObject, storedobjects.StoredObject], bool] = (
+        _never_yields
+    )
+
+
+class Hold(msgspec.Struct, frozen=True):
+    """Knowledge of one object that holds against the copy.
+
+    Attributes
+    ----------
+    known : Change
+        Its last known state, or its removal.
+    expires_at : float
+        Monotonic time, in seconds.
+    """
+
+    known: storedobjects.Change
+    expires_at: float
+
+    @property
+    def object(self) -> storedobjects.StoredObject | None:
+        """The object as it holds; None if it was removed."""
+        return None if self.known.is_deleted else self.known.object
+
+
+class _Removal(msgspec.Struct, frozen=True):
+    """The last state of a removed object, and when its removal was learned."""
+
+    object: storedobjects.StoredObject
+    at: float
+
+
+def find_copied_revision(known: Objects, listed: Objects) -> int:
+    """Return the highest revision that the copy is known to hold; 0 if none is.
+
+    Parameters
+    ----------
+    known, listed : mapping of str to StoredObject
+        The objects of the era before, and those of the restored store.
+    """
+    return max(
+        (
+            found.revision
+            for name, found in listed.items()
+            if name in known
+            and found == msgspec.structs.replace(known[name], era=found.era)
+        ),
+        default=0,
+    )
+
+
+class HeldObjects:
+    """What a router knew of the objects of one kind, where a copy contradicts it.
+
+    Parameters
+    ----------
+    policy : HoldPolicy
+    """
+
+    def __init__(self, policy: HoldPolicy) -> None:
+        self._policy = policy
+        self._holds: dict[str, Hold] = {}
+        self._removals: dict[str, _Removal] = {}
+        self._written: set[str] = set()
+        self._era_began_at = float("-inf")
+
+    def __len__(self) -> int:
+        return len(self._holds)
+
+    def begin_era(self, before: Objects, listed: Objects, now: float) -> None:
+        """Compare the first list of an era with what was known before.
+
+        Parameters
+        ----------
+        before : mapping of str to StoredObject
+            The objects as the store listed them last; empty for a router that has just
+            started.
+        """
+        known = dict(before)
+        removed = {
+            name: removal.object
+            for name, removal in self._removals.items()
+            if now - removal.at < REMOVAL_RETENTION_SECONDS
+        }
+        for name, hold in self._holds.items():
+            if hold.object is None:
+                known.pop(name, None)
+                removed[name] = hold.known.object
+            else:
+                known[name] = hold.object
+        self._holds = {}
+        self._written = set()
+        self._era_began_at = now
+        copied = find_copied_revision(known, listed)
+        for found in known.values():
+            # The copy held the others, so that they have been removed since.
+            if found.name in listed or found.revision > copied:
+                self._hold(storedobjects.Change(found, False), listed, now)
+        for found in removed.values():
+            if found.name not in known:
+                self._hold(storedobjects.Change(found, True), listed, now)
+
+    def replace(self, before: Objects, listed: Objects, now: float) -> None:
+        """Record a list of the same era."""
+        for name in before.keys() - listed.keys():
+            self._record_written(storedobjects.Change(before[name], True), now)
+        for name, found in listed.items():
+            if before.get(name) != found:
+                self._record_written(storedobjects.Change(found, False), now)
+
+    def apply(self, changes: Iterable[storedobjects.Change], now: float) -> None:
+        """Record changes of the same era: they end the holds of their objects."""
+        for change in changes:
+            self._record_written(change, now)
+
+    def receive(
+        self, known: Iterable[storedobjects.Change], listed: Objects, now: float
+    ) -> bool:
+        """Hold what another router holds in the same era.
+
+        Returns
+        -------
+        bool
+            Whether any of it was news.
+        """
+        if now - self._era_began_at >= self._policy.seconds:
+            return False
+        before = len(self._holds)
+        for change in known:
+            name = change.object.name
+            if name not in self._written and name not in self._holds:
+                self._hold(change, listed, now)
+        return len(self._holds) > before
+
+    def expire(self, listed: Objects, now: float) -> list[str]:
+        """End the holds that have lasted long enough; return their names."""
+        for name in [
+            name
+            for name, removal in self._removals.items()
+            if now - removal.at >= REMOVAL_RETENTION_SECONDS
+        ]:
+            del self._removals[name]
+        if now - self._era_began_at >= self._policy.seconds:
+            self._written.clear()
+        expired = [name for name, hold in self._holds.items() if hold.expires_at <= now]
+        for name in expired:
+            hold = self._holds.pop(name)
+            if name in listed:
+                self._removals.pop(name, None)
+            elif hold.object is not None:
+                self._removals[name] = _Removal(hold.object, now)
+        return expired
+
+    def list_all(self) -> list[Hold]:
+        """Return all holds."""
+        return list(self._holds.values())
+
+    def overlay(self, listed: Objects) -> Iterator[storedobjects.StoredObject]:
+        """Yield the objects in force, given those that the store lists."""
+        for name, found in listed.items():
+            if name not in self._holds:
+                yield found
+        for hold in self._holds.values():
+            if hold.object is not None:
+                yield hold.object
+
+    def _hold(self, change: storedobjects.Change, listed: Objects, now: float) -> None:
+        """Hold what is known of an object if the copy contradicts it."""
+        known, found = change.object, listed.get(change.object.name)
+        if change.is_deleted:
+            if found is None or found.revision > known.revision:
+                return
+            seconds = self._policy.seconds
+        elif found is None:
+            seconds = self._policy.missing_seconds
+        else:
+            # A copy shows no object with a higher revision than its last one, nor
+            # another one with the same: such an object was written since.
+            if found.revision >= known.revision or self._policy.yields(known, found):
+                return
+            seconds = self._policy.seconds
+        self._holds[known.name] = Hold(change, now + seconds)
+
+    def _record_written(self, change: storedobjects.Change, now: float) -> None:
+        name = change.object.name
+        self._holds.pop(name, None)
+        if now - self._era_began_at < self._policy.seconds:
+            self._written.add(name)
+        if change.is_deleted:
+            self._removals[name] = _Removal(change.object, now)
+        else:
+            self._removals.pop(name, None)
--- a/celeryspan/gateway/evacuations.py
+++ b/celeryspan/gateway/evacuations.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import errors, events, ids, kernel, metrics, storedobjects
+from celeryspan.decisions import storeorder
 from celeryspan.gateway import followers
 from celeryspan.platform import evacuations, names
 
@@ -25,6 +26,10 @@
 """Time after its start at which a router serves without the list of evacuations. The
 store and all peers have then been silent, and other routers would not serve either."""
 
+HOLD_POLICY = storeorder.HoldPolicy(seconds=60.0, missing_seconds=60.0)
+"""How long evacuations and restored data centres hold against a restored store: the
+operators' time to enter them again."""
+
 
 @kernel.register("evacuations", needs=("identity", "metrics", "objects", "relays"))
 class EvacuationsService:
@@ -45,7 +50,7 @@
         self._is_followed: bool = container.settings.follows_evacuations
         self._relays: relays.RelayService = container.find("relays")
         self._follower = followers.Follower(
-            store.client, names.EVACUATION_KIND, self, own.router
+            store.client, names.EVACUATION_KIND, self, own.router, policy=HOLD_POLICY
         )
         self._lock = threading.Lock()
         self._evacuated: frozenset[ids.DataCentreId] = frozenset()
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -1,7 +1,9 @@
 """Replicates all objects of one kind from the store to a handler.
 
 The objects come either from the store, by one list and then watches, or from other
-routers that read it (:mod:`celeryspan.decisions.relays`).
+routers that read it (:mod:`celeryspan.decisions.relays`). After the store was restored
+from a copy, what was known of an object may hold against it for a while
+(:mod:`celeryspan.decisions.replicas`).
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 from typing import Protocol
 
 from celeryspan import errors, events, ids, storedobjects
-from celeryspan.decisions import relays, storelog
+from celeryspan.decisions import relays, replicas, storelog, storeorder
 from celeryspan.platform import objects
 
 REPORT_CHECK_INTERVAL_SECONDS = 0.4
@@ -54,6 +56,12 @@
     def publish(self, kind: str) -> None:
         """Forward new changes, or the news that the store has answered."""
 
+    def record_era(self, era: ids.Era) -> None:
+        """Record the era of the store that another router has stated."""
+
+    def send_held(self, kind: str) -> None:
+        """Tell other routers what holds against a copy."""
+
 
 class Follower:
     """Replica of one kind of objects, read from the store or from other routers.
@@ -64,7 +72,13 @@
     relays : Relays
         Roles and sources of this router, and the reports of the sources.
     log : StoreLog
-        Known objects and recent changes, for replication to other routers.
+        Objects as the store lists them and recent changes, for replication to other
+        routers.
+
+    Parameters
+    ----------
+    policy : HoldPolicy or None
+        How long known objects hold against a copy; None if the handler decides.
     """
 
     def __init__(
@@ -74,12 +88,15 @@
         handler: ObjectHandler,
         router: ids.RouterId,
         depth: int = storelog.BATCHES_MAX,
+        policy: storeorder.HoldPolicy | None = None,
     ) -> None:
         self.kind = kind
         self._random = random.Random(f"{kind}{time.time_ns()}")
         startup_delay = self._random.uniform(*relays.STARTUP_DELAY_SECONDS)
         self.relays = relays.Relays(router, time.monotonic(), startup_delay)
-        self.log = storelog.StoreLog(depth)
+        self._replica = replicas.Replica(depth, policy)
+        self.log = self._replica.log
+        self._must_send_held = False
         self._client = client
         self._handler = handler
         self._publisher: Publisher | None = None
@@ -135,7 +152,11 @@
             Whether changes before the batch are missing.
         """
         now = time.monotonic()
+        if self._publisher is not None:
+            self._publisher.record_era(batch.era)
         with self._lock:
+            if self._replica.is_outdated(batch):
+                return False
             self.relays.record_report(source, age, now, is_away=is_away)
             if self._failures == 0 and not self.relays.duties.is_reader:
                 self._report_store_state()
@@ -150,22 +171,77 @@
         else:
             self._handler.record_store_reachable()
 
+    def resolve_era(self, stated: ids.Era) -> ids.Era:
+        """Return the era of what another router states."""
+        return self._replica.resolve_era(stated)
+
+    def receive_held(
+        self, era: ids.Era, known: tuple[storedobjects.Change, ...]
+    ) -> bool:
+        """Hold what another router holds against a copy; return whether it is news."""
+        with self._lock:
+            is_news = self._replica.receive_held(era, known, time.monotonic())
+            if is_news:
+                self._replace_objects()
+        return is_news
+
+    def list_held(self) -> list[storedobjects.Change]:
+        """Return what holds against the copy that the store was restored from."""
+        with self._lock:
+            return self._replica.list_held()
+
+    def expire_held(self, now: float) -> None:
+        """Return to what the store lists where a hold has lasted long enough."""
+        with self._lock:
+            names = self._replica.expire_held(now)
+            if not names:
+                return
+            self._replace_objects()
+        events.log(events.Event.HELD_OBJECTS_RELEASED, kind=self.kind, objects=names)
+
     def _apply_batch(self, batch: storelog.Batch) -> bool:
         """Apply a batch from any source; returns False if it is old or leaves a gap."""
         with self._lock:
-            if not self.log.apply(batch):
+            outcome = self._replica.apply(batch, time.monotonic())
+            if outcome is replicas.Outcome.IGNORED:
                 return False
-            if batch.is_whole:
-                listed = tuple(change.object for change in batch.changes)
-                self._handler.replace(storedobjects.Listing(listed, batch.at))
+            if outcome is not replicas.Outcome.CHANGED:
+                self._replace_objects()
             elif batch.changes:
-                self._handler.apply(storedobjects.Changes(batch.changes, batch.at))
+                self._handler.apply(
+                    storedobjects.Changes(batch.changes, batch.at, batch.era)
+                )
+        if outcome is replicas.Outcome.RESTORED:
+            self._report_held()
         return True
 
+    def _replace_objects(self) -> None:
+        """Pass all objects in force to the handler."""
+        era, revision = self.log.position
+        found = self._replica.list_objects()
+        self._handler.replace(storedobjects.Listing(found, revision, era))
+
+    def _report_held(self) -> None:
+        """Log what holds against a restored store, and tell other routers."""
+        held = self.list_held()
+        if not held:
+            return
+        self._must_send_held = True
+        events.log(
+            events.Event.OBJECTS_HELD,
+            kind=self.kind,
+            era=self.log.era,
+            objects=[change.object.name for change in held],
+        )
+
     def _publish(self) -> None:
         """Forward new changes, or the news that the store has answered."""
-        if self._publisher is not None:
-            self._publisher.publish(self.kind)
+        if self._publisher is None:
+            return
+        if self._must_send_held:
+            self._must_send_held = False
+            self._publisher.send_held(self.kind)
+        self._publisher.publish(self.kind)
 
     def _run(self) -> None:
         while not self._stopped.is_set():
@@ -197,12 +273,16 @@
             changes = tuple(
                 storedobjects.Change(found, False) for found in listing.objects
             )
-            batch = storelog.Batch(0, listing.revision, changes, is_whole=True)
+            batch = storelog.Batch(
+                0, listing.revision, changes, is_whole=True, era=listing.era
+            )
         else:
             found = self._client.watch(self.kind, at, relays.WATCH_SECONDS)
-            batch = storelog.Batch(at, found.revision, found.changes)
+            batch = storelog.Batch(at, found.revision, found.changes, era=found.era)
         self._record_success()
-        self._must_list = False
+        self._must_list = batch.era > self.log.era and not batch.is_whole
+        if self._must_list:
+            return  # The changes are those since a revision of an earlier era.
         self._apply_batch(batch)
         self._publish()
         if batch.changes:
--- a/celeryspan/gateway/objectstore.py
+++ b/celeryspan/gateway/objectstore.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from celeryspan import events, ids, kernel, metrics, storedobjects
+from celeryspan import events, ids, kernel, metrics
 from celeryspan.platform import objects
 
 if TYPE_CHECKING:
@@ -30,7 +30,7 @@
         self.client = objects.ObjectClient(
             container.settings.store_address, self.record_era
         )
-        self.era = storedobjects.NO_ERA
+        self.era = ids.NO_ERA
         self._handlers: list[EraHandler] = []
         self._lock = threading.Lock()
 
@@ -58,7 +58,7 @@
                 return
             before, self.era = self.era, era
         self._metrics.set_store_era(era)
-        if before == storedobjects.NO_ERA:
+        if before == ids.NO_ERA:
             return
         events.log(
             events.Event.STORE_RESTORED,
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from celeryspan.gateway import followers
+    from celeryspan.gateway import followers, objectstore
     from celeryspan.platform import routers
     from celeryspan.services import identity, links, membership
 
@@ -38,21 +38,21 @@
 
     Attributes
     ----------
-    above : int
-        Last revision sent.
+    position : Position
+        Where in the history of the store the last batch sent ends.
     expires_at, sent_at : float
         Time at which the subscription ends unless renewed, and time of the last batch.
     store_answered_at : float
         Time of the store's last answer, as of the last batch.
     """
 
-    above: int
+    position: storedobjects.Position
     expires_at: float
     sent_at: float = float("-inf")
     store_answered_at: float = float("-inf")
 
 
-@kernel.register("relays", needs=("identity", "links", "membership"))
+@kernel.register("relays", needs=("identity", "links", "membership", "objects"))
 class RelayService:
     """Exchanges the contents of the store with other routers."""
 
@@ -60,6 +60,7 @@
         self._identity: identity.IdentityService = container.find("identity")
         self._links: links.LinksService = container.find("links")
         self._membership: membership.MembershipService = container.find("membership")
+        self._store: objectstore.ObjectStore = container.find("objects")
         self._data_centre = ids.DataCentreId(container.settings.data_centre)
         own_address = container.settings.peer_address
         self._has_seeds = any(peer != own_address for peer in container.settings.peers)
@@ -78,6 +79,7 @@
         """Register the message handlers and start the thread."""
         self._links.subscribe(messages.RelayRequest, self._handle_request)
         self._links.subscribe(messages.RelayBatch, self._handle_batch)
+        self._links.subscribe(messages.RelayHold, self._handle_hold)
         self._membership.subscribe(lambda _: self._mark_duties_outdated())
         self._thread.start()
 
@@ -93,7 +95,9 @@
             kind: {
                 "readers": list(follower.relays.duties.readers),
                 "sources": list(follower.relays.duties.sources),
+                "era": follower.log.era,
                 "revision": follower.log.at,
+                "held": [change.object.name for change in follower.list_held()],
                 "age": round(now - follower.last_answer_at(), 2),
                 "is_away": follower.is_away,
             }
@@ -127,19 +131,45 @@
                 fresher_by = store_answered_at - subscriber.store_answered_at
                 if (
                     fresher_by >= relays.FRESHNESS_STEP_SECONDS
-                    or follower.log.has_changes_since(subscriber.above)
+                    or follower.log.has_changes_since(subscriber.position)
                 ):
                     self._send_batch(router, kind, subscriber, now)
 
+    def record_era(self, era: ids.Era) -> None:
+        """Record the era of the store that another router has stated."""
+        self._store.record_era(era)
+
+    def send_held(self, kind: str) -> None:
+        """Tell sources and subscribers what holds against a restored store.
+
+        Routers that have started since the store made its copy know only the copy.
+        """
+        follower = self._followers[kind]
+        with self._lock:
+            receivers = {
+                router for router, subscribed in self._subscribers if subscribed == kind
+            }
+        for router in receivers.union(follower.relays.duties.sources):
+            self._send_held(router, follower)
+
+    def _send_held(self, router: ids.RouterId, follower: followers.Follower) -> None:
+        held = follower.list_held()
+        if held:
+            message = messages.RelayHold(
+                follower.kind, follower.log.era, encode_changes(held)
+            )
+            self._links.send(router, message)
+
     def _send_batch(
         self, router: ids.RouterId, kind: str, subscriber: _Subscriber, now: float
     ) -> None:
         """Send missing changes, or a keepalive; the caller holds the lock."""
         follower = self._followers[kind]
-        batch = follower.log.batch_since(subscriber.above)
+        batch = follower.log.batch_since(subscriber.position)
         if batch is None:
             return
-        subscriber.above, subscriber.sent_at = batch.at, now
+        subscriber.position = storedobjects.Position(batch.era, batch.at)
+        subscriber.sent_at = now
         subscriber.store_answered_at = follower.last_answer_at()
         message = messages.RelayBatch(
             kind=kind,
@@ -149,18 +179,31 @@
             age=now - subscriber.store_answered_at,
             is_away=follower.is_away,
             body=encode_changes(batch.changes) if batch.changes else b"",
+            era=batch.era,
         )
         self._links.send(router, message)
 
     def _handle_request(
         self, peer: ids.RouterId, _: ids.Incarnation, request: messages.RelayRequest
     ) -> None:
-        if request.kind not in self._followers:
+        follower = self._followers.get(request.kind)
+        if follower is None:
             return
         now = time.monotonic()
-        subscriber = _Subscriber(request.above, now + relays.SUBSCRIPTION_SECONDS)
+        # A subscriber of an earlier build gets its batches as before restorations.
+        era = request.era or follower.log.era
+        self.record_era(era)
+        subscriber = _Subscriber(
+            storedobjects.Position(era, request.above),
+            now + relays.SUBSCRIPTION_SECONDS,
+        )
         with self._lock:
+            is_new = (peer, request.kind) not in self._subscribers
             self._subscribers[peer, request.kind] = subscriber
+        if is_new:
+            # Before the list, so that the receiver does not act on the copy first.
+            self._send_held(peer, follower)
+        with self._lock:
             self._send_batch(peer, request.kind, subscriber, now)
 
     def _handle_batch(
@@ -169,20 +212,33 @@
         follower = self._followers.get(message.kind)
         if follower is None:
             return
-        changes = decode_changes(message.body) if message.body else ()
-        batch = storelog.Batch(message.above, message.at, changes, message.is_whole)
+        era = follower.resolve_era(message.era)
+        changes = decode_changes(message.body, era) if message.body else ()
+        batch = storelog.Batch(
+            message.above, message.at, changes, message.is_whole, era
+        )
         has_gap = follower.receive_batch(
             peer, batch, message.age, is_away=message.is_away
         )
         if has_gap and peer in follower.relays.duties.sources:
             self._subscribe(peer, follower, time.monotonic())
 
+    def _handle_hold(
+        self, _: ids.RouterId, __: ids.Incarnation, message: messages.RelayHold
+    ) -> None:
+        follower = self._followers.get(message.kind)
+        if follower is None:
+            return
+        held = decode_changes(message.body, message.era)
+        if follower.receive_held(message.era, held):
+            self.send_held(message.kind)
+
     def _subscribe(
         self, source: ids.RouterId, follower: followers.Follower, now: float
     ) -> None:
         self._subscribed_at[source, follower.kind] = now
-        above = follower.log.at or 0
-        self._links.send(source, messages.RelayRequest(follower.kind, above))
+        era, above = follower.log.position
+        self._links.send(source, messages.RelayRequest(follower.kind, above, era))
 
     def _run(self) -> None:
         while not self._stopped.wait(TICK_SECONDS):
@@ -199,6 +255,7 @@
             self._update_duties(now)
         for follower in self._followers.values():
             follower.relays.expire_reports(now)
+            follower.expire_held(now)
             self._renew_subscriptions(follower, now)
         self._send_keepalives(now)
 
@@ -269,11 +326,13 @@
     ).encode()
 
 
-def decode_changes(body: bytes) -> tuple[storedobjects.Change, ...]:
-    """Decode changes; raises ValueError if they are malformed."""
+def decode_changes(body: bytes, era: ids.Era) -> tuple[storedobjects.Change, ...]:
+    """Decode changes of an era; raises ValueError if they are malformed."""
     return tuple(
         storedobjects.Change(
-            storedobjects.StoredObject(name, revision, spec, status, is_terminating),
+            storedobjects.StoredObject(
+                name, revision, spec, status, is_terminating, era
+            ),
             is_deleted,
         )
         for name, revision, spec, status, is_terminating, is_deleted in json.loads(body)
--- a/celeryspan/gateway/serverlists.py
+++ b/celeryspan/gateway/serverlists.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, storedobjects
-from celeryspan.decisions import coldstart, serverlist
+from celeryspan.decisions import coldstart, serverlist, storeorder
 from celeryspan.gateway import followers
 from celeryspan.platform import names, servers
 
@@ -28,6 +28,16 @@
 EXPIRY_CHECK_INTERVAL_SECONDS = 0.5
 """Interval between checks for expired entries."""
 
+HOLD_POLICY = storeorder.HoldPolicy(
+    # The store removes the entry of a server that no longer writes sooner than this.
+    seconds=10.0,
+    missing_seconds=serverlist.REGISTRATION_GRACE_SECONDS,
+    # The copy is older, or the server has said that it leaves before the first list:
+    # a server that is left alone for nothing does less harm.
+    yields=lambda known, listed: servers.is_leaving(listed),
+)
+"""How long entries hold against a restored store."""
+
 
 @kernel.register(
     "servers",
@@ -61,7 +71,7 @@
         own: identity.IdentityService = container.find("identity")
         self._relays: relays.RelayService = container.find("relays")
         self._follower = followers.Follower(
-            store.client, names.SERVER_KIND, self, own.router
+            store.client, names.SERVER_KIND, self, own.router, policy=HOLD_POLICY
         )
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, name="servers", daemon=True)
--- a/celeryspan/ids.py
+++ b/celeryspan/ids.py
@@ -17,6 +17,9 @@
 ServiceId = NewType("ServiceId", str)
 SoftwareVersion = NewType("SoftwareVersion", str)
 
+NO_ERA = Era(0)
+"""Stands for the era of a store or of a router that states none."""
+
 
 class Address(NamedTuple):
     """A host and a port."""
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -198,7 +198,7 @@
         """Return the era that a response states; NO_ERA if it states none."""
         text = response.headers.get(names.ERA)
         if text is None:
-            return storedobjects.NO_ERA
+            return ids.NO_ERA
         if not (text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS_MAX):
             raise self._malformed(f"expected an era, found {text!r:.40}", step)
         return ids.Era(int(text))
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -40,6 +40,14 @@
         ) from error
 
 
+def is_leaving(stored: storedobjects.StoredObject) -> bool:
+    """Whether a stored object is the entry of a server that is leaving."""
+    try:
+        return read(stored).is_leaving
+    except errors.InputError:
+        return False
+
+
 def _parse(stored: storedobjects.StoredObject, spec: object) -> catalog.ServerEntry:
     if not isinstance(spec, Mapping):
         raise TypeError(f"expected a mapping, found {type(spec).__name__}")
@@ -59,6 +67,7 @@
         started_ms=_parse_unsigned(spec, "born") if "born" in spec else None,
         cold_seconds=_parse_milliseconds(spec, "cold_left_ms"),
         version=ids.SoftwareVersion(_parse_text(spec, "version")),
+        era=stored.era,
     )
 
 
--- a/celeryspan/storedobjects.py
+++ b/celeryspan/storedobjects.py
@@ -8,9 +8,6 @@
 
 from celeryspan import ids
 
-NO_ERA = ids.Era(0)
-"""Stands for the era of a store or of a router that states none."""
-
 
 class Position(NamedTuple):
     """A point in the history of the store; later ones compare as greater.
@@ -47,7 +44,7 @@
     spec: object
     status: object
     is_terminating: bool
-    era: ids.Era = NO_ERA
+    era: ids.Era = ids.NO_ERA
 
     @property
     def position(self) -> Position:
@@ -60,7 +57,7 @@
 
     objects: tuple[StoredObject, ...]
     revision: int
-    era: ids.Era = NO_ERA
+    era: ids.Era = ids.NO_ERA
 
 
 class Change(msgspec.Struct, frozen=True):
@@ -75,4 +72,4 @@
 
     changes: tuple[Change, ...]
     revision: int
-    era: ids.Era = NO_ERA
+    era: ids.Era = ids.NO_ERA
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -166,6 +166,9 @@
         Processor capacity of its VM, in cores.
     is_busy : bool
         Whether its processor is saturated.
+    era, version : int
+        Era of the platform's store in which the configuration in force was written, and
+        its version there; 0 if the store has no eras.
     """
 
     router: ids.RouterId
@@ -178,6 +181,8 @@
     refutations: int
     cores: float = 1.0
     is_busy: bool = False
+    era: ids.Era = ids.NO_ERA
+    version: int = 0
 
 
 class Probe(msgspec.Struct, frozen=True):
@@ -235,16 +240,34 @@
 
 
 class ConfigurationRequest(msgspec.Struct, frozen=True):
-    """Asks a peer for its configuration, which has a higher generation."""
+    """Asks a peer for its configuration, which has a higher generation.
+
+    Attributes
+    ----------
+    above : Generation
+        Generation in force at the sender; 0 for none.
+    era, version : int
+        Era of the platform's store in which it was written, and its version there; 0
+        if the store has no eras.
+    """
 
     above: ids.Generation
+    era: ids.Era = ids.NO_ERA
+    version: int = 0
 
 
 class ConfigurationValue(msgspec.Struct, frozen=True):
-    """A complete configuration, as stored in the object API."""
+    """A complete configuration, as stored in the object API.
+
+    Attributes
+    ----------
+    era : Era
+        Era of the platform's store in which it was written.
+    """
 
     generation: ids.Generation
     body: bytes
+    era: ids.Era = ids.NO_ERA
 
 
 class Hello(msgspec.Struct, frozen=True):
@@ -681,6 +704,7 @@
 
     digest: int
     revision: int
+    era: ids.Era = ids.NO_ERA
 
 
 class RelayRequest(msgspec.Struct, frozen=True):
@@ -690,10 +714,13 @@
     ----------
     above : int
         Latest revision known to the sender; 0 for none.
+    era : Era
+        Era of the store to which the revision belongs.
     """
 
     kind: str
     above: int
+    era: ids.Era = ids.NO_ERA
 
 
 class RelayBatch(msgspec.Struct, frozen=True):
@@ -711,6 +738,8 @@
         Whether the store is unreachable for the sender.
     body : bytes
         The encoded changes; empty if there are none.
+    era : Era
+        Era of the store to which both revisions belong.
     """
 
     kind: str
@@ -720,6 +749,23 @@
     age: float
     is_away: bool
     body: bytes
+    era: ids.Era = ids.NO_ERA
+
+
+class RelayHold(msgspec.Struct, frozen=True):
+    """Objects that hold against the copy from which the store was restored.
+
+    Attributes
+    ----------
+    era : Era
+        Era that began with the restoration.
+    body : bytes
+        The encoded objects, as changes that lead to what holds.
+    """
+
+    kind: str
+    era: ids.Era
+    body: bytes
 
 
 Message = (
@@ -759,6 +805,7 @@
     | PoolShares
     | RelayRequest
     | RelayBatch
+    | RelayHold
     | Suspect
     | SuspectsDigest
     | SuspectsStored
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -64,6 +64,7 @@
     streamOrigin @41 :StreamOrigin;
     streamOrigins @42 :StreamOrigins;
     originRequest @43 :OriginRequest;
+    relayHold @44 :RelayHold;
   }
 }
 
@@ -158,6 +159,8 @@
   refutations @7 :UInt64;
   cores @8 :Float64 = 1.0;
   isBusy @9 :Bool;
+  era @10 :UInt32;
+  version @11 :UInt64;
 }
 
 struct Probe {
@@ -192,11 +195,14 @@
 
 struct ConfigurationRequest {
   above @0 :UInt64;
+  era @1 :UInt32;
+  version @2 :UInt64;
 }
 
 struct ConfigurationValue {
   generation @0 :UInt64;
   body @1 :Data;
+  era @2 :UInt32;
 }
 
 struct Hello {
@@ -354,6 +360,7 @@
 struct RelayRequest {
   kind @0 :Text;
   above @1 :UInt64;
+  era @2 :UInt32;
 }
 
 struct RelayBatch {
@@ -364,6 +371,13 @@
   age @4 :Float32;
   isAway @5 :Bool;
   body @6 :Data;
+  era @7 :UInt32;
+}
+
+struct RelayHold {
+  kind @0 :Text;
+  era @1 :UInt32;
+  body @2 :Data;
 }
 
 struct RunMove {
@@ -406,4 +420,5 @@
 struct SuspectsStored {
   digest @0 :UInt64;
   revision @1 :UInt64;
+  era @2 :UInt32;
 }
--- a/tests/decisions/test_storelog.py
+++ b/tests/decisions/test_storelog.py
@@ -5,7 +5,7 @@
 import hypothesis
 from hypothesis import stateful, strategies
 
-from celeryspan import storedobjects
+from celeryspan import ids, storedobjects
 from celeryspan.decisions import storelog
 
 NAMES = strategies.sampled_from(["s1", "s2", "s3", "s4"])
@@ -18,12 +18,16 @@
     return storedobjects.Change(found, is_deleted)
 
 
+def make_position(revision: int, era: int = 0) -> storedobjects.Position:
+    return storedobjects.Position(ids.Era(era), revision)
+
+
 def make_whole(at: int, *changes: storedobjects.Change) -> storelog.Batch:
     return storelog.Batch(0, at, changes, is_whole=True)
 
 
 def test_no_batch_before_the_first_list() -> None:
-    assert storelog.StoreLog().batch_since(0) is None
+    assert storelog.StoreLog().batch_since(make_position(0)) is None
 
 
 def test_unchanged_kind_is_not_sent_again() -> None:
@@ -35,8 +39,8 @@
     log = storelog.StoreLog(depth=0)
     log.apply(make_whole(5, make_change("main", 4)))
     log.apply(storelog.Batch(5, 90, ()))
-    assert log.batch_since(5) == storelog.Batch(5, 90, ())
-    assert log.batch_since(3).is_whole
+    assert log.batch_since(make_position(5)) == storelog.Batch(5, 90, ())
+    assert log.batch_since(make_position(3)).is_whole
 
 
 def test_batch_after_a_gap_is_detected_and_rejected() -> None:
@@ -59,7 +63,50 @@
     log.apply(make_whole(5, make_change("s1", 4)))
     log.apply(storelog.Batch(5, 9, (make_change("s1", 8, True), make_change("s1", 9))))
     assert not log.apply(storelog.Batch(5, 8, (make_change("s1", 8, True),)))
-    assert [change.object.name for change in log.batch_since(0).changes] == ["s1"]
+    assert [
+        change.object.name for change in log.batch_since(make_position(0)).changes
+    ] == ["s1"]
+
+
+def make_era(era: int, at: int, *changes: storedobjects.Change) -> storelog.Batch:
+    return storelog.Batch(0, at, changes, is_whole=True, era=ids.Era(era))
+
+
+def test_list_of_a_later_era_replaces_higher_revisions() -> None:
+    """Guards against a list that is dropped for its revision after a restoration."""
+    log = storelog.StoreLog()
+    log.apply(make_era(1, 90, make_change("s1", 90)))
+    assert log.apply(make_era(2, 40, make_change("s2", 40)))
+    assert log.position == make_position(40, era=2)
+    assert set(log.objects) == {"s2"}
+    assert log.is_restored
+
+
+def test_changes_of_a_later_era_without_its_list_are_a_gap() -> None:
+    """Guards against a watch that goes on across a restoration."""
+    log = storelog.StoreLog()
+    log.apply(make_era(1, 90, make_change("s1", 90)))
+    later = storelog.Batch(90, 95, (make_change("s2", 95),), era=ids.Era(2))
+    assert log.has_gap_before(later)
+    assert not log.apply(later)
+
+
+def test_batch_of_an_earlier_era_is_ignored_and_no_gap() -> None:
+    """Guards against a relay that has not heard of the restoration."""
+    log = storelog.StoreLog()
+    log.apply(make_era(2, 40, make_change("s1", 40)))
+    earlier = storelog.Batch(90, 95, (make_change("s2", 95),), era=ids.Era(1))
+    assert not log.has_gap_before(earlier)
+    assert not log.apply(earlier)
+    assert not log.apply(make_era(1, 99))
+
+
+def test_subscriber_of_an_earlier_era_gets_all_objects() -> None:
+    log = storelog.StoreLog()
+    log.apply(make_era(2, 40, make_change("s1", 40)))
+    assert log.batch_since(make_position(90, era=1)).is_whole
+    assert log.batch_since(make_position(40, era=2)).changes == ()
+    assert log.batch_since(make_position(1, era=3)) is None
 
 
 class ReplicationMachine(stateful.RuleBasedStateMachine):
@@ -103,7 +150,8 @@
     @stateful.rule(which=strategies.integers(0, 1), back=strategies.integers(0, 6))
     def send(self, which: int, back: int) -> None:
         """Send the changes since the receiver's revision, or since an earlier one."""
-        batch = self.sources[which].batch_since(max(0, (self.receiver.at or 0) - back))
+        above = max(0, (self.receiver.at or 0) - back)
+        batch = self.sources[which].batch_since(make_position(above))
         if batch is not None:
             self.receiver.apply(batch)
 
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -12,8 +12,10 @@
 from hypothesis import strategies
 
 from celeryspan import errors, ids, states
+from celeryspan.platform import objects
 from celeryspan.wire import codec, messages
 
+ERA = ids.Era(10**objects.ERA_DIGITS_MAX - 1)
 ADDRESS = ids.Address("127.0.0.1", 7000)
 
 SAMPLES = (
@@ -29,6 +31,18 @@
     messages.Member(
         "r-2", 5, states.MemberState.ALIVE, "hala-a", ADDRESS, ADDRESS, 4, 1, 2.151
     ),
+    messages.Member(
+        "r-3",
+        5,
+        states.MemberState.ALIVE,
+        "hala-a",
+        ADDRESS,
+        ADDRESS,
+        4,
+        1,
+        era=ERA,
+        version=2**63 - 1,
+    ),
     messages.Probe(1, 2**63),
     messages.ProbeRequest(1, "r-2"),
     messages.Ack(1, "r-2"),
@@ -42,7 +56,8 @@
     ),
     messages.ConfigurationOffer(3),
     messages.ConfigurationRequest(2),
-    messages.ConfigurationValue(3, b"\0\1"),
+    messages.ConfigurationRequest(2, ERA, 2**63 - 1),
+    messages.ConfigurationValue(3, b"\0\1", ERA),
     messages.Hello(1, b"n" * 16),
     messages.Proof(b"d" * 32),
     messages.Heartbeat(),
@@ -86,7 +101,7 @@
         ),
     ),
     messages.SuspectsDigest(2**64 - 1, True),
-    messages.SuspectsStored(2**64 - 1, 2**40),
+    messages.SuspectsStored(2**64 - 1, 2**40, ERA),
     messages.RunEnded("q-1", "planner-llm", "gpu-1", states.RunEnding.FAILED),
     messages.RunEnded(
         "q-1",
@@ -104,8 +119,9 @@
         (messages.StreamOrigin("q-1", "planner-llm", "v1.2", 0.5),),
     ),
     messages.OriginRequest("q-1"),
-    messages.RelayRequest("servers", 2**40),
-    messages.RelayBatch("servers", 7, 2**40, True, 0.5, False, b"[]"),
+    messages.RelayRequest("servers", 2**40, ERA),
+    messages.RelayBatch("servers", 7, 2**40, True, 0.5, False, b"[]", ERA),
+    messages.RelayHold("servers", ERA, b"[]"),
 )
 
 
