Order configurations of two eras by the operators' version

Callers saw a revoked key served 2.02 s and more after its revocation had been acknowledged. Cause: a router put only a higher revision in force; after the store's return from a copy the operators' next three versions had lower ones.

Change: in one era the higher revision is newer, between eras the higher version, so that a copy reverts nothing and the next version counts at once. Membership datagrams state era and version beside the revision, and requests between peers do.

Evidence: versions 19 and 33 had revisions 26 and 28, with versions 23, 27 and 30 acknowledged between them and never in force.

--- a/celeryspan/decisions/membertable.py
+++ b/celeryspan/decisions/membertable.py
@@ -78,8 +78,8 @@
     def merge(self, member: messages.Member, now: float) -> bool:
         """Apply a statement if it wins; returns whether it is new.
 
-        A statement that differs only by a higher generation is applied but does not
-        count as new, because each router sends its generation on its own datagrams.
+        A statement that differs only by a later configuration is applied but does not
+        count as new, because each router states its own on its own datagrams.
         """
         record = self._records.get(member.router)
         if record is None:
@@ -89,10 +89,12 @@
             self._set(member, now)
             return True
         if rank(member) == rank(record.member):
-            generation = max(member.generation, record.member.generation)
-            if generation != record.member.generation:
+            if _order_configuration(member) > _order_configuration(record.member):
                 record.member = msgspec.structs.replace(
-                    record.member, generation=generation
+                    record.member,
+                    generation=member.generation,
+                    era=member.era,
+                    version=member.version,
                 )
         return False
 
@@ -111,6 +113,11 @@
         self.digest ^= hash_member(member)
 
 
+def _order_configuration(member: messages.Member) -> tuple[int, int, int]:
+    """Return the sort key of the configurations that one router states in turn."""
+    return member.version, member.era, member.generation
+
+
 def rank(member: messages.Member) -> tuple[int, int, int]:
     """Return the sort key by which one statement about a router overrides another."""
     return member.incarnation, member.refutations, RANK[member.state]
--- a/celeryspan/decisions/statements.py
+++ b/celeryspan/decisions/statements.py
@@ -83,9 +83,16 @@
         self._exchange_at = -math.inf
         self._resync_until = -math.inf
 
-    def set_generation(self, generation: ids.Generation) -> None:
-        """Set the configuration generation that this router applies."""
-        self.own = msgspec.structs.replace(self.own, generation=generation)
+    def set_generation(
+        self,
+        generation: ids.Generation,
+        era: ids.Era = ids.NO_ERA,
+        version: int = 0,
+    ) -> None:
+        """Set the configuration that this router applies."""
+        self.own = msgspec.structs.replace(
+            self.own, generation=generation, era=era, version=version
+        )
 
     def set_busy(self, is_busy: bool) -> list[Action]:
         """Announce that this router's processor is saturated, or no longer is."""
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -8,6 +8,9 @@
 from celeryspan import catalog, errors, ids, storedobjects
 from celeryspan.platform import names
 
+VERSION_MAX = 2**63 - 1
+"""Greatest version; it fits the field of messages between routers."""
+
 ROUTE_KINDS = {
     "idempotent": catalog.RouteKind.IDEMPOTENT,
     "non_idempotent": catalog.RouteKind.NON_IDEMPOTENT,
@@ -24,7 +27,7 @@
         If a key is missing or a value has the wrong type.
     """
     try:
-        return _parse(stored.spec, stored.revision)
+        return _parse(stored.spec, stored)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise errors.InputError(
             f"malformed configuration: {error!r}",
@@ -32,7 +35,24 @@
         ) from error
 
 
-def _parse(spec: Mapping, revision: int) -> catalog.Catalogue:
+def read_version(stored: storedobjects.StoredObject) -> int:
+    """Return the version of a configuration object.
+
+    Raises
+    ------
+    errors.InputError
+        If it is missing or not a version.
+    """
+    try:
+        return _parse_version(stored.spec["version"])
+    except (KeyError, TypeError, ValueError) as error:
+        raise errors.InputError(
+            f"malformed version: {error!r}",
+            key=f"{names.CONFIGURATION_KIND}/{names.CONFIGURATION_NAME}",
+        ) from error
+
+
+def _parse(spec: Mapping, stored: storedobjects.StoredObject) -> catalog.Catalogue:
     services = [_parse_service(item) for item in spec["services"]]
     accounts = {
         key: ids.AccountId(item["name"])
@@ -40,8 +60,9 @@
         for key in item.get("api_keys") or ()
     }
     return catalog.Catalogue(
-        version=int(spec["version"]),
-        revision=revision,
+        version=_parse_version(spec["version"]),
+        revision=stored.revision,
+        era=stored.era,
         routes=tuple(_parse_route(item) for item in spec["routes"]),
         services={item.name: item for item in services},
         accounts=accounts,
@@ -50,6 +71,13 @@
     )
 
 
+def _parse_version(value: object) -> int:
+    version = int(value)
+    if not 0 <= version <= VERSION_MAX:
+        raise ValueError(f"expected a version up to {VERSION_MAX}, found {version}")
+    return version
+
+
 def _parse_route(item: Mapping) -> catalog.Route:
     timeout = float(item["timeout_ms"]) / 1000
     target = float(item.get("target_latency_ms") or item["timeout_ms"]) / 1000
--- a/celeryspan/services/configuration.py
+++ b/celeryspan/services/configuration.py
@@ -62,7 +62,7 @@
         """Start the background thread; does not wait for a first generation."""
         self._links.subscribe(messages.ConfigurationRequest, self._answer_request)
         self._links.subscribe(messages.ConfigurationValue, self._handle_value)
-        self._membership.on_newer_generation(self._request_from_peer)
+        self._membership.on_other_generation(self._request_from_peer)
         self._thread.start()
 
     def stop(self) -> None:
--- a/celeryspan/services/membership.py
+++ b/celeryspan/services/membership.py
@@ -125,10 +125,22 @@
         with self._lock:
             self._decision.set_seeds([*self._settings_seeds, *seeds])
 
-    def set_generation(self, generation: ids.Generation) -> None:
-        """Set the applied generation, which is sent in each datagram."""
+    def set_generation(
+        self,
+        generation: ids.Generation,
+        era: ids.Era = ids.NO_ERA,
+        version: int = 0,
+    ) -> None:
+        """Set the configuration in force, which each datagram states.
+
+        Parameters
+        ----------
+        era, version : int
+            Era of the platform's store to which the generation belongs, and the version
+            that operators gave it; 0 if the store has no eras.
+        """
         with self._lock:
-            self._decision.set_generation(generation)
+            self._decision.set_generation(generation, era, version)
 
     def set_busy(self, is_busy: bool) -> None:
         """Announce that this router's processor is saturated, or no longer is."""
@@ -143,8 +155,8 @@
             actions = self._decision.spread_now()
         self._execute(actions)
 
-    def on_newer_generation(self, handler: Callable[[messages.Member], None]) -> None:
-        """Call a handler with each router that reports a higher generation."""
+    def on_other_generation(self, handler: Callable[[messages.Member], None]) -> None:
+        """Call a handler with each router that states another generation in force."""
         self._generation_handlers.append(handler)
 
     def report(self) -> dict[str, object]:
@@ -196,11 +208,11 @@
                 time.monotonic(), frame.sender, source, frame.messages
             )
             self._process_changes()
-            generation = self._decision.own.generation
+            own = self._decision.own
         self._execute(actions)
         for message in frame.messages:
             if isinstance(message, messages.Member) and message.router == frame.sender:
-                if message.generation > generation:
+                if (message.era, message.generation) != (own.era, own.generation):
                     for handler in self._generation_handlers:
                         handler(message)
 
