Let no late message prolong a hold, and remember removals over outages

Cause: a random run of the state machine found a server that came back after its hold had ended: a peer's message was delivered late. By reading: a removal was forgotten after a minute, though a longer outage may end with a copy that is older than the removal.

Change: holds end at a fixed time after the first list of their era, whoever reports them, and a name that was written or released is not held again. The minute for which a removal is remembered counts while the store answers.

--- a/celeryspan/decisions/replicas.py
+++ b/celeryspan/decisions/replicas.py
@@ -93,11 +93,17 @@
             return False
         return self._held.receive(known, self.log.objects, now)
 
-    def expire_held(self, now: float) -> list[str]:
-        """Return to what is listed where a hold has ended; return the names."""
+    def expire_held(self, answered_at: float, now: float) -> list[str]:
+        """Return to what is listed where a hold has ended; return the names.
+
+        Parameters
+        ----------
+        answered_at : float
+            Time of the store's last answer.
+        """
         if self._held is None:
             return []
-        return self._held.expire(self.log.objects, now)
+        return self._held.expire(self.log.objects, answered_at, now)
 
     def list_held(self) -> list[storedobjects.Change]:
         """Return what holds against the copy."""
--- a/celeryspan/decisions/storeorder.py
+++ b/celeryspan/decisions/storeorder.py
@@ -23,7 +23,8 @@
 from celeryspan import ids, storedobjects
 
 REMOVAL_RETENTION_SECONDS = 60.0
-"""How long the removal of an object is remembered; a copy is seconds old."""
+"""How long the removal of an object is remembered while the store answers; a copy is
+seconds old."""
 
 Objects = Mapping[str, storedobjects.StoredObject]
 
@@ -155,7 +156,7 @@
         self._policy = policy
         self._holds: dict[str, Hold] = {}
         self._removals: dict[str, _Removal] = {}
-        self._written: set[str] = set()
+        self._settled: set[str] = set()  # Written in this era, or no longer held.
         self._era_began_at = float("-inf")
 
     def __len__(self) -> int:
@@ -171,11 +172,7 @@
             started.
         """
         known = dict(before)
-        removed = {
-            name: removal.object
-            for name, removal in self._removals.items()
-            if now - removal.at < REMOVAL_RETENTION_SECONDS
-        }
+        removed = {name: removal.object for name, removal in self._removals.items()}
         for name, hold in self._holds.items():
             if hold.object is None:
                 known.pop(name, None)
@@ -183,7 +180,7 @@
             else:
                 known[name] = hold.object
         self._holds = {}
-        self._written = set()
+        self._settled = set()
         self._era_began_at = now
         copied = find_copied_revision(known, listed)
         for found in known.values():
@@ -217,32 +214,39 @@
         bool
             Whether any of it was news.
         """
-        if now - self._era_began_at >= self._policy.seconds:
-            return False
         before = len(self._holds)
         for change in known:
             name = change.object.name
-            if name not in self._written and name not in self._holds:
+            if name not in self._settled and name not in self._holds:
                 self._hold(change, listed, now)
         return len(self._holds) > before
 
-    def expire(self, listed: Objects, now: float) -> list[str]:
-        """End the holds that have lasted long enough; return their names."""
+    def expire(self, listed: Objects, answered_at: float, now: float) -> list[str]:
+        """End the holds that have lasted long enough; return their names.
+
+        Parameters
+        ----------
+        answered_at : float
+            Time of the store's last answer. What is removed shortly before an outage
+            may be in the copy that ends it.
+        """
+        forgotten_at = answered_at - REMOVAL_RETENTION_SECONDS
         for name in [
             name
             for name, removal in self._removals.items()
-            if now - removal.at >= REMOVAL_RETENTION_SECONDS
+            if removal.at <= forgotten_at
         ]:
             del self._removals[name]
-        if now - self._era_began_at >= self._policy.seconds:
-            self._written.clear()
         expired = [name for name, hold in self._holds.items() if hold.expires_at <= now]
         for name in expired:
             hold = self._holds.pop(name)
+            self._settled.add(name)
             if name in listed:
                 self._removals.pop(name, None)
             elif hold.object is not None:
                 self._removals[name] = _Removal(hold.object, now)
+        if not self._may_hold(now):
+            self._settled.clear()
         return expired
 
     def list_all(self) -> list[Hold]:
@@ -273,14 +277,21 @@
             if found.revision >= known.revision or self._policy.yields(known, found):
                 return
             seconds = self._policy.seconds
-        self._holds[known.name] = Hold(change, now + seconds)
+        expires_at = self._era_began_at + seconds
+        if now < expires_at:
+            self._holds[known.name] = Hold(change, expires_at)
 
     def _record_written(self, change: storedobjects.Change, now: float) -> None:
         name = change.object.name
         self._holds.pop(name, None)
-        if now - self._era_began_at < self._policy.seconds:
-            self._written.add(name)
+        if self._may_hold(now):
+            self._settled.add(name)
         if change.is_deleted:
             self._removals[name] = _Removal(change.object, now)
         else:
             self._removals.pop(name, None)
+
+    def _may_hold(self, now: float) -> bool:
+        """Whether the era is young enough for objects of earlier ones to hold."""
+        longest = max(self._policy.seconds, self._policy.missing_seconds)
+        return now < self._era_began_at + longest
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -193,7 +193,7 @@
     def expire_held(self, now: float) -> None:
         """Return to what the store lists where a hold has lasted long enough."""
         with self._lock:
-            names = self._replica.expire_held(now)
+            names = self._replica.expire_held(self.last_answer_at(), now)
             if not names:
                 return
             self._replace_objects()
--- a/tests/decisions/test_replicas.py
+++ b/tests/decisions/test_replicas.py
@@ -122,6 +122,39 @@
             self.stamp = stamp
 
 
+def make_batch(at: int, *stages: Stage, era: int = 1) -> storelog.Batch:
+    """Return a list of servers named s1, s2 and so on, last changed at revision 1."""
+    changes = (
+        storedobjects.Change(
+            storedobjects.StoredObject(name, 1, stage, None, False, ids.Era(era)), False
+        )
+        for name, stage in zip(NAMES, stages, strict=False)
+    )
+    return storelog.Batch(0, at, tuple(changes), is_whole=True, era=ids.Era(era))
+
+
+def test_server_removed_before_a_long_outage_does_not_come_back() -> None:
+    """Guards against a removal that is forgotten while the store does not answer."""
+    replica = replicas.Replica(policy=POLICY)
+    replica.apply(make_batch(1, Stage.READY), 0.0)
+    replica.apply(make_batch(2), 1.0)
+    replica.expire_held(answered_at=2.0, now=500.0)
+    replica.apply(make_batch(1, Stage.READY, era=2), 500.0)
+    assert replica.list_objects() == ()
+
+
+def test_late_message_does_not_prolong_a_hold() -> None:
+    """Guards against peers that bring back in turn what is no longer held."""
+    replica = replicas.Replica(policy=POLICY)
+    replica.apply(make_batch(1, Stage.READY), 0.0)
+    replica.apply(make_batch(0, era=2), 1.0)
+    held = tuple(replica.list_held())
+    assert replica.expire_held(2.9, 2.9) == []
+    assert replica.expire_held(3.0, 3.0) == ["s1"]
+    assert not replica.receive_held(ids.Era(2), held, 3.5)
+    assert replica.list_objects() == ()
+
+
 class RestorationMachine(stateful.RuleBasedStateMachine):
     """Servers, operators and routers, around a store that loses acknowledged writes."""
 
@@ -236,7 +269,7 @@
     def pass_time(self, seconds: float) -> None:
         self.now += seconds
         for router in self.routers:
-            router.replica.expire_held(self.now)
+            router.replica.expire_held(self.now, self.now)
 
     @stateful.invariant()
     def acts_on_nothing_older_than_before(self) -> None:
@@ -262,7 +295,7 @@
                 self.read(which)
             self.read_configuration(which)
             assert router.stamp.version == self.version
-            router.replica.expire_held(self.now + POLICY.seconds)
+            router.replica.expire_held(self.now, self.now + POLICY.seconds)
             expected = {
                 name: Stage.GONE if stage is Stage.ABSENT else stage
                 for name, stage in self.truth.items()
