Check a router's own entry after the store was restored

Cause: an entry counted as written for ever once the store had acknowledged it. After a return from a copy the entry of a router that had started since was never written again, and one that had moved was listed at its earlier address.

Change: when the era rises, each router reads its own entry within 5 s, at a random time, and writes it again if it is missing or another. 1,300 routers make 260 reads a second for 5 s of the 2,000 that the store allows.

--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -2,7 +2,8 @@
 
 Each router reads the entries of the others until its membership includes them. It
 writes its own entry only if that is missing or outdated, so a restart writes nothing.
-The membership then detects which routers are alive.
+After the store was restored from a copy, each router checks its own entry. The
+membership detects which routers are alive.
 """
 
 from __future__ import annotations
@@ -25,6 +26,10 @@
 the maximum once the membership includes all listed routers. A router that is not a
 member yet is found by its own reads and by those of the others."""
 
+CHECK_DELAY_SECONDS_MAX = 5.0
+"""Upper bound of the random time after a restoration of the store until a router checks
+its own entry, so that the routers do not all call at once."""
+
 LISTED_COUNT_SECONDS = 60.0
 """Time after the start for which the number of listed routers is used."""
 
@@ -35,6 +40,7 @@
 
     def __init__(self, container: kernel.Kernel) -> None:
         store: objectstore.ObjectStore = container.find("objects")
+        self._store = store
         self._client = store.client
         self._identity: identity.IdentityService = container.find("identity")
         self._membership: membership.MembershipService = container.find("membership")
@@ -47,11 +53,14 @@
         self._listed_count = 0
         self._started_at = time.monotonic()
         self._random = random.Random(time.time_ns())
-        self._stopped = threading.Event()
+        self._must_check_at: float | None = None
+        self._wake = threading.Event()
+        self._stopped = False
         self._thread = threading.Thread(target=self._run, name="fleet", daemon=True)
 
     def start(self) -> None:
         """Start the discovery thread."""
+        self._store.subscribe(self._handle_restoration)
         self._thread.start()
 
     def count_listed(self) -> int:
@@ -65,20 +74,56 @@
 
     def stop(self) -> None:
         """Stop discovery; the entry stays in the store for the next start."""
-        self._stopped.set()
+        self._stopped = True
+        self._wake.set()
+
+    def _handle_restoration(self, _: ids.Era) -> None:
+        """Check this router's entry soon: it may be lost, or show an old address."""
+        delay = self._random.uniform(0.0, CHECK_DELAY_SECONDS_MAX)
+        self._must_check_at = time.monotonic() + delay
+        self._wake.set()
 
     def _run(self) -> None:
         delay = POLL_DELAY_MIN_SECONDS
-        while not self._stopped.is_set():
-            try:
-                delay = (
-                    POLL_DELAY_MAX_SECONDS
-                    if self._discover()
-                    else min(delay * 2, POLL_DELAY_MAX_SECONDS)
-                )
-            except errors.StoreError as error:
-                events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
-            self._stopped.wait(delay * self._random.uniform(0.7, 1.0))
+        discover_at = time.monotonic()
+        while not self._stopped:
+            now = time.monotonic()
+            if self._must_check_at is not None and now >= self._must_check_at:
+                self._check_entry()
+            if now >= discover_at:
+                delay = self._try_discover(delay)
+                discover_at = time.monotonic() + delay * self._random.uniform(0.7, 1.0)
+            due_at = min(discover_at, self._must_check_at or discover_at)
+            self._wake.wait(max(0.0, due_at - time.monotonic()))
+            self._wake.clear()
+
+    def _check_entry(self) -> None:
+        """Write this router's entry again unless the restored store has it."""
+        self._must_check_at = None
+        try:
+            self._is_written = self._has_entry()
+            self._write_entry()
+        except errors.StoreError as error:
+            events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
+            self._handle_restoration(self._store.era)
+
+    def _has_entry(self) -> bool:
+        try:
+            found = self._client.get(names.ROUTER_KIND, self._identity.router)
+        except errors.NotFound:
+            return False
+        return found.spec == routers.write(self._own)
+
+    def _try_discover(self, delay: float) -> float:
+        """Discover the other routers; return the delay until the next time."""
+        try:
+            is_complete = self._discover()
+        except errors.StoreError as error:
+            events.log(events.Event.STORE_ANSWER_LOST, error=str(error))
+            return delay
+        if is_complete:
+            return POLL_DELAY_MAX_SECONDS
+        return min(delay * 2, POLL_DELAY_MAX_SECONDS)
 
     def _discover(self) -> bool:
         """Read the entries of the others, and correct this router's own.
