Store the quarantine again after the store was restored

Cause: what the store held of the suspects was believed for ever once a write had been acknowledged, and ordered by revision alone. After a return from a copy the quarantine was not written again, so that a restart of all routers ended it, and a conditional write at a revision of the earlier era could replace another writer's suspects.

Change: what is known of the stored suspects carries the era and is forgotten when it rises; the router whose duty it is reads, merges and writes them again. A revision of an earlier era conditions no write, and a write that was answered in another era is read back.

Result: two tests fail without the change and pass with it.

--- a/celeryspan/gateway/quarantines.py
+++ b/celeryspan/gateway/quarantines.py
@@ -21,6 +21,7 @@
     fingerprints,
     gossip,
     quarantine,
+    storeorder,
     suspectfeatures,
 )
 from celeryspan.gateway import standings
@@ -51,6 +52,8 @@
 """Time after a change for which digests are not compared: they may differ only because
 updates are still in flight."""
 
+NOTHING_STORED = messages.SuspectsStored(0, 0)
+
 STORED_KEY = "stored"
 """Gossip key of the fact that the store holds the suspects."""
 
@@ -87,7 +90,8 @@
     Attributes
     ----------
     stored : SuspectsStored
-        The newest known digest and revision of the suspects in the store.
+        The newest known digest of the suspects in the store, and where in its history
+        they were written.
     """
 
     def __init__(self, container: kernel.Kernel) -> None:
@@ -105,7 +109,8 @@
         self._lock = threading.Lock()
         self._watched: dict[int, _Watched] = {}
         self._handlers: list[Handler] = []
-        self.stored = messages.SuspectsStored(0, 0)
+        self.stored = NOTHING_STORED
+        self._is_restored = False
         self._changed_at = float("-inf")
         self._startup_until = time.monotonic() + STARTUP_SECONDS
         self._next_compare_at = self._next_transfer_at = 0.0
@@ -256,16 +261,27 @@
     def record_stored(self, stored: messages.SuspectsStored) -> None:
         """Record what the store holds, and gossip it if it is newer than known.
 
-        Without the order by revision, two contradictory facts would replace each other
-        throughout the fleet for ever.
+        Without an order, two contradictory facts would replace each other throughout
+        the fleet for ever.
         """
-        if stored.revision <= self.stored.revision:
-            return
-        self.stored = stored
         with self._lock:
-            self._gossip.put(STORED_KEY, stored)
+            known = self.stored
+            era = storeorder.resolve_era(
+                stored.era, known.era, is_restored=self._is_restored
+            )
+            if (era, stored.revision) <= (known.era, known.revision):
+                return
+            self.stored = msgspec.structs.replace(stored, era=era)
+            self._gossip.put(STORED_KEY, self.stored)
         self._wake.set()
 
+    def forget_stored(self, era: ids.Era) -> None:
+        """Forget what the store held before it was restored in an era."""
+        with self._lock:
+            self._is_restored = True
+            if self.stored.era < era:
+                self.stored = msgspec.structs.replace(NOTHING_STORED, era=era)
+
     def _make_refusal(self, value: int) -> errors.NotRun:
         with self._lock:
             suspect = self._quarantine.find_suspect(value)
--- a/celeryspan/gateway/quarantinestore.py
+++ b/celeryspan/gateway/quarantinestore.py
@@ -2,7 +2,8 @@
 
 All routers may restart at once, so the suspects are stored outside of their memory. One
 router writes for the whole fleet; if it fails to, the others take over in turn.
-Requests that operators release are read back from the store.
+Requests that operators release are read back from the store. After the store was
+restored from a copy, what it holds is read and written again.
 """
 
 from __future__ import annotations
@@ -11,7 +12,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import errors, events, kernel, storedobjects
+from celeryspan import errors, events, ids, kernel, storedobjects
 from celeryspan.decisions import dutyorder, quarantine
 from celeryspan.platform import names, quarantine as records
 from celeryspan.wire import messages
@@ -54,12 +55,12 @@
     """Writes and reads the stored object that holds the suspects."""
 
     def __init__(self, container: kernel.Kernel) -> None:
-        store: objectstore.ObjectStore = container.find("objects")
-        self._client = store.client
+        self._store: objectstore.ObjectStore = container.find("objects")
+        self._client = self._store.client
         self._identity: identity.IdentityService = container.find("identity")
         self._membership: membership.MembershipService = container.find("membership")
         self._quarantine: quarantines.QuarantineService = container.find("quarantine")
-        self._revision: int | None = None
+        self._read_at: storedobjects.Position | None = None
         self._write_due_at = 0.0
         self._reads_completed = 0
         self._last_read_at = 0.0
@@ -72,6 +73,7 @@
     def start(self) -> None:
         """Subscribe to changes of standings and start the thread."""
         self._quarantine.subscribe(self._handle_changes)
+        self._store.subscribe(self._handle_restoration)
         self._thread.start()
 
     def stop(self) -> None:
@@ -90,6 +92,11 @@
         )
         self._wake.set()
 
+    def _handle_restoration(self, era: ids.Era) -> None:
+        self._quarantine.forget_stored(era)
+        self._write_due_at = time.monotonic() + TICK_SECONDS
+        self._wake.set()
+
     def _run(self) -> None:
         while not self._stopped:
             pause = self._compute_pause()
@@ -160,9 +167,7 @@
             )
             return
         self._quarantine.merge(suspects, spread=spread)
-        digest = quarantine.hash_suspects(suspects)
-        stored = messages.SuspectsStored(digest, found.revision)
-        self._quarantine.record_stored(stored)
+        self._record_stored(suspects, found)
 
     def _write(self) -> None:
         """Write all suspects, replacing stored ones that have been merged before."""
@@ -170,27 +175,39 @@
         spec = records.write(suspects)
         kind, name = names.QUARANTINE_KIND, names.QUARANTINE_NAME
         try:
-            if self._revision is None:
+            # A revision of an earlier era may be that of another write by now.
+            if self._read_at is None or self._read_at.era < self._store.era:
                 found = self._client.get(kind, name)
-                self._revision = found.revision
+                self._read_at = found.position
                 self._merge(found)
                 return  # The next write includes the suspects just merged.
-            written = self._client.replace(kind, name, spec, self._revision)
+            written = self._client.replace(kind, name, spec, self._read_at.revision)
         except errors.NotFound:
             written = self._create(spec)
         except errors.Conflict:
-            self._revision = None
+            self._read_at = None
             return
         if written is None:
             return
-        self._revision = written.revision
-        digest = quarantine.hash_suspects(suspects)
-        stored = messages.SuspectsStored(digest, written.revision)
-        self._quarantine.record_stored(stored)
+        if self._read_at is not None and written.era != self._read_at.era:
+            self._read_at = None
+            return  # It may have replaced what has not been merged.
+        self._read_at = written.position
+        digest = self._record_stored(suspects, written)
         events.log(
             events.Event.QUARANTINE_STORED, requests=len(suspects), digest=digest
         )
 
+    def _record_stored(
+        self, suspects: list[messages.Suspect], found: storedobjects.StoredObject
+    ) -> int:
+        """Record that the store holds some suspects; return their digest."""
+        digest = quarantine.hash_suspects(suspects)
+        self._quarantine.record_stored(
+            messages.SuspectsStored(digest, found.revision, found.era)
+        )
+        return digest
+
     def _create(self, spec: dict[str, object]) -> storedobjects.StoredObject | None:
         """Create the object; return None if another router has just created it."""
         try:
@@ -198,5 +215,5 @@
                 names.QUARANTINE_KIND, names.QUARANTINE_NAME, spec
             )
         except errors.Conflict:
-            self._revision = None
+            self._read_at = None
             return None
--- a/tests/gateway/test_quarantines.py
+++ b/tests/gateway/test_quarantines.py
@@ -10,6 +10,7 @@
 import pytest
 
 from celeryspan.decisions import quarantine
+from celeryspan.platform import names, quarantine as records
 from celeryspan.wire import messages
 from standins import crashing
 from tests.gateway import support, test_migrations
@@ -36,14 +37,25 @@
     router: support.Router, body: bytes, crashes: int, path: str = "/bookings/1"
 ) -> None:
     """Record crashes against a request at a router."""
+    suspect = make_suspect(router, body, crashes, path)
+    router.container.find("quarantine").merge([suspect])
+
+
+def make_suspect(
+    router: support.Router,
+    body: bytes,
+    crashes: int = 3,
+    path: str = "/bookings/1",
+    server: str = "gone",
+) -> messages.Suspect:
+    """Return a request under which servers have crashed."""
     now_ms = time.time_ns() // 1_000_000
     found = compute_fingerprint(router, body, path)
     strikes = tuple(
-        messages.Strike(f"gone-{n}@0", now_ms - 10 + n, n, 100, True)
+        messages.Strike(f"{server}-{n}@0", now_ms - 10 + n, n, 100, True)
         for n in range(1, crashes + 1)
     )
-    suspect = messages.Suspect(found.scope, found.whole, 0, strikes)
-    router.container.find("quarantine").merge([suspect])
+    return messages.Suspect(found.scope, found.whole, 0, strikes)
 
 
 def start_fleet(cluster: support.Cluster, count: int = 2) -> list[support.Router]:
@@ -275,3 +287,50 @@
     for number in range(5):
         assert router.call("/bookings/1", f"r{number}").status == 200
     assert hashed == []
+
+
+def find_stored(cluster: support.Cluster) -> dict | None:
+    """Return the stored object that holds the suspects."""
+    return cluster.store.find(names.QUARANTINE_KIND, names.QUARANTINE_NAME)
+
+
+def test_suspects_that_the_store_has_lost_are_written_again(cluster) -> None:
+    """Guards against a quarantine that a restart of all routers would end."""
+    routers = start_fleet(cluster)
+    copy = cluster.store.copy()
+    add_strikes(routers[0], FATAL, 3)
+    support.wait_for(lambda: find_stored(cluster))
+    stored = find_stored(cluster)["spec"]
+    cluster.store.restore(copy)
+    support.wait_for(lambda: find_stored(cluster))
+    assert find_stored(cluster)["spec"] == stored
+
+
+def test_write_at_a_revision_given_out_again_is_merged_first(cluster) -> None:
+    """Guards against a conditional write that replaces another writer's suspects."""
+    routers = start_fleet(cluster)
+    cluster.store.put(names.QUARANTINE_KIND, names.QUARANTINE_NAME, records.write([]))
+    copy = cluster.store.copy()
+    cluster.store.put("notes", "n1", {})
+    add_strikes(routers[0], FATAL, 3)
+    support.wait_for(
+        lambda: find_stored(cluster)["metadata"]["revision"] > copy.revision
+    )
+    lost = find_stored(cluster)["metadata"]["revision"]
+    other = make_suspect(routers[0], b"other", server="lost")
+    cluster.store.faults.refuse_status = 503
+    cluster.store.restore(copy)
+    while cluster.store.put("notes", "n1", {}) < lost - 1:
+        pass
+    cluster.store.put(
+        names.QUARANTINE_KIND, names.QUARANTINE_NAME, records.write([other])
+    )
+    assert find_stored(cluster)["metadata"]["revision"] == lost
+    cluster.store.faults.refuse_status = 0
+    for router in routers:
+        for body in (FATAL, b"other"):
+            support.wait_for(
+                lambda found=router, body=body: (
+                    find_standing(found, body) is Standing.QUARANTINED
+                )
+            )
