State the era beside the revision of a request that is handed over

Cause: a peer took a request whose router stated the same revision of the configuration. Revisions are given out again after a return from a copy, so that two routers could mean two configurations by one.

Change: a second header states the era. A router of an earlier build states none, and its revision decides alone; it reads the first header as before.

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -25,6 +25,7 @@
     orders,
     quickrefusals,
     refusals,
+    relayedrequest,
     slowcallers,
 )
 from celeryspan.platform import names
@@ -213,8 +214,8 @@
         self._in_progress[key] = None
         self._unanswered.add(id(request.conn))
         is_full = not self._server.can_add_keepalive_connection
-        revision = request.inheaders.get(names.HANDED_OVER.title().encode())
-        close_after = self.draining or is_full or revision is not None
+        is_handed_over = relayedrequest.is_handed_over(request.inheaders)
+        close_after = self.draining or is_full or is_handed_over
         sink = callersinks.CallerSink(request, close_after=close_after)
         request_id = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
         order = None
@@ -222,7 +223,9 @@
             body = acceptance.read_body(request)
             request.conn.mark_request_read()
             current = self._check_ready(request)
-            if revision is not None and revision != b"%d" % current.revision:
+            if is_handed_over and not relayedrequest.has_position(
+                request.inheaders, current.position
+            ):
                 raise self._make_not_ready_error("other-configuration")
             order = acceptance.make_order(request, body, current)
             with self._lock:
--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -4,7 +4,7 @@
 connection of its own to the peer, which closes it after the answer. The end of the
 answer is thus known, and nothing has to be agreed when either router stops.
 
-A header tells the peer the revision of this router's configuration. A peer with another
+Headers tell the peer which configuration this router has in force. A peer with another
 one refuses the request, so that callers see configurations in order.
 
 If a peer dies before it has begun to answer, its callers are told that the outcome of
@@ -143,8 +143,8 @@
             answer(connection, _make_unreachable_error(peer.router, error))
             connection.close()
             return
-        data = relayedrequest.add_revision(
-            found.data, self._catalogues.current().revision
+        data = relayedrequest.add_position(
+            found.data, self._catalogues.current().position
         )
         with self._lock:
             self._used[peer.router] += 1
--- a/celeryspan/gateway/relayedrequest.py
+++ b/celeryspan/gateway/relayedrequest.py
@@ -5,10 +5,10 @@
 import enum
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING
 
-from celeryspan import errors, ids
+from celeryspan import errors, ids, storedobjects
 from celeryspan.platform import names
 
 if TYPE_CHECKING:
@@ -100,12 +100,38 @@
         return Phase.REST_OF_ANSWER if self.is_begun else Phase.ANSWER
 
 
-def add_revision(request: bytes, revision: int) -> bytes:
-    """Return a request with the header that marks it as handed over."""
+def add_position(request: bytes, position: storedobjects.Position) -> bytes:
+    """Return a request with the headers that mark it as handed over.
+
+    They state the configuration in force. Peers of an earlier build read the revision
+    alone.
+    """
     line, _, rest = request.partition(b"\r\n")
-    return b"%b\r\n%b: %d\r\n%b" % (
+    return b"%b\r\n%b: %d\r\n%b: %d\r\n%b" % (
         line,
         names.HANDED_OVER.encode(),
-        revision,
+        position.revision,
+        names.HANDED_OVER_ERA.encode(),
+        position.era,
         rest,
     )
+
+
+def is_handed_over(headers: Mapping[bytes, bytes]) -> bool:
+    """Whether a peer has handed a request over."""
+    return names.HANDED_OVER.title().encode() in headers
+
+
+def has_position(
+    headers: Mapping[bytes, bytes], position: storedobjects.Position
+) -> bool:
+    """Whether the router that handed a request over has the same configuration.
+
+    One of an earlier build states no era; its revision decides.
+    """
+    revision = headers.get(names.HANDED_OVER.title().encode())
+    era = headers.get(names.HANDED_OVER_ERA.title().encode())
+    return revision == b"%d" % position.revision and era in (
+        None,
+        b"%d" % position.era,
+    )
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -23,6 +23,7 @@
 
 # Set by this system only; removed from callers' requests.
 HANDED_OVER = "Celeryspan-Handed-Over"
+HANDED_OVER_ERA = "Celeryspan-Handed-Over-Era"
 HOLD = "Celeryspan-Kv-Hold"
 PIN_MS = "Celeryspan-Pin-Ms"
 BACKUP = "Celeryspan-Kv-Backup"
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -34,6 +34,7 @@
         names.DEADLINE_MS,
         names.EXPECTED_SERVER,
         names.HANDED_OVER,
+        names.HANDED_OVER_ERA,
         names.HOLD,
         names.PIN_MS,
         names.BACKUP,
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -13,6 +13,7 @@
 
 from celeryspan import events, ids
 from celeryspan.gateway import handover
+from celeryspan.platform import names
 from tests.gateway import support
 
 REQUESTS = 20
@@ -263,6 +264,29 @@
     assert find_server(cluster, "gate-1").ran == []
 
 
+def test_peer_with_the_same_revision_of_another_era_refuses(cluster, routers) -> None:
+    """Guards against a revision that the restored store has given out again."""
+    catalogues = routers[1].container.find("catalogues")
+    catalogues._current = msgspec.structs.replace(catalogues.current(), era=99)
+    answer = call(routers[0], "/bookings/1")
+    assert answer.status == 503
+    assert find_server(cluster, "gate-1").ran == []
+
+
+def test_request_of_a_peer_that_states_no_era_is_served(cluster, routers) -> None:
+    """Guards against refusals while routers of an earlier build are replaced."""
+    current = routers[1].container.find("catalogues").current()
+    answer = routers[1].call(
+        "/bookings/1",
+        headers={names.HANDED_OVER: str(current.revision)},
+    )
+    assert answer.status == 200
+    assert (
+        names.HANDED_OVER.lower()
+        not in find_server(cluster, "gate-1").received[0].headers
+    )
+
+
 def test_planned_stop_waits_for_requests_at_peers(cluster, routers) -> None:
     """A router stops while a peer serves one of its requests."""
     configuration = support.make_configuration(2)
