Take from peers only what is newer than what a router knew itself

Cause: random runs of the state machine found two faults. A router that knew from its list that a server had been removed took a peer's hold of that server for news, as the peer had not seen the revisions that prove it; and a removal that a list of a later era proves was not remembered for the next restoration.

Change: each router ranks what it knew of an object by revision and removal, and takes only a higher rank from a peer; a removal that the first list of an era proves is remembered as any other.

--- a/celeryspan/decisions/storeorder.py
+++ b/celeryspan/decisions/storeorder.py
@@ -72,6 +72,16 @@
 NO_CONFIGURATION = ConfigurationStamp(ids.NO_ERA, 0, 0)
 
 
+Rank = tuple[float, bool]
+"""Order of what routers knew of one object before a restoration: the revision of its
+last change, and whether it was removed after that."""
+
+NOT_KNOWN: Rank = (0, False)
+
+SETTLED: Rank = (float("inf"), True)
+"""Above all that was known: the object was written since, or a hold has ended."""
+
+
 def _never_yields(
     _: storedobjects.StoredObject, __: storedobjects.StoredObject
 ) -> bool:
@@ -156,7 +166,7 @@
         self._policy = policy
         self._holds: dict[str, Hold] = {}
         self._removals: dict[str, _Removal] = {}
-        self._settled: set[str] = set()  # Written in this era, or no longer held.
+        self._settled: dict[str, Rank] = {}
         self._era_began_at = float("-inf")
 
     def __len__(self) -> int:
@@ -180,16 +190,23 @@
             else:
                 known[name] = hold.object
         self._holds = {}
-        self._settled = set()
+        self._settled = {
+            name: (found.revision, True) for name, found in removed.items()
+        }
+        for name, found in known.items():
+            self._settled[name] = (found.revision, False)
         self._era_began_at = now
         copied = find_copied_revision(known, listed)
         for found in known.values():
-            # The copy held the others, so that they have been removed since.
             if found.name in listed or found.revision > copied:
                 self._hold(storedobjects.Change(found, False), listed, now)
-        for found in removed.values():
-            if found.name not in known:
-                self._hold(storedobjects.Change(found, True), listed, now)
+            else:  # The copy held it, so that it has been removed since.
+                self._removals[found.name] = _Removal(found, now)
+                self._settled[found.name] = SETTLED
+        for name in removed.keys() - known.keys():
+            self._hold(storedobjects.Change(removed[name], True), listed, now)
+            if name in listed and name not in self._holds:
+                self._removals.pop(name, None)
 
     def replace(self, before: Objects, listed: Objects, now: float) -> None:
         """Record a list of the same era."""
@@ -214,12 +231,13 @@
         bool
             Whether any of it was news.
         """
-        before = len(self._holds)
+        is_news = False
         for change in known:
-            name = change.object.name
-            if name not in self._settled and name not in self._holds:
-                self._hold(change, listed, now)
-        return len(self._holds) > before
+            name, rank = change.object.name, (change.object.revision, change.is_deleted)
+            if rank > self._settled.get(name, NOT_KNOWN):
+                self._settled[name] = rank
+                is_news |= self._hold(change, listed, now)
+        return is_news
 
     def expire(self, listed: Objects, answered_at: float, now: float) -> list[str]:
         """End the holds that have lasted long enough; return their names.
@@ -240,7 +258,7 @@
         expired = [name for name, hold in self._holds.items() if hold.expires_at <= now]
         for name in expired:
             hold = self._holds.pop(name)
-            self._settled.add(name)
+            self._settled[name] = SETTLED
             if name in listed:
                 self._removals.pop(name, None)
             elif hold.object is not None:
@@ -262,12 +280,12 @@
             if hold.object is not None:
                 yield hold.object
 
-    def _hold(self, change: storedobjects.Change, listed: Objects, now: float) -> None:
+    def _hold(self, change: storedobjects.Change, listed: Objects, now: float) -> bool:
         """Hold what is known of an object if the copy contradicts it."""
         known, found = change.object, listed.get(change.object.name)
         if change.is_deleted:
             if found is None or found.revision > known.revision:
-                return
+                return False
             seconds = self._policy.seconds
         elif found is None:
             seconds = self._policy.missing_seconds
@@ -275,17 +293,19 @@
             # A copy shows no object with a higher revision than its last one, nor
             # another one with the same: such an object was written since.
             if found.revision >= known.revision or self._policy.yields(known, found):
-                return
+                return False
             seconds = self._policy.seconds
         expires_at = self._era_began_at + seconds
-        if now < expires_at:
-            self._holds[known.name] = Hold(change, expires_at)
+        if now >= expires_at:
+            return False
+        self._holds[known.name] = Hold(change, expires_at)
+        return True
 
     def _record_written(self, change: storedobjects.Change, now: float) -> None:
         name = change.object.name
         self._holds.pop(name, None)
         if self._may_hold(now):
-            self._settled.add(name)
+            self._settled[name] = SETTLED
         if change.is_deleted:
             self._removals[name] = _Removal(change.object, now)
         else:
--- a/tests/decisions/test_replicas.py
+++ b/tests/decisions/test_replicas.py
@@ -43,6 +43,10 @@
         self.history: list[tuple[int, storedobjects.Change]] = []
         self.copies: list[tuple[int, dict, list]] = []
 
+    @property
+    def position(self) -> storedobjects.Position:
+        return storedobjects.Position(ids.Era(self.era), self.revision)
+
     def write(self, name: str, spec: object) -> None:
         self.revision += 1
         found = storedobjects.StoredObject(name, self.revision, spec, None, False)
@@ -96,11 +100,20 @@
 
 
 class Router:
-    """A replica, the stages that it has acted on, and the configuration in force."""
+    """A replica and the configuration in force on one router.
+
+    Attributes
+    ----------
+    stages : dict
+        Stage of each server in force; GONE also for one that is not known.
+    acted : dict
+        Latest stage of each server that the router knew to be true.
+    """
 
     def __init__(self) -> None:
         self.replica = replicas.Replica(depth=3, policy=POLICY)
         self.acted: dict[str, Stage] = {}
+        self.stages = dict.fromkeys(NAMES, Stage.GONE)
         self.stamp = storeorder.NO_CONFIGURATION
         self.must_list = True
         self.era_began_at = float("-inf")
@@ -274,14 +287,25 @@
     @stateful.invariant()
     def acts_on_nothing_older_than_before(self) -> None:
         for router in self.routers:
-            may_return = self.now - router.era_began_at >= POLICY.seconds
+            age = self.now - router.era_began_at
+            is_current = router.replica.log.position == self.store.position
             for name, stage in router.list_stages().items():
-                acted = router.acted.get(name, Stage.ABSENT)
-                assert stage >= acted or may_return, (name, acted, stage)
-                # A server that was never listed is not known to be gone, and a live one
-                # whose entry was lost counts as gone for a while.
-                is_known = stage is not Stage.GONE or name in router.acted
-                if is_known and stage <= self.truth[name]:
+                acted, before = router.acted.get(name), router.stages[name]
+                truth = self.truth[name]
+                assert acted is None or stage >= acted or age >= POLICY.seconds, (
+                    f"{name} was {acted.name} and is {stage.name} again"
+                )
+                is_live = before is truth is Stage.READY
+                assert (
+                    not is_live
+                    or stage is not Stage.GONE
+                    or age >= POLICY.missing_seconds
+                ), f"{name} is live and was dropped"
+                router.stages[name] = stage
+                # A server whose lost entry nobody has written again only counts as
+                # gone for a while.
+                is_gone = before is not Stage.GONE and is_current
+                if stage <= truth and (stage is not Stage.GONE or is_gone):
                     router.acted[name] = stage
 
     def teardown(self) -> None:
