Compare revisions of one era alone when a list proves a removal

Cause: random runs of the state machine found a server that was dropped at once after a second restoration: the revision that its lost entry had in the first era was compared with revisions of the second.

Change: only objects that the store listed in the era before can be proven to have been removed since; what holds against an earlier copy goes on to hold.

--- a/celeryspan/decisions/storeorder.py
+++ b/celeryspan/decisions/storeorder.py
@@ -135,20 +135,20 @@
     at: float
 
 
-def find_copied_revision(known: Objects, listed: Objects) -> int:
+def find_copied_revision(before: Objects, listed: Objects) -> int:
     """Return the highest revision that the copy is known to hold; 0 if none is.
 
     Parameters
     ----------
-    known, listed : mapping of str to StoredObject
-        The objects of the era before, and those of the restored store.
+    before, listed : mapping of str to StoredObject
+        The objects as listed in the era before, and by the restored store.
     """
     return max(
         (
             found.revision
             for name, found in listed.items()
-            if name in known
-            and found == msgspec.structs.replace(known[name], era=found.era)
+            if name in before
+            and found == msgspec.structs.replace(before[name], era=found.era)
         ),
         default=0,
     )
@@ -196,13 +196,13 @@
         for name, found in known.items():
             self._settled[name] = (found.revision, False)
         self._era_began_at = now
-        copied = find_copied_revision(known, listed)
-        for found in known.values():
-            if found.name in listed or found.revision > copied:
+        copied = find_copied_revision(before, listed)
+        for name, found in known.items():
+            if name in listed or name not in before or found.revision > copied:
                 self._hold(storedobjects.Change(found, False), listed, now)
             else:  # The copy held it, so that it has been removed since.
-                self._removals[found.name] = _Removal(found, now)
-                self._settled[found.name] = SETTLED
+                self._removals[name] = _Removal(found, now)
+                self._settled[name] = SETTLED
         for name in removed.keys() - known.keys():
             self._hold(storedobjects.Change(removed[name], True), listed, now)
             if name in listed and name not in self._holds:
--- a/tests/decisions/test_replicas.py
+++ b/tests/decisions/test_replicas.py
@@ -302,9 +302,9 @@
                     or age >= POLICY.missing_seconds
                 ), f"{name} is live and was dropped"
                 router.stages[name] = stage
-                # A server whose lost entry nobody has written again only counts as
-                # gone for a while.
-                is_gone = before is not Stage.GONE and is_current
+                # A router that has missed a stage can't tell it, in a copy, from one
+                # that was written since.
+                is_gone = before is acted is Stage.LEAVING and is_current
                 if stage <= truth and (stage is not Stage.GONE or is_gone):
                     router.acted[name] = stage
 
