Restore the store from copies in the soak

Change: a copy of up to 4 s is restored every few seconds, with 40 writes lost that nobody writes again; operators and servers write again after up to 2 s. Three counts must be 0: routers that return to an earlier configuration in one process, routers that miss one that was written to a restored store, and runs at servers that had left, 3 s after the last fault. Each run ends with a restoration, a configuration and a leaving server.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -7,14 +7,16 @@
 proxies. Faults overlap: processes are killed, paused, stopped and sent SIGHUP;
 connections are delayed, reset, silenced or cut in one direction; the store hangs or
 refuses; servers drain, fail and answer twice; configurations change; some callers leak
-connections; some requests crash the servers that run them; servers announce departures
-and rests in their answers, report loads and reject requests; engines are released with
-new software while callers take their streams up. Afterwards the answers that callers
-received are compared with what servers executed. The soak counts requests that
-ran twice, that ran although the answer says they did not, or that got the answer to
-another request; servers that got work after they had left; routers that no longer
-become ready; fatal requests that kept crashing servers; and cold servers that got more
-than they tolerate; and streams with events of two software versions.
+connections; the store comes back from copies; some requests crash the servers that run
+them; servers announce departures and rests in their answers, report loads and reject
+requests; engines are released with new software while callers take their streams up.
+Afterwards the answers that callers received are compared with what servers executed.
+The soak counts requests that ran twice, that ran although the answer says they did not,
+or that got the answer to another request; servers that got work after they had left;
+routers that no longer become ready; fatal requests that kept crashing servers; cold
+servers that got more than they tolerate; streams with events of two software versions;
+and routers that return to an earlier configuration or miss what is written to a
+restored store.
 """
 
 from __future__ import annotations
@@ -38,6 +40,7 @@
     soakparts,
     soakplaces,
     soakreleases,
+    soakrestorations,
 )
 from standins import objects, platformserver, ports, sampleconfig
 
@@ -91,14 +94,16 @@
     unexpected_exits : int
         Routers that exited although nothing stopped them, or outlasted their grace
         period.
-    unready_routers : int
-        Routers that were not ready after the settling time.
+    unready_routers, outdated_routers : int
+        Routers that were not ready, or did not have the last configuration in force,
+        after the settling time.
     """
 
     def __init__(self, seed: int, folder: pathlib.Path) -> None:
         self.random = random.Random(seed)
         self.store = objects.ObjectStore()
         self.version = 1
+        self._version_lock = threading.Lock()
         self.stopping = threading.Event()
         self.servers: list[platformserver.PlatformServer] = []
         self.crashed: list[platformserver.PlatformServer] = []
@@ -109,6 +114,7 @@
         self.events: list[str] = []
         self.unexpected_exits = 0
         self.unready_routers = 0
+        self.outdated_routers = 0
         self.proxies: dict[str, soakparts.Proxy] = {}
         self._started_at = time.monotonic()
         self._tasks: list[threading.Thread] = []
@@ -116,7 +122,9 @@
         self.versions: dict[str, str] = {}
         self.releases = soakreleases.Releases(self, seed)
         self.store.start()
-        self.store.put("config", "main", soakplaces.make_configuration(self.version))
+        self.store.put(
+            "config", "main", soakrestorations.make_configuration(self.version)
+        )
         for service, count in SERVERS.items():
             for _ in range(count):
                 self.add_server(service)
@@ -145,11 +153,20 @@
         self.evacuations = soakplaces.Evacuations(self, seed)
         self.announcements = soakannouncements.Announcements(self, seed)
         self.loads = soakloads.Loads(self, seed)
+        self.restorations = soakrestorations.Restorations(self, seed)
 
     def record_event(self, text: str) -> None:
         """Record an event of the run with its time."""
         self.events.append(f"{time.monotonic() - self._started_at:7.3f} {text}")
 
+    def write_configuration(self, step: int) -> int:
+        """Write a configuration that is some versions newer; return its version."""
+        with self._version_lock:
+            self.version += step
+            found = soakrestorations.make_configuration(self.version)
+            self.store.put("config", "main", found)
+            return self.version
+
     def add_server(self, service: str) -> None:
         """Start a backend server and register it in the store."""
         name = f"{service}-{len(self.servers)}"
@@ -231,6 +248,7 @@
             self.announcements,
             self.loads,
             self.releases,
+            self.restorations,
             *self.resuming,
         ):
             each.start()
@@ -247,7 +265,10 @@
         self.announcements.stop()
         self.loads.stop()
         self.releases.stop()
+        self.restorations.stop()
         time.sleep(SETTLE_SECONDS)
+        self.restorations.stop_probes()
+        self.outdated_routers = self.restorations.count_outdated()
         self.unready_routers = sum(not router.is_ready() for router in self.routers)
         for each in (*self.callers, *self.connection_leakers, *self.resuming):
             each.stop()
@@ -298,6 +319,10 @@
             "cold_excess": self.evacuations.count_cold_excess(),
             "after_departure": self.announcements.count_after_departure(),
             "rest_excess": self.announcements.count_rest_excess(),
+            "reverts": len(self.restorations.reverts),
+            "outdated": self.outdated_routers,
+            "missed": len(self.restorations.missed),
+            "late_arrivals": self.restorations.count_late_arrivals(),
             "two_versions": sum(len(each.mixed) for each in self.resuming),
             "taken_up": sum(each.counts["taken_up"] for each in self.resuming),
             "went_on": sum(each.counts["went_on"] for each in self.resuming),
@@ -310,6 +335,10 @@
         for each in exchanges:
             if each.mismatch:
                 self.record_event(f"mixed: {each}")
+        for each in self.restorations.reverts:
+            self.record_event(f"configuration reverted: {each}")
+        for each in self.restorations.missed:
+            self.record_event(f"configuration missed: {each}")
         for caller in self.resuming:
             for each in caller.mixed:
                 self.record_event(f"two versions: {each}")
@@ -440,8 +469,7 @@
 @fault
 def change_configuration(soak: Soak) -> None:
     """Write a new version of the configuration."""
-    soak.version += soak.random.randint(1, 3)
-    soak.store.put("config", "main", soakplaces.make_configuration(soak.version))
+    soak.write_configuration(soak.random.randint(1, 3))
 
 
 @fault
@@ -463,6 +491,10 @@
     "cold_excess",
     "rest_excess",
     "two_versions",
+    "reverts",
+    "outdated",
+    "missed",
+    "late_arrivals",
 )
 """Counts that must be 0. ``after_leaving`` and ``after_evacuation`` may be more: a
 router that cannot reach the store still sends work to such servers. So may
--- a/bench/soakplaces.py
+++ b/bench/soakplaces.py
@@ -19,6 +19,7 @@
     from bench import soak
 
 DATA_CENTRES = ("hala-a", "hala-b")
+KIND = "evacuations"
 QUIET_SECONDS = (2.0, 6.0)
 """Range of the time between two evacuations of one data centre."""
 
@@ -67,6 +68,7 @@
         self.evacuated: list[tuple[str, float, float]] = []
         self.cold: list[tuple[str, float, float]] = []
         self._run = run
+        self._current: set[str] = set()
         self._stopped = threading.Event()
         self._threads = [
             threading.Thread(
@@ -88,6 +90,17 @@
         for thread in self._threads:
             thread.join()
 
+    def write_again(self) -> None:
+        """Write what the store has lost.
+
+        Routers hear that a data centre is in use again only if its entry is removed.
+        """
+        for place in DATA_CENTRES:
+            if place in self._current or not self._run.store.find(KIND, place):
+                self._run.store.put(KIND, place, {})
+            if place not in self._current:
+                self._run.store.remove(KIND, place)
+
     def count_after_evacuation(self) -> int:
         """Return the runs that began although their data centre was evacuated."""
         return sum(
@@ -127,12 +140,14 @@
         store = self._run.store
         while not self._stopped.wait(generator.uniform(*QUIET_SECONDS)):
             self._run.record_event(f"evacuate {place}")
-            store.put("evacuations", place, {})
+            self._current.add(place)
+            store.put(KIND, place, {})
             start = time.monotonic()
             self._stopped.wait(generator.uniform(*EVACUATED_SECONDS))
             self._run.record_event(f"restore {place}")
             end = time.monotonic()
-            store.remove("evacuations", place)
+            self._current.discard(place)
+            store.remove(KIND, place)
             self.evacuated.append((place, start, end))
             self._chill(place, end, generator)
 
