Tell a restarted subscriber what holds against the copy, and split begin_era

Found by reading.

Change: a subscription knows the incarnation; a later one is told again. The comparison of the first list of an era is split, and the flag of a router that waits for its peers' configuration has a name of its own.

--- a/celeryspan/decisions/storeorder.py
+++ b/celeryspan/decisions/storeorder.py
@@ -28,6 +28,15 @@
 
 Objects = Mapping[str, storedobjects.StoredObject]
 
+Rank = tuple[float, bool]
+"""Order of what routers knew of one object before a restoration: the revision of its
+last change, and whether it was removed after that."""
+
+NOT_KNOWN: Rank = (0, False)
+
+SETTLED: Rank = (float("inf"), True)
+"""Above all that was known: the object was written since, or a hold has ended."""
+
 
 def resolve_era(stated: ids.Era, known: ids.Era, *, is_restored: bool) -> ids.Era:
     """Return the era of what another router states.
@@ -72,16 +81,6 @@
 NO_CONFIGURATION = ConfigurationStamp(ids.NO_ERA, 0, 0)
 
 
-Rank = tuple[float, bool]
-"""Order of what routers knew of one object before a restoration: the revision of its
-last change, and whether it was removed after that."""
-
-NOT_KNOWN: Rank = (0, False)
-
-SETTLED: Rank = (float("inf"), True)
-"""Above all that was known: the object was written since, or a hold has ended."""
-
-
 def _never_yields(
     _: storedobjects.StoredObject, __: storedobjects.StoredObject
 ) -> bool:
@@ -166,12 +165,10 @@
         self._policy = policy
         self._holds: dict[str, Hold] = {}
         self._removals: dict[str, _Removal] = {}
+        # Only what ranks higher is taken from other routers.
         self._settled: dict[str, Rank] = {}
         self._era_began_at = float("-inf")
 
-    def __len__(self) -> int:
-        return len(self._holds)
-
     def begin_era(self, before: Objects, listed: Objects, now: float) -> None:
         """Compare the first list of an era with what was known before.
 
@@ -181,28 +178,22 @@
             The objects as the store listed them last; empty for a router that has just
             started.
         """
-        known = dict(before)
-        removed = {name: removal.object for name, removal in self._removals.items()}
-        for name, hold in self._holds.items():
-            if hold.object is None:
-                known.pop(name, None)
-                removed[name] = hold.known.object
-            else:
-                known[name] = hold.object
+        known, removed = self._collect_known(before)
         self._holds = {}
         self._settled = {
             name: (found.revision, True) for name, found in removed.items()
-        }
-        for name, found in known.items():
-            self._settled[name] = (found.revision, False)
+        } | {name: (found.revision, False) for name, found in known.items()}
         self._era_began_at = now
         copied = find_copied_revision(before, listed)
         for name, found in known.items():
-            if name in listed or name not in before or found.revision > copied:
-                self._hold(storedobjects.Change(found, False), listed, now)
-            else:  # The copy held it, so that it has been removed since.
+            # The copy held what was listed up to its revision. Revisions of objects
+            # that hold since an earlier era can't be compared.
+            was_copied = name in before and found.revision <= copied
+            if name not in listed and was_copied:
                 self._removals[name] = _Removal(found, now)
                 self._settled[name] = SETTLED
+            else:
+                self._hold(storedobjects.Change(found, False), listed, now)
         for name in removed.keys() - known.keys():
             self._hold(storedobjects.Change(removed[name], True), listed, now)
             if name in listed and name not in self._holds:
@@ -280,6 +271,22 @@
             if hold.object is not None:
                 yield hold.object
 
+    def _collect_known(
+        self, before: Objects
+    ) -> tuple[
+        dict[str, storedobjects.StoredObject], dict[str, storedobjects.StoredObject]
+    ]:
+        """Return the objects in force by name, and the last states of removed ones."""
+        known = dict(before)
+        removed = {name: removal.object for name, removal in self._removals.items()}
+        for name, hold in self._holds.items():
+            if hold.object is None:
+                known.pop(name, None)
+                removed[name] = hold.known.object
+            else:
+                known[name] = hold.object
+        return known, removed
+
     def _hold(self, change: storedobjects.Change, listed: Objects, now: float) -> bool:
         """Hold what is known of an object if the copy contradicts it."""
         known, found = change.object, listed.get(change.object.name)
--- a/celeryspan/gateway/catalogues.py
+++ b/celeryspan/gateway/catalogues.py
@@ -59,9 +59,12 @@
         self._current: catalog.Catalogue | None = None
         self._object: storedobjects.StoredObject | None = None
         self._stamp = storeorder.NO_CONFIGURATION
+        # The first configuration of the store, while peers may know a newer one.
         self._waiting: storedobjects.StoredObject | None = None
         own_address = container.settings.peer_address
-        self._has_seeds = any(peer != own_address for peer in container.settings.peers)
+        self._awaits_peers = any(
+            peer != own_address for peer in container.settings.peers
+        )
         self._timer: threading.Timer | None = None
         self._handlers: list[Handler] = []
         self._lock = threading.Lock()
@@ -134,7 +137,7 @@
         if found.name != names.CONFIGURATION_NAME:
             return
         with self._lock:
-            must_wait = self._object is None and self._has_seeds
+            must_wait = self._object is None and self._awaits_peers
             if must_wait:
                 self._waiting = found
                 self._start_timer()
@@ -150,7 +153,7 @@
     def _stop_waiting(self) -> None:
         with self._lock:
             found, self._waiting = self._waiting, None
-            self._has_seeds = False
+            self._awaits_peers = False
         if found is not None:
             self._put_in_force(found)
 
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -38,6 +38,8 @@
 
     Attributes
     ----------
+    incarnation : Incarnation
+        Its incarnation; a later one knows nothing of what the earlier one was sent.
     position : Position
         Where in the history of the store the last batch sent ends.
     expires_at, sent_at : float
@@ -46,6 +48,7 @@
         Time of the store's last answer, as of the last batch.
     """
 
+    incarnation: ids.Incarnation
     position: storedobjects.Position
     expires_at: float
     sent_at: float = float("-inf")
@@ -184,7 +187,10 @@
         self._links.send(router, message)
 
     def _handle_request(
-        self, peer: ids.RouterId, _: ids.Incarnation, request: messages.RelayRequest
+        self,
+        peer: ids.RouterId,
+        incarnation: ids.Incarnation,
+        request: messages.RelayRequest,
     ) -> None:
         follower = self._followers.get(request.kind)
         if follower is None:
@@ -194,13 +200,14 @@
         era = request.era or follower.log.era
         self.record_era(era)
         subscriber = _Subscriber(
+            incarnation,
             storedobjects.Position(era, request.above),
             now + relays.SUBSCRIPTION_SECONDS,
         )
         with self._lock:
-            is_new = (peer, request.kind) not in self._subscribers
+            known = self._subscribers.get((peer, request.kind))
             self._subscribers[peer, request.kind] = subscriber
-        if is_new:
+        if known is None or known.incarnation != incarnation:
             # Before the list, so that the receiver does not act on the copy first.
             self._send_held(peer, follower)
         with self._lock:
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -310,14 +310,19 @@
     )
 
 
-def test_router_that_starts_with_the_copy_follows_its_peers(fleet, logged) -> None:
+@pytest.mark.parametrize("name", ["edge-2", "edge-3"])
+def test_router_that_starts_with_the_copy_follows_its_peers(
+    fleet, logged, name
+) -> None:
     """Guards against a restarted router that serves by the copy alone."""
     fleet.leave("gate-1")
     fleet.restore()
     fleet.wait_until_restored()
+    if name == "edge-2":
+        fleet.routers.pop().stop()
     logged.clear()
     peers = tuple(router.settings.peer_address for router in fleet.routers)
-    started = support.Router("edge-3", str(fleet.store.address), peers=peers)
+    started = support.Router(name, str(fleet.store.address), peers=peers)
     fleet.routers.append(started)
     try:
         support.wait_for(
