Take an answer without an era for one of the era stated last

Cause: a store that no longer states its era would have been ignored until the routers restart, as its lists would count as those of an earlier era. Found by reading, while looking for what is believed for ever.

Change: the client keeps the era that the store stated last.

Result: a test fails without the change; tests of lists across a restoration, malformed eras, invalid versions and a start without any peer hold.

--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -63,6 +63,7 @@
     ) -> None:
         self.address = address
         self._record_era = record_era
+        self._era = ids.NO_ERA
         self._pool = urllib3.PoolManager(
             maxsize=CONNECTIONS_MAX, retries=False, block=False
         )
@@ -195,13 +196,14 @@
             ) from error
 
     def _read_era(self, response: urllib3.BaseHTTPResponse, step: str) -> ids.Era:
-        """Return the era that a response states; NO_ERA if it states none."""
+        """Return the era that a response states, or the one stated last."""
         text = response.headers.get(names.ERA)
         if text is None:
-            return ids.NO_ERA
+            return self._era
         if not (text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS_MAX):
             raise self._malformed(f"expected an era, found {text!r:.40}", step)
-        return ids.Era(int(text))
+        self._era = ids.Era(int(text))
+        return self._era
 
     def _read(self, response: urllib3.BaseHTTPResponse, step: str) -> dict:
         """Return the body of a response, or raise the error for its status."""
--- a/tests/gateway/test_catalogues.py
+++ b/tests/gateway/test_catalogues.py
@@ -4,7 +4,7 @@
 
 import time
 
-from celeryspan import ids, storedobjects
+from celeryspan import events, ids, storedobjects
 from celeryspan.decisions import relays
 from celeryspan.gateway import followers
 from tests.gateway import support
@@ -126,3 +126,19 @@
     support.wait_for(lambda: all(set(each.usable()) == staying for each in lists))
     support.wait_for(lambda: {find_version(router) for router in routers} == {2})
     assert [follower._last_read_at for follower in others] == before
+
+
+def test_configuration_of_the_store_is_used_if_no_peer_answers(cluster) -> None:
+    """Guards against a router that waits for ever for a peer that is gone."""
+    router = cluster.start_router(peers=("127.0.0.1:1",))
+    assert find_version(router) == 1
+
+
+def test_configuration_with_an_invalid_version_is_refused(cluster, logged) -> None:
+    """Guards against a version that fits no message, so that none can be sent."""
+    router = cluster.start_router()
+    cluster.store.put("config", "main", support.make_configuration(2**64))
+    support.wait_for(
+        lambda: support.find_lines(logged, events.Event.CONFIGURATION_REFUSED)
+    )
+    assert find_version(router) == 1
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -148,3 +148,36 @@
 def test_invalid_utf8_affects_only_its_own_value(client) -> None:
     found = client._parse(b'{"entries":[{"a":"\xff\xfe"},{"b":1}]}', "GET servers")
     assert found["entries"][1] == {"b": 1}
+
+
+def test_answer_without_an_era_belongs_to_the_one_stated_last(store, client) -> None:
+    """Guards against answers that are ignored for ever once the store states no era."""
+    store.put("servers", "s1", {})
+    era = client.list_objects("servers").era
+    store.era = None
+    listing = client.list_objects("servers")
+    assert listing.era == listing.objects[0].era == era > 0
+
+
+def test_list_across_a_restoration_counts_as_no_answer(store, client) -> None:
+    """Guards against a list whose pages are of two eras."""
+    store.page_size = 1
+    for number in range(2):
+        store.put("servers", f"s{number}", {})
+    copy = store.copy()
+
+    def restore_once(era: int) -> None:
+        if store.era == 1:
+            store.restore(copy)
+
+    client._record_era = restore_once
+    with pytest.raises(errors.StoreUnavailable, match="two pages"):
+        client.list_objects("servers")
+    assert len(client.list_objects("servers").objects) == 2
+
+
+@pytest.mark.parametrize("era", ["", "-1", "1.5", "9" * 10, "one"])
+def test_malformed_era_counts_as_no_answer(store, client, era) -> None:
+    store.era = era
+    with pytest.raises(errors.StoreUnavailable, match="expected an era"):
+        client.list_objects("servers")
