Probe several seeds at once while a router knows no other one

Cause: the origins were passed on in time, but expired (13 s) before the take-ups, as the router that joined took 6 s to find the others. It probed one random address every 2 s, and one of three was that of the router that had stopped; three draws in a row are one in 27. In a large fleet most addresses in the store may be those of routers that are gone.

Change: a router that reaches no other one probes three different addresses every 0.5 s; a router that knows others probes one every 2 s, as before.

Result: the test of the decision fails without the change.

--- a/celeryspan/decisions/membership.py
+++ b/celeryspan/decisions/membership.py
@@ -42,6 +42,12 @@
 RECONTACT_SECONDS = 2.0
 """Period of the probes to routers that are dead or have never answered."""
 
+JOIN_SECONDS = 0.5
+JOIN_PROBES = 3
+"""Period and number of the probes while no other router is reachable. Some addresses
+are those of routers that no longer exist; a router that joins late acts on what it has
+read itself."""
+
 FORGET_SECONDS = 3_600.0
 """Dead routers are removed after this time. Regions can lose each other for minutes,
 and the register still lists the routers that are removed."""
@@ -87,8 +93,9 @@
             self._probe_at = now + probing.PERIOD_SECONDS
             actions += self._probe_next(now)
         if now >= self._recontact_at:
-            self._recontact_at = now + RECONTACT_SECONDS
-            actions += self._recontact(now)
+            is_alone = not self._list_reachable()
+            self._recontact_at = now + (JOIN_SECONDS if is_alone else RECONTACT_SECONDS)
+            actions += self._recontact(now, JOIN_PROBES if is_alone else 1)
         return actions
 
     def receive(
@@ -188,8 +195,8 @@
                 return [self._send(record.member, self._make_probe(sequence))]
         return []
 
-    def _recontact(self, now: float) -> list[statements.Action]:
-        """Probe one dead router, or one seed address without a known router."""
+    def _recontact(self, now: float, count: int) -> list[statements.Action]:
+        """Probe some dead routers, or seed addresses without a known router."""
         known = {member.peer_address for member in self._list_reachable()}
         lost = [
             member.peer_address
@@ -197,11 +204,13 @@
             if member.peer_address not in known
         ]
         lost += [seed for seed in self._seeds if seed not in known]
-        if not lost:
-            return []
-        address = self._generator.choice(lost)
-        probe = self._make_probe(self._probing.begin(None, now))
-        return [self._send_to(address, None, probe)]
+        lost = list(dict.fromkeys(lost))
+        return [
+            self._send_to(
+                address, None, self._make_probe(self._probing.begin(None, now))
+            )
+            for address in self._generator.sample(lost, min(count, len(lost)))
+        ]
 
     def _make_probe(self, sequence: int) -> messages.Probe:
         return messages.Probe(sequence, self._digest())
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 import hypothesis
 import msgspec
 import pytest
@@ -9,7 +11,7 @@
 
 from bench import virtual
 from celeryspan import states
-from celeryspan.decisions import statements
+from celeryspan.decisions import membership, statements
 
 SIZE = 5
 AGREE_SECONDS = 60.0
@@ -196,3 +198,18 @@
         fleet.run(30)
         rates.append((fleet.bytes_sent - before) / 30 / size)
     assert max(rates) < 1.1 * min(rates)
+
+
+def test_router_that_knows_nobody_probes_several_seeds_at_once() -> None:
+    """Guards against a start that waits seconds for routers that no longer exist."""
+    decision = membership.Membership(virtual.make_member(0), random.Random(1))
+    seeds = [virtual.make_member(number).peer_address for number in (1, 2, 3)]
+    decision.set_seeds(seeds)
+    assert sorted(sent.address for sent in decision.tick(0.0)) == sorted(seeds)
+    again = [
+        sent.address
+        for tick in range(1, 11)
+        for sent in decision.tick(tick / 10)
+        if sent.address in seeds
+    ]
+    assert len(again) == 2 * len(seeds)
