Count a router as outdated only if it lacks the route of the last version

Cause: the soak also counted a router whose backend server answered with an error of its own, left over from the faults.

Change: only 404 counts, which is what a router without the version answers; one that is not ready or does not answer is counted by the other checks.

--- a/bench/soakrestorations.py
+++ b/bench/soakrestorations.py
@@ -124,7 +124,7 @@
     def count_outdated(self) -> int:
         """Return the routers that do not have the last configuration in force."""
         return sum(
-            self._ask(router, self._run.version) is not HTTPStatus.OK
+            self._ask(router, self._run.version) is HTTPStatus.NOT_FOUND
             for router in self._run.routers
         )
 
