Tell the end of a connection that a router ends from the server's

A plain answer without a length got the length of what had arrived.

Cause: an abort shuts the connection down under the thread that reads from it, and a read then reports the same end as an end by the server, which completes a body without a length. The same holds for servers that start again under their id, and for calls and forwarded calls of the own interface, where such an answer could not be aborted at all: urllib3 gives up the socket when it ends with the answer.

Evidence: request_settled names the four streams with outcome "ran" and framing "connection", 6 to 18 ms after stop_cut_requests; those in chunks are in caller_left.

Change: a socket remembers that this process has ended it, and a read that meets the end raises an error. All readers go through it: heads, chunks, bodies and events of both interfaces.

--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -14,9 +14,17 @@
 import weakref
 from collections.abc import Callable, Mapping
 
-from urllib3.util import connection as urllib3_connection, wait as urllib3_wait
-
-from celeryspan import answerheads, catalog, errors, events, ids, kernel
+from urllib3.util import wait as urllib3_wait
+
+from celeryspan import (
+    abortablesockets,
+    answerheads,
+    catalog,
+    errors,
+    events,
+    ids,
+    kernel,
+)
 from celeryspan.platform import names
 from celeryspan.services import callerconnections
 
@@ -101,7 +109,9 @@
         Whether no answer has been read on the connection yet.
     """
 
-    def __init__(self, entry: catalog.ServerEntry, sock: socket.socket) -> None:
+    def __init__(
+        self, entry: catalog.ServerEntry, sock: abortablesockets.AbortableSocket
+    ) -> None:
         self.server = entry.server
         self.entry = entry
         self.reusable_until = 0.0
@@ -223,7 +233,7 @@
         def abort_use() -> None:
             with self._use_lock:
                 if self._use_number == use:
-                    self.abort()
+                    self.abort("the request was cancelled")
 
         return abort_use
 
@@ -232,12 +242,9 @@
         with self._use_lock:
             self._use_number += 1
 
-    def abort(self) -> None:
-        """Shut the connection down, which wakes the thread that reads from it."""
-        try:
-            self._socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            pass  # The connection is closed already.
+    def abort(self, reason: str) -> None:
+        """End the connection; its reader gets an error, not the end of an answer."""
+        self._socket.abort(reason)
 
     def close(self) -> None:
         """Close the connection."""
@@ -300,8 +307,8 @@
             self._reused += 1
             return channel
         try:
-            sock = urllib3_connection.create_connection(
-                tuple(entry.address), CONNECT_SECONDS, socket_options=SOCKET_OPTIONS
+            sock = abortablesockets.connect(
+                tuple(entry.address), CONNECT_SECONDS, SOCKET_OPTIONS
             )
         except OSError as error:
             raise errors.NotRun(
@@ -374,7 +381,7 @@
             for channel in channels:
                 channel.close()
         for channel in superseded:
-            channel.abort()
+            channel.abort("its server has started again")
 
     def _is_superseded(self, channel: Channel) -> bool:
         """Return whether a connection leads to an earlier incarnation of its server.
--- a/celeryspan/services/backends.py
+++ b/celeryspan/services/backends.py
@@ -169,14 +169,3 @@
     link.timeout = seconds
     if link.sock is not None:
         link.sock.settimeout(seconds)
-
-
-def abort(link: backend.Connection) -> None:
-    """Shut a link down; a thread that reads from it gets an end of file."""
-    sock = link.sock
-    if sock is None:
-        return
-    try:
-        sock.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass  # The connection is already closed.
--- a/celeryspan/services/forwarding.py
+++ b/celeryspan/services/forwarding.py
@@ -54,7 +54,7 @@
                 owner, "is not the router that it was forwarded to"
             )
         link = self._connect(owner)
-        call.cancellation.on_cancel(lambda: backends.abort(link))
+        call.cancellation.on_cancel(lambda: link.abort("the request was cancelled"))
         events.log(
             events.Event.REQUEST_FORWARDED,
             request=incoming.request,
--- a/celeryspan/services/runs.py
+++ b/celeryspan/services/runs.py
@@ -106,7 +106,7 @@
     def abort_read(self) -> None:
         """Unblock the thread that reads the answer, after the caller has left."""
         if self.link is not None:
-            backends.abort(self.link)
+            self.link.abort("the request was cancelled")
 
     def fail(self, cause: Exception) -> RunFailure:
         """Record a failure after the first byte and return the exception to raise."""
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -39,6 +39,9 @@
 CRASH_DELAY_SECONDS = 0.03
 """Time from the start of a run that crashes the server to the crash."""
 
+STALL_SECONDS = 0.1
+"""Time for the client to read what was sent before the answer counts as stalled."""
+
 RESET_LINGER = answerendings.RESET_LINGER
 
 
@@ -78,6 +81,8 @@
         All received requests except those that list the kept parts.
     ran, ran_at : list of str, list of float
         Ids of the requests that ran, and the monotonic time of each start.
+    is_stalled : Event
+        Set once an answer has stopped in its body.
     resumed : list of str
         Ids of the requests that were resumed here from a copy.
     freed_handles : list of str
@@ -138,6 +143,7 @@
         self.ran: list[str] = []
         self.ran_at: list[float] = []
         self.client_disconnected = threading.Event()
+        self.is_stalled = threading.Event()
         self.resumed: list[str] = []
         self.freed_handles: list[str] = []
         self.kept: dict[str, int] = {}
@@ -409,9 +415,23 @@
         connection.sendall(head + BODY)
         return False
 
+    def _do_stalled(self, request: ReceivedRequest, connection: socket.socket) -> bool:
+        """Run, send a part of a body without a length, then nothing more."""
+        self._record_run(request)
+        head = self._write_head(request, 200, None).replace(
+            b"Transfer-Encoding: chunked\r\n", b"Connection: close\r\n"
+        )
+        connection.sendall(head + BODY[:3])
+        time.sleep(STALL_SECONDS)
+        self.is_stalled.set()
+        return self._wait_for_close(connection)
+
     def _do_silent(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         """Run, and send nothing until the client disconnects."""
         self._record_run(request)
+        return self._wait_for_close(connection)
+
+    def _wait_for_close(self, connection: socket.socket) -> bool:
         connection.settimeout(10)
         if not connection.recv(1):
             self.client_disconnected.set()
--- a/tests/adapters/test_plain.py
+++ b/tests/adapters/test_plain.py
@@ -23,13 +23,23 @@
 
 
 @contextlib.contextmanager
-def open_link(ending: answerendings.Ending) -> Iterator[backend.Connection]:
-    """Yield a connection to a service that ends its first answer in a given way."""
+def open_link(
+    ending: answerendings.Ending, *, is_stalled: bool = False
+) -> Iterator[backend.Connection]:
+    """Yield a connection to a service that ends its first answer in a given way.
+
+    Parameters
+    ----------
+    is_stalled : bool
+        Whether it waits for the other side to end the connection instead.
+    """
 
     def serve() -> None:
         connection, _ = listener.accept()
         connection.recv(65_536)
         connection.sendall(ending.format_answer(HEAD, EVENTS))
+        if is_stalled:
+            connection.recv(65_536)
         ending.prepare_close(connection)
         connection.close()
 
@@ -46,6 +56,12 @@
 
 def read_answer(ending: answerendings.Ending) -> bytes:
     """Return the body of an answer; raises one of the errors of a link."""
+    with open_link(ending) as link:
+        return b"".join(start_answer(link))
+
+
+def start_answer(link: backend.Connection) -> Iterator[bytes]:
+    """Send a call and return the body of its answer as it arrives."""
     call = calls.Call(
         request=ids.RequestId("r1"),
         service=ids.ServiceId("desk"),
@@ -60,10 +76,9 @@
         cancellation=calls.Cancellation(),
     )
     service = plain.PlainService()
-    with open_link(ending) as link:
-        service.send(link, call, call.request)
-        _, pieces = service.receive(link)
-        return b"".join(pieces)
+    service.send(link, call, call.request)
+    _, pieces = service.receive(link)
+    return pieces
 
 
 @pytest.mark.parametrize("is_reset", [False, True])
@@ -80,6 +95,21 @@
         read_answer(ending)
 
 
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("parts", [1, 2])
+def test_answer_whose_connection_this_side_ends_is_incomplete(
+    framing: answerendings.Framing, parts: int
+) -> None:
+    """Guards against an aborted answer of no length that is taken for complete."""
+    ending = answerendings.Ending(framing, parts)
+    with open_link(ending, is_stalled=True) as link:
+        pieces = start_answer(link)
+        assert next(pieces) == b"".join(EVENTS[:parts])
+        link.abort("a test")
+        with pytest.raises(backends.LINK_ERRORS):
+            list(pieces)
+
+
 @pytest.mark.parametrize("size", [-20, -2])
 def test_answer_that_ends_inside_its_head_is_incomplete(size: int) -> None:
     """Guards against headers that end with the connection and look complete."""
