Wake the accepting thread of an HTTP server that shuts down

Cause: a server that shuts down waits until its accepting thread has left its selector, which happens at the next check of idle connections, up to 0.5 s later. A router has three such servers and 0.6 s left. In the log, the directory takes 0.48 s to stop and all services together 0.65 s.

Change: the server connects to itself, which wakes the thread.

Test: fails before (the thread still waits after 10 s).

--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -56,6 +56,9 @@
 ACCEPT_BATCH_MAX = 64
 STOP_TIMEOUT_SECONDS = 2.0
 
+# Time for the own listener to accept the connection that wakes its thread.
+WAKE_SECONDS = 0.2
+
 
 class Connection(cheroot_server.HTTPConnection):
     """A caller's connection.
@@ -443,11 +446,24 @@
 
     def shut_down(self) -> None:
         """Stop the server and wait briefly for requests in progress."""
+        self._end_accepting()
         self.stop()
         if self._thread is not None:
             self._thread.join(STOP_TIMEOUT_SECONDS)
         self.close_watcher.stop()
 
+    def _end_accepting(self) -> None:
+        """Wake the accepting thread by a connection, and let it end.
+
+        It would otherwise sleep until the next check of idle connections. A process
+        with several servers would outlast the grace period of its stop.
+        """
+        self._connections._stop_requested = True
+        try:
+            socket.create_connection(self.socket.getsockname(), WAKE_SECONDS).close()
+        except (AttributeError, OSError):
+            pass  # It does not listen; the thread wakes up by itself.
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
