Reset bodies of no length that end with the router's process

What a caller of HTTP/1.0 saw: if its router was killed in the middle of a stream, the connection ended in order, which completes a body without a length.

Cause: such a connection was set to be reset only when the router broke the answer off itself; when a process ends, the kernel closes in order.

Change: the connection is set to be reset from the head on, until the body is whole.

Test: fails before (no reset).

--- a/celeryspan/gateway/callersinks.py
+++ b/celeryspan/gateway/callersinks.py
@@ -108,6 +108,9 @@
         if request.close_connection:
             lines.append("Connection: close")
         self.is_begun = True
+        if self._bytes_left < 0:
+            # Until the body is whole, so that it is not complete if this process ends.
+            request.conn.reset_on_close()
         head = ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
         self._send(head, is_last=not self._is_chunked and self._bytes_left == 0)
 
@@ -126,16 +129,17 @@
         """Mark the end of a complete answer; a buffered rest is still to be written."""
         if self._is_chunked:
             self._send_end(b"0\r\n\r\n")
+        elif self._bytes_left < 0:
+            self._request.conn.allow_orderly_end()
         self.is_ended = True
 
     def abort(self) -> None:
         """Close the connection so that the caller sees an incomplete answer.
 
-        Where the end of the connection marks the end of the body, it is reset.
+        Where the end of the connection marks the end of the body, it is reset; see
+        :meth:`write_head`.
         """
         self._request.close_connection = True
-        if self.is_begun and self._bytes_left < 0:
-            self._request.conn.reset_on_close()
 
     def drain(self) -> None:
         """Write the buffered rest of a complete answer.
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -41,6 +41,7 @@
 
 # Value of SO_LINGER with which closing a connection resets it.
 RESET_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 0, 0)
 
 # Interval for closing expired idle connections; a stop waits up to two intervals.
 IDLE_CHECK_SECONDS = 0.5
@@ -134,6 +135,12 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_LINGER)
 
+    def allow_orderly_end(self) -> None:
+        """Let the connection end in order again, after a whole body was sent."""
+        self._is_reset = False
+        with contextlib.suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
     def _close_kernel_socket(self) -> None:
         if not self._is_reset:  # A shutdown would send an orderly end first.
             super()._close_kernel_socket()
--- a/tests/gateway/test_aborted_answers.py
+++ b/tests/gateway/test_aborted_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import socket
 import threading
 import time
 from collections.abc import Callable
@@ -12,7 +13,7 @@
 from celeryspan import ids
 from celeryspan.gateway import channels
 from standins import platformserver
-from tests.gateway import support
+from tests.gateway import processes, support
 
 EVENTS = 200
 
@@ -129,6 +130,28 @@
     assert bodies == [platformserver.BODY]
 
 
+def test_caller_of_http_1_0_sees_that_its_router_was_killed(cluster, tmp_path) -> None:
+    """Guards against the end of a process, which ends a body of no length in order."""
+    server = cluster.add_server("planner-1", "planner")
+    server.events, server.event_seconds = EVENTS, 0.05
+    head = (
+        f"POST /notes/1 HTTP/1.0\r\nHost: {support.HOST}\r\n"
+        f"Celeryspan-Request-Id: r1\r\nCeleryspan-Deadline-Ms: 8000\r\n"
+        f"Celeryspan-Credential: {support.KEY}\r\nContent-Length: 0\r\n\r\n"
+    )
+    with processes.run_router(tmp_path, str(cluster.store.address)) as router:
+        host, _, port = router.caller_address.partition(":")
+        with socket.create_connection((host, int(port)), support.WAIT_SECONDS) as found:
+            found.sendall(head.encode())
+            received = b""
+            while b"id: 2" not in received:
+                received += found.recv(65_536)
+            router.stop()
+            with pytest.raises(ConnectionResetError):
+                while found.recv(65_536):
+                    pass
+
+
 def _soon() -> float:
     return time.monotonic() + support.WAIT_SECONDS
 
