Ask one decision before a request goes to another server

Cause: whether a request may have run was a flag that the callers of the decision had to set first. The relay of answers asked for the retry before it set the flag, and the flag was set only once an answer was lost. The two interfaces had a decision each; the own one looked at the last attempt and then, a second time, at the progress of the request.

Evidence: log line 203 of these requests has attempt 2 with the same id, after the first server's 500; after resets of the same route there is none.

Change: a request counts as run from before its first byte until the server states otherwise (Exposure), both interfaces ask find_obstacle, and a send against it raises an error before its first byte. A failure's body is read before the retry is reserved, so that one that breaks off takes one retry from the budget, not two.

--- a/celeryspan/decisions/outcomes.py
+++ b/celeryspan/decisions/outcomes.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 from celeryspan import states
+from celeryspan.decisions import retries
 
 _State = states.RequestState
 
@@ -36,18 +37,13 @@
     ----------
     state : RequestState
         The current state.
-    sends : int
-        Number of times that the request has been sent to a backend server.
-    exposed : bool
-        Whether any bytes may have reached a server that has not declined the request.
+    exposure : Exposure
+        What servers may have done with the request.
     """
 
     def __init__(self, *, idempotent: bool) -> None:
-        self.idempotent = idempotent
+        self.exposure = retries.Exposure(is_repeatable=idempotent)
         self.state = _State.QUEUED
-        self.sends = 0
-        self.exposed = False
-        self._exposed_before_send = False
         self._ran = False
 
     @property
@@ -55,12 +51,9 @@
         """Outcome that can be reported in the current state."""
         if self._ran:
             return states.Outcome.RAN
-        return states.Outcome.UNKNOWN if self.exposed else states.Outcome.NOT_RUN
-
-    @property
-    def may_send(self) -> bool:
-        """Whether the request may be sent to another server."""
-        return not self._ran and (self.idempotent or not self.exposed)
+        if self.exposure.may_have_run:
+            return states.Outcome.UNKNOWN
+        return states.Outcome.NOT_RUN
 
     def grant(self) -> None:
         """Record that a slot was granted."""
@@ -72,12 +65,10 @@
 
     def send(self) -> None:
         """Record that the first byte is about to be sent."""
-        if not self.may_send:
+        if self._ran or not self.exposure.may_send:
             raise IllegalTransition("cannot resend a request that may have run")
         self._transition({_State.GRANTED}, _State.SENT)
-        self.sends += 1
-        self._exposed_before_send = self.exposed
-        self.exposed = True
+        self.exposure.record_send()
 
     def record_decline(self) -> None:
         """Record that the server declined the last send without running the request.
@@ -85,7 +76,7 @@
         The effect of earlier sends remains unknown.
         """
         self._transition({_State.SENT}, _State.QUEUED)
-        self.exposed = self._exposed_before_send
+        self.exposure.record_not_run()
 
     def record_connection_loss(self) -> None:
         """Record that the connection failed before the answer proved a run."""
--- a/celeryspan/gateway/attempts.py
+++ b/celeryspan/gateway/attempts.py
@@ -1,16 +1,18 @@
-"""The kernel service ``attempts``: decides whether a request is retried.
+"""The kernel service ``attempts``: retries requests, or ends them with an error.
 
-A retry requires a repeatable route, remaining attempts and time, a caller that is still
-connected, and a retry from the fleet's budget. Otherwise the request ends with an error
-that states whether it may have run.
+Whether a request may be sent to another server is decided by
+:mod:`celeryspan.decisions.retries`; here a retry is taken from the fleet's budget. The
+error of a request that is not retried states whether it may have run.
 """
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, kernel
 from celeryspan.adapters import backend
+from celeryspan.decisions import retries
 from celeryspan.gateway import endings, orders, requestprogress
 
 if TYPE_CHECKING:
@@ -77,11 +79,9 @@
         lost: backend.AnswerLost,
     ) -> None:
         """Return if a request without an answer is to be retried; raise if not."""
-        progress.may_have_run = True
         if order.cancellation.is_cancelled:
             raise ConnectionAbortedError("the caller closed the connection")
-        can_retry = order.route.is_repeatable and self.reserve_retry(order, progress)
-        if can_retry:
+        if self.reserve_retry(order, progress):
             event = events.Event.STREAM_RESUMED
             if progress.is_answering:
                 events.log(event, request=order.request, above=progress.last_event)
@@ -107,16 +107,18 @@
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> bool:
         """Return whether the request may be retried, taking one retry if it may."""
-        if progress.may_have_run and not order.route.is_repeatable:
-            return False
-        if progress.is_answering and not progress.last_event:
-            return False
-        if progress.sends >= order.route.attempts_max:
-            return False
-        if (
-            order.remaining_seconds() < RETRY_SECONDS_MIN
-            or order.cancellation.is_cancelled
-        ):
+        attempt = retries.Attempt(
+            service=order.service,
+            idempotent=order.route.is_repeatable,
+            sent=progress.exposure.sent,
+            number=progress.sends,
+            deadline=order.deadline - RETRY_SECONDS_MIN,
+            answering=progress.is_answering,
+            resumable=bool(progress.last_event),
+            attempts_max=order.route.attempts_max,
+            cancelled=order.cancellation.is_cancelled,
+        )
+        if retries.find_obstacle(attempt, time.monotonic()) is not None:
             return False
         progress.has_unsent_retry = self._budgets.try_take(order.service)
         return progress.has_unsent_retry
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -115,7 +115,7 @@
             If the caller has disconnected.
         """
         self._budgets.record_request(order.service)
-        progress = requestprogress.Progress()
+        progress = requestprogress.Progress(is_repeatable=order.route.is_repeatable)
         progress.version = self._origins.find_version(order)
         refuse = functools.partial(self._places.refuse, order.request)
         self._quarantine.watch(order, progress, refuse)
@@ -398,19 +398,17 @@
         sink: orders.Sink,
     ) -> states.RunEnding:
         """Relay an answer; returns FAILED if the request is to be retried."""
-        if reply.status >= 500 and self._attempts.reserve_retry(order, progress):
-            progress.may_have_run = True
-            progress.server_failure = (reply, reply.read_whole())
-            return states.RunEnding.FAILED
-        is_stream = order.route.kind is catalog.RouteKind.STREAM
-        if is_stream and reply.is_success:
+        if order.route.kind is catalog.RouteKind.STREAM and reply.is_success:
             self._sender.relay_stream(order, place, progress, reply, sink)
-        elif progress.is_answering:
+            return states.RunEnding.ANSWERED
+        if progress.is_answering:
             raise reply.make_answer_lost(f"status {reply.status} on resuming a stream")
-        else:
-            body = reply.read_whole()
-            sender.write_reply(sink, reply, body)
-            progress.first_event_at = time.monotonic()
+        body = reply.read_whole()
+        if reply.status >= 500 and self._attempts.reserve_retry(order, progress):
+            progress.server_failure = (reply, body)
+            return states.RunEnding.FAILED
+        sender.write_reply(sink, reply, body)
+        progress.first_event_at = time.monotonic()
         return states.RunEnding.ANSWERED
 
     def _record_answered(
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from celeryspan import catalog, ids
+from celeryspan.decisions import retries
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
@@ -28,11 +29,10 @@
 
     Attributes
     ----------
-    sends, connect_failures : int
-        Number of servers that the request was sent to, and of servers that accepted no
-        connection.
-    may_have_run : bool
-        Whether a server may have run the request.
+    exposure : Exposure
+        What servers may have done with the request.
+    connect_failures : int
+        Number of servers that accepted no connection.
     is_answering : bool
         Whether the head of an answer was sent to the caller.
     last_event : str
@@ -67,10 +67,9 @@
         The last answer whose head was accepted.
     """
 
-    def __init__(self) -> None:
-        self.sends = 0
+    def __init__(self, *, is_repeatable: bool) -> None:
+        self.exposure = retries.Exposure(is_repeatable=is_repeatable)
         self.connect_failures = 0
-        self.may_have_run = False
         self.is_answering = False
         self.last_event = ""
         self.excluded: tuple[ids.ServerId, ...] = ()
@@ -90,9 +89,30 @@
         self.load: LoadReading | None = None
         self.reply: replies.Reply | None = None
 
-    def record_send(self, now: float) -> None:
-        """Record that the request is sent to another server."""
-        self.sends += 1
+    @property
+    def sends(self) -> int:
+        """Number of servers that the request was sent to."""
+        return self.exposure.sends
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have run the request."""
+        return self.exposure.may_have_run
+
+    def record_send(self, now: float, *, is_same_run: bool = False) -> None:
+        """Record that the request is sent to another server.
+
+        Parameters
+        ----------
+        is_same_run : bool
+            Whether the server continues a run that another one has stopped.
+
+        Raises
+        ------
+        retries.IllegalSend
+            If the request may have run and must not run twice.
+        """
+        self.exposure.record_send(is_same_run=is_same_run)
         self.has_unsent_retry = False
         self.last_sent_at = now
         self.answer_begun_at = None
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -124,7 +124,7 @@
             version=channel.entry.version,
             origin=order.incoming.origin,
         )
-        progress.record_send(time.monotonic())
+        progress.record_send(time.monotonic(), is_same_run=bool(moved_from))
         try:
             channel.send(head + order.body, until)
             answer = channel.receive(order.method, order.request, until)
@@ -140,12 +140,18 @@
         if load is not None:
             progress.load = requestprogress.LoadReading(server, load, time.monotonic())
         reply = replies.Reply(order, channel, answer)
-        self._check_reply(reply, server)
+        self._check_reply(reply, server, progress)
         progress.reply = reply
         return reply
 
-    def _check_reply(self, reply: replies.Reply, server: ids.ServerId) -> None:
+    def _check_reply(
+        self,
+        reply: replies.Reply,
+        server: ids.ServerId,
+        progress: requestprogress.Progress,
+    ) -> None:
         if reply.is_not_run:
+            progress.exposure.record_not_run()
             is_gone = reply.status == 421
             if is_gone:
                 self._servers.remove(server)
--- a/celeryspan/services/requests.py
+++ b/celeryspan/services/requests.py
@@ -157,20 +157,18 @@
         number: int,
     ) -> None:
         """Wait for the retry delay; raises RequestError if no retry is allowed."""
-        if call.cancellation.is_cancelled:
-            raise make_error(progress.settle(), failure, code="caller-left")
         attempt = retries.Attempt(
             service=call.service,
             idempotent=call.idempotent,
-            sent=failure.sent,
+            sent=progress.exposure.sent,
             number=number,
             deadline=call.deadline,
+            cancelled=call.cancellation.is_cancelled,
         )
         now = time.monotonic()
         verdict = self._retries.decide(attempt, now, self._random.random())
-        if isinstance(verdict, retries.GiveUp) or not progress.may_send:
-            code = getattr(verdict, "code", "outcome-unknown")
-            raise make_error(progress.settle(), failure, code=code)
+        if isinstance(verdict, retries.GiveUp):
+            raise make_error(progress.settle(), failure, code=verdict.code)
         self.sleep(verdict.delay)
 
 
--- a/celeryspan/services/runs.py
+++ b/celeryspan/services/runs.py
@@ -6,17 +6,16 @@
 
 from celeryspan import calls, dispatch, errors, events, ids, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import outcomes, retries
+from celeryspan.decisions import outcomes
 from celeryspan.services import backends, observations
 
 
 class RunFailure(errors.CeleryspanError):
-    """An attempt failed; ``sent`` says how much of the request was sent."""
+    """An attempt failed."""
 
-    def __init__(self, cause: Exception, sent: retries.Sent, peer: str) -> None:
+    def __init__(self, cause: Exception, peer: str) -> None:
         text = getattr(cause, "message", "") or repr(cause)
         super().__init__(text, step=getattr(cause, "step", "") or "send", peer=peer)
-        self.sent = sent
 
 
 class Run:
@@ -78,7 +77,7 @@
         except errors.NotRun as error:
             self.end(dispatch.Ending.FAILED, 0.0)
             self.progress.release()
-            raise RunFailure(error, retries.Sent.NOTHING, self.slot.server) from error
+            raise RunFailure(error, self.slot.server) from error
 
     def send(self, call: calls.Call) -> None:
         """Check the slot and mark the request as sent, before the first byte.
@@ -93,7 +92,7 @@
         except errors.NotRun as error:
             self.abandon(dispatch.Ending.CANCELLED)
             self.progress.release()
-            raise RunFailure(error, retries.Sent.NOTHING, self.slot.server) from error
+            raise RunFailure(error, self.slot.server) from error
         self.progress.send()
         events.log(
             events.Event.REQUEST_SENT,
@@ -121,8 +120,7 @@
             if isinstance(cause, backends.TIMEOUT_ERRORS):
                 ending = dispatch.Ending.TIMED_OUT
         self.abandon(ending)
-        sent = retries.Sent.REFUSED if declined else retries.Sent.MAYBE
-        return RunFailure(cause, sent, self.slot.server)
+        return RunFailure(cause, self.slot.server)
 
     def abandon(self, ending: dispatch.Ending, cost: float = 0.0) -> None:
         """Close the link, whose answer is read only in part, and release the slot."""
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -119,6 +119,8 @@
         The load that all its answers report; none if empty.
     is_shedding : bool
         Whether it turns all requests away.
+    failure_status : int
+        Status of the failures of requests that have run.
     crashed : Event
         Set once the server has crashed.
     crashed_by, crashed_parts, crashed_at : bytes, set of str, float
@@ -163,6 +165,7 @@
         self.rest = ""
         self.load = ""
         self.is_shedding = False
+        self.failure_status = 500
         self.crashed = threading.Event()
         self.crashed_by = b""
         self.crashed_parts: set[str] = set()
@@ -363,7 +366,7 @@
 
     def _do_error(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         self._record_run(request)
-        connection.sendall(self._write_head(request, 500, 5) + b"error")
+        connection.sendall(self._write_head(request, self.failure_status, 5) + b"error")
         return True
 
     def _do_reset(self, request: ReceivedRequest, connection: socket.socket) -> bool:
@@ -452,7 +455,7 @@
             lines.append(f"{SERVER_LOAD}: {self.load}")
         if status == 503 and self.rest:
             lines.append(f"{RETRY_AFTER}: {self.rest}")
-        if status in (200, 413, 500):
+        if status in (200, 413, self.failure_status):
             lines.append(f"{SERVER_STAMP}: {self.name}.{len(self.ran)}")
         if length is None:
             lines.append("Content-Type: text/event-stream")
