Pass on no promise that a server has not made

What a caller saw: a server ran a booking and answered 503 (or 429, or 408) without the header that states that nothing was run. The router passed the status on, which promises callers that the request has not run and never will, so that they book again.

Change: on routes whose requests must not run twice, such a status becomes 502, with the outcome unknown. With the header, or with 421, all is as it was; on other routes the server's status is passed on unchanged.

Tests: those with an unproved 408, 429 or 503 of tests/gateway/test_at_most_once.py failed before, at 1, 2, 3 and 9 attempts.

--- a/celeryspan/gateway/attempts.py
+++ b/celeryspan/gateway/attempts.py
@@ -16,7 +16,7 @@
 from celeryspan.gateway import endings, orders, requestprogress
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import budgets
+    from celeryspan.gateway import budgets, replies
 
 RETRY_SECONDS_MIN = 0.05
 """Minimum time before the deadline for a retry; with less it cannot be answered."""
@@ -90,6 +90,24 @@
             raise endings.make_answer_lost(progress, lost.message)
         raise endings.make_outcome_unknown(order, progress, lost.message)
 
+    def check_promise(self, order: orders.Order, reply: replies.Reply) -> None:
+        """Check that the status of an answer promises the caller nothing untrue.
+
+        Raises
+        ------
+        errors.OutcomeUnknown
+            If the status tells callers that a request has not run, which the server
+            does not state, and the request must not run twice.
+        """
+        if reply.is_unproved_refusal and not order.route.is_repeatable:
+            raise errors.OutcomeUnknown(
+                f"status {reply.status} without a statement that nothing was run",
+                code="answer-unproved",
+                status=502,
+                step="read answer",
+                peer=reply.entry.server,
+            )
+
     def may_abandon_silent_server(
         self, order: orders.Order, progress: requestprogress.Progress
     ) -> bool:
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -407,6 +407,7 @@
         if reply.status >= 500 and self._attempts.reserve_retry(order, progress):
             progress.server_failure = (reply, body)
             return states.RunEnding.FAILED
+        self._attempts.check_promise(order, reply)
         sender.write_reply(sink, reply, body)
         progress.first_event_at = time.monotonic()
         return states.RunEnding.ANSWERED
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -71,6 +71,11 @@
         """Whether the server states that it did not run the request."""
         return self.status == 421 or self._answer.getheader(names.NOT_RUN) is not None
 
+    @property
+    def is_unproved_refusal(self) -> bool:
+        """Whether callers read "not run", which the server does not state."""
+        return self.status in requests.NOT_RUN_STATUSES and not self.is_not_run
+
     @property
     def is_signed(self) -> bool:
         """Whether the answer has the server's signature header."""
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -45,6 +45,8 @@
 )
 """Headers set by this system; removed from callers' requests."""
 
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise callers that their request has not run and never will."""
 
 NO_REQUEST = ids.RequestId("")
 
--- a/tests/gateway/test_at_most_once.py
+++ b/tests/gateway/test_at_most_once.py
@@ -18,6 +18,7 @@
 
 FAILURES = {
     **{f"status {status}": ("error", status) for status in (500, 502, 504)},
+    **{f"unproved {status}": ("error", status) for status in (408, 429, 503)},
     "cut": ("cut", 500),
     "reset": ("reset", 500),
     "unsigned": ("unsigned", 500),
