Write no kept failure into a stream that has begun

What a caller saw: with three attempts, a server's failure is kept, the next server begins the stream and breaks it off, and no place is found for the third attempt: the kept failure was written as a second head amid the stream.

Change: once an answer has begun, the refusal ends it as broken off.

Test: two heads in the received bytes before, one now.

--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -153,7 +153,7 @@
             )
         except errors.NotRun as refusal:
             self._attempts.return_retry(order, progress)
-            if progress.server_failure is not None:
+            if progress.server_failure is not None and not progress.is_answering:
                 return None
             raise endings.make_refusal(order, progress, refusal) from refusal
 
--- a/tests/gateway/test_at_most_once.py
+++ b/tests/gateway/test_at_most_once.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 from collections.abc import Iterator
 
 import pytest
 
+from celeryspan.gateway import places
 from standins import sampleconfig
 from tests.gateway import support, test_handover
 
@@ -143,3 +145,40 @@
     fleet.gates[0].script.append("full")
     statuses = [fleet.call("/bookings/1")[1] for _ in range(6)]
     assert statuses.count(200) >= 5
+
+
+def test_kept_failure_is_not_written_into_a_stream_that_has_begun(
+    cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a second head amid the events of a stream."""
+    route = sampleconfig.make_route(
+        "/essays/", "stream", "planner", max_attempts=3, resumable=True
+    )
+    cluster.store.put(
+        "config", "main", sampleconfig.make_configuration(2, routes=[route])
+    )
+    server = cluster.add_server("planner-1", "planner")
+    server.script.extend(["error", "cut_stream"])
+    another = cluster.add_server("planner-2", "planner")
+    another.script = server.script
+    router = cluster.start_router()
+    slots = router.container.find("places")
+    acquire = slots.acquire
+
+    def acquire_until_begun(*values: object) -> object:
+        if not server.script:
+            raise places.make_refusal("no-place-in-time", 1.0)
+        return acquire(*values)
+
+    monkeypatch.setattr(slots, "acquire", acquire_until_begun)
+    head = (
+        f"POST /essays/1 HTTP/1.1\r\nHost: {support.HOST}\r\nConnection: close\r\n"
+        f"Celeryspan-Request-Id: r1\r\nCeleryspan-Deadline-Ms: 5000\r\n"
+        f"Celeryspan-Credential: {support.KEY}\r\nContent-Length: 0\r\n\r\n"
+    )
+    with contextlib.closing(router.connect()) as caller:
+        caller.connect()
+        caller.sock.sendall(head.encode())
+        received = caller.sock.makefile("rb").read()
+    assert b"id: 2" in received
+    assert received.count(b"HTTP/1.1 ") == 1
