Bound answers that have no end in bytes, time and memory

Cause: a body was collected without a bound, also one of a failure or of an answer to another request; an unfinished event was copied with each read; interim answers and trailers were read for as long as they came, and each byte started the read timeout anew. Other interim answers than 100 were passed on as the answer.

Change: one reader bounds the head, what frames a body, and the body; one socket keeps a deadline that no byte extends; both interfaces and the calls to the store and to engines go through them. A plain answer is buffered up to a limit and within a tenth of the memory, then asked for at another server if it states no length and the route allows it, else forwarded as it arrives. An event, and what lies between two, is bounded. Limits are settings.

--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -6,9 +6,9 @@
 from typing import Protocol, TypeVar
 
 import msgspec
-from urllib3 import connection as urllib3_connection, response as urllib3_response
+from urllib3 import response as urllib3_response
 
-from celeryspan import abortablesockets, answerheads, calls, errors, ids, states
+from celeryspan import calls, errors, httpconnections, ids, states
 
 # Largest chunk of a response body to read at once.
 READ_CHUNK_BYTES = 16_384
@@ -73,22 +73,10 @@
     reason: str
 
 
-class Connection(urllib3_connection.HTTPConnection):
+class Connection(httpconnections.Connection):
     """A connection to a backend server, used by one request at a time."""
 
-    response_class = answerheads.Answer
     server: ids.ServerId
-    _abortable: abortablesockets.AbortableSocket | None = None
-
-    def abort(self, reason: str) -> None:
-        """End the connection; its reader gets an error, not the end of an answer."""
-        if self._abortable is not None:
-            self._abortable.abort(reason)
-
-    def _new_conn(self) -> abortablesockets.AbortableSocket:
-        # ``sock`` is None while an answer that ends with the connection is read.
-        self._abortable = abortablesockets.adopt(super()._new_conn())
-        return self._abortable
 
 
 class PlainAdapter(Protocol):
--- a/celeryspan/adapters/load.py
+++ b/celeryspan/adapters/load.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from celeryspan import errors, ids
+from celeryspan import errors, httpconnections, ids
 from celeryspan.decisions import limits
 
 TIMEOUT_SECONDS = 2.0
@@ -17,7 +17,7 @@
     """Reads load reports."""
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(
+        self._pool = httpconnections.make_pool(
             timeout=urllib3.Timeout(TIMEOUT_SECONDS), retries=False
         )
 
--- a/celeryspan/adapters/orders.py
+++ b/celeryspan/adapters/orders.py
@@ -6,7 +6,7 @@
 
 import urllib3
 
-from celeryspan import errors, ids
+from celeryspan import errors, httpconnections, ids
 from celeryspan.decisions import loading
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -25,7 +25,7 @@
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_SECONDS, read=READ_TIMEOUT_SECONDS
         )
-        self._pool = urllib3.PoolManager(timeout=timeout, retries=False)
+        self._pool = httpconnections.make_pool(timeout=timeout, retries=False)
 
     def read_state(self, address: ids.Address) -> loading.EngineState:
         """Return the state that an engine reports.
--- a/celeryspan/adapters/routers.py
+++ b/celeryspan/adapters/routers.py
@@ -8,7 +8,7 @@
 import msgspec
 import urllib3
 
-from celeryspan import errors
+from celeryspan import errors, httpconnections
 
 TIMEOUT_SECONDS = 5.0
 """A router that takes longer to respond is shown as unreachable."""
@@ -118,7 +118,7 @@
 
     def __init__(self, key: str) -> None:
         self._key = key
-        self._pool = urllib3.PoolManager(retries=False, timeout=TIMEOUT_SECONDS)
+        self._pool = httpconnections.make_pool(retries=False, timeout=TIMEOUT_SECONDS)
 
     def get_addresses(self, address: str) -> AddressAnswer:
         """Return the addresses that a router gives to callers.
--- a/celeryspan/adapters/store.py
+++ b/celeryspan/adapters/store.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-from celeryspan import errors
+from celeryspan import errors, httpconnections
 
 VALUE_BYTES_MAX = 1_048_576
 """Limit of the object API for a value (docs/protocols.md)."""
@@ -38,7 +38,7 @@
     ) -> None:
         self.address = address
         self._read_timeout = read_timeout
-        self._pool = urllib3.PoolManager(
+        self._pool = httpconnections.make_pool(
             maxsize=CONNECTIONS_MAX, retries=False, block=False
         )
 
--- a/celeryspan/adapters/vmlist.py
+++ b/celeryspan/adapters/vmlist.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from celeryspan import errors, states
+from celeryspan import errors, httpconnections, states
 
 TIMEOUT = urllib3.Timeout(connect=1.0, read=3.0)
 """As for the object API, which has the same address."""
@@ -26,7 +26,7 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self._pool = httpconnections.make_pool(maxsize=1, retries=False)
 
     def read(self) -> list[ListedVM]:
         """Return the platform's list, which may lag behind the actual state.
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -10,9 +10,10 @@
 
 import functools
 import time
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
-from celeryspan import catalog, errors, ids, kernel, metrics, states
+from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
 from celeryspan.decisions import (
     announcements as announced,
@@ -403,13 +404,50 @@
             return states.RunEnding.ANSWERED
         if progress.is_answering:
             raise reply.make_answer_lost(f"status {reply.status} on resuming a stream")
-        body = reply.read_whole()
-        if reply.status >= 500 and self._attempts.reserve_retry(order, progress):
-            progress.server_failure = (reply, body)
+        with self._sender.open_buffer() as buffer:
+            rest = reply.read_into(buffer)
+            if rest is not None:
+                start = bytes(buffer.data)
+                return self._relay_long_reply(order, progress, reply, start, rest, sink)
+            body = bytes(buffer.data)
+            if reply.status >= 500 and self._attempts.reserve_retry(order, progress):
+                progress.server_failure = (reply, body)
+                return states.RunEnding.FAILED
+            self._attempts.check_promise(order, reply)
+            sender.write_reply(sink, reply, body)
+        progress.first_event_at = time.monotonic()
+        return states.RunEnding.ANSWERED
+
+    def _relay_long_reply(
+        self,
+        order: orders.Order,
+        progress: requestprogress.Progress,
+        reply: replies.Reply,
+        start: bytes,
+        rest: Iterator[bytes],
+        sink: orders.Sink,
+    ) -> states.RunEnding:
+        """Relay an answer that exceeds its buffer; FAILED if it is to be retried.
+
+        One that states no length may have no end. Another server is asked first, and
+        what the last one sends is forwarded up to the limit of a body.
+        """
+        if reply.status >= 500:
+            raise reply.make_answer_lost(
+                "the body of a failure exceeds its buffer (response_buffer_bytes_max)"
+            )
+        if reply.length is None and self._attempts.reserve_retry(order, progress):
+            events.log(
+                events.Event.LONG_ANSWER_DROPPED,
+                request=order.request,
+                server=reply.entry.server,
+                size=len(start),
+            )
             return states.RunEnding.FAILED
         self._attempts.check_promise(order, reply)
-        sender.write_reply(sink, reply, body)
+        progress.is_answering = True
         progress.first_event_at = time.monotonic()
+        sender.write_long_reply(sink, reply, start, rest)
         return states.RunEnding.ANSWERED
 
     def _record_answered(
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -17,11 +17,11 @@
 from urllib3.util import wait as urllib3_wait
 
 from celeryspan import (
-    abortablesockets,
-    answerheads,
+    answerreaders,
     catalog,
     errors,
     events,
+    guardedsockets,
     ids,
     kernel,
 )
@@ -59,13 +59,12 @@
 """Maximum idle time of a connection for a request that must not run twice. If the
 server has dropped the connection, such a request is lost and cannot be retried."""
 
-TIMEOUT_TOLERANCE_SECONDS = 0.1
-"""Tolerance of read timeouts. Setting the timeout for each event of a stream would cost
-one system call per event."""
-
 STALE_ANSWERS_MAX = 4
 """Maximum answers to earlier requests that are skipped on one connection."""
 
+STALE_ANSWER_BYTES_MAX = 65_536
+"""Largest body of such an answer; beyond it a new connection costs less."""
+
 TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 
 CONNECTION_ERRORS = (OSError, http.client.HTTPException, ValueError)
@@ -79,7 +78,7 @@
     answer, bytes of the next answer would be lost in the closed file's buffer.
     """
 
-    def __init__(self, reader: answerheads.Reader) -> None:
+    def __init__(self, reader: answerreaders.Reader) -> None:
         super().__init__()
         self._reader = reader
         self.read = reader.read
@@ -87,6 +86,7 @@
         self.readinto = reader.readinto
         self.readline = reader.readline
         self.peek = reader.peek
+        self.require_head = reader.require_head
 
     def makefile(self, _: str) -> _SharedReader:
         """Return itself; the parser calls this as on a socket."""
@@ -107,10 +107,15 @@
         Monotonic times, in seconds.
     is_new : bool
         Whether no answer has been read on the connection yet.
+    limits : Limits
+        Limits of each answer.
     """
 
     def __init__(
-        self, entry: catalog.ServerEntry, sock: abortablesockets.AbortableSocket
+        self,
+        entry: catalog.ServerEntry,
+        sock: guardedsockets.GuardedSocket,
+        limits: answerreaders.Limits = answerreaders.DEFAULT_LIMITS,
     ) -> None:
         self.server = entry.server
         self.entry = entry
@@ -118,11 +123,11 @@
         self.idle_since = time.monotonic()
         self.is_new = True
         self._socket = sock
-        self._reader = answerheads.Reader(sock.makefile("rb", buffering=0))
+        self.limits = limits
+        self._reader = answerreaders.Reader(sock.makefile("rb", buffering=0), limits)
         self._is_unusable = False
         self._use_number = 0
         self._use_lock = threading.Lock()
-        self._read_deadline = self._timeout_set_at = 0.0
 
     def send(self, data: bytes, until: float) -> None:
         """Send a request, or as much of it as the server reads before it answers.
@@ -136,7 +141,7 @@
         OSError
             If the connection fails or the deadline passes.
         """
-        self._set_blocking(False)
+        self._set_nonblocking()
         poll = select.poll()
         poll.register(self._socket, select.POLLIN | select.POLLOUT)
         view = memoryview(data)
@@ -159,50 +164,42 @@
         An answer with another request id is a duplicate answer to an earlier request on
         this connection. It is read to its end and discarded.
         """
+        self.set_read_deadline(until)
         for _ in range(STALE_ANSWERS_MAX):
-            self.set_read_deadline(until)
             shared = _SharedReader(self._reader)
-            answer = http.client.HTTPResponse(shared, method=method)
-            with self._reader.require_head():
-                answer.begin()
+            answer = answerreaders.Answer(shared, method=method)
+            answer.begin()
             named = answer.getheader(names.REQUEST_ID)
             if named == request or (named is None and answer.status >= 300):
                 return answer
             events.log(
                 events.Event.STALE_ANSWER_DROPPED, request=request, server=self.server
             )
-            answer.read()
+            _discard_body(answer)
         raise http.client.HTTPException("received only answers to other requests")
 
+    def lift_body_limit(self) -> None:
+        """Let the present answer's body be of any size."""
+        self._reader.lift_body_limit()
+
+    def check_length(self, size: int) -> None:
+        """Raise answerreaders.AnswerTooLong for a body that exceeds the limit."""
+        self._reader.check_length(size)
+
     def set_read_deadline(self, until: float) -> None:
-        """Set the time at which reads time out.
+        """Set the monotonic time at which reads fail; raises TimeoutError."""
+        self._socket.set_deadline(until)
 
-        Raises
-        ------
-        TimeoutError
-            If it has passed.
-        """
-        now = time.monotonic()
-        left = until - now
-        if left <= 0:
-            raise TimeoutError("deadline passed")
-        if (
-            until != self._read_deadline
-            or now - self._timeout_set_at > TIMEOUT_TOLERANCE_SECONDS
-        ):
-            self._read_deadline, self._timeout_set_at = until, now
-            self._socket.settimeout(left)
-
-    def _set_blocking(self, is_blocking: bool) -> None:
-        self._socket.setblocking(is_blocking)
-        self._read_deadline = 0.0  # This has removed the read timeout.
+    def _set_nonblocking(self) -> None:
+        self._socket.clear_deadline()
+        self._socket.setblocking(False)
 
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread data."""
         if self._is_unusable:
             return False
         try:
-            self._set_blocking(False)
+            self._set_nonblocking()
             return not self._reader.peek(1) and not urllib3_wait.wait_for_read(
                 self._socket, 0
             )
@@ -268,6 +265,7 @@
         )
         allowed = getattr(container.settings, "descriptors_max", 0)
         self._idle_max = callerconnections.compute_budget(allowed).servers
+        self._limits = container.settings.make_response_limits()
         self._open: weakref.WeakSet[Channel] = weakref.WeakSet()
         self._usable: Mapping[ids.ServerId, catalog.ServerEntry] = {}
         self._opened = 0
@@ -307,7 +305,7 @@
             self._reused += 1
             return channel
         try:
-            sock = abortablesockets.connect(
+            sock = guardedsockets.connect(
                 tuple(entry.address), CONNECT_SECONDS, SOCKET_OPTIONS
             )
         except OSError as error:
@@ -319,7 +317,7 @@
                 peer=entry.server,
             ) from error
         self._opened += 1
-        channel = Channel(entry, sock)
+        channel = Channel(entry, sock, self._limits)
         with self._lock:
             self._open.add(channel)
         return channel
@@ -411,3 +409,14 @@
             if now < channel.reusable_until and channel.is_reusable():
                 return channel
             channel.close()
+
+
+def _discard_body(answer: http.client.HTTPResponse) -> None:
+    """Read a body to its end; raises HTTPException if it is long."""
+    left = STALE_ANSWER_BYTES_MAX
+    while piece := answer.read1(answerreaders.READ_BYTES):
+        left -= len(piece)
+        if left < 0:
+            raise http.client.HTTPException(
+                f"an answer to another request exceeds {STALE_ANSWER_BYTES_MAX} bytes"
+            )
--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -24,7 +24,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from celeryspan import errors, events, ids, kernel, metrics
+from celeryspan import answerreaders, errors, events, ids, kernel, metrics
 from celeryspan.decisions import handover
 from celeryspan.gateway import channels, relayedrequest
 from celeryspan.services import callerconnections
@@ -281,6 +281,8 @@
             # Callers take half a head for an answer without a body.
             relay.partial_head += data
             if HEAD_END not in relay.partial_head:
+                if len(relay.partial_head) > answerreaders.HEAD_BYTES_MAX:
+                    self._end_unanswered(relay, 502, "the head of its answer is long")
                 return
             data, relay.partial_head = relay.partial_head, b""
         relay.is_begun = True
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -6,17 +6,11 @@
 import http.client
 from collections.abc import Iterator
 
-from celeryspan import eventstreams
+from celeryspan import answerreaders, eventstreams
 from celeryspan.adapters import backend
-from celeryspan.gateway import channels, orders
+from celeryspan.gateway import channels, orders, replybuffers
 from celeryspan.platform import names, requests
 
-READ_BYTES = 65_536
-
-BODY_BYTES_MAX = 1_048_576
-"""Answers of plain services up to this size are read completely before any of it is
-forwarded, so that an answer that breaks off can be retried or reported as an error."""
-
 
 class Framing(enum.Enum):
     """What marks the end of an answer's body."""
@@ -90,11 +84,8 @@
             If the connection fails or the deadline passes.
         """
         try:
-            while True:
-                self._channel.set_read_deadline(self._order.deadline)
-                piece = self._answer.read1(READ_BYTES)
-                if not piece:
-                    break
+            self._channel.set_read_deadline(self._order.deadline)
+            while piece := self._answer.read1(answerreaders.READ_BYTES):
                 yield piece
         except channels.CONNECTION_ERRORS as error:
             raise self.make_answer_lost(error) from error
@@ -102,15 +93,42 @@
             raise self.make_answer_lost("the body is shorter than its Content-Length")
         self._channel.update_keep_alive(self._answer)
 
-    def read_whole(self) -> bytes:
-        """Return the complete body; raises backend.AnswerLost."""
-        return b"".join(self.read())
+    def read_into(self, buffer: replybuffers.ReplyBuffer) -> Iterator[bytes] | None:
+        """Read the body into a buffer.
+
+        Returns
+        -------
+        iterator of bytes or None
+            The rest of the body if the buffer takes no more; None if it is complete.
+
+        Raises
+        ------
+        backend.AnswerLost
+            If the connection fails or the deadline passes.
+        """
+        try:
+            self._channel.check_length(self.length or 0)
+        except answerreaders.AnswerTooLong as error:
+            raise self.make_answer_lost(error) from error
+        pieces = self.read()
+        for piece in pieces:
+            if not buffer.add(piece):
+                return pieces
+        return None
+
+    @property
+    def length(self) -> int | None:
+        """Length of the body that is not read yet; None if it is not stated."""
+        return None if self._answer.chunked else self._answer.length
 
-    def read_events(self, last_event: str) -> Iterator[EventBlock]:
+    def read_events(
+        self, last_event: str, buffer: replybuffers.ReplyBuffer
+    ) -> Iterator[EventBlock]:
         """Yield complete events with an id above ``last_event`` as they arrive.
 
         A partial event is buffered until its end: if a server fails in the middle of an
-        event, the next server sends the event from its start.
+        event, the next server sends the event from its start. Comments before the first
+        event are buffered until it comes, so that another server may send it.
 
         Raises
         ------
@@ -119,16 +137,30 @@
             last event explains that, before the first one.
         """
         if not eventstreams.is_event_stream(self._answer.getheader("Content-Type")):
-            yield EventBlock(self.read_whole(), "")
+            yield EventBlock(self._read_other(buffer), "")
             return
         last_number = _parse_number(last_event)
-        splitter = eventstreams.EventSplitter()
-        is_empty = True
+        # A stream may be of any length, but not what it sends beside its events.
+        self._channel.lift_body_limit()
+        splitter = eventstreams.EventSplitter(self._channel.limits.event)
+        is_empty, has_begun = True, False
+        early = bytearray()
         for piece in self.read():
-            block = splitter.add(piece)
+            try:
+                block = splitter.add(piece)
+            except eventstreams.EventTooLong as error:
+                raise self.make_answer_lost(error) from error
+            if not buffer.reserve(splitter.size):
+                raise self.make_answer_lost("no memory is left for its events")
             if not block:
                 continue
             is_empty = False
+            if not has_begun:
+                early += block
+                if not eventstreams.has_event(block):
+                    continue
+                has_begun, block = True, bytes(early)
+                early.clear()
             event = _drop_delivered(block, last_number)
             if event is not None:
                 yield event
@@ -137,8 +169,17 @@
             raise self.make_answer_lost("the stream ends inside an event")
         if is_empty and not self._may_have_no_events(last_event):
             raise self.make_answer_lost("the stream ends before its first event")
-        if splitter.rest:
-            yield EventBlock(splitter.rest, "")
+        if early or splitter.rest:
+            yield EventBlock(bytes(early) + splitter.rest, "")
+
+    def _read_other(self, buffer: replybuffers.ReplyBuffer) -> bytes:
+        """Return the body of a stream's answer that is no stream of events."""
+        if self.read_into(buffer) is not None:
+            raise self.make_answer_lost(
+                "a body that is no stream of events exceeds its buffer "
+                "(response_buffer_bytes_max)"
+            )
+        return bytes(buffer.data)
 
     def _may_have_no_events(self, last_event: str) -> bool:
         """Whether a stream without events can be complete.
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import time
+from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
 from celeryspan import catalog, errors, events, ids, kernel
@@ -19,6 +21,7 @@
     orders,
     places,
     replies,
+    replybuffers,
     requestprogress,
 )
 from celeryspan.platform import engines, requests
@@ -68,6 +71,10 @@
             "streamorigins"
         )
         self._loads = loadreports.LoadReports()
+        values = container.settings
+        self._buffers = replybuffers.ReplyBuffers(
+            values.response_buffer_bytes_max, values.response_buffers_bytes
+        )
 
     def start(self) -> None:
         """Do nothing: the service has no background work."""
@@ -75,6 +82,16 @@
     def stop(self) -> None:
         """Do nothing: the service holds no resources."""
 
+    def report(self) -> dict[str, object]:
+        """Return the bytes of answers that are buffered, for operators."""
+        return {"buffered_bytes": self._buffers.count_bytes()}
+
+    def open_buffer(
+        self,
+    ) -> contextlib.AbstractContextManager[replybuffers.ReplyBuffer]:
+        """Return a buffer for one answer."""
+        return self._buffers.open()
+
     def send(
         self,
         order: orders.Order,
@@ -175,7 +192,24 @@
         """Relay a stream event by event; raises backend.AnswerLost."""
         if progress.version not in (catalog.NO_VERSION, reply.version):
             raise reply.make_answer_lost("the server has another version")
-        for event in reply.read_events(progress.last_event):
+        with self._buffers.open() as buffer:
+            self._relay_events(order, place, progress, reply, buffer, sink)
+        if _may_be_stopped(place, reply):
+            raise reply.make_answer_lost("the run was stopped for a migration")
+        if not progress.is_answering:
+            sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
+        sink.finish()
+
+    def _relay_events(
+        self,
+        order: orders.Order,
+        place: places.Slot,
+        progress: requestprogress.Progress,
+        reply: replies.Reply,
+        buffer: replybuffers.ReplyBuffer,
+        sink: orders.Sink,
+    ) -> None:
+        for event in reply.read_events(progress.last_event, buffer):
             progress.record_event(time.monotonic())
             if not place.is_begun:
                 self._begin(order, place, progress, reply)
@@ -184,11 +218,6 @@
                 sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
             sink.write(event.data)
             progress.last_event = event.last_id or progress.last_event
-        if _may_be_stopped(place, reply):
-            raise reply.make_answer_lost("the run was stopped for a migration")
-        if not progress.is_answering:
-            sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
-        sink.finish()
 
     def _begin(
         self,
@@ -405,12 +434,28 @@
 
 def write_reply(sink: orders.Sink, reply: replies.Reply, body: bytes) -> None:
     """Write an answer whose body was read completely."""
-    headers = [
-        (name, value)
-        for name, value in reply.headers
-        if name.lower() != "content-length"
-    ]
+    headers = _list_stream_headers(reply)
     headers.append(("Content-Length", str(len(body))))
     sink.write_head(reply.status, reply.reason, headers)
     sink.write(body)
     sink.finish()
+
+
+def write_long_reply(
+    sink: orders.Sink, reply: replies.Reply, start: bytes, rest: Iterator[bytes]
+) -> None:
+    """Write an answer whose body is longer than its buffer, as it arrives.
+
+    Raises
+    ------
+    backend.AnswerLost
+        If the body breaks off; the caller then sees that it is incomplete.
+    """
+    headers = _list_stream_headers(reply)
+    if reply.length is not None:
+        headers.append(("Content-Length", str(len(start) + reply.length)))
+    sink.write_head(reply.status, reply.reason, headers)
+    sink.write(start)
+    for piece in rest:
+        sink.write(piece)
+    sink.finish()
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -6,13 +6,21 @@
 
 import msgspec
 
-from celeryspan import settings, states, structs
+from celeryspan import answerreaders, settings, states, structs
 
 HELD_MEMORY_SHARE = 0.1
 """Part of the process's memory used as the budget of buffered responses. A buffer that
 empties may occupy twice its bytes, which leaves room for the rest of a small VM."""
 
 
+RESPONSE_MEMORY_SHARE = 0.1
+"""Part of the process's memory for answers of servers that still arrive."""
+
+RESPONSE_BUFFERS_BYTES_DEFAULT = 33_554_432
+
+BYTES_PER_MEGABYTE = 1_000_000
+
+
 class Settings(settings.Settings, frozen=True, kw_only=True):
     """Settings in addition to those of every router.
 
@@ -45,6 +53,10 @@
     processor_share, processor_speed : float
         Fraction of a core that the VM has, and speed of the core relative to the
         reference core.
+    response_event_bytes_max : int
+        Largest event of a stream.
+    response_buffer_bytes_max : int
+        Bytes of a plain answer that are read before any of it is forwarded.
     early_refusals : EarlyRefusals
         Which pools refuse requests on arrival that are expected to start too late:
         none, those of engines that report the pace of their VMs, or all.
@@ -65,8 +77,30 @@
     memory_megabytes: Annotated[float, msgspec.Meta(gt=0)] | None = None
     processor_share: Annotated[float, msgspec.Meta(gt=0)] = 1.0
     processor_speed: Annotated[float, msgspec.Meta(gt=0)] = 1.0
+    response_event_bytes_max: Annotated[int, msgspec.Meta(ge=1024)] = (
+        answerreaders.EVENT_BYTES_MAX
+    )
+    response_buffer_bytes_max: Annotated[int, msgspec.Meta(ge=1024)] = (
+        answerreaders.BUFFER_BYTES_MAX
+    )
     early_refusals: states.EarlyRefusals = states.EarlyRefusals.NEVER
 
+    def make_response_limits(self) -> answerreaders.Limits:
+        """Return the limits of the answers of backend servers."""
+        return answerreaders.Limits(
+            head=self.response_head_bytes_max,
+            body=self.response_body_bytes_max,
+            event=self.response_event_bytes_max,
+            buffer=self.response_buffer_bytes_max,
+        )
+
+    @property
+    def response_buffers_bytes(self) -> int:
+        """Bytes of answers that may be buffered at once."""
+        if self.memory_megabytes is None:
+            return RESPONSE_BUFFERS_BYTES_DEFAULT
+        return int(RESPONSE_MEMORY_SHARE * self.memory_megabytes * BYTES_PER_MEGABYTE)
+
     @property
     def held_megabytes(self) -> float | None:
         """Budget of buffered responses, in megabytes; None for no buffer."""
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -8,7 +8,7 @@
 import msgspec
 import urllib3
 
-from celeryspan import catalog, errors, ids
+from celeryspan import catalog, errors, httpconnections, ids
 from celeryspan.platform import announcements, names
 from celeryspan.wire import messages
 
@@ -58,7 +58,7 @@
 
     def __init__(self, observe: AnswerObserver) -> None:
         self._observe = observe
-        self._pool = urllib3.PoolManager(
+        self._pool = httpconnections.make_pool(
             ENGINES_MAX, maxsize=CONNECTIONS_PER_ENGINE, retries=False, block=False
         )
 
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -13,7 +13,7 @@
 
 import urllib3
 
-from celeryspan import errors, events, ids, storedobjects
+from celeryspan import errors, events, httpconnections, ids, storedobjects
 from celeryspan.platform import names
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -64,7 +64,7 @@
         self.address = address
         self._record_era = record_era
         self._era = ids.NO_ERA
-        self._pool = urllib3.PoolManager(
+        self._pool = httpconnections.make_pool(
             maxsize=CONNECTIONS_MAX, retries=False, block=False
         )
 
--- a/celeryspan/services/backends.py
+++ b/celeryspan/services/backends.py
@@ -25,6 +25,9 @@
 # milliseconds, and the first one within a few seconds.
 READ_TIMEOUT_SECONDS = 5.0
 
+# Shortest time for an answer of which a part may have arrived.
+DEADLINE_SECONDS_MIN = 0.1
+
 # Idle connections kept for each server, and for how long. Servers commonly close idle
 # connections after 5 s or more. With a shorter time, few requests are sent on a
 # connection that the server is closing.
@@ -58,6 +61,7 @@
 
     def __init__(self, container: kernel.Kernel) -> None:
         self._configuration = container.find("configuration")
+        self._limits = container.settings.make_response_limits()
         self._lock = threading.Lock()
         self._idle: dict[
             ids.ServerId, collections.deque[tuple[float, backend.Connection]]
@@ -125,6 +129,7 @@
                     return None
                 since, link = links.pop()
             if time.monotonic() - since < MAX_IDLE_SECONDS and link.is_connected:
+                link.clear_deadline()
                 return link
             link.close()
 
@@ -137,6 +142,7 @@
             socket_options=list(KEEPALIVE_OPTIONS),
         )
         link.server = server
+        link.limits = self._limits
         try:
             link.connect()
         except LINK_ERRORS as error:
@@ -164,6 +170,21 @@
         return ids.Address.parse(entry.address)
 
 
+def set_deadline(link: backend.Connection, until: float, pause_max: float) -> None:
+    """Set the time at which an answer must be whole, and its longest pause.
+
+    Parameters
+    ----------
+    until : float
+        Monotonic time, in seconds; one that has passed leaves a moment for an answer.
+    pause_max : float
+        Longest time without data, in seconds.
+    """
+    left = max(until - time.monotonic(), DEADLINE_SECONDS_MIN)
+    set_timeout(link, min(pause_max, left))
+    link.set_deadline(time.monotonic() + left, pause_max)
+
+
 def set_timeout(link: backend.Connection, seconds: float) -> None:
     """Set the read timeout of a link."""
     link.timeout = seconds
--- a/celeryspan/services/forwarding.py
+++ b/celeryspan/services/forwarding.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -96,8 +95,7 @@
     def _send(
         self, link: backend.Connection, incoming: exchange.Exchange, call: calls.Call
     ) -> urllib3.BaseHTTPResponse:
-        remaining = call.deadline - time.monotonic()
-        backends.set_timeout(link, min(OWNER_ANSWER_SECONDS, max(remaining, 0.1)))
+        backends.set_deadline(link, call.deadline, OWNER_ANSWER_SECONDS)
         proof = tickets.ForwardingProof(
             ids.RouterId(self._settings.router), incoming.request
         )
--- a/celeryspan/services/modelanswers.py
+++ b/celeryspan/services/modelanswers.py
@@ -33,6 +33,7 @@
         self._failed = False
         self._pieces = self._receive()
         try:
+            self._limit_reading()
             adapter.send(run.link, call, run.id)
             first = next(self._pieces)
         except backends.LINK_ERRORS as error:
@@ -124,6 +125,7 @@
                 self._run.link = self._run.pool.connect(server, fresh=True)
                 if self._is_cancelled():
                     continue
+                self._limit_reading()
                 self._adapter.resume(self._run.link, self._run.id, self._offset)
             except (errors.NotRun, *backends.LINK_ERRORS) as again:
                 error, failures = again, failures + 1
@@ -136,6 +138,12 @@
             )
             return
 
+    def _limit_reading(self) -> None:
+        """Bound the time of the answer on the present connection."""
+        backends.set_deadline(
+            self._run.link, self._call.deadline, backends.READ_TIMEOUT_SECONDS
+        )
+
     def _confirm(self) -> None:
         progress = self._run.progress
         if progress.outcome is not states.Outcome.RAN:
--- a/celeryspan/services/plainanswers.py
+++ b/celeryspan/services/plainanswers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Iterator
 
 from celeryspan import calls, dispatch
@@ -66,15 +65,14 @@
         self._run.abandon(dispatch.Ending.CANCELLED, self._run.elapsed_milliseconds)
 
     def _set_limits(self, call: calls.Call) -> None:
-        """Set the read timeout, and let calls that are not idempotent run to their end.
+        """Set the deadline, and let calls that are not idempotent run to their end.
 
         Such a call continues even if its caller disconnects: plain services cannot
         cancel a call, so the service stays busy anyway, and the answer can be returned
         to a repeat with the same ticket or key.
         """
-        left = call.deadline - time.monotonic()
-        backends.set_timeout(
-            self._run.link, min(PLAIN_ANSWER_TIMEOUT_SECONDS, max(left, 0.1))
+        backends.set_deadline(
+            self._run.link, call.deadline, PLAIN_ANSWER_TIMEOUT_SECONDS
         )
         if not call.idempotent:
             call.cancellation.on_cancel(self._run.abort_read, only_on_abort=True)
--- a/celeryspan/settings.py
+++ b/celeryspan/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from celeryspan import structs
+from celeryspan import answerreaders, structs
 
 
 class Settings(msgspec.Struct, frozen=True, kw_only=True):
@@ -27,6 +27,8 @@
         Maximum time that a planned stop waits for requests, in seconds.
     peers : tuple of str
         Peer addresses for joining the fleet while the store is unreachable.
+    response_head_bytes_max, response_body_bytes_max : int
+        Largest head and body of an answer of a backend server.
     """
 
     router: structs.Name
@@ -42,3 +44,15 @@
     body_bytes_max: Annotated[int, msgspec.Meta(gt=0)] = 4_194_304
     caller_threads: Annotated[int, msgspec.Meta(ge=4)] = 256
     log_file: str = ""
+    response_head_bytes_max: Annotated[int, msgspec.Meta(ge=1024)] = (
+        answerreaders.HEAD_BYTES_MAX
+    )
+    response_body_bytes_max: Annotated[int, msgspec.Meta(ge=65_536)] = (
+        answerreaders.BODY_BYTES_MAX
+    )
+
+    def make_response_limits(self) -> answerreaders.Limits:
+        """Return the limits of the answers of backend servers."""
+        return answerreaders.Limits(
+            head=self.response_head_bytes_max, body=self.response_body_bytes_max
+        )
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -17,7 +17,7 @@
 from collections.abc import Iterator
 
 from celeryspan import ids
-from standins import answerendings
+from standins import answerendings, endlessanswers
 
 BODY = b"served"
 EVENTS = 6
@@ -42,6 +42,15 @@
 STALL_SECONDS = 0.1
 """Time for the client to read what was sent before the answer counts as stalled."""
 
+PLAIN_PARTS_MAX = 1_000
+"""Parts of a plain body; a shorter one is sent byte by byte."""
+
+ENDLESS_BYTES_MAX = 400_000_000
+"""Bytes after which an answer without end is given up."""
+
+ENDLESS_PAUSE_SECONDS = 20.0
+"""Time without progress after which it is given up."""
+
 RESET_LINGER = answerendings.RESET_LINGER
 
 
@@ -121,6 +130,13 @@
         Whether it turns all requests away.
     failure_status : int
         Status of the failures of requests that have run.
+    body : bytes
+        Body of the plain answers whose ending is given.
+    endless : str
+        Kind of bytes without end with which it answers all requests, see
+        :mod:`standins.endlessanswers`; empty for none.
+    endless_bytes : int
+        The most that it has sent in one such answer.
     crashed : Event
         Set once the server has crashed.
     crashed_by, crashed_parts, crashed_at : bytes, set of str, float
@@ -166,6 +182,9 @@
         self.load = ""
         self.is_shedding = False
         self.failure_status = 500
+        self.body = BODY
+        self.endless = ""
+        self.endless_bytes = 0
         self.crashed = threading.Event()
         self.crashed_by = b""
         self.crashed_parts: set[str] = set()
@@ -271,6 +290,8 @@
             return self._run_fatal(request, connection)
         if self.is_shedding:
             return self._do_full(request, connection)
+        if self.endless:
+            return self._send_endless(request, connection)
         if self.endings and not self.script:
             return self._end_answer(self.endings.popleft(), request, connection)
         behaviour = self.script.popleft() if self.script else "serve"
@@ -353,13 +374,30 @@
             parts = list(self._write_events(request))
         else:
             head = head.replace(b"text/event-stream", b"text/plain")
-            parts = [BODY[at : at + 1] for at in range(len(BODY))]
+            size = max(1, len(self.body) // PLAIN_PARTS_MAX)
+            parts = [self.body[at : at + size] for at in range(0, len(self.body), size)]
         if self.stops_after_answer:
             self.stop(is_cutting=False)
         connection.sendall(ending.format_answer(head, parts))
         ending.prepare_close(connection)
         return False
 
+    def _send_endless(
+        self, request: ReceivedRequest, connection: socket.socket
+    ) -> bool:
+        """Run and send bytes that are no answer until the client closes."""
+        self._record_run(request)
+        head = self._write_head(request, 200, 0).partition(b"Content-Length")[0]
+        connection.settimeout(ENDLESS_PAUSE_SECONDS)
+        sent = 0
+        for piece in endlessanswers.KINDS[self.endless](request.request_id, head):
+            connection.sendall(piece)
+            sent += len(piece)
+            self.endless_bytes = max(self.endless_bytes, sent)
+            if sent > ENDLESS_BYTES_MAX or self._stopping.is_set():
+                break
+        return False
+
     def _do_full(self, request: ReceivedRequest, connection: socket.socket) -> bool:
         connection.sendall(self._write_head(request, 503, 0, {NOT_EXECUTED: "1"}))
         return True
--- a/tests/adapters/test_plain.py
+++ b/tests/adapters/test_plain.py
@@ -5,20 +5,25 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Iterator
 
 import pytest
 
-from celeryspan import calls, ids
+from celeryspan import answerreaders, calls, ids
 from celeryspan.adapters import backend, plain
 from celeryspan.services import backends
-from standins import answerendings
+from standins import answerendings, endlessanswers
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n"
 )
 EVENTS = [b"id: %d\ndata: piece\n\n" % number for number in range(1, 4)]
+LIMITS = answerreaders.Limits(head=16_384, body=1_000_000)
+ENDLESS_KINDS = sorted(endlessanswers.KINDS.keys() - {"answers to other requests"})
+"""Plain services name no request in their answers; the first is taken as the answer."""
+
 FRAMINGS = list(answerendings.Framing)
 
 
@@ -118,6 +123,42 @@
         read_answer(ending)
 
 
+@pytest.mark.parametrize("kind", ENDLESS_KINDS)
+def test_answer_without_end_is_read_within_its_limits(kind: str) -> None:
+    """Guards against a service that is read for as long as it sends."""
+
+    def serve() -> None:
+        connection, _ = listener.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            for piece in endlessanswers.KINDS[kind]("r1", b"HTTP/1.1 200 OK\r\n"):
+                connection.sendall(piece)
+
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        thread = threading.Thread(target=serve, daemon=True)
+        thread.start()
+        link = backend.Connection(*listener.getsockname(), timeout=5.0)
+        link.limits = LIMITS
+        link.server = ids.ServerId("desk-1")
+        link.connect()
+        with contextlib.closing(link), pytest.raises(backends.LINK_ERRORS):
+            for _ in start_answer(link):
+                pass
+        thread.join(5.0)
+        assert not thread.is_alive()
+
+
+def test_answer_that_trickles_ends_at_its_deadline() -> None:
+    """Guards against a read timeout that starts anew with each byte."""
+    ending = answerendings.Ending(answerendings.Framing.CONNECTION, 1)
+    with open_link(ending, is_stalled=True) as link:
+        pieces = start_answer(link)
+        next(pieces)
+        backends.set_deadline(link, time.monotonic() + 0.2, 5.0)
+        with pytest.raises(backends.TIMEOUT_ERRORS):
+            next(pieces)
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_whole_stream_stays_whole(framing: answerendings.Framing) -> None:
     ending = answerendings.Ending(framing, has_end_mark=True)
--- a/tests/gateway/test_channels.py
+++ b/tests/gateway/test_channels.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from celeryspan import abortablesockets, catalog, ids, kernel
+from celeryspan import catalog, guardedsockets, ids, kernel
 from celeryspan.gateway import channels, settings
 
 DESCRIPTORS_MAX = 100
@@ -52,7 +52,7 @@
         is_leaving=False,
         revision=1,
     )
-    channel = channels.Channel(entry, abortablesockets.adopt(near))
+    channel = channels.Channel(entry, guardedsockets.adopt(near))
     stack.callback(channel.close)
     channel.reusable_until = time.monotonic() + 60
     return channel
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import itertools
 import socket
@@ -11,7 +12,7 @@
 import pytest
 
 from celeryspan import events, ids
-from standins import answerendings, platformserver
+from standins import answerendings, endlessanswers, platformserver
 from tests.gateway import support, test_handover, test_migrations
 
 LENGTH = answerendings.Framing.LENGTH
@@ -228,10 +229,15 @@
         test_handover.call(routers[0], "/notes/1")
 
 
-def test_caller_gets_an_error_if_a_peer_ends_inside_the_head_of_its_answer(
-    cluster, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("kind", ["", "header lines"])
+def test_caller_gets_an_error_if_a_peer_sends_no_whole_head(
+    cluster, monkeypatch: pytest.MonkeyPatch, kind: str
 ) -> None:
-    """Guards against half a head, which callers take for an answer without a body."""
+    """Guards against half a head or an endless one, which is no answer."""
+    head = b"HTTP/1.1 200 OK\r\n"
+    pieces = [head + b"Content-Type: text/ev"]
+    if kind:
+        pieces = endlessanswers.KINDS[kind]("r1", head)
     router = cluster.start_router()
     test_handover.exhaust(router)
     with socket.create_server(("127.0.0.1", 0)) as listener:
@@ -243,13 +249,14 @@
         service = test_handover.get_handover(router)
         monkeypatch.setattr(service, "choose_peer", lambda: peer)
 
-        def answer_half_a_head() -> None:
+        def answer_no_whole_head() -> None:
             connection, _ = listener.accept()
-            connection.recv(65_536)
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Type: text/ev")
-            connection.close()
+            with connection, contextlib.suppress(OSError):
+                connection.recv(65_536)
+                for piece in pieces:
+                    connection.sendall(piece)
 
-        thread = support.run_in_thread(answer_half_a_head)
+        thread = support.run_in_thread(answer_no_whole_head)
         answer = test_handover.call(router, "/notes/1")
         thread.join()
     assert answer.status == 502
