--- a/bench/soakparts.py
+++ b/bench/soakparts.py
@@ -39,6 +39,41 @@
 addition to these."""
 
 
+class RepeatedTask:
+    """A thread that repeats a step of the soak until it is stopped.
+
+    Attributes
+    ----------
+    stopped : Event
+        Set when the soak stops it.
+    """
+
+    def __init__(self) -> None:
+        self.stopped = threading.Event()
+        self._thread = threading.Thread(target=self._repeat, daemon=True)
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread and wait for its present step."""
+        self.stopped.set()
+        self._thread.join()
+
+    def choose_pause(self) -> float:
+        """Return the seconds until the next step."""
+        raise NotImplementedError
+
+    def step(self) -> None:
+        """Do what is repeated."""
+        raise NotImplementedError
+
+    def _repeat(self) -> None:
+        while not self.stopped.wait(self.choose_pause()):
+            self.step()
+
+
 class ProxyMode(enum.Enum):
     """How a proxy handles the data of its connections."""
 
