Ask a server that ended an answer with its connection whether it lives

Cause: the kernel of a dead process ends its connections in order, which completes such a body, and a loss was looked for only under requests that were suspected already.

Change: before such an answer is passed on as whole, the thread of its request asks the server for a connection; a refusal makes the answer a lost one, with all that follows from it. Answers to the same server share the question.

--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -163,6 +163,21 @@
         if isinstance(self.fp, io.BufferedReader):
             self.fp = Reader(self.fp.detach(), getattr(sock, "limits", DEFAULT_LIMITS))
 
+    _fields: dict[str, str] | None = None
+
+    def getheader(self, name: str, default: str | None = None) -> str | None:
+        """Return the value of a header; several values are joined by commas.
+
+        The base class searches all headers for each name.
+        """
+        if self._fields is None:
+            self._fields = {}
+            for key, value in self.headers.raw_items():
+                key = key.lower()
+                known = self._fields.get(key)
+                self._fields[key] = value if known is None else f"{known}, {value}"
+        return self._fields.get(name.lower(), default)
+
     def begin(self) -> None:
         """Read the status line and the headers; interim answers are skipped."""
         if self.headers is not None:
@@ -172,5 +187,5 @@
             while self.status < 200:
                 if self.status == http.client.SWITCHING_PROTOCOLS:
                     raise http.client.HTTPException("the server switches protocols")
-                self.headers = None
+                self.headers = self._fields = None
                 super().begin()
--- a/celeryspan/decisions/crashes.py
+++ b/celeryspan/decisions/crashes.py
@@ -128,10 +128,13 @@
     def record_accepted_connection(
         self, entry: catalog.ServerEntry, now: float
     ) -> None:
-        """Record that a server accepted a connection and thus has not crashed."""
+        """Record that a server accepted a connection and thus has not crashed.
+
+        Without lost runs this is no news: runs lost from now on need evidence anew.
+        """
         name = format_incarnation(entry)
-        self._pending.pop(name, None)
-        self._healthy_until[name] = now + HEALTHY_SECONDS
+        if self._pending.pop(name, None) is not None:
+            self._healthy_until[name] = now + HEALTHY_SECONDS
 
     def confirm(self, name: str, evidence: Evidence, now: float) -> Crash | None:
         """Record a crash; return it if runs were lost here."""
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -18,7 +18,6 @@
 from celeryspan.decisions import (
     announcements as announced,
     coldstart,
-    quarantine,
     streamversions,
 )
 from celeryspan.gateway import (
@@ -428,6 +427,7 @@
             progress.server_failure = (reply, body)
             return states.RunEnding.FAILED
         self._attempts.check_promise(order, reply)
+        self._sender.check_end(progress, reply)
         sender.write_reply(sink, reply, body)
         progress.first_event_at = time.monotonic()
         return states.RunEnding.ANSWERED
@@ -462,6 +462,8 @@
         progress.is_answering = True
         progress.first_event_at = time.monotonic()
         sender.write_long_reply(sink, reply, start, rest)
+        self._sender.check_end(progress, reply)
+        sink.finish()
         return states.RunEnding.ANSWERED
 
     def _record_answered(
@@ -469,19 +471,11 @@
     ) -> None:
         """Let an answer acquit the request and the features that it shares.
 
-        An answer that ended with its connection may have been cut off by a crash
-        between two events, so that the server has to show that it is running.
+        An answer that ended with its connection acquits nothing unless its server has
+        shown that it is running.
         """
-        reply = progress.reply
-        if reply is not None and reply.framing is replies.Framing.CONNECTION:
-            standing = self._quarantine.find_standing(order, progress)
-            if standing is quarantine.Standing.CLEAR:
-                return
-            end = reply.make_answer_lost("the connection ended")
-            self._crashwatch.record_loss(order, reply.entry, progress, end)
-            self._crashwatch.wait_for_probe(reply.entry)
-            if not self._crashwatch.is_healthy(reply.entry):
-                return
+        if not progress.is_end_confirmed:
+            return
         self._quarantine.record_answered(order, progress)
 
     def _report_lost_answer(
--- a/celeryspan/gateway/crashwatch.py
+++ b/celeryspan/gateway/crashwatch.py
@@ -41,6 +41,20 @@
 Handler = Callable[[crashes.Crash], None]
 
 
+class _LifeCheck:
+    """One question to a server whether it runs, for all who ask at the same time.
+
+    Attributes
+    ----------
+    is_alive : bool or None
+        The result; None if it is not known.
+    """
+
+    def __init__(self) -> None:
+        self.done = threading.Event()
+        self.is_alive: bool | None = None
+
+
 @kernel.register("crashwatch", needs=("announcements", "servers"))
 class CrashWatch:
     """Records lost runs and reports the servers that crashed under them."""
@@ -56,6 +70,7 @@
         self._detector = crashes.CrashDetector()
         self._lock = threading.Lock()
         self._probes: dict[str, threading.Event] = {}
+        self._life_checks: dict[str, _LifeCheck] = {}
         self._handlers: list[Handler] = []
 
     def start(self) -> None:
@@ -152,12 +167,36 @@
         if probe_done is not None:
             probe_done.wait(PROBE_DELAY_SECONDS + 2 * CONNECT_TIMEOUT_SECONDS)
 
-    def is_healthy(self, entry: catalog.ServerEntry) -> bool:
-        """Return whether a server has just accepted a probe."""
+    def check_alive(self, entry: catalog.ServerEntry) -> bool | None:
+        """Return whether a server runs after the end of an answer; None if unknown.
+
+        The end of a connection that marks the end of an answer looks the same if its
+        server has crashed. The calling thread waits for :data:`PROBE_DELAY_SECONDS`.
+        """
+        if entry.server not in self._servers.usable():
+            return None  # A leaving server stops once its runs have ended.
+        if self._announcements.find_rest(entry) is not None:
+            return None
+        name = crashes.format_incarnation(entry)
         with self._lock:
-            return self._detector.is_healthy(
-                crashes.format_incarnation(entry), time.monotonic()
-            )
+            check = self._life_checks.get(name)
+            is_first = check is None
+            if check is None:
+                check = self._life_checks[name] = _LifeCheck()
+        if not is_first:
+            check.done.wait(PROBE_DELAY_SECONDS + 2 * CONNECT_TIMEOUT_SECONDS)
+            return check.is_alive
+        time.sleep(PROBE_DELAY_SECONDS)
+        with self._lock:
+            # An answer that ends from now on needs a later connection.
+            del self._life_checks[name]
+        try:
+            check.is_alive = not self._is_refused(entry, name)
+        except TimeoutError:
+            pass
+        finally:
+            check.done.set()
+        return check.is_alive
 
     def confirm(self, name: str) -> None:
         """Record a crash of a server incarnation that another router reports."""
@@ -184,26 +223,35 @@
 
     def _probe(self, entry: catalog.ServerEntry, name: str) -> None:
         time.sleep(PROBE_DELAY_SECONDS)
-        crash = None
         try:
-            is_refused = is_connection_refused(entry.address)
+            self._is_refused(entry, name)
         except TimeoutError:
             pass  # Inconclusive; the server's entry will decide.
-        else:
-            now = time.monotonic()
-            with self._lock:
-                if is_refused:
-                    evidence = crashes.Evidence.REFUSED
-                    crash = self._detector.confirm(name, evidence, now)
-                else:
-                    self._detector.record_accepted_connection(entry, now)
-        try:
-            self._publish(crash)
         finally:
             with self._lock:
                 probe_done = self._probes.pop(name)
             probe_done.set()
 
+    def _is_refused(self, entry: catalog.ServerEntry, name: str) -> bool:
+        """Return whether a server refuses a connection, and so has crashed.
+
+        Raises
+        ------
+        TimeoutError
+            If it neither accepts nor refuses.
+        """
+        is_refused = is_connection_refused(entry.address)
+        now = time.monotonic()
+        crash = None
+        with self._lock:
+            if is_refused:
+                evidence = crashes.Evidence.REFUSED
+                crash = self._detector.confirm(name, evidence, now)
+            else:
+                self._detector.record_accepted_connection(entry, now)
+        self._publish(crash)
+        return is_refused
+
     def _check_entries(self) -> None:
         with self._lock:
             found = self._detector.check_entries(self._servers.find, time.monotonic())
--- a/celeryspan/gateway/requestprogress.py
+++ b/celeryspan/gateway/requestprogress.py
@@ -65,6 +65,8 @@
         The load in the last answer, until it has been reported to a home.
     reply : Reply or None
         The last answer whose head was accepted.
+    is_end_confirmed : bool
+        Whether that answer was seen to end as its server meant it to.
     """
 
     def __init__(self, *, is_repeatable: bool) -> None:
@@ -88,6 +90,7 @@
         self.fingerprint: fingerprints.Fingerprint | None = None
         self.load: LoadReading | None = None
         self.reply: replies.Reply | None = None
+        self.is_end_confirmed = False
 
     @property
     def sends(self) -> int:
@@ -116,6 +119,7 @@
         self.has_unsent_retry = False
         self.last_sent_at = now
         self.answer_begun_at = None
+        self.is_end_confirmed = False
         self.load = None
 
     def take_load(self, server: ids.ServerId) -> messages.LoadReport | None:
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -196,10 +196,29 @@
             buffer.release()
         if _may_be_stopped(place, reply):
             raise reply.make_answer_lost("the run was stopped for a migration")
+        self.check_end(progress, reply)
         if not progress.is_answering:
             sink.write_head(reply.status, reply.reason, _list_stream_headers(reply))
         sink.finish()
 
+    def check_end(
+        self, progress: requestprogress.Progress, reply: replies.Reply
+    ) -> None:
+        """Check that an answer was not ended by a crash of its server.
+
+        Raises
+        ------
+        backend.AnswerLost
+            If it ended with its connection and its server refuses another one.
+        """
+        if reply.framing is not replies.Framing.CONNECTION:
+            progress.is_end_confirmed = True
+            return
+        is_alive = self._crashwatch.check_alive(reply.entry)
+        progress.is_end_confirmed = is_alive is True
+        if is_alive is False:
+            raise reply.make_answer_lost("the server has crashed")
+
     def _relay_events(
         self,
         order: orders.Order,
@@ -444,7 +463,7 @@
 def write_long_reply(
     sink: orders.Sink, reply: replies.Reply, start: bytes, rest: Iterator[bytes]
 ) -> None:
-    """Write an answer whose body is longer than its buffer, as it arrives.
+    """Write an answer longer than its buffer as it arrives, but not its end.
 
     Raises
     ------
@@ -458,4 +477,3 @@
     sink.write(start)
     for piece in rest:
         sink.write(piece)
-    sink.finish()
--- a/standins/crashing.py
+++ b/standins/crashing.py
@@ -37,6 +37,8 @@
         Parts of prompts that do.
     expiry_seconds, restart_seconds : float
         Delays from a crash to the removal of the entry and to the next start.
+    is_framed : bool
+        Whether streams come in chunks; otherwise a crash ends them in order.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         fatal_parts: Collection[str] = (),
         expiry_seconds: float = 0.3,
         restart_seconds: float = 0.5,
+        is_framed: bool = True,
     ) -> None:
         self._store = store
         self._service = service
@@ -56,6 +59,7 @@
         self._fatal_parts = set(fatal_parts)
         self._expiry_seconds = expiry_seconds
         self._restart_seconds = restart_seconds
+        self._is_framed = is_framed
         self._numbers = itertools.count(1)
         self._stopped = threading.Event()
         self.incarnations: list[platformserver.PlatformServer] = []
@@ -99,6 +103,7 @@
         )
         server.fatal_bodies = self._fatal_bodies
         server.fatal_parts = self._fatal_parts
+        server.is_framed = self._is_framed
         server.start()
         self.incarnations.append(server)
         spec = sampleconfig.make_entry(self._service, server.address)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -93,6 +93,18 @@
     assert count_late_sends(servers) <= LATE_SENDS_MAX
 
 
+@for_kinds(["resumable", "stream once only"])
+def test_request_whose_crashes_end_streams_in_order_is_held(
+    cluster, crash, path: str, service: str
+) -> None:
+    """Guards against crashes that look like the end of a stream without a length."""
+    servers = crash(service, is_framed=False)
+    routers = [cluster.start_router(f"edge-{index}") for index in range(2)]
+    answers = repeat(routers, path, 30)
+    assert count_late_sends(servers) <= LATE_SENDS_MAX
+    assert all(answer is None or answer.status != 200 for answer in answers)
+
+
 @for_kinds(["once only"])
 def test_crash_limit_persists_when_all_routers_restart(
     cluster, crash, path: str, service: str
