Tell a restarted router again which streams it held

Cause: origins are sent to new holders when the list of hosts changes. A router that is back before the others have missed it changes nothing in the list, and has lost what it held.

Change: a host whose incarnation has changed counts as new.

--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -22,7 +22,7 @@
 
 if TYPE_CHECKING:
     from celeryspan.gateway import catalogues, orders, poolmap, serverlists
-    from celeryspan.services import delivery, identity
+    from celeryspan.services import delivery, identity, membership
 
 ROUND_SECONDS = 0.5
 """Interval at which new origins are passed on to their holders."""
@@ -48,7 +48,15 @@
 
 @kernel.register(
     "streamorigins",
-    needs=("catalogues", "delivery", "identity", "metrics", "poolmap", "servers"),
+    needs=(
+        "catalogues",
+        "delivery",
+        "identity",
+        "membership",
+        "metrics",
+        "poolmap",
+        "servers",
+    ),
 )
 class StreamOriginsService:
     """Holds origins of streams and decides whether streams go on."""
@@ -59,6 +67,7 @@
         self._identity: identity.IdentityService = container.find("identity")
         self._metrics: metrics.Metrics = container.find("metrics")
         self._map: poolmap.PoolMap = container.find("poolmap")
+        self._membership: membership.MembershipService = container.find("membership")
         self._servers: serverlists.ServersService = container.find("servers")
         self._lock = threading.Lock()
         self._origins = streamversions.Origins()
@@ -66,6 +75,8 @@
         self._unsent: dict[ids.RequestId, None] = {}
         self._questions: dict[ids.RequestId, _Question] = {}
         self._hosts: dict[ids.ServiceId, tuple[ids.RouterId, ...]] = {}
+        self._incarnations: dict[ids.RouterId, ids.Incarnation] = {}
+        self._restarted: set[ids.RouterId] = set()
         self._retention = RETENTION_SECONDS_DEFAULT
         self._stopped = threading.Event()
         self._thread = threading.Thread(
@@ -79,6 +90,7 @@
         self._delivery.subscribe(messages.StreamOrigins, self._handle_origins)
         self._delivery.subscribe(messages.StreamOrigin, self._handle_answer)
         self._delivery.subscribe(messages.OriginRequest, self._handle_request)
+        self._membership.subscribe(self._record_members)
         self._catalogues.subscribe(self._apply_timeouts)
         self._servers.subscribe(self._record_versions)
         self._thread.start()
@@ -269,6 +281,20 @@
         self._watch_hosts(told.service)
         self._origins.record(told.request, told.service, told.version, now - told.age)
 
+    def _record_members(self, members: list[messages.Member]) -> None:
+        """Note routers that have restarted, which have lost the origins that they held.
+
+        One that is back before its end was noticed changes nothing in the hosts.
+        """
+        found = {member.router: member.incarnation for member in members}
+        with self._lock:
+            self._restarted.update(
+                router
+                for router, incarnation in found.items()
+                if self._incarnations.get(router, incarnation) != incarnation
+            )
+            self._incarnations = found
+
     def _record_versions(self, usable: dict[ids.ServerId, catalog.ServerEntry]) -> None:
         with self._lock:
             self._history.record(usable.values(), time.monotonic())
@@ -326,10 +352,15 @@
                 self._delivery.send(holder, messages.StreamOrigins(part))
 
     def _update_hosts(self) -> dict[ids.ServiceId, tuple[ids.RouterId, ...]]:
-        """Return the earlier hosts of services whose hosts have changed."""
+        """Return the earlier hosts of services whose hosts have changed.
+
+        Hosts that have restarted are left out of them.
+        """
         changed = {}
-        for service, earlier in self._hosts.items():
+        restarted, self._restarted = self._restarted, set()
+        for service, known in self._hosts.items():
             hosts = self._map.list_hosts(service, streamversions.HOSTS_MIN)
+            earlier = tuple(each for each in known if each not in restarted)
             if hosts != earlier:
                 changed[service], self._hosts[service] = earlier, hosts
         return changed
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -59,19 +59,28 @@
             )
         )
         self.log = folder / f"{name}.log"
+        self._path = path
+        self._descriptors = descriptors
+        self.start()
+
+    def start(self) -> None:
+        """Start the process, also again after it was stopped."""
+        limits = (self._descriptors, self._descriptors)
         self._process = subprocess.Popen(
             [
                 sys.executable,
                 "-m",
                 "celeryspan.daemons.launch",
-                f"--settings={path}",
+                f"--settings={self._path}",
             ],
-            stdout=self.log.open("w"),
-            preexec_fn=lambda: resource.setrlimit(
-                resource.RLIMIT_NOFILE, (descriptors, descriptors)
-            ),
+            stdout=self.log.open("a"),
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
         )
 
+    def connect(self) -> http.client.HTTPConnection:
+        """Return a connection to the address for callers."""
+        return connect(self.caller_address)
+
     def get(self, address: str, path: str) -> int:
         """Send a GET request to one of the router's addresses; returns the status.
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
 import threading
@@ -13,7 +14,7 @@
 from celeryspan.decisions import shards, streamversions
 from celeryspan.wire import messages
 from standins import platformserver
-from tests.gateway import support
+from tests.gateway import processes, support
 
 STREAMS = 12
 PATH = "/drafts/1"
@@ -217,6 +218,33 @@
     assert all(stream.is_whole() for stream in streams)
 
 
+def test_stream_is_taken_up_after_all_routers_were_killed_one_by_one(
+    cluster, tmp_path
+) -> None:
+    """Guards against a router that is back at once and isn't told what it has lost."""
+    add_engines(cluster, {"v1": 2, "v2": 2})
+    store = str(cluster.store.address)
+    with contextlib.ExitStack() as stack:
+        routers = [
+            stack.enter_context(
+                processes.run_router(tmp_path, store, name=f"edge-{number}")
+            )
+            for number in range(4)
+        ]
+        time.sleep(SHARED_SECONDS)
+        streams = begin_streams(routers[3])
+        time.sleep(SHARED_SECONDS)
+        for router in routers[:3]:
+            router.stop()
+            router.start()
+            router.wait_ready()
+            time.sleep(2 * SHARED_SECONDS)
+        routers[3].stop()
+        for number, stream in enumerate(streams):
+            stream.take_up(routers[number % 3], f"again-{number}")
+    assert all(stream.is_whole() for stream in streams)
+
+
 def test_stream_is_taken_up_twice(cluster) -> None:
     """Guards against a take-up that forgets which request began the stream."""
     add_engines(cluster, {"v1": 2, "v2": 2})
