Watch from the revision of a list's first page

A change of an object on a page that was read, made before the next page was, was missed until its next change (review, read only): the list had the revision of its last page. It has that of the first one now, and the watch repeats what came between.

Test: failed before.

--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -83,12 +83,16 @@
             Accept a result that may be seconds old, at a tenth of the cost.
         """
         objects: list[storedobjects.StoredObject] = []
+        # Of the first page: a change behind it, while the others are read, is watched.
+        revision: int | None = None
         query: dict[str, object] = {"is_stale": 1} if is_stale else {}
         first_era: ids.Era | None = None
         while True:
             page, era = self._call("GET", kind, "", query=query)
             if first_era is None:
                 first_era = era
+            if revision is None:
+                revision = self._read_revision(page, kind)
             if era != first_era:
                 raise errors.StoreUnavailable(
                     "the store was restored between two pages",
@@ -102,9 +106,7 @@
             readable = [each for each in parsed if each is not None]
             objects += readable
             if not page.get("has_more"):
-                return storedobjects.Listing(
-                    tuple(objects), self._read_revision(page, kind), era
-                )
+                return storedobjects.Listing(tuple(objects), revision, era)
             if not readable:
                 # The next page is requested by the name of the last object of this one.
                 raise errors.StoreUnavailable(
--- a/tests/platform/test_objects.py
+++ b/tests/platform/test_objects.py
@@ -40,6 +40,23 @@
     assert listing.revision == max(found.revision for found in listing.objects)
 
 
+def test_change_on_a_page_that_was_read_is_watched(store, client) -> None:
+    """Guards against a change between two pages that is missed until the next one."""
+    store.page_size = 1
+    for number in range(2):
+        store.put("servers", f"s{number}", {"number": number})
+
+    def change_once(_: int) -> None:
+        client._record_era = lambda _: None
+        store.put("servers", "s0", {"number": 7})
+
+    client._record_era = change_once
+    listing = client.list_objects("servers")
+    assert [found.spec["number"] for found in listing.objects] == [0, 1]
+    changes = client.watch("servers", listing.revision, 0.0).changes
+    assert [found.object.spec["number"] for found in changes] == [7]
+
+
 def test_watch_timeout_is_independent_of_the_connect_timeout(store, client) -> None:
     """The change arrives after the connect timeout has passed.
 
