--- a/celeryspan/services/framing.py
+++ b/celeryspan/services/framing.py
@@ -18,15 +18,18 @@
 from celeryspan import states
 
 HEADER_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+CONTROL_CHARACTERS = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 DIGITS = re.compile(rb"[0-9]{1,18}")
 
 
 class _SingleHeaders(dict[bytes, bytes]):
-    """Rejects duplicates of headers that do not hold a list."""
+    """Rejects control characters, and duplicates of headers that hold no list."""
 
     def __setitem__(self, name: bytes, value: bytes) -> None:
         if name in self and name not in cheroot_server.comma_separated_headers:
             raise ValueError(f"Duplicate header {name.decode('latin-1')}.")
+        if CONTROL_CHARACTERS.search(value):
+            raise ValueError("Control characters in a header value.")
         super().__setitem__(name, value)
 
 
