Let a caller's conditions and numbers harm its own request alone

- Celeryspan-Expect-Version: a server with other weights answers 421, which was taken for another server at its address, so that the router dropped the server for all callers.
Such a rejection now says nothing of the server; the caller gets 421 (not run) if no other server takes the request.
- A token count above 32 bits was an internal error (500) in the messages between routers.
Counts are limited to what these hold; the server gets the header as it is.

Tests: tests/gateway/test_front.py, failed before.

--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -21,13 +21,22 @@
     ----------
     leaving : bool
         Whether the reason is that the server is leaving.
+    conditional : bool
+        Whether the reason may be a condition that the caller has set.
     """
 
     def __init__(
-        self, message: str, *, leaving: bool = False, step: str = "", peer: str = ""
+        self,
+        message: str,
+        *,
+        leaving: bool = False,
+        conditional: bool = False,
+        step: str = "",
+        peer: str = "",
     ) -> None:
         super().__init__(message, step=step, peer=peer)
         self.leaving = leaving
+        self.conditional = conditional
 
 
 class AnswerLost(errors.CeleryspanError):
--- a/celeryspan/gateway/attempts.py
+++ b/celeryspan/gateway/attempts.py
@@ -65,8 +65,8 @@
             raise endings.make_outcome_unknown(order, progress, declined.message)
         raise errors.NotRun(
             f"the server rejected the request: {declined.message}",
-            code="server-full",
-            status=503,
+            code="condition-failed" if declined.conditional else "server-full",
+            status=421 if declined.conditional else 503,
             retry_after=max(REJECTED_RETRY_AFTER_SECONDS, rest or 0.0),
             step=declined.step,
             peer=declined.peer,
--- a/celeryspan/gateway/carrier.py
+++ b/celeryspan/gateway/carrier.py
@@ -232,8 +232,7 @@
             ending = self._relay_reply(order, place, progress, reply, sink)
             self._record_answered(order, progress)
         except backend.Declined as declined:
-            gone = states.RunEnding.GONE
-            ending = gone if declined.leaving else states.RunEnding.REJECTED
+            ending = _find_ending(declined)
             rest = self._measure_rest(order.service, progress.version)
             self._attempts.handle_rejection(order, progress, declined, rest)
         except backend.AnswerLost as lost:
@@ -500,3 +499,10 @@
         reply, body = progress.server_failure
         sender.write_reply(sink, reply, body)
         endings.record_answered(self._metrics, order, progress, ids.ServerId(""))
+
+
+def _find_ending(declined: backend.Declined) -> states.RunEnding:
+    """Return what a rejection says of its server."""
+    if declined.conditional:
+        return states.RunEnding.UNUSED
+    return states.RunEnding.GONE if declined.leaving else states.RunEnding.REJECTED
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -154,23 +154,29 @@
         if load is not None:
             progress.load = requestprogress.LoadReading(server, load, time.monotonic())
         reply = replies.Reply(order, channel, answer)
-        self._check_reply(reply, server, progress)
+        self._check_reply(order, reply, server, progress)
         progress.reply = reply
         return reply
 
     def _check_reply(
         self,
+        order: orders.Order,
         reply: replies.Reply,
         server: ids.ServerId,
         progress: requestprogress.Progress,
     ) -> None:
         if reply.is_not_run:
             progress.exposure.record_not_run()
-            is_gone = reply.status == 421
+            is_misdirected = reply.status == 421
+            is_gone = is_misdirected and not order.incoming.expects_version
             if is_gone:
                 self._servers.remove(server)
             raise backend.Declined(
-                f"status {reply.status}", leaving=is_gone, step="send", peer=server
+                f"status {reply.status}",
+                leaving=is_gone,
+                conditional=is_misdirected and not is_gone,
+                step="send",
+                peer=server,
             )
         if reply.is_success and not reply.is_signed:
             # An unsigned success may be unrelated data from another process.
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -48,6 +48,11 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise callers that their request has not run and never will."""
 
+DIGITS_MAX = 18
+
+TOKENS_MAX = 2**31 - 1
+"""No server's memory comes near it; the server gets the header as it is."""
+
 NO_REQUEST = ids.RequestId("")
 
 
@@ -70,6 +75,8 @@
         names none.
     model : str
         The model that is asked for; empty if the request names none.
+    expects_version : bool
+        Whether the caller lets servers with another version of the weights reject it.
     """
 
     request: ids.RequestId
@@ -82,6 +89,7 @@
     last_event: str = ""
     origin: ids.RequestId = NO_REQUEST
     model: str = ""
+    expects_version: bool = False
 
     @property
     def is_take_up(self) -> bool:
@@ -116,6 +124,7 @@
         last_event=values.get(names.LAST_EVENT.lower(), ""),
         origin=ids.RequestId(values.get(names.RESUMES.lower(), "")),
         model=values.get(names.MODEL.lower(), ""),
+        expects_version=names.EXPECTED_VERSION.lower() in values,
     )
 
 
@@ -176,7 +185,7 @@
         return 0, 0
     prompt, _, output = text.partition(",")
     try:
-        return max(0, int(prompt)), max(0, int(output or 0))
+        return _limit_tokens(int(prompt)), _limit_tokens(int(output or 0))
     except ValueError:
         raise _malformed(names.TOKEN_COUNT, "two integers", text) from None
 
@@ -194,11 +203,16 @@
     parts = []
     for item in filter(None, text.split(",")):
         name, _, tokens = item.strip().partition(":")
-        if not tokens.isdecimal():
+        if not tokens.isdecimal() or len(tokens) > DIGITS_MAX:
             raise _malformed(names.PROMPT_PARTS, "entries ID:TOKENS", text)
-        parts.append(messages.PromptPart(name, int(tokens)))
+        parts.append(messages.PromptPart(name, _limit_tokens(int(tokens))))
     return tuple(parts)
 
 
+def _limit_tokens(count: int) -> int:
+    """Return a number of tokens that fits the messages between routers."""
+    return min(max(0, count), TOKENS_MAX)
+
+
 def _malformed(name: str, expected: str, found: str) -> errors.InputError:
     return errors.InputError(f"expected {expected}, found {found[:60]!r}", key=name)
--- a/standins/platformserver.py
+++ b/standins/platformserver.py
@@ -27,6 +27,7 @@
 LEAVING = "Server-Leaving"
 RETRY_AFTER = "Retry-After"
 REQUEST_ID = "Celeryspan-Request-Id"
+EXPECT_VERSION = "Celeryspan-Expect-Version"
 EXPECT_INSTANCE = "Celeryspan-Expect-Instance"
 LAST_EVENT_ID = "Last-Event-Id"
 PROMPT_PARTS = "Celeryspan-Prefix-Hash"
@@ -130,6 +131,8 @@
         Whether it turns all requests away.
     failure_status : int
         Status of the failures of requests that have run.
+    weights : str
+        Version of its weights.
     body : bytes
         Body of the plain answers whose ending is given.
     endless : str
@@ -182,6 +185,7 @@
         self.load = ""
         self.is_shedding = False
         self.failure_status = 500
+        self.weights = "1"
         self.body = BODY
         self.endless = ""
         self.endless_bytes = 0
@@ -285,7 +289,11 @@
             return self._list_kept_parts(request, connection)
         if request.target == KV_MOVE_PATH:
             return self._move_run(request, connection)
-        if request.headers.get(EXPECT_INSTANCE.lower()) != self.name:
+        expected = request.headers.get(EXPECT_VERSION.lower(), self.weights)
+        if (
+            request.headers.get(EXPECT_INSTANCE.lower()) != self.name
+            or expected != self.weights
+        ):
             connection.sendall(self._write_head(request, 421, 0))
             return True
         is_fatal = request.body and request.body in self.fatal_bodies
--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import threading
@@ -260,3 +261,46 @@
     gateway.import_services()
     order = kernel.Kernel(None)._order(gateway.SERVICES)
     assert order.index("front") < order.index("directory")
+
+
+def test_version_that_a_caller_expects_takes_no_server_away(cluster) -> None:
+    """Guards against a caller's condition that removes servers for all callers."""
+    servers = [cluster.add_server(f"planner-{n}", "planner") for n in range(3)]
+    router = cluster.start_router()
+    expected = {"Celeryspan-Expect-Version": "9"}
+    for number in range(8):
+        answer = router.call("/notes/1", f"expecting-{number}", headers=expected)
+        assert answer.status == 421
+    assert len(router.container.find("servers").usable()) == len(servers)
+    for number in range(8):
+        assert router.call("/notes/1", f"r{number}").status == 200
+    servers[0].weights = "9"
+    assert router.call("/drafts/1", "last", headers=expected).status in (200, 421)
+
+
+@pytest.mark.parametrize("count", ["5000000000,1", "1,5000000000", "9" * 30 + ",1"])
+def test_huge_token_count_is_no_internal_error(cluster, count: str) -> None:
+    """Guards against a number that the messages between routers can't hold."""
+    cluster.add_server("planner-1", "planner")
+    router = cluster.start_router()
+    headers = {
+        "Celeryspan-Token-Count": count,
+        "Celeryspan-Prefix-Hash": "aa:5000000000,bb:1",
+    }
+    assert router.call("/notes/1", "huge", headers=headers).status in (200, 503)
+    assert router.call("/notes/1", "r1").status == 200
+
+
+@pytest.mark.parametrize("value", [b"r\x001", b"r\r1", b"r\x7f"])
+def test_control_character_in_a_header_is_malformed(cluster, value: bytes) -> None:
+    """Guards against header values that servers read as several lines."""
+    server = cluster.add_server("gate-1")
+    router = cluster.start_router()
+    head = b"POST /bookings/1 HTTP/1.1\r\nHost: %b\r\nConnection: close\r\n"
+    head += b"Celeryspan-Request-Id: %b\r\nContent-Length: 0\r\n\r\n"
+    with contextlib.closing(router.connect()) as caller:
+        caller.connect()
+        caller.sock.sendall(head % (support.HOST.encode(), value))
+        received = caller.sock.makefile("rb").read()
+    assert received.startswith(b"HTTP/1.1 400 ")
+    assert not server.received
