--- a/tests/gateway/test_front.py
+++ b/tests/gateway/test_front.py
@@ -282,13 +282,18 @@
 def test_huge_token_count_is_no_internal_error(cluster, count: str) -> None:
     """Guards against a number that the messages between routers can't hold."""
     cluster.add_server("planner-1", "planner")
-    router = cluster.start_router()
+    routers = [cluster.start_router(f"edge-{number}") for number in range(2)]
+    for router in routers:
+        membership = router.container.find("membership")
+        support.wait_for(lambda found=membership: len(found.alive()) == 2)
     headers = {
         "Celeryspan-Token-Count": count,
         "Celeryspan-Prefix-Hash": "aa:5000000000,bb:1",
     }
-    assert router.call("/notes/1", "huge", headers=headers).status in (200, 503)
-    assert router.call("/notes/1", "r1").status == 200
+    for number, router in enumerate(routers):
+        answer = router.call("/notes/1", f"huge-{number}", headers=headers)
+        assert answer.status in (200, 503)
+        assert router.call("/notes/1", f"r{number}").status == 200
 
 
 @pytest.mark.parametrize("value", [b"r\x001", b"r\r1", b"r\x7f"])
