--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -54,6 +54,7 @@
 
 DEFAULT_LIMITS = Limits()
 
+# Called for each event; ``super()`` would take as long as the rest of the method.
 _read_line = io.BufferedReader.readline
 _read_arrived = io.BufferedReader.read1
 
@@ -158,13 +159,13 @@
         A :class:`guardedsockets.GuardedSocket` states the limits.
     """
 
+    _fields: dict[str, str] | None = None
+
     def __init__(self, sock: object, *args: object, **values: object) -> None:
         super().__init__(sock, *args, **values)
         if isinstance(self.fp, io.BufferedReader):
             self.fp = Reader(self.fp.detach(), getattr(sock, "limits", DEFAULT_LIMITS))
 
-    _fields: dict[str, str] | None = None
-
     def getheader(self, name: str, default: str | None = None) -> str | None:
         """Return the value of a header; several values are joined by commas.
 
