--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import http.client
 import pathlib
+import re
 import resource
 import subprocess
 import sys
@@ -17,6 +18,7 @@
 from tests.gateway import support
 
 POLL_SECONDS = 0.05
+ORIGINS = re.compile(r"^celeryspan_stream_origins (\S+)$", re.MULTILINE)
 
 
 class ProcessRouter:
@@ -94,6 +96,15 @@
             connection.request("GET", path)
             return connection.getresponse().status
 
+    def count_origins(self) -> int:
+        """Return how many origins of streams the router holds."""
+        connection = connect(self.ready_address)
+        with contextlib.closing(connection):
+            connection.request("GET", "/v1/metrics")
+            text = connection.getresponse().read().decode()
+        found = ORIGINS.search(text)
+        return int(float(found.group(1))) if found else 0
+
     def wait_ready(self) -> None:
         """Wait until the router is ready and accepts callers.
 
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -234,11 +234,18 @@
         time.sleep(SHARED_SECONDS)
         streams = begin_streams(routers[3])
         time.sleep(SHARED_SECONDS)
-        for router in routers[:3]:
+        names = [ids.RouterId(f"edge-{number}") for number in range(4)]
+        for name, router in zip(names[:3], routers, strict=False):
             router.stop()
             router.start()
             router.wait_ready()
-            time.sleep(2 * SHARED_SECONDS)
+            expected = sum(
+                name in streamversions.choose_holders(stream.origin, names)
+                for stream in streams
+            )
+            support.wait_for(
+                lambda found=router, least=expected: found.count_origins() >= least
+            )
         routers[3].stop()
         for number, stream in enumerate(streams):
             stream.take_up(routers[number % 3], f"again-{number}")
