--- a/tests/adapters/test_plain.py
+++ b/tests/adapters/test_plain.py
@@ -31,13 +31,7 @@
 def open_link(
     ending: answerendings.Ending, *, is_stalled: bool = False
 ) -> Iterator[backend.Connection]:
-    """Yield a connection to a service that ends its first answer in a given way.
-
-    Parameters
-    ----------
-    is_stalled : bool
-        Whether it waits for the other side to end the connection instead.
-    """
+    """Yield a connection to a service that ends its answer, or waits for our end."""
 
     def serve() -> None:
         connection, _ = listener.accept()
--- a/tests/decisions/test_retries.py
+++ b/tests/decisions/test_retries.py
@@ -68,12 +68,7 @@
 
 
 class RetryMachine(stateful.RuleBasedStateMachine):
-    """Sends one request to server after server, each of which fails in its own way.
-
-    Guards against a request that is not idempotent and runs at two servers, and against
-    "not run" for one that has run. The router sees statements, failures and lost
-    answers; only the machine knows which servers ran the request.
-    """
+    """Guards against a request that runs twice, or that is "not run" and has run."""
 
     runs = 0
     is_sent = False
