Show that no stream goes on after all routers were killed

The version that began a stream is held in the memory of routers alone. After the kill of all routers a stream that its client takes up is answered 503, origin-unknown, by routers that have run for longer than the stable window, with one version and four servers of it.

--- a/review/common-2/clients.py
+++ b/review/common-2/clients.py
@@ -4,7 +4,9 @@
 
 import http.client
 import itertools
+import math
 import re
+import time
 import uuid
 from typing import NamedTuple
 
@@ -60,6 +62,18 @@
         request: str = "",
     ) -> Answer:
         """Send a request and read its answer to the end."""
+        return self.ask_until(method, path, headers, body, math.inf, request)
+
+    def ask_until(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes | None,
+        until: float,
+        request: str = "",
+    ) -> Answer:
+        """Send a request and read its answer until a time (monotonic), then leave."""
         request = request or make_request_id()
         sent = {"Host": HOST, "Celeryspan-Request-Id": request, **headers}
         status, found, pieces, error = 0, {}, [], ""
@@ -73,9 +87,13 @@
                 if not piece:
                     break
                 pieces.append(piece)
+                if time.monotonic() >= until:
+                    error = "left by this client"
+                    break
             if answer.length:
                 error = "shorter than its length"
-            answer.close()
+            if not error:
+                answer.close()
         except (OSError, http.client.HTTPException) as failure:
             error = repr(failure)
         if error:
