Turn any value of another writer into a named, ignored item

Cause: each reader named its own three or four kinds of errors. An OverflowError of an entry, a RecursionError or over 4,300 digits in any object of a list, a ValueError of a length hint (500 to the caller), infinite and huge durations of a configuration, and zero bytes in names (a frame that can't be encoded ends the link) were let through.

Change: celeryspan/untrusted.py is the one boundary; each reader goes through it, and what it raises is logged and left out. Depth and digits affect only the value that has them. A message that doesn't fit the protocol is dropped alone.

--- a/celeryspan/gateway/callersinks.py
+++ b/celeryspan/gateway/callersinks.py
@@ -11,7 +11,7 @@
 
 from cheroot import server as cheroot_server
 
-from celeryspan import calls, ids
+from celeryspan import calls, ids, untrusted
 from celeryspan.services import httpserver
 
 if TYPE_CHECKING:
@@ -95,8 +95,8 @@
         lines = [f"HTTP/1.1 {status} {reason}"]
         lines += [f"{name}: {value}" for name, value in headers]
         if "content-length" in names:
-            length = names["content-length"]
-            self._bytes_left = int(length) if length.isdecimal() else UNKNOWN_LENGTH
+            length = untrusted.parse_digits(names["content-length"])
+            self._bytes_left = UNKNOWN_LENGTH if length is None else length
         elif self._may_use_chunks:
             self._is_chunked = True
             lines.append("Transfer-Encoding: chunked")
--- a/celeryspan/gateway/relays.py
+++ b/celeryspan/gateway/relays.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from celeryspan import events, ids, kernel, states, storedobjects
+from celeryspan import events, ids, kernel, states, storedobjects, untrusted
 from celeryspan.decisions import relays, storelog
 from celeryspan.wire import messages
 
@@ -317,30 +317,55 @@
 
 
 def encode_changes(changes: Iterable[storedobjects.Change]) -> bytes:
-    """Encode changes as JSON."""
-    return json.dumps(
+    """Encode changes as JSON; contents that can't be encoded become null."""
+    encoded = [
         [
-            [
-                change.object.name,
-                change.object.revision,
-                change.object.spec,
-                change.object.status,
-                change.object.is_terminating,
-                change.is_deleted,
-            ]
-            for change in changes
+            change.object.name,
+            change.object.revision,
+            change.object.spec,
+            change.object.status,
+            change.object.is_terminating,
+            change.is_deleted,
         ]
-    ).encode()
+        for change in changes
+    ]
+    try:
+        return json.dumps(encoded).encode()
+    except untrusted.MALFORMED_ERRORS:
+        return json.dumps([_drop_contents(entry) for entry in encoded]).encode()
 
 
 def decode_changes(body: bytes, era: ids.Era) -> tuple[storedobjects.Change, ...]:
-    """Decode changes of an era; raises ValueError if they are malformed."""
-    return tuple(
-        storedobjects.Change(
-            storedobjects.StoredObject(
-                name, revision, spec, status, is_terminating, era
-            ),
-            is_deleted,
+    """Decode changes of an era; raises errors.InputError if they are malformed."""
+    with untrusted.decode("batch of changes"):
+        return tuple(
+            storedobjects.Change(
+                storedobjects.StoredObject(
+                    name, revision, spec, status, is_terminating, era
+                ),
+                is_deleted,
+            )
+            for (
+                name,
+                revision,
+                spec,
+                status,
+                is_terminating,
+                is_deleted,
+            ) in untrusted.parse_json(body)
+        )
+
+
+def _drop_contents(encoded: list) -> list:
+    """Return an encoded change, without contents that JSON can't hold."""
+    try:
+        json.dumps(encoded)
+    except untrusted.MALFORMED_ERRORS as error:
+        name, revision, _, _, *flags = encoded
+        events.log(
+            events.Event.STORE_OBJECT_IGNORED,
+            name=name,
+            error=untrusted.describe(error),
         )
-        for name, revision, spec, status, is_terminating, is_deleted in json.loads(body)
-    )
+        return [name, revision, None, None, *flags]
+    return encoded
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -6,7 +6,7 @@
 import http.client
 from collections.abc import Iterator
 
-from celeryspan import answerreaders, eventstreams
+from celeryspan import answerreaders, eventstreams, untrusted
 from celeryspan.adapters import backend
 from celeryspan.gateway import channels, orders, replybuffers
 from celeryspan.platform import names, requests
@@ -237,4 +237,4 @@
 
 
 def _parse_number(text: str) -> int | None:
-    return int(text) if text.isdecimal() else None
+    return untrusted.parse_digits(text)
--- a/celeryspan/platform/catalogues.py
+++ b/celeryspan/platform/catalogues.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
-from celeryspan import catalog, errors, ids, storedobjects
+from celeryspan import catalog, ids, storedobjects, untrusted
 from celeryspan.platform import names
 
-VERSION_MAX = 2**63 - 1
-"""Greatest version; it fits the field of messages between routers."""
+SECONDS_MAX = 86_400.0
+"""Longest duration that is accepted; waits for much longer raise an error."""
+
+KEY = f"{names.CONFIGURATION_KIND}/{names.CONFIGURATION_NAME}"
 
 ROUTE_KINDS = {
     "idempotent": catalog.RouteKind.IDEMPOTENT,
@@ -26,13 +27,8 @@
     errors.InputError
         If a key is missing or a value has the wrong type.
     """
-    try:
+    with untrusted.decode("configuration", key=KEY):
         return _parse(stored.spec, stored)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise errors.InputError(
-            f"malformed configuration: {error!r}",
-            key=f"{names.CONFIGURATION_KIND}/{names.CONFIGURATION_NAME}",
-        ) from error
 
 
 def read_version(stored: storedobjects.StoredObject) -> int:
@@ -43,19 +39,14 @@
     errors.InputError
         If it is missing or not a version.
     """
-    try:
+    with untrusted.decode("version", key=KEY):
         return _parse_version(stored.spec["version"])
-    except (KeyError, TypeError, ValueError) as error:
-        raise errors.InputError(
-            f"malformed version: {error!r}",
-            key=f"{names.CONFIGURATION_KIND}/{names.CONFIGURATION_NAME}",
-        ) from error
 
 
 def _parse(spec: Mapping, stored: storedobjects.StoredObject) -> catalog.Catalogue:
     services = [_parse_service(item) for item in spec["services"]]
     accounts = {
-        key: ids.AccountId(item["name"])
+        _parse_text(key, "api_keys"): ids.AccountId(_parse_text(item["name"], "name"))
         for item in spec.get("tenants") or ()
         for key in item.get("api_keys") or ()
     }
@@ -72,25 +63,41 @@
 
 
 def _parse_version(value: object) -> int:
-    version = int(value)
-    if not 0 <= version <= VERSION_MAX:
-        raise ValueError(f"expected a version up to {VERSION_MAX}, found {version}")
-    return version
+    return untrusted.parse_timestamp(int(value), "version")
+
+
+def _parse_text(value: object, key: str) -> str:
+    return untrusted.parse_text(value, key)
+
+
+def _parse_optional_text(value: object, key: str) -> str:
+    return value if value == "" else _parse_text(value, key)
+
+
+def _parse_seconds(item: Mapping, key: str, default: float | None = None) -> float:
+    """Return a duration that is stated in milliseconds."""
+    value = item.get(key)
+    if not value and default is not None:
+        return default
+    return min(untrusted.parse_number(value, key) / 1000, SECONDS_MAX)
+
+
+def _parse_count(item: Mapping, key: str, default: int) -> int:
+    return untrusted.parse_count(item.get(key) or default, key)
 
 
 def _parse_route(item: Mapping) -> catalog.Route:
-    timeout = float(item["timeout_ms"]) / 1000
-    target = float(item.get("target_latency_ms") or item["timeout_ms"]) / 1000
+    timeout = _parse_seconds(item, "timeout_ms")
     return catalog.Route(
-        name=item["name"],
-        host=item["host"].lower(),
-        prefix=item["path_prefix"],
+        name=_parse_text(item["name"], "name"),
+        host=_parse_text(item["host"], "host").lower(),
+        prefix=_parse_text(item["path_prefix"], "path_prefix"),
         kind=ROUTE_KINDS[item["route_type"]],
         targets=_parse_targets(item),
         timeout=timeout,
-        target_latency=target,
-        gap_max=float(item.get("max_gap_ms") or item["timeout_ms"]) / 1000,
-        attempts_max=int(item.get("max_attempts") or 1),
+        target_latency=_parse_seconds(item, "target_latency_ms", timeout),
+        gap_max=_parse_seconds(item, "max_gap_ms", timeout),
+        attempts_max=_parse_count(item, "max_attempts", 1),
         is_anonymous=bool(item.get("anonymous")),
         is_resumable=bool(item.get("resumable")),
     )
@@ -98,9 +105,13 @@
 
 def _parse_targets(item: Mapping) -> tuple[catalog.Target, ...]:
     if not item.get("split"):
-        return (catalog.Target(ids.ServiceId(item["service"]), 1.0),)
+        service = _parse_optional_text(item["service"], "service")
+        return (catalog.Target(ids.ServiceId(service), 1.0),)
     return tuple(
-        catalog.Target(ids.ServiceId(part["service"]), float(part["weight"]))
+        catalog.Target(
+            ids.ServiceId(_parse_text(part["service"], "service")),
+            untrusted.parse_number(part["weight"], "weight"),
+        )
         for part in item["split"]
     )
 
@@ -108,29 +119,26 @@
 def _parse_service(item: Mapping) -> catalog.Service:
     engine = item.get("engine")
     return catalog.Service(
-        name=ids.ServiceId(item["name"]),
-        connections_max=int(item.get("max_conns") or 0),
+        name=ids.ServiceId(_parse_text(item["name"], "name")),
+        connections_max=_parse_count(item, "max_conns", 0),
         engine=None if engine is None else _parse_engine(engine),
-        cold_seconds=_parse_non_negative(item, "cold_start_s"),
-        cold_rate=_parse_non_negative(item, "cold_per_s"),
+        cold_seconds=_parse_number(item, "cold_start_s"),
+        cold_rate=_parse_number(item, "cold_per_s"),
     )
 
 
-def _parse_non_negative(item: Mapping, key: str) -> float:
+def _parse_number(item: Mapping, key: str) -> float:
     """Return a number that may be missing, which means 0."""
-    value = item.get(key) or 0.0
-    if type(value) not in (int, float) or not 0 <= value < math.inf:
-        raise ValueError(
-            f"expected a non-negative number as {key}, found {value!r:.40}"
-        )
-    return float(value)
+    return untrusted.parse_number(item.get(key) or 0, key)
 
 
 def _parse_engine(item: Mapping) -> catalog.Engine:
     return catalog.Engine(
-        slots=int(item["slots"]),
-        memory_tokens=int(item["kv_capacity_tokens"]),
-        stride=int(item.get("stride") or 1),
+        slots=untrusted.parse_count(item["slots"], "slots"),
+        memory_tokens=untrusted.parse_count(
+            item["kv_capacity_tokens"], "kv_capacity_tokens"
+        ),
+        stride=_parse_count(item, "stride", 1),
         moves=bool(item.get("moves")),
         copy_token_seconds=_copy_token_seconds(item),
     )
@@ -138,20 +146,18 @@
 
 def _copy_token_seconds(item: Mapping) -> float:
     """Return the time to copy one token: its size divided by the link speed."""
-    link = float(item.get("link_mbps") or 0.0)
-    return float(item.get("kv_bytes") or 0.0) * 8 / (link * 1e6) if link else 0.0
+    link = _parse_number(item, "link_mbps")
+    return _parse_number(item, "kv_bytes") * 8 / (link * 1e6) if link else 0.0
 
 
 def _parse_limits(item: Mapping) -> catalog.Limits:
     defaults = catalog.Limits()
     return catalog.Limits(
-        header_bytes=int(item.get("max_header_bytes") or defaults.header_bytes),
-        body_bytes=int(item.get("max_body_bytes") or defaults.body_bytes),
-        header_seconds=float(
-            item.get("header_timeout_ms") or defaults.header_seconds * 1000
-        )
-        / 1000,
-        idle_seconds=float(item.get("idle_timeout_ms") or defaults.idle_seconds * 1000)
-        / 1000,
-        tokens_per_second=float(item.get("tokens_per_s") or 0.0),
+        header_bytes=_parse_count(item, "max_header_bytes", defaults.header_bytes),
+        body_bytes=_parse_count(item, "max_body_bytes", defaults.body_bytes),
+        header_seconds=_parse_seconds(
+            item, "header_timeout_ms", defaults.header_seconds
+        ),
+        idle_seconds=_parse_seconds(item, "idle_timeout_ms", defaults.idle_seconds),
+        tokens_per_second=_parse_number(item, "tokens_per_s"),
     )
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -8,7 +8,7 @@
 import msgspec
 import urllib3
 
-from celeryspan import catalog, errors, httpconnections, ids
+from celeryspan import catalog, errors, httpconnections, ids, untrusted
 from celeryspan.platform import announcements, names
 from celeryspan.wire import messages
 
@@ -90,8 +90,8 @@
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=seconds),
             )
-            fields = json.loads(response.data) if response.data else {}
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as error:
+            handle = _parse_handle(response.data)
+        except (urllib3.exceptions.HTTPError, OSError, errors.InputError) as error:
             raise errors.OutcomeUnknown(
                 f"no response to the move of a run: {error!r}",
                 code="move-lost",
@@ -99,10 +99,9 @@
                 step="move",
                 peer=source.server,
             ) from error
-        handle = fields.get("kv_handle") if isinstance(fields, dict) else None
         if response.status in NOT_MOVABLE_STATUSES or not handle:
             return None
-        return RunCopy(str(handle), is_at_target=response.status == 200)
+        return RunCopy(handle, is_at_target=response.status == 200)
 
     def list_kept_parts(
         self, entry: catalog.ServerEntry
@@ -125,15 +124,11 @@
             )
             if response.status != 200:
                 raise ValueError(f"status {response.status}")
-            # Each item is an empty string, the part, its token count and a model.
-            parts = json.loads(response.data)["held"]
-            return tuple(messages.PromptPart(str(i[1]), int(i[2])) for i in parts)
+            return _parse_kept_parts(response.data)
         except (
             urllib3.exceptions.HTTPError,
-            ArithmeticError,
-            LookupError,
+            errors.InputError,
             OSError,
-            TypeError,
             ValueError,
         ) as error:
             raise errors.NotRun(
@@ -169,6 +164,29 @@
         return response
 
 
+def _parse_handle(data: bytes) -> str:
+    """Return the identifier of a copy; empty if the answer states none."""
+    fields = untrusted.parse_json(data) if data else {}
+    handle = fields.get("kv_handle") if isinstance(fields, dict) else None
+    if not handle:
+        return ""
+    with untrusted.decode("answer to the move of a run"):
+        return untrusted.parse_text(str(handle), "kv_handle")
+
+
+def _parse_kept_parts(data: bytes) -> tuple[messages.PromptPart, ...]:
+    with untrusted.decode("list of kept parts"):
+        # Each item is an empty string, the part, its token count and a model.
+        items = untrusted.parse_json(data)["held"]
+        return tuple(
+            messages.PromptPart(
+                untrusted.parse_text(item[1], "part"),
+                untrusted.parse_count(item[2], "tokens"),
+            )
+            for item in items
+        )
+
+
 def format_copy(source: ids.Address, copy: RunCopy) -> str:
     """Return the header value that makes a request resume from a copy."""
     return f"{source}/{copy.handle}"
--- a/celeryspan/platform/evacuations.py
+++ b/celeryspan/platform/evacuations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from celeryspan import errors, ids, storedobjects
+from celeryspan import ids, storedobjects, untrusted
 from celeryspan.platform import names
 
 
@@ -14,11 +14,8 @@
     errors.InputError
         If the name is not that of a data centre.
     """
-    if not stored.name or not stored.name.isprintable():
-        raise errors.InputError(
-            f"expected the name of a data centre, found {stored.name!r:.40}",
-            key=names.EVACUATION_KIND,
-        )
+    with untrusted.decode("evacuation", key=names.EVACUATION_KIND):
+        untrusted.parse_text(stored.name, "name of a data centre")
     return None if stored.is_terminating else ids.DataCentreId(stored.name)
 
 
--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -13,7 +13,14 @@
 
 import urllib3
 
-from celeryspan import errors, events, httpconnections, ids, storedobjects
+from celeryspan import (
+    errors,
+    events,
+    httpconnections,
+    ids,
+    storedobjects,
+    untrusted,
+)
 from celeryspan.platform import names
 
 CONNECT_TIMEOUT_SECONDS = 0.5
@@ -24,9 +31,6 @@
 
 CONNECTIONS_MAX = 8
 
-MALFORMED_ERRORS = (AttributeError, KeyError, TypeError, ValueError)
-"""Raised by :func:`_parse_object` for an object that violates the protocol."""
-
 ERA_DIGITS_MAX = 9
 """Longest era that is accepted; it fits the field of messages between routers."""
 
@@ -225,11 +229,11 @@
         raise kind(text, step=step, peer=self.address)
 
     def _parse(self, data: bytes, step: str) -> dict:
-        """Parse a body; invalid UTF-8 affects only the value that contains it."""
+        """Parse a body; a malformed value affects only the object that contains it."""
         try:
-            fields = json.loads(data.decode(errors="replace")) if data else {}
-        except (ValueError, RecursionError) as error:
-            raise self._malformed(repr(error), step) from error
+            fields = untrusted.parse_json(data) if data else {}
+        except errors.InputError as error:
+            raise self._malformed(error.message, step) from error
         if not isinstance(fields, dict):
             raise self._malformed("expected a JSON object", step)
         return fields
@@ -248,20 +252,20 @@
     def _parse_one(self, answer: _Answer, step: str) -> storedobjects.StoredObject:
         try:
             return _parse_object(answer.fields, answer.era)
-        except MALFORMED_ERRORS as error:
-            raise self._malformed(repr(error), step) from error
+        except errors.InputError as error:
+            raise self._malformed(error.message, step) from error
 
     def _parse_or_log(
         self, kind: str, fields: object, era: ids.Era
     ) -> storedobjects.StoredObject | None:
         try:
             return _parse_object(fields, era)
-        except MALFORMED_ERRORS as error:
+        except errors.InputError as error:
             events.log(
                 events.Event.STORE_OBJECT_IGNORED,
                 peer=self.address,
                 kind=kind,
-                error=repr(error),
+                error=str(error),
             )
             return None
 
@@ -282,16 +286,18 @@
 
 
 def _parse_object(fields: object, era: ids.Era) -> storedobjects.StoredObject:
-    """Return one object; raises one of MALFORMED_ERRORS."""
-    meta = fields["metadata"]
-    if not isinstance(meta["name"], str) or type(meta["revision"]) is not int:
-        raise TypeError("expected a name and a revision")
-    meta["name"].encode()  # Raises ValueError for unpaired surrogates.
-    return storedobjects.StoredObject(
-        name=meta["name"],
-        revision=meta["revision"],
-        spec=fields.get("spec"),
-        status=fields.get("status"),
-        is_terminating=bool(meta.get("is_deleting")),
-        era=era,
-    )
+    """Return one object; raises errors.InputError."""
+    with untrusted.decode("object"):
+        meta = fields["metadata"]
+        name = meta["name"]
+        if not isinstance(name, str):
+            raise TypeError("expected a name")
+        name.encode()  # Raises ValueError for unpaired surrogates.
+        return storedobjects.StoredObject(
+            name=name,
+            revision=untrusted.parse_timestamp(meta["revision"], "revision"),
+            spec=fields.get("spec"),
+            status=fields.get("status"),
+            is_terminating=bool(meta.get("is_deleting")),
+            era=era,
+        )
--- a/celeryspan/platform/quarantine.py
+++ b/celeryspan/platform/quarantine.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from celeryspan import errors, storedobjects
+from celeryspan import storedobjects, untrusted
 from celeryspan.decisions import fingerprints
 from celeryspan.platform import names
 from celeryspan.wire import messages
@@ -45,13 +45,9 @@
     errors.InputError
         If the object is malformed, for example because another system wrote it.
     """
-    try:
+    key = f"{names.QUARANTINE_KIND}/{stored.name}"
+    with untrusted.decode("record of requests that crash servers", key=key):
         return [_parse_suspect(entry) for entry in stored.spec["requests"]]
-    except (KeyError, TypeError, ValueError) as error:
-        raise errors.InputError(
-            f"malformed record of requests that crash servers: {error!r}",
-            key=f"{names.QUARANTINE_KIND}/{stored.name}",
-        ) from error
 
 
 def _parse_suspect(entry: Mapping) -> messages.Suspect:
@@ -73,10 +69,10 @@
     if not isinstance(entry, list):
         raise TypeError(f"expected a list for a crash, found {entry!r:.40}")
     crash, at_ms, trial, run_ms, is_prompt = entry
-    if not isinstance(crash, str) or not isinstance(is_prompt, bool):
-        raise TypeError(f"expected a server name and a boolean, found {entry!r}")
+    if not isinstance(is_prompt, bool):
+        raise TypeError(f"expected a boolean, found {is_prompt!r:.40}")
     return messages.Strike(
-        crash=crash,
+        crash=untrusted.parse_text(crash, "crash"),
         at_ms=_check_unsigned(at_ms, "at_ms", 64),
         trial=_check_unsigned(trial, "trial", 8),
         run_ms=_check_unsigned(run_ms, "run_ms", 32),
--- a/celeryspan/platform/requests.py
+++ b/celeryspan/platform/requests.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from celeryspan import errors, ids
+from celeryspan import errors, ids, untrusted
 from celeryspan.platform import names
 from celeryspan.wire import messages
 
@@ -48,7 +48,8 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise callers that their request has not run and never will."""
 
-DIGITS_MAX = 18
+TIMEOUT_SECONDS_MAX = 86_400.0
+"""No route's timeout comes near it; waits for much longer raise an error."""
 
 TOKENS_MAX = 2**31 - 1
 """No server's memory comes near it; the server gets the header as it is."""
@@ -107,14 +108,14 @@
     """
     values = {name.lower(): value for name, value in headers.items()}
     prompt, output = _parse_token_counts(values.get(names.TOKEN_COUNT.lower(), ""))
-    hint = values.get(names.LENGTH_HINT.lower(), "")
+    hint = untrusted.parse_digits(values.get(names.LENGTH_HINT.lower(), ""))
     return Incoming(
         request=ids.RequestId(values.get(names.REQUEST_ID.lower(), "")),
         key=values.get(names.API_KEY.lower(), ""),
         timeout=_parse_timeout(values.get(names.DEADLINE_MS.lower(), "")),
         parts=_parse_prompt_parts(values.get(names.PROMPT_PARTS.lower(), "")),
         prompt_tokens=prompt,
-        output_tokens=min(int(hint), output) if hint.isdecimal() else output,
+        output_tokens=output if hint is None else min(hint, output),
         headers=tuple(
             (name, value)
             for name, value in headers.items()
@@ -194,7 +195,8 @@
     if not text:
         return None
     try:
-        return max(0.0, float(text) / 1000)
+        # Not a number counts as no time.
+        return min(max(0.0, float(text) / 1000), TIMEOUT_SECONDS_MAX)
     except ValueError:
         raise _malformed(names.DEADLINE_MS, "a number", text) from None
 
@@ -203,9 +205,10 @@
     parts = []
     for item in filter(None, text.split(",")):
         name, _, tokens = item.strip().partition(":")
-        if not tokens.isdecimal() or len(tokens) > DIGITS_MAX:
+        count = untrusted.parse_digits(tokens)
+        if count is None:
             raise _malformed(names.PROMPT_PARTS, "entries ID:TOKENS", text)
-        parts.append(messages.PromptPart(name, _limit_tokens(int(tokens))))
+        parts.append(messages.PromptPart(name, _limit_tokens(count)))
     return tuple(parts)
 
 
--- a/celeryspan/platform/routers.py
+++ b/celeryspan/platform/routers.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from celeryspan import errors, ids, storedobjects
+from celeryspan import ids, storedobjects, untrusted
 from celeryspan.platform import names
 
 
@@ -37,17 +37,13 @@
     errors.InputError
         If the entry is malformed.
     """
-    try:
+    key = f"{names.ROUTER_KIND}/{stored.name}"
+    with untrusted.decode("router entry", key=key):
+        untrusted.parse_text(stored.name, "name")
         peer_address, data_centre = (
-            stored.spec["peer_address"],
-            stored.spec["data_centre"],
+            untrusted.parse_text(stored.spec[key], key)
+            for key in ("peer_address", "data_centre")
+        )
+        return RouterEntry(
+            ids.Address.parse(peer_address), ids.DataCentreId(data_centre)
         )
-        if not isinstance(peer_address, str) or not isinstance(data_centre, str):
-            raise TypeError("expected two strings")
-        address = ids.Address.parse(peer_address)
-    except (KeyError, TypeError, ValueError) as error:
-        raise errors.InputError(
-            f"malformed router entry: {error!r}",
-            key=f"{names.ROUTER_KIND}/{stored.name}",
-        ) from error
-    return RouterEntry(address, ids.DataCentreId(data_centre))
--- a/celeryspan/platform/servers.py
+++ b/celeryspan/platform/servers.py
@@ -11,7 +11,7 @@
 import ipaddress
 from collections.abc import Mapping
 
-from celeryspan import catalog, errors, ids, storedobjects
+from celeryspan import catalog, errors, ids, storedobjects, untrusted
 from celeryspan.platform import names
 
 STATES = {"ready": False, "draining": True}
@@ -31,13 +31,9 @@
     errors.InputError
         If a key is missing or a value has the wrong type.
     """
-    try:
+    key = f"{names.SERVER_KIND}/{stored.name}"
+    with untrusted.decode("backend server entry", key=key):
         return _parse(stored, stored.spec)
-    except (KeyError, TypeError, ValueError) as error:
-        raise errors.InputError(
-            f"malformed backend server entry: {error!r}",
-            key=f"{names.SERVER_KIND}/{stored.name}",
-        ) from error
 
 
 def is_leaving(stored: storedobjects.StoredObject) -> bool:
@@ -51,20 +47,19 @@
 def _parse(stored: storedobjects.StoredObject, spec: object) -> catalog.ServerEntry:
     if not isinstance(spec, Mapping):
         raise TypeError(f"expected a mapping, found {type(spec).__name__}")
-    _parse_unsigned(spec, "sequence")
-    slots = _parse_unsigned(spec, "slots")
+    untrusted.parse_count(spec["sequence"], "sequence")
+    slots = untrusted.parse_count(spec["slots"], "slots")
     if not 0 < slots <= SLOTS_MAX:
         raise ValueError(f"expected 1 to {SLOTS_MAX} slots, found {slots}")
     return catalog.ServerEntry(
-        server=ids.ServerId(_check_text(stored.name)),
+        server=ids.ServerId(untrusted.parse_text(stored.name, "name")),
         service=ids.ServiceId(_parse_text(spec, "service")),
         address=_parse_address(spec, "address"),
         data_centre=ids.DataCentreId(_parse_text(spec, "zone")),
         slots=slots,
         is_leaving=STATES[_parse_text(spec, "state")] or stored.is_terminating,
         revision=stored.revision,
-        # Absent in deployments where a server gets a new id at each start.
-        started_ms=_parse_unsigned(spec, "born") if "born" in spec else None,
+        started_ms=_parse_start(spec),
         cold_seconds=_parse_milliseconds(spec, "cold_left_ms"),
         version=ids.SoftwareVersion(_parse_text(spec, "version")),
         era=stored.era,
@@ -72,31 +67,16 @@
 
 
 def _parse_text(spec: Mapping, key: str) -> str:
-    value = spec[key]
-    if not isinstance(value, str) or not value:
-        raise TypeError(f"expected a non-empty string as {key}, found {value!r:.40}")
-    return _check_text(value)
-
-
-def _check_text(value: str) -> str:
-    value.encode()  # Raises ValueError for unpaired surrogates.
-    return value
+    return untrusted.parse_text(spec[key], key)
 
 
-def _parse_unsigned(spec: Mapping, key: str) -> int:
-    value = spec[key]
-    if type(value) is not int or value < 0:
-        raise TypeError(
-            f"expected a non-negative integer as {key}, found {value!r:.40}"
-        )
-    return value
+def _parse_milliseconds(spec: Mapping, key: str) -> float:
+    return untrusted.parse_number(spec[key], key) / 1000
 
 
-def _parse_milliseconds(spec: Mapping, key: str) -> float:
-    value = spec[key]
-    if type(value) not in (int, float) or not value >= 0:
-        raise TypeError(f"expected milliseconds as {key}, found {value!r:.40}")
-    return value / 1000
+def _parse_start(spec: Mapping) -> int | None:
+    """Return the start time; absent where a server gets a new id at each start."""
+    return untrusted.parse_timestamp(spec["born"], "born") if "born" in spec else None
 
 
 def _parse_address(spec: Mapping, key: str) -> ids.Address:
--- a/celeryspan/services/connections.py
+++ b/celeryspan/services/connections.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Iterator, Sequence
 
-from celeryspan import errors, ids
+from celeryspan import errors, events, ids, untrusted
 from celeryspan.services import traffic
 from celeryspan.wire import codec, messages, outbox, proofs
 
@@ -233,8 +233,7 @@
             self._last_message_at = now
         if batch or heartbeat_due:
             self._last_sent_at = now
-            frame = batch or (messages.Heartbeat(),)
-            data = self._encode(frame)
+            frame, data = self._encode_possible(batch or (messages.Heartbeat(),))
             counts.count("sent", frame, len(data))
             self._outbound = memoryview(data)
 
@@ -293,6 +292,33 @@
         del self._inbound[: 4 + length]
         return body
 
+    def _encode_possible(
+        self, batch: tuple[messages.Message, ...]
+    ) -> tuple[tuple[messages.Message, ...], bytes]:
+        """Encode a batch without the messages that do not fit the schema.
+
+        Returns the messages that are included, and the frame.
+        """
+        try:
+            return batch, self._encode(batch)
+        except ValueError:
+            # One malformed message would otherwise end the link, and others with it.
+            possible = tuple(each for each in batch if self._is_encodable(each))
+            return possible, self._encode(possible)
+
+    def _is_encodable(self, message: messages.Message) -> bool:
+        try:
+            codec.encode(messages.Frame(*self._local, 0, (message,)))
+        except ValueError as error:
+            events.log(
+                events.Event.MESSAGE_IGNORED,
+                peer=self.peer,
+                message=codec.metric_name(type(message)),
+                error=str(error)[: untrusted.REASON_CHARACTERS_MAX],
+            )
+            return False
+        return True
+
     def _encode(self, batch: tuple[messages.Message, ...]) -> bytes:
         self._sequence += 1
         body = codec.encode(messages.Frame(*self._local, self._sequence, batch))
--- a/celeryspan/wire/codec.py
+++ b/celeryspan/wire/codec.py
@@ -19,7 +19,7 @@
 import capnp
 import msgspec
 
-from celeryspan import errors, ids
+from celeryspan import errors, ids, untrusted
 from celeryspan.wire import messages
 
 FRAME_BYTES_MAX = 4_194_304
@@ -79,7 +79,7 @@
                 value = to_wire(getattr(message, name), indexes)
                 if value is not None:
                     setattr(body, wire_name, value)
-    except (capnp.KjException, OverflowError) as error:
+    except (capnp.KjException, *untrusted.MALFORMED_ERRORS) as error:
         raise ValueError(f"a message does not fit the schema: {error}") from error
     builder.texts = SEPARATOR.join(indexes).encode()
     return builder.to_bytes_packed()
@@ -99,7 +99,7 @@
         )
     try:
         return _decode_frame(data)
-    except (capnp.KjException, ValueError, IndexError) as error:
+    except (capnp.KjException, *untrusted.MALFORMED_ERRORS) as error:
         raise errors.LinkError(f"malformed frame: {error}", step="decode") from error
 
 
--- /dev/null
+++ b/tests/test_untrusted.py
@@ -0,0 +1,46 @@
+"""Values that other systems wrote are parsed, or ignored by name."""
+
+from __future__ import annotations
+
+import json
+
+import hypothesis
+import pytest
+
+from celeryspan import errors, untrusted
+from tests import oddvalues
+
+
+@pytest.mark.parametrize("value", ["[" * 100_000 + "]" * 100_000, "9" * 5_000])
+def test_extreme_value_affects_itself_alone(value: str) -> None:
+    """Guards against a list of servers that is lost by one entry's depth or number."""
+    text = '{"a": "[[{\\"", "b": {"c": ' + value + '}, "d": [1, {"e": 2}]}'
+    found = untrusted.parse_json(text.encode())
+    assert found["a"] == '[[{"'
+    assert found["d"] == [1, {"e": 2}]
+    assert len(json.dumps(found)) < 1_000
+
+
+def test_document_that_is_no_json_is_named() -> None:
+    with pytest.raises(errors.InputError, match="malformed JSON"):
+        untrusted.parse_json(b"{")
+
+
+@hypothesis.given(value=oddvalues.VALUES)
+@hypothesis.settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_error_of_a_parser_becomes_a_named_one(value: object) -> None:
+    """Guards against readers that end with an error that nobody expects."""
+    for parse in (
+        untrusted.parse_count,
+        untrusted.parse_number,
+        untrusted.parse_text,
+        untrusted.parse_timestamp,
+    ):
+        try:
+            with untrusted.decode("entry", key="servers/s1"):
+                found = parse(value, "key")
+        except errors.InputError as error:
+            assert error.key == "servers/s1"
+            assert len(error.message) < 300
+        else:
+            json.dumps(found).encode()
