Record as applied only what the handler of a replica has applied

Cause: a replica logs a list before it passes it on. When the handler raised, the log was at the list's revision, and the reader watched for changes behind it. The configuration was noted as in force before its handlers ran, and one that raised kept those behind it from being called.

Change: a replica passes its objects on again until the handler has applied them, whether they came from the store or from a peer. All handlers of a configuration are called, and called again if one of them failed.

Evidence: test_objects_that_a_handler_failed_to_apply_are_passed_on_again (two cases) fails on the parent after 10 s and passes now.

--- a/celeryspan/gateway/catalogues.py
+++ b/celeryspan/gateway/catalogues.py
@@ -17,7 +17,15 @@
 
 import msgspec
 
-from celeryspan import catalog, errors, events, ids, kernel, storedobjects
+from celeryspan import (
+    catalog,
+    errors,
+    events,
+    ids,
+    kernel,
+    storedobjects,
+    untrusted,
+)
 from celeryspan.decisions import storeorder
 from celeryspan.gateway import followers
 from celeryspan.platform import catalogues, names
@@ -67,6 +75,7 @@
         )
         self._timer: threading.Timer | None = None
         self._handlers: list[Handler] = []
+        self._must_notify = False
         self._lock = threading.Lock()
         self._next_request_at = 0.0
         self._behind_since: float | None = None
@@ -162,6 +171,7 @@
     ) -> None:
         era = self._follower.resolve_era(found.era)
         found = msgspec.structs.replace(found, era=era)
+        self._notify_again()
         with self._lock:
             known = self._object
             if known is not None and found.position == known.position:
@@ -192,8 +202,24 @@
             version=current.version,
             peer=peer,
         )
+        self._notify(current)
+
+    def _notify(self, current: catalog.Catalogue) -> None:
+        """Call all handlers; raise an ExceptionGroup if some of them fail."""
+        failures = []
         for handler in list(self._handlers):
-            handler(current)
+            try:
+                handler(current)
+            except Exception as error:
+                failures.append(error)
+        self._must_notify = bool(failures)
+        if failures:
+            raise ExceptionGroup("the configuration was not applied", failures)
+
+    def _notify_again(self) -> None:
+        """Call all handlers again if some of them failed to apply the configuration."""
+        if self._must_notify and self._current is not None:
+            self._notify(self._current)
 
     def _log_older(self, stamp: storeorder.ConfigurationStamp, peer: str) -> None:
         """Log that a store or a peer of another era has an older configuration."""
@@ -273,7 +299,7 @@
         found = storedobjects.StoredObject(
             name=names.CONFIGURATION_NAME,
             revision=value.generation,
-            spec=json.loads(value.body),
+            spec=untrusted.parse_json(value.body),
             status=None,
             is_terminating=False,
             era=value.era,
--- a/celeryspan/gateway/followers.py
+++ b/celeryspan/gateway/followers.py
@@ -13,7 +13,7 @@
 import time
 from typing import Protocol
 
-from celeryspan import errors, events, ids, storedobjects
+from celeryspan import errors, events, ids, storedobjects, untrusted
 from celeryspan.decisions import relays, replicas, storelog, storeorder
 from celeryspan.platform import objects
 
@@ -97,6 +97,7 @@
         self._replica = replicas.Replica(depth, policy)
         self.log = self._replica.log
         self._must_send_held = False
+        self._must_replace = False
         self._client = client
         self._handler = handler
         self._publisher: Publisher | None = None
@@ -205,21 +206,26 @@
             outcome = self._replica.apply(batch, time.monotonic())
             if outcome is replicas.Outcome.IGNORED:
                 return False
-            if outcome is not replicas.Outcome.CHANGED:
+            if outcome is not replicas.Outcome.CHANGED or self._must_replace:
                 self._replace_objects()
             elif batch.changes:
+                # The log holds the batch now; the handler gets it again if it fails.
+                self._must_replace = True
                 self._handler.apply(
                     storedobjects.Changes(batch.changes, batch.at, batch.era)
                 )
+                self._must_replace = False
         if outcome is replicas.Outcome.RESTORED:
             self._report_held()
         return True
 
     def _replace_objects(self) -> None:
-        """Pass all objects in force to the handler."""
+        """Pass all objects in force to the handler, again later if it fails."""
         era, revision = self.log.position
         found = self._replica.list_objects()
+        self._must_replace = True
         self._handler.replace(storedobjects.Listing(found, revision, era))
+        self._must_replace = False
 
     def _report_held(self) -> None:
         """Log what holds against a restored store, and tell other routers."""
@@ -245,12 +251,11 @@
 
     def _run(self) -> None:
         while not self._stopped.is_set():
-            if not self.relays.must_read(time.monotonic()):
-                self._failures = 0
-                self._stopped.wait(REPORT_CHECK_INTERVAL_SECONDS)
-                continue
+            must_read = self.relays.must_read(time.monotonic())
             try:
-                self._read()
+                self._replace_again()
+                if must_read:
+                    self._read()
             except errors.HistoryGone:
                 self._must_list = True
             except errors.StoreError as error:
@@ -261,9 +266,18 @@
                 events.log(
                     events.Event.TASK_FAILED,
                     task=f"follow {self.kind}",
-                    error=repr(error),
+                    error=untrusted.describe(error),
                 )
                 self._stopped.wait(RETRY_DELAY_MAX_SECONDS)
+            if not must_read:
+                self._failures = 0
+                self._stopped.wait(REPORT_CHECK_INTERVAL_SECONDS)
+
+    def _replace_again(self) -> None:
+        """Pass on objects that the handler failed to apply."""
+        with self._lock:
+            if self._must_replace:
+                self._replace_objects()
 
     def _read(self) -> None:
         """Read the store once: the first read is a list, later ones are watches."""
