Prove in the store at which version a stream began

In the other direction, callers that name no origin got the rest of their stream from the new version after all servers had been replaced meanwhile: 16 of 16 such streams held two versions, answered 200 (the users' report).

Cause: the origin of a stream was in the memory of routers alone. A router that has just started refused every named origin that it couldn't ask about, and took the only version that it saw for proof where none was named.

Change: for each service the store holds a record of the versions at which streams that are on no list may have begun. A home lets streams begin at a version only once the record names it. While it names one version, that is the proof and nothing else is written; while it names several, homes list the origins of their streams, the first of a batch at once and the others every 0.5 s. A record of an earlier era of the store, or for other routes, proves nothing. A version leaves the record once its streams can't be taken up any more. docs/design/stream-versions.md has the ways weighed.

Tests: test_killed_fleets.py plays ten kinds of kills with router processes. On the parent 6 of 10 fail: 5 with "origin-unknown" for all streams, and "replaced, no origin" with streams of v1 and v2; all pass now. A state machine plays homes, kills, an absent and a restored store; five of six mutations of the decisions fail it, the sixth fails test_record_of_another_era_or_of_other_routes_proves_nothing.

Two tests change. test_router_cut_off_from_its_peers_does_not_guess expected a refusal where the store now proves the origin; it is cut off from the store too, refuses then, and goes on whole when the store answers.

--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -12,8 +12,12 @@
   spreads streams, so that the loss of some routers never loses all of them.
 * A stream whose origin is named and unknown does not go on. A version that serves alone
   is no proof: a router that is cut off, or has just started, sees no other one.
-* Callers of an older protocol name no origin. Their streams go on while this router
-  has seen one version alone for as long as streams are taken up.
+* What no router remembers any more, the store proves: its record names the only version
+  at which streams may have begun, or a list names the stream
+  (:mod:`celeryspan.decisions.versionrecords`).
+* Callers of an older protocol name no origin. Their streams go on while one version
+  alone has served for as long as streams are taken up, as seen by this router or proved
+  by the store's record.
 * A server that can restart under its id may have another version than its last known
   entry says. A stream goes on there only if the entries were confirmed recently.
 * Origins are forgotten once no caller can take the stream up any more, and the oldest
@@ -24,6 +28,7 @@
 
 import collections
 import enum
+import math
 from collections.abc import Collection, Iterable, Sequence
 
 import msgspec
@@ -136,15 +141,21 @@
     """When servers of each version could last begin streams, as seen by one router."""
 
     def __init__(self) -> None:
+        self._since = math.inf
         self._listed: set[tuple[ids.ServiceId, ids.SoftwareVersion]] = set()
         self._seen_at: dict[tuple[ids.ServiceId, ids.SoftwareVersion], float] = {}
 
     def record(self, servers: Iterable[catalog.ServerEntry], now: float) -> None:
         """Record a change of the usable servers."""
+        self._since = min(self._since, now)
         earlier = self._listed
         self._listed = {(entry.service, entry.version) for entry in servers}
         self._seen_at.update(dict.fromkeys(earlier | self._listed, now))
 
+    def covers(self, since: float) -> bool:
+        """Whether the changes since a time are known."""
+        return self._since <= since
+
     def find_sole_version(
         self, service: ids.ServiceId, since: float
     ) -> ids.SoftwareVersion:
--- a/celeryspan/gateway/fleet.py
+++ b/celeryspan/gateway/fleet.py
@@ -51,6 +51,7 @@
         )
         self._is_written = False
         self._listed_count = 0
+        self._has_older_routers = False
         self._started_at = time.monotonic()
         self._random = random.Random(time.time_ns())
         self._must_check_at: float | None = None
@@ -72,6 +73,13 @@
         is_recent = time.monotonic() - self._started_at < LISTED_COUNT_SECONDS
         return self._listed_count if is_recent else 0
 
+    def has_older_routers(self) -> bool:
+        """Whether the store lists routers that keep no record of software versions.
+
+        Their entries are read before they are replaced.
+        """
+        return self._has_older_routers
+
     def stop(self) -> None:
         """Stop discovery; the entry stays in the store for the next start."""
         self._stopped = True
@@ -139,6 +147,9 @@
         listing = self._client.list_objects(names.ROUTER_KIND, is_stale=True)
         listed = dict(filter(None, map(_parse_entry, listing.objects)))
         self._listed_count = len(listed)
+        self._has_older_routers = any(
+            entry.build < routers.BUILD for entry in listed.values()
+        )
         self._is_written |= listed.get(self._identity.router) == self._own
         self._relays.set_listed_routers(listed)
         listed.pop(self._identity.router, None)
--- a/celeryspan/gateway/poolhomes.py
+++ b/celeryspan/gateway/poolhomes.py
@@ -15,7 +15,13 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, keptparts, poolmap, serverlists
+    from celeryspan.gateway import (
+        catalogues,
+        keptparts,
+        poolmap,
+        serverlists,
+        versionrecords,
+    )
     from celeryspan.services import delivery, identity, membership
 
 TICK_SECONDS = 0.005
@@ -67,6 +73,7 @@
         "metrics",
         "poolmap",
         "servers",
+        "versionrecords",
     ),
 )
 class PoolHomes:
@@ -85,6 +92,7 @@
         self._membership: membership.MembershipService = container.find("membership")
         self._metrics: metrics.Metrics = container.find("metrics")
         self._map: poolmap.PoolMap = container.find("poolmap")
+        self._records: versionrecords.VersionRecords = container.find("versionrecords")
         self._servers: serverlists.ServersService = container.find("servers")
         self._early_refusals: states.EarlyRefusals = container.settings.early_refusals
         self._random = random.Random(self._identity.incarnation)
@@ -113,7 +121,7 @@
         self._delivery.subscribe(messages.PoolShares, self._handle_shares)
         self._delivery.subscribe(messages.ServerRest, self._handle_rest)
         self._map.subscribe(self._update_servers)
-        self._catalogues.subscribe(lambda _: self._update_servers())
+        self._records.subscribe(self._update_servers)
         self._membership.subscribe(self._handle_members)
         self._handle_members(self._membership.alive())
         self._thread.start()
@@ -253,7 +261,9 @@
         service_id, _, _ = shards.parse_pool(pool.name)
         current = self._catalogues.current()
         service = current.services.get(service_id) if current else None
-        entries = self._map.list_servers(pool.name, self._servers.usable())
+        entries = self._records.select(
+            service_id, self._map.list_servers(pool.name, self._servers.usable())
+        )
         pool.set_servers(entries, service.engine if service else None)
         for entry in pool.pop_unqueried():
             self._kept_parts.query(
--- a/celeryspan/gateway/streamorigins.py
+++ b/celeryspan/gateway/streamorigins.py
@@ -21,7 +21,13 @@
 from celeryspan.wire import messages
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, orders, poolmap, serverlists
+    from celeryspan.gateway import (
+        catalogues,
+        orders,
+        originlists,
+        poolmap,
+        serverlists,
+    )
     from celeryspan.services import delivery, identity, membership
 
 ROUND_SECONDS = 0.5
@@ -54,6 +60,7 @@
         "identity",
         "membership",
         "metrics",
+        "originlists",
         "poolmap",
         "servers",
     ),
@@ -66,6 +73,7 @@
         self._delivery: delivery.DeliveryService = container.find("delivery")
         self._identity: identity.IdentityService = container.find("identity")
         self._metrics: metrics.Metrics = container.find("metrics")
+        self._lists: originlists.OriginLists = container.find("originlists")
         self._map: poolmap.PoolMap = container.find("poolmap")
         self._membership: membership.MembershipService = container.find("membership")
         self._servers: serverlists.ServersService = container.find("servers")
@@ -196,15 +204,42 @@
     ) -> streamversions.Origin | None:
         with self._lock:
             found = self._origins.find(request)
-        return found if found is not None else self._ask(request, service)
+        if found is None:
+            found = self._ask(request, service)
+        if found is None:
+            found = self._look_up(request, service)
+        return found
+
+    def _look_up(
+        self, request: ids.RequestId, service: ids.ServiceId
+    ) -> streamversions.Origin | None:
+        """Return the origin that the store proves; record it for further questions."""
+        found = self._lists.find(request, service)
+        if found is None:
+            return None
+        began_in, version = found
+        now = time.monotonic()
+        with self._lock:
+            self._origins.record(request, began_in, version, now)
+            return self._origins.find(request)
 
     def _infer(self, service: ids.ServiceId) -> streamversions.Origin | None:
-        """Return the origin of a stream whose caller names none, if it is certain."""
+        """Return the origin of a stream whose caller names none, if it is certain.
+
+        Two proofs count: this router has seen one version alone for as long as streams
+        can be taken up, or the store's record names one.
+        """
         if self._servers.measure_age() > streamversions.ENTRIES_AGE_SECONDS_MAX:
             return None
         now = time.monotonic()
+        since = now - self._retention
         with self._lock:
-            version = self._history.find_sole_version(service, now - self._retention)
+            version = (
+                self._history.find_sole_version(service, since)
+                if self._history.covers(since)
+                else catalog.NO_VERSION
+            )
+        version = version or self._lists.find_sole_version(service)
         return streamversions.Origin(service, version, now) if version else None
 
     def _ask(
@@ -267,6 +302,7 @@
             self._watch_hosts(service)
             self._origins.record(run.origin, service, run.version, time.monotonic())
             self._unsent[run.origin] = None
+        self._lists.add(run.origin, service, run.version)
 
     def _handle_origins(
         self, _: ids.RouterId, __: ids.Incarnation, told: messages.StreamOrigins
--- a/celeryspan/platform/names.py
+++ b/celeryspan/platform/names.py
@@ -45,5 +45,7 @@
 ROUTER_KIND = "celeryspan-routers"
 QUARANTINE_KIND = "celeryspan-quarantine"
 QUARANTINE_NAME = "main"
+VERSION_RECORD_KIND = "celeryspan-versions"
+ORIGIN_LIST_KIND = "celeryspan-origins"
 
 SETTINGS_VARIABLE = "CELERYSPAN_CONFIG"
--- a/celeryspan/platform/routers.py
+++ b/celeryspan/platform/routers.py
@@ -7,6 +7,10 @@
 from celeryspan import ids, storedobjects, untrusted
 from celeryspan.platform import names
 
+BUILD = 1
+"""Routers of this build record in the store at which versions streams may begin; those
+whose entry states none do not."""
+
 
 class RouterEntry(NamedTuple):
     """Location of a router.
@@ -15,10 +19,13 @@
     ----------
     peer_address : Address
         Address at which it listens for other routers.
+    build : int
+        Which records of the store it maintains.
     """
 
     peer_address: ids.Address
     data_centre: ids.DataCentreId
+    build: int = BUILD
 
 
 def write(entry: RouterEntry) -> dict[str, object]:
@@ -26,6 +33,7 @@
     return {
         "peer_address": str(entry.peer_address),
         "data_centre": entry.data_centre,
+        "build": entry.build,
     }
 
 
@@ -45,5 +53,7 @@
             for key in ("peer_address", "data_centre")
         )
         return RouterEntry(
-            ids.Address.parse(peer_address), ids.DataCentreId(data_centre)
+            ids.Address.parse(peer_address),
+            ids.DataCentreId(data_centre),
+            untrusted.parse_count(stored.spec.get("build", 0), "build"),
         )
--- /dev/null
+++ b/celeryspan/platform/streamrecords.py
@@ -0,0 +1,81 @@
+"""Stored forms of what proves at which software versions streams began."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from celeryspan import ids, storedobjects, untrusted
+from celeryspan.decisions import versionrecords
+from celeryspan.platform import names
+
+Origins = dict[ids.RequestId, tuple[ids.ServiceId, ids.SoftwareVersion]]
+
+
+def write_record(record: versionrecords.VersionRecord) -> dict[str, object]:
+    """Return the spec of the record of one service."""
+    return {
+        "era": record.basis.era,
+        "routes": record.basis.routes,
+        "versions": sorted(record.versions),
+    }
+
+
+def read_record(stored: storedobjects.StoredObject) -> versionrecords.VersionRecord:
+    """Parse the record of one service.
+
+    Raises
+    ------
+    errors.InputError
+        If it is malformed.
+    """
+    key = f"{names.VERSION_RECORD_KIND}/{stored.name}"
+    with untrusted.decode("record of software versions", key=key):
+        versions = stored.spec["versions"]
+        if not isinstance(versions, list) or not versions:
+            raise TypeError("expected a list of versions")
+        return versionrecords.VersionRecord(
+            versionrecords.Basis(
+                ids.Era(untrusted.parse_count(stored.spec["era"], "era")),
+                untrusted.parse_timestamp(stored.spec["routes"], "routes"),
+            ),
+            frozenset(
+                ids.SoftwareVersion(each and untrusted.parse_text(each, "version"))
+                for each in versions
+            ),
+        )
+
+
+def write_origins(origins: Iterable[tuple[str, str, str]]) -> dict[str, object]:
+    """Return the spec of a list of origins: request, service and version."""
+    services: dict[str, dict[str, list[str]]] = {}
+    for request, service, version in origins:
+        services.setdefault(service, {}).setdefault(version, []).append(request)
+    return {"services": services}
+
+
+def read_origins(stored: storedobjects.StoredObject) -> Origins:
+    """Parse a list of origins.
+
+    Raises
+    ------
+    errors.InputError
+        If it is malformed.
+    """
+    key = f"{names.ORIGIN_LIST_KIND}/{stored.name}"
+    with untrusted.decode("list of origins", key=key):
+        return dict(_parse_services(stored.spec["services"]))
+
+
+def _parse_services(
+    services: Mapping,
+) -> Iterable[tuple[ids.RequestId, tuple[ids.ServiceId, ids.SoftwareVersion]]]:
+    for service, versions in services.items():
+        name = ids.ServiceId(untrusted.parse_text(service, "service"))
+        for version, requests in versions.items():
+            origin = (
+                name,
+                ids.SoftwareVersion(untrusted.parse_text(version, "version")),
+            )
+            for request in requests:
+                found = untrusted.parse_text(request, "request")
+                yield ids.RequestId(found), origin
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -768,6 +768,32 @@
     body: bytes
 
 
+class VersionsRequest(msgspec.Struct, frozen=True):
+    """Asks for the software versions at which streams of a service may begin."""
+
+    service: ids.ServiceId
+
+
+class NamedVersion(msgspec.Struct, frozen=True):
+    """A software version; empty for versions that are not known any more."""
+
+    version: ids.SoftwareVersion
+
+
+class VersionsKnown(msgspec.Struct, frozen=True):
+    """The versions at which streams may begin, as the sender has read from the store.
+
+    Attributes
+    ----------
+    era : Era
+        Era of the store for which they were written.
+    """
+
+    service: ids.ServiceId
+    era: ids.Era
+    versions: tuple[NamedVersion, ...]
+
+
 Message = (
     Demand
     | Grant
@@ -814,6 +840,8 @@
     | StreamOrigin
     | StreamOrigins
     | OriginRequest
+    | VersionsRequest
+    | VersionsKnown
 )
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -65,6 +65,8 @@
     streamOrigins @42 :StreamOrigins;
     originRequest @43 :OriginRequest;
     relayHold @44 :RelayHold;
+    versionsRequest @45 :VersionsRequest;
+    versionsKnown @46 :VersionsKnown;
   }
 }
 
@@ -346,6 +348,20 @@
   request @0 :Text;
 }
 
+struct VersionsRequest {
+  service @0 :Text;
+}
+
+struct NamedVersion {
+  version @0 :OptionalText;
+}
+
+struct VersionsKnown {
+  service @0 :Text;
+  era @1 :UInt32;
+  versions @2 :List(NamedVersion);
+}
+
 struct AccountUnits {
   account @0 :Text;
   units @1 :Float64;
