Mark a version in the record before it is removed

Cause, found by reading the first state of the records: a router that removes a version reads the record and writes it; a home that sees the version serve again in between finds it named, writes nothing, and begins streams that the removal then takes the proof from. A removal whose answer is lost may even be executed seconds later.

What a peer has confirmed since a version appeared counts at any time, so that a home which the store does not answer can use a new version. Records name an unknown version while the store lists routers of an older build.

--- a/celeryspan/decisions/versionrecords.py
+++ b/celeryspan/decisions/versionrecords.py
@@ -8,7 +8,8 @@
 * A home lets streams begin at a version only once the record names it. A router that
   reads the record after a caller has taken a stream up therefore never finds too few.
 * A version is removed from the record once it has not served for as long as its streams
-  can be taken up.
+  can be taken up. It is marked first: a home that sees it serve again takes the mark
+  away, so that a removal that was late or on its way has no effect.
 * What was written shortly before the store was restored from a copy is lost. A record
   of an earlier era therefore proves nothing; the first one of an era also names
   :data:`UNKNOWN`, which no server has, for the same time.
@@ -69,10 +70,13 @@
         Era and routes for which the record was written.
     versions : frozenset of SoftwareVersion
         Versions at which streams that are on no list may have begun.
+    leaving : frozenset of SoftwareVersion
+        Those of them that are about to be removed.
     """
 
     basis: Basis
     versions: Versions
+    leaving: Versions = NO_VERSIONS
 
 
 def hash_routes(routes: Iterable[catalog.Route]) -> int:
@@ -108,7 +112,8 @@
     if record is None:
         return VersionRecord(basis, versions)
     lost = NO_VERSIONS if record.basis == basis else frozenset({UNKNOWN})
-    return VersionRecord(basis, record.versions | versions | lost)
+    leaving = record.leaving - versions if record.basis == basis else NO_VERSIONS
+    return VersionRecord(basis, record.versions | versions | lost, leaving)
 
 
 class Admissions:
@@ -118,10 +123,13 @@
     ----------
     basis : Basis
         Latest era of the store that this router has heard of, and the routes in force.
+    further : frozenset of SoftwareVersion
+        Versions that the records must name besides those that serve.
     """
 
     def __init__(self) -> None:
         self.basis = NO_BASIS
+        self.further: Versions = NO_VERSIONS
         self._listed: dict[ids.ServiceId, Versions] = {}
         self._confirmed: dict[ids.ServiceId, Versions] = {}
         self._known: dict[
@@ -129,6 +137,7 @@
         ] = {}
         self._peers: dict[ids.ServiceId, Versions] = {}
         self._watched_since: dict[ids.ServiceId, float] = {}
+        self._marked_at: dict[ids.ServiceId, float] = {}
         self._seen_at: dict[tuple[ids.ServiceId, ids.SoftwareVersion], float] = {}
 
     def observe(
@@ -142,20 +151,22 @@
         self._listed = {service: frozenset(found) for service, found in listed.items()}
         for service, versions in self._listed.items():
             self._seen_at.update(dict.fromkeys(((service, v) for v in versions), now))
-        for service, confirmed in self._confirmed.items():
-            self._confirmed[service] = confirmed & self._listed.get(
-                service, NO_VERSIONS
-            )
+        for known in (self._confirmed, self._peers):
+            for service in known:
+                known[service] &= self._listed.get(service, NO_VERSIONS)
 
     def admits(self, service: ids.ServiceId, version: ids.SoftwareVersion) -> bool:
-        """Whether streams may begin at a version.
+        """Whether streams may begin at a version."""
+        return version in self.list_admitted(service)
 
-        What peers know of the record counts while the store does not answer; nobody can
-        then remove a version from it.
+    def list_admitted(self, service: ids.ServiceId) -> Versions:
+        """Return the versions at which streams may begin.
+
+        What a peer has confirmed since a version appeared counts too: no router removes
+        a version that serves.
         """
-        return version in self._confirmed.get(
-            service, NO_VERSIONS
-        ) or version in self._peers.get(service, NO_VERSIONS)
+        confirmed = self._confirmed.get(service, NO_VERSIONS)
+        return confirmed | self._peers.get(service, NO_VERSIONS)
 
     def is_confirmed(self, service: ids.ServiceId) -> bool:
         """Whether the current record names all versions that serve."""
@@ -166,6 +177,7 @@
         return (
             known is not None
             and known[1].basis == self.basis
+            and self.further <= known[1].versions
             and listed <= self._confirmed.get(service, NO_VERSIONS)
         )
 
@@ -183,7 +195,6 @@
         self,
         service: ids.ServiceId,
         record: VersionRecord | None,
-        further: Versions = NO_VERSIONS,
     ) -> VersionRecord | None:
         """Return the record to write so that all versions that serve may begin streams.
 
@@ -193,10 +204,8 @@
         ----------
         record : VersionRecord or None
             The record in the store; None if there is none.
-        further : frozenset of SoftwareVersion
-            Further versions to name.
         """
-        wanted = self._listed.get(service, NO_VERSIONS) | further
+        wanted = self._listed.get(service, NO_VERSIONS) | self.further
         if not wanted:
             return None
         if record is None and (service in self._known or self.basis.era > FIRST_ERA):
@@ -215,29 +224,26 @@
         known = self._known.get(service)
         if known is None or known[1].basis != record.basis:
             self._watched_since[service] = now
+        if known is None or known[1].leaving != record.leaving:
+            self._marked_at[service] = now
         if known is None or position >= known[0]:
             self._known[service] = position, record
-        self._peers.pop(service, None)
         if record.basis == self.basis:
             listed = self._listed.get(service, NO_VERSIONS)
             self._confirmed[service] = record.versions & listed
 
-    def learn(self, service: ids.ServiceId, record: VersionRecord) -> None:
-        """Use what a peer knows of the record, because the store does not answer."""
-        self._peers[service] = record.versions - {UNKNOWN}
-
-    def touch(
-        self, service: ids.ServiceId, version: ids.SoftwareVersion, now: float
-    ) -> None:
-        """Record that streams may still begin at a version that no entry names."""
-        self._seen_at[service, version] = now
+    def learn(self, service: ids.ServiceId, admitted: Versions) -> None:
+        """Use what a peer has confirmed; the store may not answer this router."""
+        listed = self._listed.get(service, NO_VERSIONS)
+        self._peers[service] = admitted & listed
 
     def find_settled(
         self, service: ids.ServiceId, retention: float, now: float
     ) -> VersionRecord | None:
-        """Return the record without versions whose streams can't be taken up any more.
+        """Return the next step to a record without versions that served long ago.
 
-        Returns None if nothing is to be removed.
+        They are marked first, and removed once all routers have had time to see them
+        serve again. Returns None if there is nothing to write.
 
         Parameters
         ----------
@@ -252,8 +258,11 @@
         kept = frozenset(
             version
             for version in record.versions
-            if max(self._seen_at.get((service, version), since), since) > before
+            if version in self.further
+            or max(self._seen_at.get((service, version), since), since) > before
         )
-        if not kept or kept == record.versions:
-            return None
-        return VersionRecord(record.basis, kept)
+        leaving = record.versions - kept if kept else NO_VERSIONS
+        if leaving != record.leaving:
+            return VersionRecord(record.basis, record.versions, leaving)
+        is_due = now - self._marked_at[service] > SETTLE_MARGIN_SECONDS
+        return VersionRecord(record.basis, kept) if leaving and is_due else None
--- a/celeryspan/gateway/versionrecords.py
+++ b/celeryspan/gateway/versionrecords.py
@@ -206,21 +206,18 @@
     def _handle_request(
         self, router: ids.RouterId, _: ids.Incarnation, asked: messages.VersionsRequest
     ) -> None:
-        with self._lock:
-            record = self._admissions.find(asked.service)
-        if record is not None:
-            self._delivery.send(router, _make_message(asked.service, record))
+        self._send_admitted(router, asked.service)
 
     def _handle_known(
         self, _: ids.RouterId, __: ids.Incarnation, known: messages.VersionsKnown
     ) -> None:
         versions = frozenset(each.version for each in known.versions)
-        basis = versionrecords.Basis(known.era, self._routes)
-        record = versionrecords.VersionRecord(basis, versions)
         with self._lock:
-            if self._admissions.find(known.service) is None:
-                self._admissions.learn(known.service, record)
-        self._notify()
+            before = self._admissions.list_admitted(known.service)
+            self._admissions.learn(known.service, versions)
+            is_news = self._admissions.list_admitted(known.service) != before
+        if is_news:
+            self._notify()
 
     def _run(self) -> None:
         while not self._stopped:
@@ -246,9 +243,15 @@
     def _find_basis(self) -> versionrecords.Basis:
         return versionrecords.Basis(self._store.era, self._routes)
 
+    def _find_further(self) -> versionrecords.Versions:
+        """Return what stands for versions that routers of older builds may use."""
+        has_older = self._fleet.has_older_routers()
+        return frozenset({versionrecords.UNKNOWN} if has_older else ())
+
     def _confirm_all(self) -> None:
         with self._lock:
             self._admissions.basis = self._find_basis()
+            self._admissions.further = self._find_further()
             pending = [
                 service
                 for service in self._wanted
@@ -262,11 +265,10 @@
     def _confirm(self, service: ids.ServiceId) -> None:
         """Read the record, and add the versions that serve if it lacks some."""
         record, position = self._read(service) or (None, None)
-        older = {versionrecords.UNKNOWN} if self._fleet.has_older_routers() else ()
         with self._lock:
             self._admissions.basis = self._find_basis()
             is_shared = self._admissions.find(service) == record
-            proposed = self._admissions.propose(service, record, frozenset(older))
+            proposed = self._admissions.propose(service, record)
         if proposed is not None:
             for handler in self._listers:
                 handler(service)
@@ -280,7 +282,7 @@
         with self._lock:
             self._admissions.confirm(service, record, position, time.monotonic())
         if proposed is not None or not is_shared:
-            self._share(service, record)
+            self._share(service)
 
     def _write(
         self,
@@ -322,11 +324,8 @@
             return
         with self._lock:
             self._admissions.observe(_group_versions(self._servers.usable()), now)
-        is_older = self._fleet.has_older_routers()
         for service in list(self._wanted):
             with self._lock:
-                if is_older:
-                    self._admissions.touch(service, versionrecords.UNKNOWN, now)
                 settled = self._admissions.find_settled(service, self._retention, now)
             if settled is not None and self._is_first_home(service):
                 self._settle(service, settled, now)
@@ -351,15 +350,18 @@
         if written is not None:
             with self._lock:
                 self._admissions.confirm(service, settled, written, now)
-            self._share(service, settled)
 
-    def _share(
-        self, service: ids.ServiceId, record: versionrecords.VersionRecord
-    ) -> None:
-        """Send the record to the routers that homes ask while the store is away."""
+    def _share(self, service: ids.ServiceId) -> None:
+        """Tell the hosts of a service, which homes ask if the store does not answer."""
         for host in self._map.list_hosts(service, streamversions.HOSTS_MIN):
             if host != self._identity.router:
-                self._delivery.send(host, _make_message(service, record))
+                self._send_admitted(host, service)
+
+    def _send_admitted(self, router: ids.RouterId, service: ids.ServiceId) -> None:
+        with self._lock:
+            admitted = self._admissions.list_admitted(service)
+        versions = tuple(map(messages.NamedVersion, sorted(admitted)))
+        self._delivery.send(router, messages.VersionsKnown(service, versions))
 
     def _ask_hosts(self) -> None:
         with self._lock:
@@ -385,10 +387,3 @@
     for entry in usable.values():
         found[entry.service].add(entry.version)
     return found
-
-
-def _make_message(
-    service: ids.ServiceId, record: versionrecords.VersionRecord
-) -> messages.VersionsKnown:
-    versions = tuple(map(messages.NamedVersion, sorted(record.versions)))
-    return messages.VersionsKnown(service, record.basis.era, versions)
--- a/celeryspan/platform/streamrecords.py
+++ b/celeryspan/platform/streamrecords.py
@@ -17,6 +17,7 @@
         "era": record.basis.era,
         "routes": record.basis.routes,
         "versions": sorted(record.versions),
+        "leaving": sorted(record.leaving),
     }
 
 
@@ -30,21 +31,28 @@
     """
     key = f"{names.VERSION_RECORD_KIND}/{stored.name}"
     with untrusted.decode("record of software versions", key=key):
-        versions = stored.spec["versions"]
-        if not isinstance(versions, list) or not versions:
-            raise TypeError("expected a list of versions")
+        versions = _parse_versions(stored.spec["versions"])
+        if not versions:
+            raise ValueError("expected a version, found none")
         return versionrecords.VersionRecord(
             versionrecords.Basis(
                 ids.Era(untrusted.parse_count(stored.spec["era"], "era")),
                 untrusted.parse_timestamp(stored.spec["routes"], "routes"),
             ),
-            frozenset(
-                ids.SoftwareVersion(each and untrusted.parse_text(each, "version"))
-                for each in versions
-            ),
+            versions,
+            _parse_versions(stored.spec["leaving"]) & versions,
         )
 
 
+def _parse_versions(listed: object) -> versionrecords.Versions:
+    if not isinstance(listed, list):
+        raise TypeError("expected a list of versions")
+    return frozenset(
+        ids.SoftwareVersion(each and untrusted.parse_text(each, "version"))
+        for each in listed
+    )
+
+
 def write_origins(origins: Iterable[tuple[str, str, str]]) -> dict[str, object]:
     """Return the spec of a list of origins: request, service and version."""
     services: dict[str, dict[str, list[str]]] = {}
--- a/celeryspan/wire/messages.py
+++ b/celeryspan/wire/messages.py
@@ -769,28 +769,21 @@
 
 
 class VersionsRequest(msgspec.Struct, frozen=True):
-    """Asks for the software versions at which streams of a service may begin."""
+    """Asks at which software versions streams of a service may begin."""
 
     service: ids.ServiceId
 
 
 class NamedVersion(msgspec.Struct, frozen=True):
-    """A software version; empty for versions that are not known any more."""
+    """A software version, as an element of a list."""
 
     version: ids.SoftwareVersion
 
 
 class VersionsKnown(msgspec.Struct, frozen=True):
-    """The versions at which streams may begin, as the sender has read from the store.
-
-    Attributes
-    ----------
-    era : Era
-        Era of the store for which they were written.
-    """
+    """The versions that serve and at which streams may begin, as the sender knows."""
 
     service: ids.ServiceId
-    era: ids.Era
     versions: tuple[NamedVersion, ...]
 
 
--- a/celeryspan/wire/peer.capnp
+++ b/celeryspan/wire/peer.capnp
@@ -358,8 +358,7 @@
 
 struct VersionsKnown {
   service @0 :Text;
-  era @1 :UInt32;
-  versions @2 :List(NamedVersion);
+  versions @1 :List(NamedVersion);
 }
 
 struct AccountUnits {
--- a/tests/decisions/test_versionrecords.py
+++ b/tests/decisions/test_versionrecords.py
@@ -14,7 +14,7 @@
 
 SERVICE = ids.ServiceId("planner")
 VERSIONS = ("v1", "v2", "v3")
-RETENTION = 25.0
+RETENTION = 5.0
 ROUTES = 7
 HOMES = 2
 
@@ -71,6 +71,7 @@
         self.homes = [Home() for _ in range(HOMES)]
         self.streams: list[Stream] = []
         self.numbers = itertools.count()
+        self.late: tuple | None = None
 
     homes = strategies.integers(0, HOMES - 1)
 
@@ -84,12 +85,12 @@
                 self._observe(home)
         self.streams = [s for s in self.streams if s.began_at > self.now - RETENTION]
 
-    @stateful.rule(steps=strategies.integers(2, 5))
+    @stateful.rule(steps=strategies.integers(2, 6))
     def serve_on(self, steps: int) -> None:
         for step in range(steps):
             self.wait(9.0)
             self.begin_streams()
-            self.settle(step % HOMES)
+            self.settle(step % HOMES, is_late=False)
 
     @stateful.rule(version=strategies.sampled_from(VERSIONS))
     def change_servers(self, version: str) -> None:
@@ -146,27 +147,38 @@
         if record is not None:
             admissions.confirm(SERVICE, record, position, self.now)
 
-    @stateful.rule(number=homes)
-    def settle(self, number: int) -> None:
+    @stateful.rule(number=homes, is_late=strategies.booleans())
+    def settle(self, number: int, is_late: bool) -> None:
         home = self.homes[number]
         if self.store.is_away or self.store.record is None:
             return
-        self._observe(home)
+        if home.view_age > versionrecords.SETTLE_MARGIN_SECONDS / 2:
+            self._observe(home)
+        home.admissions.observe({SERVICE: home.view}, self.now)
         settled = home.admissions.find_settled(SERVICE, RETENTION, self.now)
         known = home.admissions.find(SERVICE)
         if settled is None or known != self.store.record:
             return
-        if home.admissions.basis == self._make_basis():
-            self.store.write(settled, self.store.record_revision)
-            position = self._find_position()
-            home.admissions.confirm(SERVICE, settled, position, self.now)
+        if home.admissions.basis != self._make_basis():
+            return
+        if is_late:
+            self.late = settled, self.store.record_revision
+            return
+        self.store.write(settled, self.store.record_revision)
+        position = self._find_position()
+        home.admissions.confirm(SERVICE, settled, position, self.now)
+
+    @stateful.rule()
+    def execute_late_write(self) -> None:
+        if self.late is not None:
+            (settled, revision), self.late = self.late, None
+            if settled.basis == self._make_basis():
+                self.store.write(settled, revision)
 
     @stateful.rule(number=homes)
     def ask_peer(self, number: int) -> None:
-        record = self.homes[1 - number].admissions.find(SERVICE)
-        known = self.homes[number].admissions.find(SERVICE)
-        if self.store.is_away and known is None and record is not None:
-            self.homes[number].admissions.learn(SERVICE, record)
+        admitted = self.homes[1 - number].admissions.list_admitted(SERVICE)
+        self.homes[number].admissions.learn(SERVICE, admitted)
 
     @stateful.rule()
     def begin_streams(self) -> None:
@@ -279,10 +291,25 @@
     longest = RETENTION + versionrecords.SETTLE_MARGIN_SECONDS
     assert admissions.find_settled(SERVICE, RETENTION, longest - 1) is None
     admissions.observe({SERVICE: frozenset({"v2"})}, longest + 6)
-    settled = admissions.find_settled(SERVICE, RETENTION, longest + 6)
+    marked = admissions.find_settled(SERVICE, RETENTION, longest + 6)
+    assert (marked.versions, marked.leaving) == ({"v1", "v2"}, {"v1"})
+    confirm(admissions, marked, longest + 6)
+    assert admissions.find_settled(SERVICE, RETENTION, longest + 7) is None
+    admissions.observe({SERVICE: frozenset({"v2"})}, longest + 20)
+    settled = admissions.find_settled(SERVICE, RETENTION, longest + 20)
     assert settled.versions == {"v2"}
 
 
+def test_version_that_serves_again_is_not_removed_by_a_late_write() -> None:
+    """Guards against a removal that is on its way while a home reads the record."""
+    admissions = make_admissions("v1", "v2")
+    basis = admissions.basis
+    named = frozenset({"v1", "v2"})
+    marked = versionrecords.VersionRecord(basis, named, frozenset({"v1"}))
+    proposed = admissions.propose(SERVICE, marked)
+    assert proposed == versionrecords.VersionRecord(basis, named)
+
+
 def test_record_of_another_era_or_of_other_routes_proves_nothing() -> None:
     """Guards against proofs from a copy, and from a service that streams have left."""
     basis = versionrecords.Basis(ids.Era(1), ROUTES)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -356,7 +356,7 @@
     cluster, serving: dict[str, int]
 ) -> None:
     """Guards against a guess from the servers that a router sees, and against none."""
-    spec = {"era": 1, "routes": ROUTES, "versions": ["v1"]}
+    spec = {"era": 1, "routes": ROUTES, "versions": ["v1"], "leaving": []}
     cluster.store.put("celeryspan-versions", "planner", spec)
     add_engines(cluster, serving)
     router = cluster.start_router()
--- a/tests/wire/test_codec.py
+++ b/tests/wire/test_codec.py
@@ -120,9 +120,7 @@
     ),
     messages.OriginRequest("q-1"),
     messages.VersionsRequest("planner-llm"),
-    messages.VersionsKnown(
-        "planner-llm", 3, (messages.NamedVersion(""), messages.NamedVersion("v1"))
-    ),
+    messages.VersionsKnown("planner-llm", (messages.NamedVersion("v1"),)),
     messages.RelayRequest("servers", 2**40, ERA),
     messages.RelayBatch("servers", 7, 2**40, True, 0.5, False, b"[]", ERA),
     messages.RelayHold("servers", ERA, b"[]"),
