List origins less often the more homes a service has

A home now waits 0.25 s for each home of its service, 0.5 s at least and 2 s at most, so that six routers write as before and ten homes a quarter of it. What this leaves at 82 routers is not measured yet. Streams that began within the interval before a loss of all routers don't go on while several versions are named.

test_killed_fleets.py (ten kinds) and the stream tests pass.

--- a/celeryspan/gateway/originlists.py
+++ b/celeryspan/gateway/originlists.py
@@ -19,11 +19,14 @@
 from celeryspan.platform import names, streamrecords
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import catalogues, objectstore, versionrecords
+    from celeryspan.gateway import catalogues, objectstore, poolmap, versionrecords
     from celeryspan.services import identity
 
-BATCH_SECONDS = 0.5
-"""Least interval between two writes; a stream lasts for seconds."""
+HOME_BATCH_SECONDS = 0.25
+"""Interval between two writes of a service's homes together."""
+
+BATCH_SECONDS = (0.5, 2.0)
+"""Bounds of the interval between two writes of one home; a stream lasts for seconds."""
 
 RETRY_SECONDS = 0.5
 """Pause after a failed call to the store."""
@@ -91,7 +94,8 @@
 
 
 @kernel.register(
-    "originlists", needs=("catalogues", "identity", "objects", "versionrecords")
+    "originlists",
+    needs=("catalogues", "identity", "objects", "poolmap", "versionrecords"),
 )
 class OriginLists:
     """Lists the origins of streams that this router places, and finds listed ones."""
@@ -102,6 +106,7 @@
         self._client = store.client
         self._catalogues: catalogues.CataloguesService = container.find("catalogues")
         self._identity: identity.IdentityService = container.find("identity")
+        self._map: poolmap.PoolMap = container.find("poolmap")
         self._records: versionrecords.VersionRecords = container.find("versionrecords")
         self._lock = threading.Lock()
         self._placed: collections.OrderedDict[ids.RequestId, tuple[Origin, float]] = (
@@ -244,7 +249,7 @@
         while not self._stopped:
             self._wake.wait()
             self._wake.clear()
-            pause = BATCH_SECONDS
+            pause = self._compute_interval()
             try:
                 if self._is_changed:
                     self._is_changed = False
@@ -263,6 +268,17 @@
             if not self._stopped:
                 time.sleep(pause)
 
+    def _compute_interval(self) -> float:
+        """Return the seconds until the next write, so that more homes don't write more.
+
+        The calls of a whole fleet to the store are bounded.
+        """
+        with self._lock:
+            services = {service for (service, _), _ in self._placed.values()}
+        homes = max((len(self._map.list_homes(each)) for each in services), default=1)
+        low, high = BATCH_SECONDS
+        return min(max(low, homes * HOME_BATCH_SECONDS), high)
+
     def _retry(self) -> float:
         self._is_changed = True
         self._wake.set()
