--- a/celeryspan/gateway/originlists.py
+++ b/celeryspan/gateway/originlists.py
@@ -16,6 +16,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, untrusted
 from celeryspan.decisions import streamversions
+from celeryspan.gateway import sharedreads
 from celeryspan.platform import names, streamrecords
 
 if TYPE_CHECKING:
@@ -31,12 +32,6 @@
 RETRY_SECONDS = 0.5
 """Pause after a failed call to the store."""
 
-READ_INTERVAL_SECONDS = 0.25
-"""Least interval between two reads, which serve all streams taken up before."""
-
-READ_TIMEOUT_SECONDS = 2.0
-"""Time for which a caller that takes a stream up waits for the store."""
-
 LIST_BYTES_MAX = 800_000
 """Size of a list up to which it fits an object of the store."""
 
@@ -46,53 +41,6 @@
 Origin = tuple[ids.ServiceId, ids.SoftwareVersion]
 
 
-class _Reader:
-    """Reads of the store that several threads share.
-
-    A caller takes a stream up after it began. A read that started after the question
-    therefore shows all that was written before the stream's first event.
-    """
-
-    def __init__(self) -> None:
-        self._condition = threading.Condition()
-        self._is_reading = False
-        self._started_at = float("-inf")
-        self._completed = float("-inf")
-
-    def begin(self, asked_at: float) -> bool:
-        """Wait until a read has answered the question, or this thread must read.
-
-        Returns whether this thread must read; it then calls :meth:`complete`.
-        """
-        until = asked_at + READ_TIMEOUT_SECONDS
-        with self._condition:
-            while self._completed < asked_at:
-                now = time.monotonic()
-                if now >= until:
-                    return False
-                pause = self._started_at + READ_INTERVAL_SECONDS - now
-                if self._is_reading or pause > 0:
-                    self._condition.wait(until - now if self._is_reading else pause)
-                    continue
-                self._is_reading = True
-                self._started_at = now
-                return True
-            return False
-
-    def complete(self, *, is_answered: bool) -> None:
-        """Record the end of a read."""
-        with self._condition:
-            self._is_reading = False
-            if is_answered:
-                self._completed = self._started_at
-            self._condition.notify_all()
-
-    def has_answered(self, asked_at: float) -> bool:
-        """Whether a read that started after a question is complete."""
-        with self._condition:
-            return self._completed >= asked_at
-
-
 @kernel.register(
     "originlists",
     needs=("catalogues", "identity", "objects", "poolmap", "versionrecords"),
@@ -114,7 +62,9 @@
         )
         self._listed: dict[ids.RequestId, Origin] = {}
         self._sole: dict[ids.ServiceId, ids.SoftwareVersion] = {}
-        self._readers: dict[ids.ServiceId, _Reader] = collections.defaultdict(_Reader)
+        self._readers: dict[ids.ServiceId, sharedreads.SharedRead] = (
+            collections.defaultdict(sharedreads.SharedRead)
+        )
         self._retention = streamversions.compute_retention(())
         self._revision = 0
         self._is_changed = False
