Leave an odd request id out of the lists of origins

Found by reading: callers choose request ids, and one that is not printable (a no-break space is enough) made the whole list of its home unreadable; long ones could fill it.

Such ids, and those of over 128 characters, are not listed, and are left out one by one when a list is read. test_odd_request_id_hides_no_other_in_a_list_of_origins fails on the parent with "malformed list of origins" and passes now; the fields of the record are drawn as well.

--- a/celeryspan/gateway/originlists.py
+++ b/celeryspan/gateway/originlists.py
@@ -95,6 +95,8 @@
         version: ids.SoftwareVersion,
     ) -> None:
         """Hold the origin of a stream that this router has placed, and list it."""
+        if not streamrecords.is_listable(request):
+            return
         now = time.monotonic()
         with self._lock:
             is_new = self._placed.pop(request, None) is None
--- a/celeryspan/platform/streamrecords.py
+++ b/celeryspan/platform/streamrecords.py
@@ -8,6 +8,9 @@
 from celeryspan.decisions import versionrecords
 from celeryspan.platform import names
 
+REQUEST_CHARACTERS_MAX = 128
+"""Longest request id in a list, so that few of them can't fill it."""
+
 Origins = dict[ids.RequestId, tuple[ids.ServiceId, ids.SoftwareVersion]]
 
 
@@ -53,6 +56,15 @@
     )
 
 
+def is_listable(request: object) -> bool:
+    """Whether a request id can stand in a list; callers choose the ids."""
+    return (
+        isinstance(request, str)
+        and request.isprintable()
+        and 0 < len(request) <= REQUEST_CHARACTERS_MAX
+    )
+
+
 def write_origins(origins: Iterable[tuple[str, str, str]]) -> dict[str, object]:
     """Return the spec of a list of origins: request, service and version."""
     services: dict[str, dict[str, list[str]]] = {}
@@ -84,6 +96,5 @@
                 name,
                 ids.SoftwareVersion(untrusted.parse_text(version, "version")),
             )
-            for request in requests:
-                found = untrusted.parse_text(request, "request")
-                yield ids.RequestId(found), origin
+            for request in filter(is_listable, requests):
+                yield ids.RequestId(request), origin
--- a/tests/platform/test_foreign_values.py
+++ b/tests/platform/test_foreign_values.py
@@ -23,6 +23,7 @@
     routers,
     serverloads,
     servers,
+    streamrecords,
 )
 from celeryspan.wire import codec, messages
 from standins import sampleconfig
@@ -191,3 +192,32 @@
     fields = client._parse(page.encode(), "GET servers")
     found = [client._parse_or_log("servers", each, 0) for each in fields["entries"]]
     assert [each.name for each in found] == ["s0", "s1", "s2"]
+
+
+@hypothesis.given(request=oddvalues.ANY_TEXT, value=oddvalues.VALUES)
+@SETTINGS
+def test_odd_request_id_hides_no_other_in_a_list_of_origins(
+    request: str, value: object
+) -> None:
+    """Guards against a caller whose request id makes a home's list unreadable."""
+    for odd in (request, value):
+        spec = {"services": {"planner": {"v1": ["r1", odd, "r2"]}}}
+        found = streamrecords.read_origins(make_stored(spec))
+        assert {"r1", "r2"} <= found.keys()
+        assert len(found) == 2 or isinstance(odd, str)
+
+
+@pytest.mark.parametrize("name", ["era", "routes", "versions", "leaving"])
+@hypothesis.given(value=oddvalues.VALUES)
+@SETTINGS
+def test_any_value_in_a_record_of_versions_is_read_or_rejected(
+    name: str, value: object
+) -> None:
+    """Guards against a record of another writer that stops all streams."""
+    spec = {"era": 1, "routes": 7, "versions": ["v1"], "leaving": [], name: value}
+    try:
+        found = streamrecords.read_record(make_stored(spec))
+    except errors.InputError as error:
+        assert error.key
+    else:
+        assert found.leaving <= found.versions
