Let a take-up wait for the first record of a service

Cause: the caller asked between the moment at which the router knew the servers and the moment at which a home had written the first record; without a record there is no proof. The test sends as soon as the servers are known.

Change: while there is no record at all, the look-up reads again for up to 0.8 s. test_take_up_waits_for_the_first_record takes the record away for 0.3 s: 503 on the parent, 200 now.

--- a/celeryspan/gateway/versionrecords.py
+++ b/celeryspan/gateway/versionrecords.py
@@ -39,6 +39,12 @@
 RETRY_SECONDS = 0.3
 """Pause after a failed call to the store."""
 
+FIRST_RECORD_SECONDS = 0.8
+"""Time for which a take-up waits for the first record, which homes write as soon as
+they know the servers."""
+
+FIRST_RECORD_POLL_SECONDS = 0.1
+
 SETTLE_INTERVAL_SECONDS = 5.0
 
 
@@ -144,9 +150,11 @@
         errors.StoreError
             If the store does not answer.
         """
-        found = self._objects.read(service)
-        if found is None:
-            return catalog.NO_VERSION
+        until = time.monotonic() + FIRST_RECORD_SECONDS
+        while (found := self._objects.read(service)) is None:
+            if time.monotonic() >= until:
+                return catalog.NO_VERSION
+            time.sleep(FIRST_RECORD_POLL_SECONDS)
         record, position = found
         basis = versionrecords.Basis(position.era, self._routes)
         return versionrecords.find_sole_version(record, basis)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -370,6 +370,20 @@
         assert (answer.status, get_code(answer)) == (503, "origin-unknown")
 
 
+def test_take_up_waits_for_the_first_record(cluster) -> None:
+    """Guards against a take-up that is refused because its router has just started."""
+    add_engines(cluster, {"v1": 2})
+    router = cluster.start_router()
+    settle(router)
+    kind, name = "celeryspan-versions", "planner"
+    spec = cluster.store.find(kind, name)["spec"]
+    cluster.store.remove(kind, name)
+    threading.Timer(0.3, lambda: cluster.store.put(kind, name, spec)).start()
+    stream = Stream("never-seen")
+    stream.last_event = 2
+    assert stream.take_up(router, "again", "").status == 200
+
+
 def test_stream_without_any_proof_does_not_go_on(cluster) -> None:
     """Guards against a guess while neither peers nor the store can be asked."""
     add_engines(cluster, {"v1": 2})
