--- a/tests/gateway/test_full_router.py
+++ b/tests/gateway/test_full_router.py
@@ -6,7 +6,11 @@
 import contextlib
 import dataclasses
 import pathlib
+import time
 
+import pytest
+
+from celeryspan.gateway import front
 from tests.gateway import processes, support
 
 THREADS = 8
@@ -67,3 +71,16 @@
             assert each.body.endswith(b"piece 6\n\n")
         else:
             assert float(each.retry_after or 0) > 0
+
+
+def test_router_that_has_used_up_its_share_of_a_core_serves_less_itself(
+    cluster: support.Cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a small VM at its limit that seems to have half a core left."""
+    monkeypatch.setattr(
+        front, "_measure_processor_time", lambda: 0.5 * time.monotonic()
+    )
+    router = cluster.start_router(processor_share=0.5)
+    found = router.container.find("front")
+    started_with = found.report()["local_max"]
+    support.wait_for(lambda: found.report()["local_max"] < started_with / 2)
