Measure the use of the processor against the share of the VM

The router took the use of its processor as a share of a whole core: 0.52 to 0.56 when nothing was left, below both thresholds.

The meter now divides by what the VM gives, at most one core.

--- a/celeryspan/decisions/saturation.py
+++ b/celeryspan/decisions/saturation.py
@@ -3,7 +3,8 @@
 Late threads are one sign. They are not enough: a router whose two hundred threads take
 turns on one interpreter lock uses all its processor time while each thread wakes up
 within some milliseconds, and its requests take seconds. The share of processor time in
-use (:class:`ProcessorMeter`) shows that in the first second.
+use (:class:`ProcessorMeter`) shows that in the first second. It is a share of what the
+VM gives: half a core that is used up is no idle core.
 
 If all callers of one account use one router that is also the home of a pool, the
 threads of that router run late and it delays decisions for the whole fleet. A router
@@ -33,19 +34,23 @@
 
 
 class ProcessorMeter:
-    """Measures which share of one core a router uses; only one thread runs at a time.
+    """Measures which share of its processor time a router uses.
 
-    A VM whose processor time is limited to less by a quota stops the process for the
-    rest of each period, which shows as lateness.
+    Parameters
+    ----------
+    capacity : float
+        Processor time that the VM gives in a second, in seconds of a core. More than
+        one core is of no use, since only one thread runs at a time.
 
     Attributes
     ----------
     use : float
-        Share of one core in use, averaged over ``METER_SECONDS``.
+        Share of that time in use, averaged over ``METER_SECONDS``.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, capacity: float = 1.0) -> None:
         self.use = 0.0
+        self._capacity = min(capacity, 1.0)
         self._measured_at: float | None = None
         self._used_before = 0.0
 
@@ -57,7 +62,8 @@
         elapsed = now - self._measured_at
         if elapsed < METER_SECONDS:
             return
-        self.use = min((used - self._used_before) / elapsed, 1.0)
+        seconds = used - self._used_before
+        self.use = min(seconds / (elapsed * self._capacity), 1.0)
         self._measured_at, self._used_before = now, used
 
 
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -135,7 +135,7 @@
         self._overload = overload.ConcurrencyLimiter(self._settings.caller_threads)
         self._local_limit = handover.make_limiter(self._settings.caller_threads)
         self._busyness = saturation.BusyDetector()
-        self._processor = saturation.ProcessorMeter()
+        self._processor = saturation.ProcessorMeter(self._settings.processor_share)
         self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
