Let a router without processor time serve nothing itself

The limit of local requests may now fall to none; peers are drawn without building a sample each time.

--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -8,7 +8,10 @@
 
 * The number of requests served locally is adjusted by the lateness of the router's
   threads, like the limit above which requests are refused (:mod:`overload`), but from a
-  lower lateness on, and by the processor time in use (:mod:`saturation`).
+  lower lateness on, and by the processor time in use (:mod:`saturation`). It falls to
+  none: each one takes the processor time of several that are handed over.
+* A request whose caller has already waited for long is refused. That costs less again,
+  so that the next callers are accepted in time.
 * A request goes to the least used of two random peers of the same data centre, in
   proportion to the sizes of their VMs. Busy peers are used only if all are: after a
   restart of the whole fleet all routers are busy for some seconds.
@@ -32,6 +35,12 @@
 LIMIT_INITIAL = 48
 """Requests served locally right after the start, when all callers may come at once."""
 
+LIMIT_MIN = 0
+
+ARRIVAL_WAIT_MAX_SECONDS = 0.2
+"""Longest wait before its dispatch after which a request is still handed over: half of
+a short latency objective."""
+
 DECREASE_FACTOR = 0.7
 DECREASE_INTERVAL_SECONDS = 0.25
 """A decrease costs little, because the requests above the limit are served by peers."""
@@ -49,6 +58,7 @@
         lateness_low=LATENESS_LOW_SECONDS,
         decrease_factor=DECREASE_FACTOR,
         decrease_interval=DECREASE_INTERVAL_SECONDS,
+        limit_min=LIMIT_MIN,
     )
 
 
@@ -80,7 +90,9 @@
     """
     if not peers:
         return None
-    candidates = generator.sample(peers, min(CANDIDATES, len(peers)))
+    candidates = [
+        peers[int(generator.random() * len(peers))] for _ in range(CANDIDATES)
+    ]
     return min(
         candidates,
         key=lambda peer: ((used.get(peer.router, 0) + 1) / peer.cores, peer.router),
--- a/celeryspan/decisions/overload.py
+++ b/celeryspan/decisions/overload.py
@@ -22,10 +22,10 @@
 """Mean lateness below which the limit is raised."""
 
 PROCESSOR_USE_HIGH = 0.9
-"""Share of one core in use above which the limit is lowered."""
+"""Share of the processor time in use above which the limit is lowered."""
 
 PROCESSOR_USE_LOW = 0.75
-"""Share of one core in use below which the limit is raised."""
+"""Share of the processor time in use below which the limit is raised."""
 
 LATENESS_SAMPLE_MAX_SECONDS = 0.25
 """Maximum lateness of one sample; larger values are clipped, since a VM that was paused
@@ -63,6 +63,8 @@
         Mean lateness above which the limit is lowered, and below which it is raised.
     decrease_factor, decrease_interval : float
         Factor of a decrease, and minimum time between two, in seconds.
+    limit_min : int
+        Minimum limit.
 
     Attributes
     ----------
@@ -79,6 +81,7 @@
         lateness_low: float = LATENESS_LOW_SECONDS,
         decrease_factor: float = DECREASE_FACTOR,
         decrease_interval: float = DECREASE_INTERVAL_SECONDS,
+        limit_min: int = LIMIT_MIN,
     ) -> None:
         self.lateness = 0.0
         self._lateness_high = lateness_high
@@ -86,7 +89,7 @@
         self._decrease_factor = decrease_factor
         self._decrease_interval = decrease_interval
         self._limit_max = float(limit_max)
-        self._limit_min = float(min(LIMIT_MIN, limit_max))
+        self._limit_min = float(min(limit_min, limit_max))
         self._limit = float(limit_max if initial is None else min(initial, limit_max))
         self._decreased_at = float("-inf")
         self._recorded_at: float | None = None
@@ -106,7 +109,7 @@
         lateness : float
             How much longer than requested a sleep took, in seconds.
         processor_use : float
-            Share of one core that the process uses; 0 if it doesn't count.
+            Share of its processor time that the router uses; 0 if it doesn't count.
         """
         elapsed = 0.0 if self._recorded_at is None else now - self._recorded_at
         self._recorded_at = now
