Accept callers at once and queue them where their wait is known

Cause: the accepting thread took a connection only when it could dispatch it. Behind it callers waited in the listen backlog, where nothing tells for how long or whether they have left; the measured delay began anew with each batch.

- The accepting thread empties the backlog and queues what it finds (services/arrivals); connections that become readable join the same queue.
The wait of each is known, and counts towards its deadline.
- The front drops a caller that has closed its side before a thread reads its request; the order was cancelled at once before.
- Relays look at the rest of an answer every 50 ms, through epoll itself.

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -29,7 +29,13 @@
     slowcallers,
 )
 from celeryspan.platform import names
-from celeryspan.services import callerconnections, framing, httpserver, sockets
+from celeryspan.services import (
+    arrivals,
+    callerconnections,
+    framing,
+    httpserver,
+    sockets,
+)
 
 if TYPE_CHECKING:
     from celeryspan.gateway import carrier, catalogues, handover as handover_service
@@ -92,10 +98,19 @@
     ConnectionClass = _Connection
     front: Front
 
-    def dispatch_connection(self, connection: _Connection) -> None:
-        """Hand over or refuse a request above the limits; else pass it to a thread."""
-        if not (self.is_accepting_thread() and self.front.divert(connection)):
-            super().dispatch_connection(connection)
+    def divert(self, arrival: arrivals.Arrival) -> bool:
+        """Hand over or refuse a request above the limits; returns whether it was."""
+        return self.is_accepting_thread() and self.front.divert(arrival)
+
+    def has_left(self, arrival: arrivals.Arrival) -> bool:
+        """Return whether a caller has closed its side of the connection.
+
+        Its request would be cancelled as soon as a thread had read it.
+        """
+        has_left = sockets.has_closed(arrival.socket)
+        if has_left and arrival.is_new:  # An idle connection ends without a request.
+            self.front.count_abandoned()
+        return has_left
 
 
 @kernel.register(
@@ -181,8 +196,9 @@
         }
 
     def count_in_progress(self) -> int:
-        """Return the number of requests in progress, here or at peers."""
-        return len(self._in_progress) + self._handover.count()
+        """Return the number of requests that have arrived, here or at peers."""
+        arrived = self._server.count_arrivals()
+        return arrived + len(self._in_progress) + self._handover.count()
 
     def count_local(self) -> int:
         """Return the number of requests that this router serves and has not answered.
@@ -196,6 +212,10 @@
         """Stop counting the request of a connection toward the limits."""
         self._unanswered.discard(id(connection))
 
+    def count_abandoned(self) -> None:
+        """Count a caller that has left before its request was read."""
+        self._metrics.count_refusal("abandoned")
+
     def stop_listening(self) -> None:
         """Stop accepting connections."""
         self._server.stop_listening()
@@ -273,50 +293,43 @@
                 lost.message, code="answer-lost", status=502, step=lost.step
             ) from lost
 
-    def divert(self, connection: _Connection) -> bool:
+    def divert(self, arrival: arrivals.Arrival) -> bool:
         """Hand over or refuse a request above the limits; returns whether it was done.
 
-        A connection that its caller has closed is dropped: a router that is late would
-        otherwise spend its time on requests that nobody waits for.
-
         Also returns False if the received data is not exactly one complete request; it
         then takes the normal path.
         """
         local = self.count_local()
-        if self._local_limit.admits(local) or connection.rfile.has_data():
+        if self._local_limit.admits(local):
             return False
         try:
-            if sockets.is_closed(connection.socket.fileno()):
-                self._drop_abandoned(connection)
-                return True
-            found = quickrefusals.peek_whole_request(connection.socket, HEADERS)
+            found = quickrefusals.peek_whole_request(arrival.socket, HEADERS)
             if found is None:
                 return False
             peer = None
             if not (found.is_handed_over or self.refusing):
                 peer = self._handover.choose_peer()
-            if peer is None and self._overload.admits(local):
-                return False
-            quickrefusals.discard(connection.socket, found)
+            if peer is None:
+                may_serve = found.is_handed_over or not self._handover.is_full()
+                if may_serve and self._overload.admits(local):
+                    return False
+            elif arrival.measure_wait() > handover.ARRIVAL_WAIT_MAX_SECONDS:
+                peer = None
+            quickrefusals.discard(arrival.socket, found)
         except OSError:
             return False
         answer = functools.partial(self._answer_unread, found)
         if peer is None:
-            answer(connection, self._make_router_full_error())
-            connection.close()
+            answer(arrival, self._make_router_full_error())
+            arrival.close()
         else:
-            self._handover.hand_over(connection, found, peer, answer)
+            self._handover.hand_over(arrival, found, peer, answer)
         return True
 
-    def _drop_abandoned(self, connection: _Connection) -> None:
-        """Close a connection whose caller has left; its request is never read."""
-        self._metrics.count_refusal("abandoned")
-        connection.close()
-
     def _answer_unread(
         self,
         found: quickrefusals.BufferedRequest,
-        connection: _Connection,
+        arrival: arrivals.Arrival,
         error: errors.RequestError,
     ) -> None:
         """Answer a request that no thread has read with an error."""
@@ -324,7 +337,7 @@
         self._record_refusal(request_id, error)
         try:
             quickrefusals.send_answer(
-                connection.socket, refusals.serialize_refusal(request_id, error)
+                arrival.socket, refusals.serialize_refusal(request_id, error)
             )
         except OSError:
             pass  # The caller has disconnected or does not read; nothing has run.
--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -18,7 +18,7 @@
 import contextlib
 import queue
 import random
-import selectors
+import select
 import socket
 import threading
 import time
@@ -32,7 +32,7 @@
 
 if TYPE_CHECKING:
     from celeryspan.gateway import catalogues, quickrefusals
-    from celeryspan.services import httpserver, membership
+    from celeryspan.services import arrivals, membership
 
 CONNECT_SECONDS = 0.3
 """Time for a peer to accept a connection; one that is up takes some milliseconds."""
@@ -40,10 +40,16 @@
 CHECK_INTERVAL_SECONDS = 0.1
 
 BATCH_SECONDS = 0.01
-"""Pause after each round, so that one wake-up relays the events of many streams."""
+"""Pause after each round, so that one wake-up serves many requests."""
+
+STREAM_INTERVAL_SECONDS = 0.05
+"""Interval at which the rest of answers is relayed once they have begun: what arrives
+of a stream in the meantime costs as much as a single event."""
 
 READ_BYTES = 65_536
 
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+
 HEAD_END = b"\r\n\r\n"
 
 CALLERS_SHARE = 0.5
@@ -80,8 +86,14 @@
         self._next_check_at = 0.0
         self._is_limited = False
         self._limit_logged_at = float("-inf")
-        self._selector = selectors.DefaultSelector()
+        self._poll = select.epoll()
+        self._streams_poll = select.epoll()
+        self._next_streams_at = 0.0
+        # Relays by the descriptors of their connections to callers and to peers.
+        self._by_caller: dict[int, relayedrequest.RelayedRequest] = {}
+        self._by_peer: dict[int, relayedrequest.RelayedRequest] = {}
         self._wake_reader, self._wake_writer = socket.socketpair()
+        self._is_waiting = False
         self._stopped = False
         self._thread = threading.Thread(target=self._run, name="handover", daemon=True)
 
@@ -89,7 +101,7 @@
         """Subscribe to the membership and start the relaying thread."""
         self._wake_reader.setblocking(False)
         self._wake_writer.setblocking(False)
-        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._poll.register(self._wake_reader, READ)
         self._membership.subscribe(self._set_peers)
         self._set_peers(self._membership.alive())
         self._thread.start()
@@ -99,6 +111,8 @@
         self._stopped = True
         self._wake()
         self._thread.join()
+        self._poll.close()
+        self._streams_poll.close()
 
     def report(self) -> dict[str, object]:
         """Return the numbers of requests handed over in total and at present."""
@@ -109,18 +123,22 @@
         """Return the number of requests that peers serve for this router."""
         return self._current
 
+    def is_full(self) -> bool:
+        """Return whether no more requests may be handed over at present."""
+        return self._current >= self._relays_max
+
     def choose_peer(self) -> messages.Member | None:
         """Return the peer that can take one more request, or None."""
         if self._catalogues.current() is None:
             return None
-        if self.count() >= self._relays_max:
+        if self.is_full():
             self._is_limited = True
             return None
         return handover.choose_peer(self._peers, self._used, self._random)
 
     def hand_over(
         self,
-        connection: httpserver.Connection,
+        arrival: arrivals.Arrival,
         found: quickrefusals.BufferedRequest,
         peer: messages.Member,
         answer: relayedrequest.Answer,
@@ -130,7 +148,7 @@
         Parameters
         ----------
         answer : callable
-            Called with the connection and an error if the peer does not answer.
+            Called with the arrival and an error if the peer does not answer.
         """
         events.log(
             events.Event.REQUEST_HANDED_OVER,
@@ -140,8 +158,8 @@
         try:
             sock = _connect(peer.caller_address)
         except OSError as error:  # No descriptor is left.
-            answer(connection, _make_unreachable_error(peer.router, error))
-            connection.close()
+            answer(arrival, _make_unreachable_error(peer.router, error))
+            arrival.close()
             return
         data = relayedrequest.add_position(
             found.data, self._catalogues.current().position
@@ -154,10 +172,11 @@
         seconds = found.seconds or DEADLINE_SECONDS_DEFAULT
         self._added.put(
             relayedrequest.RelayedRequest(
-                connection, peer.router, sock, data, seconds, answer
+                arrival, peer.router, sock, data, seconds, answer
             )
         )
-        self._wake()
+        if self._is_waiting:
+            self._wake()
 
     def _set_peers(self, members: list[messages.Member]) -> None:
         self._peers = handover.list_peers(members, self._membership.own())
@@ -168,13 +187,16 @@
 
     def _run(self) -> None:
         while not self._stopped:
-            timeout = CHECK_INTERVAL_SECONDS if self._relays else None
-            for key, mask in self._selector.select(timeout):
-                if key.data is None:
-                    self._wake_reader.recv(READ_BYTES)
-                else:
-                    self._advance_safely(key.data, key.fileobj, mask)
+            self._is_waiting = True
+            ready = self._poll.poll(self._choose_timeout())
+            self._is_waiting = False
+            for descriptor, mask in ready:
+                self._handle_event(descriptor, mask)
             now = time.monotonic()
+            if now >= self._next_streams_at:
+                self._next_streams_at = now + STREAM_INTERVAL_SECONDS
+                for descriptor, mask in self._streams_poll.poll(0):
+                    self._handle_event(descriptor, mask)
             self._expire(now)
             self._log_limit(now)
             # After the check, so that a request that has waited long for this thread is
@@ -182,6 +204,23 @@
             self._register_added()
             time.sleep(BATCH_SECONDS)
 
+    def _choose_timeout(self) -> float | None:
+        """Return how long to wait for an event, in seconds."""
+        if not self._added.empty():
+            return 0.0
+        if not self._relays:
+            return None
+        left = self._next_streams_at - time.monotonic()
+        return min(max(left, 0.0), CHECK_INTERVAL_SECONDS)
+
+    def _handle_event(self, descriptor: int, mask: int) -> None:
+        if (relay := self._by_peer.get(descriptor)) is not None:
+            self._advance_safely(relay, relay.socket, mask)
+        elif (relay := self._by_caller.get(descriptor)) is not None:
+            self._advance_safely(relay, relay.caller, mask)
+        elif descriptor == self._wake_reader.fileno():
+            self._wake_reader.recv(READ_BYTES)
+
     def _advance_safely(
         self, relay: relayedrequest.RelayedRequest, ready: object, mask: int
     ) -> None:
@@ -204,8 +243,11 @@
                 return
             self._relays[relay] = None
             relay.caller.setblocking(False)
-            self._selector.register(relay.socket, selectors.EVENT_WRITE, relay)
-            self._selector.register(relay.caller, selectors.EVENT_READ, relay)
+            self._by_peer[relay.socket.fileno()] = relay
+            self._by_caller[relay.caller.fileno()] = relay
+            relay.poll = self._poll
+            self._poll.register(relay.socket, WRITE)
+            self._poll.register(relay.caller, READ)
 
     def _expire(self, now: float) -> None:
         """End requests whose peer accepts no connection or does not answer in time."""
@@ -248,11 +290,12 @@
         if relay.socket.fileno() < 0:
             return  # Closed earlier in this round.
         if ready is relay.socket:
-            if mask & selectors.EVENT_WRITE:
+            if relay.unsent:
                 self._send_request(relay)
             else:
                 self._receive_answer(relay)
-        elif mask & selectors.EVENT_WRITE:
+                self._pace(relay)
+        elif mask & WRITE and relay.undelivered:
             self._deliver(relay, b"")
         elif not relay.caller.recv(READ_BYTES):
             self._close(relay)  # The caller has left; the peer sees it as its own.
@@ -269,7 +312,7 @@
         sent = relay.socket.send(relay.unsent)
         relay.unsent = relay.unsent[sent:]
         if not relay.unsent:
-            self._selector.modify(relay.socket, selectors.EVENT_READ, relay)
+            self._poll.modify(relay.socket, READ)
 
     def _receive_answer(self, relay: relayedrequest.RelayedRequest) -> None:
         data = relay.socket.recv(READ_BYTES)
@@ -297,6 +340,14 @@
         except OSError:
             self._close(relay)  # The caller has left.
 
+    def _pace(self, relay: relayedrequest.RelayedRequest) -> None:
+        """Relay the rest of an answer that has begun in intervals."""
+        if relay.is_begun and relay.poll is self._poll and relay.socket.fileno() >= 0:
+            if not relay.undelivered:
+                self._poll.unregister(relay.socket)
+                self._streams_poll.register(relay.socket, READ)
+            relay.poll = self._streams_poll
+
     def _deliver(self, relay: relayedrequest.RelayedRequest, data: bytes) -> None:
         """Send a part of the answer; wait with the next one until the caller takes it.
 
@@ -312,12 +363,12 @@
                 pass
         relay.undelivered = pending
         if pending and not had_rest:
-            self._selector.modify(relay.caller, selectors.EVENT_WRITE, relay)
-            self._selector.unregister(relay.socket)
+            self._poll.modify(relay.caller, WRITE)
+            relay.poll.unregister(relay.socket)
         elif had_rest and not pending:
-            self._selector.modify(relay.caller, selectors.EVENT_READ, relay)
+            self._poll.modify(relay.caller, READ)
             if not relay.is_ended:
-                self._selector.register(relay.socket, selectors.EVENT_READ, relay)
+                relay.poll.register(relay.socket, READ)
         if relay.is_ended and not pending:
             self._close(relay)
 
@@ -345,19 +396,19 @@
         """Close a connection, with an error if no part of an answer was sent."""
         self._release(relay)
         if not relay.is_begun:
-            relay.answer(relay.connection, error)
-        relay.connection.close()
+            relay.answer(relay.arrival, error)
+        relay.arrival.close()
 
     def _close(self, relay: relayedrequest.RelayedRequest) -> None:
         self._release(relay)
-        relay.connection.close()
+        relay.arrival.close()
 
     def _release(self, relay: relayedrequest.RelayedRequest) -> None:
         """Close the connection to the peer."""
         self._relays.pop(relay, None)
-        for sock in (relay.socket, relay.caller):
-            with contextlib.suppress(KeyError, ValueError):
-                self._selector.unregister(sock)
+        # Closing a connection also ends its registration for events.
+        self._by_caller.pop(relay.caller.fileno(), None)
+        self._by_peer.pop(relay.socket.fileno(), None)
         relay.socket.close()
         with self._lock:
             self._used[relay.peer] -= 1
--- a/celeryspan/gateway/relayedrequest.py
+++ b/celeryspan/gateway/relayedrequest.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import select
 import socket
 import time
 from collections.abc import Callable, Mapping
@@ -12,9 +13,9 @@
 from celeryspan.platform import names
 
 if TYPE_CHECKING:
-    from celeryspan.services import httpserver
+    from celeryspan.services import arrivals
 
-Answer = Callable[["httpserver.Connection", errors.RequestError], None]
+Answer = Callable[["arrivals.Arrival", errors.RequestError], None]
 """Answers a request with an error, on the connection of its caller."""
 
 
@@ -39,6 +40,8 @@
         What has arrived of the answer while its head is not complete.
     undelivered : bytes
         Part of the answer that the caller has not taken.
+    poll : epoll or None
+        Reports what arrives from the peer.
     is_connected : bool
         Whether the peer has accepted the connection.
     is_begun : bool
@@ -51,14 +54,15 @@
 
     __slots__ = (
         "answer",
+        "arrival",
         "caller",
-        "connection",
         "expires_at",
         "is_begun",
         "is_connected",
         "is_ended",
         "partial_head",
         "peer",
+        "poll",
         "socket",
         "started_at",
         "undelivered",
@@ -67,20 +71,21 @@
 
     def __init__(
         self,
-        connection: httpserver.Connection,
+        arrival: arrivals.Arrival,
         peer: ids.RouterId,
         sock: socket.socket,
         data: bytes,
         seconds: float,
         answer: Answer,
     ) -> None:
-        self.connection = connection
-        self.caller: socket.socket = connection.socket
+        self.arrival = arrival
+        self.caller: socket.socket = arrival.socket
         self.peer = peer
         self.socket = sock
         self.unsent = data
         self.partial_head = b""
         self.undelivered = b""
+        self.poll: select.epoll | None = None
         self.is_connected = False
         self.is_begun = False
         self.is_ended = False
--- a/celeryspan/services/callerconnections.py
+++ b/celeryspan/services/callerconnections.py
@@ -1,4 +1,4 @@
-"""Bounds the number of caller connections and closes idle ones near the bound.
+"""Accepts callers, bounds their connections and closes idle ones near the bound.
 
 When the process runs out of file descriptors, cheroot's own connection manager reports
 the failed accept and retries at once. The listener then fails more than 100,000 times a
@@ -18,6 +18,7 @@
 from cheroot import connections as cheroot_connections
 
 from celeryspan.decisions import descriptors
+from celeryspan.services import arrivals
 
 if TYPE_CHECKING:
     from celeryspan.services import httpserver
@@ -25,6 +26,15 @@
 EXHAUSTION_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 """Errors of ``accept`` when the process or the system is out of resources."""
 
+IGNORED_ERRNOS = (
+    errno.EAGAIN,
+    errno.EINTR,
+    errno.ECONNABORTED,
+    errno.EBADF,
+    errno.EINVAL,
+)
+"""Errors of ``accept`` if no caller waits, one has left, or the listener was closed."""
+
 ACCEPT_PAUSE_SECONDS = 0.01
 """Pause of a listener that can neither accept a connection nor close one, so that it
 does not occupy a core until a request in progress ends."""
@@ -46,38 +56,98 @@
 
 
 class CallerConnections(cheroot_connections.ConnectionManager):
-    """Manages idle connections and closes some of them when the bound is reached.
+    """Accepts connections, and closes some idle ones when the bound is reached.
 
     Parameters
     ----------
     bound : int
         Maximum number of connections, idle or in use.
+
+    Attributes
+    ----------
+    arrivals : ArrivalQueue
+        Connections on which requests may have arrived.
     """
 
     def __init__(self, server: httpserver.Server, bound: int) -> None:
         super().__init__(server)
+        server.socket.setblocking(False)
+        self.arrivals = arrivals.ArrivalQueue()
         self._bound = bound
+        self._collected_at = time.monotonic()
         self.closed_idle_count = 0
 
-    def accept(self) -> httpserver.Connection | None:
+    def accept(self) -> arrivals.Arrival | None:
         """Accept one connection; None if none is pending or the bound is reached."""
-        if self._num_connections + self.server.requests.busy >= self._bound:
+        if self._count() >= self._bound:
+            if self.arrivals:
+                return None  # Most of them may be idle once they are dispatched.
             if not self._close_idle():
                 time.sleep(ACCEPT_PAUSE_SECONDS)
                 return None
         try:
-            return super()._from_server_socket(self.server.socket)
+            sock, address = self.server.socket.accept()
         except OSError as error:
+            if error.errno in IGNORED_ERRNOS:
+                return None
             if error.errno not in EXHAUSTION_ERRNOS:
                 raise
             self.server.error_log("out of resources for a new connection")
+        else:
+            return arrivals.Arrival(sock, self._collected_at, address)
         if not self._close_idle():
             time.sleep(ACCEPT_PAUSE_SECONDS)
         return None
 
-    def _from_server_socket(self, _: socket.socket) -> None:
-        """Accept all pending connections when cheroot asks for one."""
-        self.server.accept_pending()
+    def _count(self) -> int:
+        """Return the number of connections, idle or in use."""
+        return self._num_connections + self.server.requests.busy + len(self.arrivals)
+
+    def _run(self, expiration_interval: float) -> None:
+        """Collect arrivals, dispatch them and close expired idle connections.
+
+        cheroot's own loop accepts one connection before it dispatches it. With
+        hundreds of busy threads that takes so long that callers cannot connect.
+        """
+        expired_at = time.time()
+        while not self._stop_requested:
+            self._collect(0.0 if self.arrivals else expiration_interval)
+            self.server.dispatch_arrivals()
+            now = time.time()
+            if now - expired_at > expiration_interval:
+                self._expire(now - self.server.timeout)
+                expired_at = now
+
+    def _collect(self, timeout: float) -> None:
+        """Queue all connections that are pending or have received data.
+
+        Parameters
+        ----------
+        timeout : float
+            How long to wait for the first one, in seconds.
+        """
+        began = time.monotonic()
+        try:
+            ready = list(self._selector.select(0))
+            if not ready and timeout:
+                ready = list(self._selector.select(timeout))
+                began = self._collected_at = time.monotonic()
+        except OSError:
+            self._remove_invalid_sockets()
+            return
+        for descriptor, connection in ready:
+            if connection is self.server:
+                while (arrival := self.accept()) is not None:
+                    self.arrivals.add(arrival)
+            else:
+                self._selector.unregister(descriptor)
+                self.arrivals.add(
+                    arrivals.Arrival(
+                        connection.socket, self._collected_at, connection=connection
+                    )
+                )
+        # Whatever comes next was not there when this look began.
+        self._collected_at = began
 
     def _close_idle(self) -> int:
         """Close some idle connections and return their number.
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -16,7 +16,13 @@
 
 from celeryspan import ids, logthrottle
 from celeryspan.decisions import descriptors
-from celeryspan.services import callerconnections, framing, sockets, streams
+from celeryspan.services import (
+    arrivals,
+    callerconnections,
+    framing,
+    sockets,
+    streams,
+)
 
 # Maximum header size of one request; common servers allow 8 to 64 KiB.
 HEADER_BYTES_MAX = 32_768
@@ -53,8 +59,9 @@
 
 LISTEN_BACKLOG = 512
 
-# Maximum number of connections accepted before other events are handled.
-ACCEPT_BATCH_MAX = 64
+# Time for which arrivals are dispatched before the next ones are accepted.
+DISPATCH_SECONDS = 0.01
+
 STOP_TIMEOUT_SECONDS = 2.0
 
 # Time for the own listener to accept the connection that wakes its thread.
@@ -343,8 +350,6 @@
         self.keep_alive_conn_limit = int(
             connections_max * descriptors.CLOSE_NOTICE_SHARE
         )
-        self.accept_delay = 0.0
-        self._accepted_at = time.monotonic()
         self._log = log
         self._throttle = logthrottle.Throttle()
         self._thread: threading.Thread | None = None
@@ -380,63 +385,75 @@
             self, self._connections_max
         )
 
+    def count_arrivals(self) -> int:
+        """Return the number of connections that wait to be dispatched."""
+        return len(self._connections.arrivals)
+
+    @property
+    def accept_delay(self) -> float:
+        """Longest time that an arrival has waited since the last reset, in seconds."""
+        return self._connections.arrivals.delay
+
+    def take_accept_delay(self) -> float:
+        """Return and reset the longest time that an arrival has waited."""
+        return self._connections.arrivals.take_delay()
+
     def is_accepting_thread(self) -> bool:
         """Return whether the calling thread is the accepting thread."""
         return threading.current_thread() is self._thread
 
     def process_conn(self, conn: Connection) -> None:
-        """Dispatch a connection to a thread and accept all pending connections.
-
-        cheroot accepts one connection each time its thread is scheduled. With hundreds
-        of busy threads that is about once a second, so that the listen backlog fills up
-        and callers cannot connect.
-        """
+        """Dispatch a connection; called by cheroot if its next request is there."""
+        conn.request_began_at = time.monotonic()
         self.dispatch_connection(conn)
-        if self.is_accepting_thread():
-            self.accept_pending()
 
-    def dispatch_connection(self, connection: Connection) -> None:
-        """Serve the next request of a connection on a thread of the pool.
+    def dispatch_arrivals(self) -> None:
+        """Dispatch arrivals until none is left or the time for it is over."""
+        until = time.monotonic() + DISPATCH_SECONDS
+        while (arrival := self._connections.arrivals.take()) is not None:
+            self.dispatch(arrival)
+            if time.monotonic() >= until:
+                return
 
-        A connection that the caller has closed is closed here: while the machine is
-        busy, closed connections would occupy as many threads as requests do.
-        """
-        if not connection.rfile.has_data() and sockets.has_ended(connection.socket):
-            with contextlib.suppress(OSError):  # The caller has reset it.
-                connection.close()
-            return
-        connection.request_began_at = time.monotonic()
-        super().process_conn(connection)
+    def divert(self, arrival: arrivals.Arrival) -> bool:
+        """Return whether an arrival was dealt with, so that no thread serves it."""
+        return False
 
-    def accept_pending(self) -> None:
-        """Accept pending connections, at most ``ACCEPT_BATCH_MAX``."""
-        for count in range(ACCEPT_BATCH_MAX):
-            if not sockets.has_pending_connection(self.socket):
-                break
-            if count == 1:  # A single connection may just have arrived.
-                delay = time.monotonic() - self._accepted_at
-                self.accept_delay = max(self.accept_delay, delay)
-            accepted = self._connections.accept()
-            if accepted is None:
-                break
-            self._add_connection(accepted)
-        self._accepted_at = time.monotonic()
+    def has_left(self, arrival: arrivals.Arrival) -> bool:
+        """Return whether a caller has closed its connection and no data is unread."""
+        return sockets.has_ended(arrival.socket)
 
-    def take_accept_delay(self) -> float:
-        """Return and reset the longest time that several callers waited to connect."""
-        delay, self.accept_delay = self.accept_delay, 0.0
-        return delay
+    def dispatch_connection(self, connection: Connection) -> None:
+        """Serve the next request of a connection on a thread of the pool."""
+        super().process_conn(connection)
 
-    def _add_connection(self, connection: Connection) -> None:
-        """Dispatch a new connection once its caller has sent data.
+    def dispatch(self, arrival: arrivals.Arrival) -> None:
+        """Dispatch an arrival, unless its caller has left.
 
-        Otherwise a caller that connects and sends nothing would occupy a thread for
-        half a minute, and a few hundred of them would occupy all threads.
+        While the machine is busy, closed connections would occupy as many threads as
+        requests do.
         """
-        if callerconnections.has_data(connection.socket):
+        if self.has_left(arrival):
+            with contextlib.suppress(OSError):  # The caller has reset it.
+                arrival.close()
+            return
+        if arrival.is_new and not callerconnections.has_data(arrival.socket):
+            # Without a request it would occupy a thread.
+            self.put_conn(self._open_connection(arrival))
+        elif not self.divert(arrival):
+            connection = self._open_connection(arrival)
+            connection.request_began_at = arrival.since
             self.dispatch_connection(connection)
-        else:
-            self.put_conn(connection)
+
+    def _open_connection(self, arrival: arrivals.Arrival) -> Connection:
+        """Return the state of a connection, which is created for a new one."""
+        if arrival.connection is not None:
+            return arrival.connection
+        arrival.socket.settimeout(self.timeout)
+        connection = self.ConnectionClass(self, arrival.socket)
+        connection.remote_addr, connection.remote_port = arrival.address[:2]
+        connection.ssl_env = {}
+        return connection
 
     def stop_listening(self) -> None:
         """Stop accepting connections; open ones are still served.
@@ -446,9 +463,8 @@
         """
         manager = self._connections
         manager._selector.unregister(self.socket.fileno())
-        self.socket.setblocking(False)
-        while (connection := manager.accept()) is not None:
-            self.process_conn(connection)
+        while (arrival := manager.accept()) is not None:
+            self.dispatch(arrival)
         self.socket.close()
 
     def shut_down(self) -> None:
--- a/celeryspan/services/sockets.py
+++ b/celeryspan/services/sockets.py
@@ -18,27 +18,22 @@
 ENDED_STATES = (7, 8)
 
 
-def has_pending_connection(listener: socket.socket) -> bool:
-    """Return whether a listener has a pending connection; False if it is closed."""
-    try:
-        poll = select.poll()
-        poll.register(listener, select.POLLIN)
-        return bool(poll.poll(0))
-    except (OSError, ValueError):
-        return False
-
-
-def has_ended(sock: socket.socket) -> bool:
-    """Return whether the peer has closed a TCP connection and no data is unread.
+def has_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has closed its side of a TCP connection or reset it.
 
-    The state of the connection is read first, because that does not release the global
-    interpreter lock: under load each release costs the accepting thread a wait.
+    Reading the state does not release the global interpreter lock: under load each
+    release costs the accepting thread a wait.
     """
     try:
         state = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
     except OSError:
         return False  # The state is not known here; a read will tell.
-    if state not in ENDED_STATES:
+    return state in ENDED_STATES
+
+
+def has_ended(sock: socket.socket) -> bool:
+    """Return whether the peer has closed a TCP connection and no data is unread."""
+    if not has_closed(sock):
         return False
     try:
         return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/tests/gateway/test_full_router.py
+++ b/tests/gateway/test_full_router.py
@@ -6,11 +6,15 @@
 import contextlib
 import dataclasses
 import pathlib
+import socket
+import threading
 import time
 
 import pytest
 
+from celeryspan import events
 from celeryspan.gateway import front
+from celeryspan.services import httpserver
 from tests.gateway import processes, support
 
 THREADS = 8
@@ -42,6 +46,17 @@
         return CallerResult(request, answer.status, retry_after, answer.text)
 
 
+def send_and_leave(router: support.Router, request: str) -> None:
+    """Send a whole request on a new connection and close it."""
+    host, _, port = router.settings.caller_address.partition(":")
+    with socket.create_connection((host, int(port))) as caller:
+        caller.sendall(
+            f"GET /calls/1 HTTP/1.1\r\nHost: {support.HOST}\r\n"
+            f"Celeryspan-Request-Id: {request}\r\n"
+            f"Celeryspan-Credential: {support.KEY}\r\n\r\n".encode()
+        )
+
+
 def test_every_caller_of_a_full_router_is_served_or_gets_a_retry_time(
     cluster: support.Cluster, tmp_path: pathlib.Path
 ) -> None:
@@ -73,6 +88,35 @@
             assert float(each.retry_after or 0) > 0
 
 
+def test_callers_that_left_before_they_were_accepted_are_not_served(
+    cluster: support.Cluster, logged: list, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a late router that serves only requests nobody waits for."""
+    cluster.add_server("gate-1", "gate")
+    router = cluster.start_router()
+    server = router.container.find("front")._server
+    may_dispatch, dispatch = threading.Event(), server.dispatch_connection
+
+    def wait(connection: httpserver.Connection) -> None:
+        may_dispatch.wait(support.WAIT_SECONDS)
+        dispatch(connection)
+
+    monkeypatch.setattr(server, "dispatch_connection", wait)
+    with concurrent.futures.ThreadPoolExecutor(2) as pool:
+        first = pool.submit(router.call, "/bookings/1", "first")
+        time.sleep(0.2)
+        for number in range(CALLERS):
+            send_and_leave(router, f"left-{number}")
+        last = pool.submit(router.call, "/bookings/1", "last")
+        time.sleep(0.2)
+        may_dispatch.set()
+        assert first.result().status == last.result().status == 200
+    metrics = router.container.find("directory").render_metrics().decode()
+    assert f'celeryspan_refusals_total{{code="abandoned"}} {CALLERS}.0' in metrics
+    refused = support.find_lines(logged, events.Event.REQUEST_REFUSED)
+    assert not [line for line in refused if line["code"] == "caller-left"]
+
+
 def test_router_that_has_used_up_its_share_of_a_core_serves_less_itself(
     cluster: support.Cluster, monkeypatch: pytest.MonkeyPatch
 ) -> None:
