Bound the time that rounds of relayed streams take

Rounds of relayed streams now take 0.4 of the time at most: their interval follows how long the last one took, from 50 to 120 ms, and no more is handed over when the longest interval is too short (decisions/relaypace).

--- a/celeryspan/gateway/handover.py
+++ b/celeryspan/gateway/handover.py
@@ -25,7 +25,7 @@
 from typing import TYPE_CHECKING
 
 from celeryspan import answerreaders, errors, events, ids, kernel, metrics
-from celeryspan.decisions import handover
+from celeryspan.decisions import handover, relaypace
 from celeryspan.gateway import channels, relayedrequest
 from celeryspan.services import callerconnections
 from celeryspan.wire import messages
@@ -42,9 +42,6 @@
 BATCH_SECONDS = 0.01
 """Pause after each round, so that one wake-up serves many requests."""
 
-STREAM_INTERVAL_SECONDS = 0.05
-"""Interval at which the rest of answers is relayed once they have begun: what arrives
-of a stream in the meantime costs as much as a single event."""
 
 READ_BYTES = 65_536
 
@@ -88,7 +85,7 @@
         self._limit_logged_at = float("-inf")
         self._poll = select.epoll()
         self._streams_poll = select.epoll()
-        self._next_streams_at = 0.0
+        self._pace_of_streams = relaypace.RelayPace()
         # Relays by the descriptors of their connections to callers and to peers.
         self._by_caller: dict[int, relayedrequest.RelayedRequest] = {}
         self._by_peer: dict[int, relayedrequest.RelayedRequest] = {}
@@ -125,7 +122,7 @@
 
     def is_full(self) -> bool:
         """Return whether no more requests may be handed over at present."""
-        return self._current >= self._relays_max
+        return self._current >= self._relays_max or self._pace_of_streams.is_full
 
     def choose_peer(self) -> messages.Member | None:
         """Return the peer that can take one more request, or None."""
@@ -192,11 +189,8 @@
             self._is_waiting = False
             for descriptor, mask in ready:
                 self._handle_event(descriptor, mask)
+            self._relay_streams()
             now = time.monotonic()
-            if now >= self._next_streams_at:
-                self._next_streams_at = now + STREAM_INTERVAL_SECONDS
-                for descriptor, mask in self._streams_poll.poll(0):
-                    self._handle_event(descriptor, mask)
             self._expire(now)
             self._log_limit(now)
             # After the check, so that a request that has waited long for this thread is
@@ -204,13 +198,22 @@
             self._register_added()
             time.sleep(BATCH_SECONDS)
 
+    def _relay_streams(self) -> None:
+        """Relay what has arrived of answers that have begun, if it is time."""
+        began = time.monotonic()
+        if began < self._pace_of_streams.next_at:
+            return
+        for descriptor, mask in self._streams_poll.poll(0):
+            self._handle_event(descriptor, mask)
+        self._pace_of_streams.record(began, time.monotonic())
+
     def _choose_timeout(self) -> float | None:
         """Return how long to wait for an event, in seconds."""
         if not self._added.empty():
             return 0.0
         if not self._relays:
             return None
-        left = self._next_streams_at - time.monotonic()
+        left = self._pace_of_streams.next_at - time.monotonic()
         return min(max(left, 0.0), CHECK_INTERVAL_SECONDS)
 
     def _handle_event(self, descriptor: int, mask: int) -> None:
@@ -272,6 +275,7 @@
             current=self.count(),
             phases=dict(phases),
             oldest=round(now - oldest, 3),
+            round_seconds=round(self._pace_of_streams.seconds, 3),
         )
 
     def _handle_failure(
@@ -328,13 +332,13 @@
                     self._end_unanswered(relay, 502, "the head of its answer is long")
                 return
             data, relay.partial_head = relay.partial_head, b""
-        relay.is_begun = True
         # The end mostly arrives with the last data. If it were read in the next round,
         # the caller's next request would be counted beside this one.
         with contextlib.suppress(OSError):
             rest = relay.socket.recv(READ_BYTES)
             relay.is_ended = not rest
             data += rest
+        relay.is_begun = True
         try:
             self._deliver(relay, data)
         except OSError:
