--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -7,6 +7,7 @@
 import pathlib
 import re
 import resource
+import signal
 import subprocess
 import sys
 import time
@@ -122,6 +123,14 @@
             time.sleep(POLL_SECONDS)
         raise AssertionError(f"router is not ready: {self.log.read_text()[-2000:]}")
 
+    def pause(self) -> None:
+        """Let the process stand still."""
+        self._process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Let the process run again."""
+        self._process.send_signal(signal.SIGCONT)
+
     def stop(self) -> None:
         """Kill the process."""
         self._process.kill()
