--- a/standins/objects.py
+++ b/standins/objects.py
@@ -61,6 +61,9 @@
         this store states none.
     page_size : int
         Maximum number of objects in one response to a list call.
+    raw_texts : dict
+        Texts that replace strings in answers, with their quotes: what another writer
+        may have stored and ``json`` does not write.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         self.era: int | None = 1
         self.faults = ObjectFaults()
         self.page_size = PAGE_SIZE
+        self.raw_texts: dict[str, str] = {}
         self._revision = 1
         self._objects: dict[str, dict[str, dict]] = collections.defaultdict(dict)
         self._changes: list[tuple[int, str, dict, bool]] = []
@@ -123,6 +127,8 @@
     def handle(self, request: web.Request) -> web.Response:
         """Handle one request of the object API."""
         answer = self._handle(request)
+        for text, raw in self.raw_texts.items():
+            answer.body = answer.body.replace(f'"{text}"'.encode(), raw.encode())
         if self.era is not None:
             answer.headers[ERA_HEADER] = str(self.era)
         return answer
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -39,6 +39,7 @@
         descriptors: int,
         threads: int,
         name: str,
+        **values: object,
     ) -> None:
         addresses = [f"127.0.0.1:{port}" for port in ports.find_ports(4)]
         self.caller_address, peer, self.ready_address, self.directory_address = (
@@ -58,6 +59,7 @@
                     "fleet_keys": ["test"],
                     "grace_seconds": 2.0,
                     "caller_threads": threads,
+                    **values,
                 }
             )
         )
@@ -80,6 +82,10 @@
             preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits),
         )
 
+    def is_running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self._process.poll() is None
+
     def connect(self) -> http.client.HTTPConnection:
         """Return a connection to the address for callers."""
         return connect(self.caller_address)
@@ -150,9 +156,10 @@
     descriptors: int = 1024,
     threads: int = 256,
     name: str = "edge-1",
+    **values: object,
 ) -> Iterator[ProcessRouter]:
-    """Start a router, yield it once it is ready, and stop it on exit."""
-    router = ProcessRouter(folder, store, descriptors, threads, name)
+    """Start a router with further settings, yield it once it is ready, and stop it."""
+    router = ProcessRouter(folder, store, descriptors, threads, name, **values)
     try:
         router.wait_ready()
         yield router
