Dispatch the last arrivals first while the first ones are late

With first come, first served, an overloaded queue holds late requests only.

While its first one is late the queue gives the last and the first in turn (decisions/arrivalqueue).

--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -10,8 +10,8 @@
   threads, like the limit above which requests are refused (:mod:`overload`), but from a
   lower lateness on, and by the processor time in use (:mod:`saturation`). It falls to
   none: each one takes the processor time of several that are handed over.
-* A request whose caller has already waited for long is refused. That costs less again,
-  so that the next callers are accepted in time.
+* A request that is late when it is dispatched (:mod:`arrivalqueue`) is refused. That
+  costs less again, so that the next callers are accepted in time.
 * A request goes to the least used of two random peers of the same data centre, in
   proportion to the sizes of their VMs. Busy peers are used only if all are: after a
   restart of the whole fleet all routers are busy for some seconds.
@@ -37,10 +37,6 @@
 
 LIMIT_MIN = 0
 
-ARRIVAL_WAIT_MAX_SECONDS = 0.2
-"""Longest wait before its dispatch after which a request is still handed over: half of
-a short latency objective."""
-
 DECREASE_FACTOR = 0.7
 DECREASE_INTERVAL_SECONDS = 0.25
 """A decrease costs little, because the requests above the limit are served by peers."""
--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -18,7 +18,7 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import handover, overload, saturation
+from celeryspan.decisions import arrivalqueue, handover, overload, saturation
 from celeryspan.gateway import (
     acceptance,
     callersinks,
@@ -313,7 +313,7 @@
                 may_serve = found.is_handed_over or not self._handover.is_full()
                 if may_serve and self._overload.admits(local):
                     return False
-            elif arrival.measure_wait() > handover.ARRIVAL_WAIT_MAX_SECONDS:
+            elif arrival.measure_wait() > arrivalqueue.LATE_SECONDS:
                 peer = None
             quickrefusals.discard(arrival.socket, found)
         except OSError:
--- a/celeryspan/services/arrivals.py
+++ b/celeryspan/services/arrivals.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import collections
 import socket
 import time
 from typing import TYPE_CHECKING
@@ -57,40 +56,3 @@
     def close(self) -> None:
         """Close the connection."""
         (self.connection or self.socket).close()
-
-
-class ArrivalQueue:
-    """Arrivals in their order; one thread adds and takes them."""
-
-    def __init__(self) -> None:
-        self._waiting: collections.deque[Arrival] = collections.deque()
-        self._delay_max = 0.0
-
-    def __len__(self) -> int:
-        return len(self._waiting)
-
-    def add(self, arrival: Arrival) -> None:
-        """Add an arrival at the end."""
-        self._waiting.append(arrival)
-
-    def take(self) -> Arrival | None:
-        """Remove and return the first arrival; None if there is none."""
-        if not self._waiting:
-            return None
-        arrival = self._waiting.popleft()
-        self._delay_max = max(self._delay_max, arrival.measure_wait())
-        return arrival
-
-    @property
-    def delay(self) -> float:
-        """Longest wait since it was last reset, in seconds; read by any thread."""
-        try:
-            present = self._waiting[0].measure_wait()
-        except IndexError:
-            present = 0.0
-        return max(self._delay_max, present)
-
-    def take_delay(self) -> float:
-        """Return and reset the longest wait, in seconds; called by any thread."""
-        delay, self._delay_max = self.delay, 0.0
-        return delay
--- a/celeryspan/services/callerconnections.py
+++ b/celeryspan/services/callerconnections.py
@@ -17,7 +17,7 @@
 
 from cheroot import connections as cheroot_connections
 
-from celeryspan.decisions import descriptors
+from celeryspan.decisions import arrivalqueue, descriptors
 from celeryspan.services import arrivals
 
 if TYPE_CHECKING:
@@ -72,7 +72,9 @@
     def __init__(self, server: httpserver.Server, bound: int) -> None:
         super().__init__(server)
         server.socket.setblocking(False)
-        self.arrivals = arrivals.ArrivalQueue()
+        self.arrivals: arrivalqueue.ArrivalQueue[arrivals.Arrival] = (
+            arrivalqueue.ArrivalQueue()
+        )
         self._bound = bound
         self._collected_at = time.monotonic()
         self.closed_idle_count = 0
--- a/celeryspan/services/httpserver.py
+++ b/celeryspan/services/httpserver.py
@@ -392,11 +392,11 @@
     @property
     def accept_delay(self) -> float:
         """Longest time that an arrival has waited since the last reset, in seconds."""
-        return self._connections.arrivals.delay
+        return self._connections.arrivals.measure_delay(time.monotonic())
 
     def take_accept_delay(self) -> float:
         """Return and reset the longest time that an arrival has waited."""
-        return self._connections.arrivals.take_delay()
+        return self._connections.arrivals.take_delay(time.monotonic())
 
     def is_accepting_thread(self) -> bool:
         """Return whether the calling thread is the accepting thread."""
@@ -409,11 +409,11 @@
 
     def dispatch_arrivals(self) -> None:
         """Dispatch arrivals until none is left or the time for it is over."""
-        until = time.monotonic() + DISPATCH_SECONDS
-        while (arrival := self._connections.arrivals.take()) is not None:
+        now = time.monotonic()
+        until = now + DISPATCH_SECONDS
+        while now < until and (arrival := self._connections.arrivals.take(now)):
             self.dispatch(arrival)
-            if time.monotonic() >= until:
-                return
+            now = time.monotonic()
 
     def divert(self, arrival: arrivals.Arrival) -> bool:
         """Return whether an arrival was dealt with, so that no thread serves it."""
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -12,7 +12,7 @@
 import pytest
 
 from celeryspan import events, ids
-from celeryspan.decisions import handover as handover_limits
+from celeryspan.decisions import arrivalqueue
 from celeryspan.gateway import handover
 from celeryspan.platform import names
 from celeryspan.services import arrivals, sockets
@@ -55,9 +55,7 @@
 
     Both share a process with their callers and servers, so that callers wait for long.
     """
-    monkeypatch.setattr(
-        handover_limits, "ARRIVAL_WAIT_MAX_SECONDS", support.WAIT_SECONDS
-    )
+    monkeypatch.setattr(arrivalqueue, "LATE_SECONDS", support.WAIT_SECONDS)
     for name in ("gate-1", "planner-1"):
         cluster.add_server(name, name.partition("-")[0])
     started = [cluster.start_router(f"edge-{n}") for n in (1, 2)]
@@ -371,7 +369,7 @@
     cluster, routers, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Guards against callers whose wait for a full router keeps the next ones out."""
-    monkeypatch.setattr(handover_limits, "ARRIVAL_WAIT_MAX_SECONDS", 0.0)
+    monkeypatch.setattr(arrivalqueue, "LATE_SECONDS", 0.0)
     answer = call(routers[0], "/bookings/1")
     assert answer.status == 503
     assert answer.getheader("Retry-After")
