Let no stream go on whose server may have restarted before it began

A server had started again under its id with v2 while the store was silent; its streams counted as begun at the v1 of its last entry, and went on at v1 when the new entry ended their connections.

A stream's version is now certain only if the entries were confirmed in the last 4 s, or its connection is older than their last confirmation and so leads to the server that they describe. Otherwise it is (unproven): it is served, and goes on nowhere, in the router, at homes, by moves and for callers.

The new test of the outage failed before (the take-up went on), the one of an older connection holds in both.

--- a/celeryspan/decisions/streamversions.py
+++ b/celeryspan/decisions/streamversions.py
@@ -19,7 +19,9 @@
   alone has served for as long as streams are taken up, as seen by this router or proved
   by the store's record.
 * A server that can restart under its id may have another version than its last known
-  entry says. A stream goes on there only if the entries were confirmed recently.
+  entry says. A stream goes on there only if the entries were confirmed recently. One
+  that begins there goes on nowhere, unless its connection is older than the last
+  confirmation and so leads to the server that the entry describes.
 * Origins are forgotten once no caller can take the stream up any more, and the oldest
   ones first if there are too many.
 """
@@ -53,6 +55,9 @@
 """Age of the entries up to which a restart under the same id would be known; a router
 that reads them from others has them confirmed every 2.6 s."""
 
+UNPROVEN = ids.SoftwareVersion("(unproven)")
+"""Version of a stream that began at a server whose version was not certain."""
+
 
 class Verdict(enum.Enum):
     """Whether a stream may go on; the values are codes that callers and logs see."""
@@ -239,7 +244,26 @@
 
 def may_continue(entry: catalog.ServerEntry, version: ids.SoftwareVersion) -> bool:
     """Whether a server may continue a stream; any may begin one (no version)."""
-    return not version or entry.version == version
+    return not version or (version != UNPROVEN and entry.version == version)
+
+
+def find_begun_version(
+    entry: catalog.ServerEntry, age: float, connection_age: float
+) -> ids.SoftwareVersion:
+    """Return the version at which a stream begins; :data:`UNPROVEN` if it is unclear.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+        The server's entry when the connection was opened.
+    age : float
+        Time since the entries were last confirmed, in seconds.
+    connection_age : float
+        Time since the connection to the server was opened, in seconds.
+    """
+    if is_confirmed(entry, age) or connection_age >= age:
+        return entry.version
+    return UNPROVEN
 
 
 def compute_retention(timeouts: Sequence[float]) -> float:
--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -103,7 +103,7 @@
     ----------
     entry : ServerEntry
         The server's entry when the connection was opened.
-    reusable_until, idle_since : float
+    opened_at, reusable_until, idle_since : float
         Monotonic times, in seconds.
     is_new : bool
         Whether no answer has been read on the connection yet.
@@ -120,7 +120,7 @@
         self.server = entry.server
         self.entry = entry
         self.reusable_until = 0.0
-        self.idle_since = time.monotonic()
+        self.opened_at = self.idle_since = time.monotonic()
         self.is_new = True
         self._socket = sock
         self.limits = limits
--- a/celeryspan/gateway/migrations.py
+++ b/celeryspan/gateway/migrations.py
@@ -147,7 +147,7 @@
             return None
         if source is None or target is None:
             return None
-        if not self._origins.may_continue(target, source.version):
+        if not self._origins.may_continue(target, place.version or source.version):
             return None
         if any(self._announcements.find_rest(entry) for entry in (source, target)):
             return None
--- a/celeryspan/gateway/replies.py
+++ b/celeryspan/gateway/replies.py
@@ -4,6 +4,7 @@
 
 import enum
 import http.client
+import time
 from collections.abc import Iterator
 
 from celeryspan import answerreaders, eventstreams, untrusted
@@ -35,7 +36,7 @@
     entry : ServerEntry
         Entry of the server that answers.
     version : SoftwareVersion
-        Its version.
+        Its version, by that entry.
     """
 
     def __init__(
@@ -55,6 +56,11 @@
         self._channel = channel
         self._answer = answer
 
+    @property
+    def connection_age(self) -> float:
+        """Time since the connection to the server was opened, in seconds."""
+        return time.monotonic() - self._channel.opened_at
+
     @property
     def is_success(self) -> bool:
         """Whether the status code is 2xx."""
--- a/celeryspan/gateway/sender.py
+++ b/celeryspan/gateway/sender.py
@@ -252,7 +252,10 @@
         reply: replies.Reply,
     ) -> None:
         """Report the first event of a run before it is passed on to the caller."""
-        progress.version = reply.version
+        if not progress.version:
+            progress.version = streamversions.find_begun_version(
+                reply.entry, self._servers.measure_age(), reply.connection_age
+            )
         load = progress.take_load(place.server)
         if not order.route.is_resumable:
             self._places.begin(place, order.request, catalog.NO_VERSION, load)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -432,6 +432,55 @@
     assert all(stream.is_whole() for stream in streams)
 
 
+def test_stream_that_began_while_its_server_may_have_restarted_goes_on_nowhere(
+    cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a server back under its id with a version that no entry names.
+
+    The store is silent, so that the last known entry of the server still stands.
+    """
+    engines = add_engines(cluster, {"v1": 2})
+    for engine in engines:
+        cluster.register_server(engine, "planner", version="v1", born=1)
+    routers = [cluster.start_router(f"edge-{number}") for number in range(2)]
+    settle(*routers)
+    servers = [router.container.find("servers") for router in routers]
+    with monkeypatch.context() as patch:
+        for service in servers:
+            patch.setattr(service, "measure_age", lambda: 60.0)
+        for engine in engines:
+            engine.version = "v2"
+        streams = begin_streams(routers[0], 4)
+        assert {version for stream in streams for version in stream.versions} == {"v2"}
+    time.sleep(SHARED_SECONDS)
+    for engine in engines:
+        engine.version = "v1"
+    for number, stream in enumerate(streams):
+        answer = stream.take_up(routers[number % 2], f"again-{number}")
+        assert (answer.status, get_code(answer)) == (503, "version-gone")
+
+
+def test_stream_on_a_connection_older_than_the_entries_goes_on(
+    cluster, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against streams that all end because the store is silent for a while."""
+    (engine,) = add_engines(cluster, {"v1": 1})
+    cluster.register_server(engine, "planner", version="v1", born=1)
+    router = cluster.start_router()
+    settle(router)
+    assert router.call(PATH, "first").status == 200  # Its connection is kept.
+    opened_at = time.monotonic()
+    time.sleep(0.1)
+    service = router.container.find("servers")
+    with monkeypatch.context() as patch:
+        confirmed_at = opened_at + 0.05
+        patch.setattr(streamversions, "ENTRIES_AGE_SECONDS_MAX", 0.0)
+        patch.setattr(service, "measure_age", lambda: time.monotonic() - confirmed_at)
+        (stream,) = begin_streams(router, 1)
+    assert stream.take_up(router, "again").status == 200
+    assert stream.is_whole()
+
+
 def test_run_is_not_moved_to_an_engine_of_another_version(cluster) -> None:
     """Guards against copies of runs that another software version can't read."""
     engines = add_engines(cluster, {"v1": 1, "v2": 1}, seconds=0.15)
