Log and measure callers that wait for the accepting thread

What measures the load of the front and adjusts its limits leaves front.py for a module of its own, frontload; its names change, what it does is as before.

--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -9,7 +9,6 @@
 
 import functools
 import random
-import resource
 import threading
 import time
 from typing import TYPE_CHECKING
@@ -18,10 +17,11 @@
 
 from celeryspan import catalog, errors, events, ids, kernel, metrics, states
 from celeryspan.adapters import backend
-from celeryspan.decisions import arrivalqueue, handover, overload, saturation
+from celeryspan.decisions import arrivalqueue
 from celeryspan.gateway import (
     acceptance,
     callersinks,
+    frontload,
     orders,
     quickrefusals,
     refusals,
@@ -38,8 +38,7 @@
 )
 
 if TYPE_CHECKING:
-    from celeryspan.gateway import carrier, catalogues, handover as handover_service
-    from celeryspan.services import membership
+    from celeryspan.gateway import carrier, catalogues, handover
 
 NOT_READY_RETRY_AFTER_SECONDS = 0.5
 """Mean Retry-After of a router that has no configuration yet, or is stopping."""
@@ -47,11 +46,6 @@
 OVERLOAD_RETRY_AFTER_SECONDS = 0.5
 """Mean Retry-After of a router that has no free thread."""
 
-LATENESS_TICK_SECONDS = 0.1
-
-CONNECTION_COUNT_SECONDS = 1.0
-"""Interval at which connections are counted for the metrics."""
-
 HEADERS = quickrefusals.HeaderNames(
     request=names.REQUEST_ID.lower().encode(),
     handover=names.HANDED_OVER.lower().encode(),
@@ -107,10 +101,11 @@
 
         Its request would be cancelled as soon as a thread had read it.
         """
-        has_left = sockets.has_closed(arrival.socket)
-        if has_left and arrival.is_new:  # An idle connection ends without a request.
+        if not sockets.has_closed(arrival.socket):
+            return False
+        if not sockets.has_ended(arrival.socket):
             self.front.count_abandoned()
-        return has_left
+        return True
 
 
 @kernel.register(
@@ -139,19 +134,13 @@
         self._settings = container.settings
         self._carrier: carrier.Carrier = container.find("carrier")
         self._catalogues: catalogues.CataloguesService = container.find("catalogues")
-        self._handover: handover_service.Handover = container.find("handover")
-        self._membership: membership.MembershipService = container.find("membership")
+        self._handover: handover.Handover = container.find("handover")
         self._metrics: metrics.Metrics = container.find("metrics")
         self._slow_callers: slowcallers.SlowCallers = container.find("slowcallers")
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
         self._unanswered: set[int] = set()
-        self._overload = overload.ConcurrencyLimiter(self._settings.caller_threads)
-        self._local_limit = handover.make_limiter(self._settings.caller_threads)
-        self._busyness = saturation.BusyDetector()
-        self._processor = saturation.ProcessorMeter(self._settings.processor_share)
-        self._stopped = threading.Event()
         self.draining = False
         self.refusing = False
         self._server = _Server(
@@ -168,18 +157,19 @@
         )
         self._server.gateway = _Gateway
         self._server.front = self
+        self._load = frontload.FrontLoad(
+            self, self._server, container, self._handover.count
+        )
 
     def start(self) -> None:
         """Start to listen; raises OSError if the address is in use."""
         self._server.open()
         self._catalogues.subscribe(self._apply_limits)
-        threading.Thread(
-            target=self._measure_lateness, name="lateness", daemon=True
-        ).start()
+        self._load.start()
 
     def stop(self) -> None:
         """Shut the server down."""
-        self._stopped.set()
+        self._load.stop()
         self._server.shut_down()
 
     def report(self) -> dict[str, object]:
@@ -188,10 +178,7 @@
         return {
             "connections_idle": idle,
             "in_progress": self.count_in_progress(),
-            "in_progress_max": self._overload.limit,
-            "local_max": self._local_limit.limit,
-            "lateness_seconds": round(self._overload.lateness, 3),
-            "processor_use": round(self._processor.use, 2),
+            **self._load.report(),
             "draining": self.draining,
         }
 
@@ -300,7 +287,7 @@
         then takes the normal path.
         """
         local = self.count_local()
-        if self._local_limit.admits(local):
+        if self._load.local_limit.admits(local):
             return False
         try:
             found = quickrefusals.peek_whole_request(arrival.socket, HEADERS)
@@ -311,7 +298,7 @@
                 peer = self._handover.choose_peer()
             if peer is None:
                 may_serve = found.is_handed_over or not self._handover.is_full()
-                if may_serve and self._overload.admits(local):
+                if may_serve and self._load.limit.admits(local):
                     return False
             elif arrival.measure_wait() > arrivalqueue.LATE_SECONDS:
                 peer = None
@@ -357,7 +344,9 @@
             raise self._make_not_ready_error(
                 "starting" if current is None else "stopping"
             )
-        if request.conn.overloaded or not self._overload.admits(self.count_local() - 1):
+        if request.conn.overloaded or not self._load.limit.admits(
+            self.count_local() - 1
+        ):
             raise self._make_router_full_error()
         return current
 
@@ -413,39 +402,6 @@
         except OSError:
             sink.abort()  # The caller has disconnected.
 
-    def _measure_lateness(self) -> None:
-        """Measure how late this thread wakes up, as a sample for all threads.
-
-        The samples adjust the concurrency limit and this router's busy state.
-        """
-        before, counted_at = self._overload.limit, float("-inf")
-        while not self._stopped.is_set():
-            began = time.monotonic()
-            time.sleep(LATENESS_TICK_SECONDS)
-            now = time.monotonic()
-            late = now - began - LATENESS_TICK_SECONDS
-            self._overload.record(late, self.count_local(), now)
-            delay = max(late, self._server.take_accept_delay())
-            self._processor.record(_measure_processor_time(), now)
-            self._local_limit.record(
-                delay, self.count_local(), now, self._processor.use
-            )
-            if self._busyness.record(self._overload.lateness, now):
-                self._membership.set_busy(self._busyness.is_busy)
-            limit = self._overload.limit
-            if limit != before or now - counted_at >= CONNECTION_COUNT_SECONDS:
-                counted_at = now
-                idle, busy = self._server.count_connections()
-                self._metrics.set_connections(idle, busy, limit)
-            if limit < before:
-                events.log(
-                    events.Event.REQUEST_LIMIT_LOWERED,
-                    limit=limit,
-                    in_progress=self.count_in_progress(),
-                    lateness=round(self._overload.lateness, 3),
-                )
-            before = limit
-
     def _apply_limits(self, current: catalog.Catalogue) -> None:
         limits = current.limits
         self._server.max_request_header_size = limits.header_bytes
@@ -453,9 +409,3 @@
         idle = limits.idle_seconds * IDLE_TIMEOUT_FACTOR + IDLE_TIMEOUT_MARGIN_SECONDS
         # The timeout is never lowered: callers may still use an earlier configuration.
         self._server.timeout = max(self._server.timeout, idle)
-
-
-def _measure_processor_time() -> float:
-    """Return the processor time that this process has used, in seconds."""
-    usage = resource.getrusage(resource.RUSAGE_SELF)
-    return usage.ru_utime + usage.ru_stime
--- a/celeryspan/metrics.py
+++ b/celeryspan/metrics.py
@@ -169,6 +169,11 @@
         self._connections = self._make_gauge(
             "caller_connections", "Connections of callers, by use.", ["use"]
         )
+        self._accept_delay = prometheus_client.Gauge(
+            "celeryspan_accept_delay_seconds",
+            "Longest time that a caller waited to be dispatched in the last second.",
+            registry=self.registry,
+        )
         self._requests_max = prometheus_client.Gauge(
             "celeryspan_requests_max",
             "Requests that may be in progress now.",
@@ -382,6 +387,10 @@
         self._connections.labels("busy").set(busy)
         self._requests_max.set(requests_max)
 
+    def set_accept_delay(self, seconds: float) -> None:
+        """Set the longest time that a caller waited to be dispatched of late."""
+        self._accept_delay.set(seconds)
+
     def set_window(self, server: ids.ServerId, slots: int) -> None:
         """Set the concurrency window of a backend server whose home is this router."""
         self._window.labels(self._get_server_label(server)).set(slots)
