--- a/celeryspan/gateway/front.py
+++ b/celeryspan/gateway/front.py
@@ -26,6 +26,7 @@
     quickrefusals,
     refusals,
     relayedrequest,
+    requestbodies,
     slowcallers,
 )
 from celeryspan.platform import names
@@ -138,6 +139,7 @@
         self._metrics: metrics.Metrics = container.find("metrics")
         self._slow_callers: slowcallers.SlowCallers = container.find("slowcallers")
         self._random = random.Random(f"{container.settings.router} {time.time_ns()}")
+        self._bodies = requestbodies.RequestBodies(self._settings.request_bodies_bytes)
         self._lock = threading.Lock()
         self._in_progress: dict[int, orders.Order | None] = {}
         self._unanswered: set[int] = set()
@@ -178,6 +180,7 @@
         return {
             "connections_idle": idle,
             "in_progress": self.count_in_progress(),
+            "body_bytes": self._bodies.count_bytes(),
             **self._load.report(),
             "draining": self.draining,
         }
@@ -227,7 +230,8 @@
         request_id = request.inheaders.get(names.REQUEST_ID.title().encode(), b"")
         order = None
         try:
-            body = acceptance.read_body(request)
+            size_max = self._server.max_request_body_size
+            body = self._bodies.read(request, size_max)
             request.conn.mark_request_read()
             current = self._check_ready(request)
             if is_handed_over and not relayedrequest.has_position(
@@ -259,6 +263,7 @@
             self._refuse(sink, request_id.decode("latin-1"), internal, order)
         finally:
             sink.close()
+            self._bodies.release(request)
             with self._lock:
                 del self._in_progress[key]
             self._unanswered.discard(id(request.conn))
--- a/celeryspan/gateway/settings.py
+++ b/celeryspan/gateway/settings.py
@@ -16,6 +16,11 @@
 RESPONSE_MEMORY_SHARE = 0.1
 """Part of the process's memory for answers of servers that still arrive."""
 
+REQUEST_MEMORY_SHARE = 0.2
+"""Share of the process's memory for request bodies, which are copied to be sent."""
+
+REQUEST_BODIES_BYTES_DEFAULT = 67_108_864
+
 RESPONSE_BUFFERS_BYTES_DEFAULT = 33_554_432
 
 BYTES_PER_MEGABYTE = 1_000_000
@@ -101,6 +106,13 @@
             return RESPONSE_BUFFERS_BYTES_DEFAULT
         return int(RESPONSE_MEMORY_SHARE * self.memory_megabytes * BYTES_PER_MEGABYTE)
 
+    @property
+    def request_bodies_bytes(self) -> int:
+        """Bytes of request bodies that may be held at once."""
+        if self.memory_megabytes is None:
+            return REQUEST_BODIES_BYTES_DEFAULT
+        return int(REQUEST_MEMORY_SHARE * self.memory_megabytes * BYTES_PER_MEGABYTE)
+
     @property
     def held_megabytes(self) -> float | None:
         """Budget of buffered responses, in megabytes; None for no buffer."""
