--- a/celeryspan/platform/objects.py
+++ b/celeryspan/platform/objects.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
+import msgspec
 import urllib3
 
 from celeryspan import (
@@ -37,6 +38,11 @@
 REFUSED_STATUSES = (429, 503)
 """The store did not execute the call."""
 
+ENTRY_KINDS = frozenset({names.SERVER_KIND, names.EVACUATION_KIND, names.ROUTER_KIND})
+ENTRY_BYTES_MAX = 65_536
+"""Contents of an entry above which they are ignored: readers keep the changes of some
+minutes and send them to all routers."""
+
 
 class _Answer(NamedTuple):
     """The fields of a response, and the era that the store states in it."""
@@ -259,15 +265,23 @@
         self, kind: str, fields: object, era: ids.Era
     ) -> storedobjects.StoredObject | None:
         try:
-            return _parse_object(fields, era)
+            stored = _parse_object(fields, era)
         except errors.InputError as error:
-            events.log(
-                events.Event.STORE_OBJECT_IGNORED,
-                peer=self.address,
-                kind=kind,
-                error=str(error),
-            )
+            self._log_ignored(kind, str(error))
             return None
+        if kind in ENTRY_KINDS and untrusted.is_larger(stored.spec, ENTRY_BYTES_MAX):
+            self._log_ignored(kind, f"{stored.name:.40}: over {ENTRY_BYTES_MAX} bytes")
+            # The object still counts as changed: it replaces an earlier one.
+            return msgspec.structs.replace(stored, spec=None, status=None)
+        return stored
+
+    def _log_ignored(self, kind: str, error: str) -> None:
+        events.log(
+            events.Event.STORE_OBJECT_IGNORED,
+            peer=self.address,
+            kind=kind,
+            error=error,
+        )
 
     def _parse_change_or_log(
         self, kind: str, event: object, era: ids.Era
--- a/celeryspan/untrusted.py
+++ b/celeryspan/untrusted.py
@@ -11,7 +11,7 @@
 import contextlib
 import json
 import re
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from celeryspan import errors
 
@@ -36,6 +36,8 @@
 UNSIGNED_MAX = 2**63 - 1
 """Greatest revision, version or time in milliseconds that such messages can hold."""
 
+BITS_PER_BYTE = 8
+
 DIGITS_MAX = 18
 """Digits of the longest number in a header that is accepted; it fits 64 bits."""
 
@@ -153,3 +155,23 @@
 
 def _replace_long_numbers(text: str) -> str:
     return _LONG_NUMBER.sub(lambda found: found.group(1) or "null", text)
+
+
+def is_larger(value: object, size_max: int) -> bool:
+    """Return whether decoded JSON would take more than about a number of bytes."""
+    size, waiting = 0, [value]
+    while waiting:
+        each = waiting.pop()
+        if isinstance(each, str):
+            size += len(each)
+        elif isinstance(each, Mapping):
+            waiting += each.keys()
+            waiting += each.values()
+        elif isinstance(each, list):
+            waiting += each
+        elif isinstance(each, int):
+            size += each.bit_length() // BITS_PER_BYTE
+        size += 1
+        if size > size_max:
+            return True
+    return False
--- a/tests/gateway/test_odd_entries.py
+++ b/tests/gateway/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from celeryspan import events
 from celeryspan.platform import names
 from standins import sampleconfig
 from tests.gateway import processes, support
@@ -90,3 +91,21 @@
         return len(server.ran) > before
 
     support.wait_for(is_used)
+
+
+def test_large_entries_that_are_written_anew_take_no_memory(
+    cluster: support.Cluster, logged: list
+) -> None:
+    """Guards against readers of the store that one entry takes over their memory."""
+    cluster.add_server("gate-1", "gate")
+    router = cluster.start_router()
+    servers = router.container.find("servers")
+    for number in range(5):
+        spec = {"service": "gate", "filling": f"{number}" + "\udc80" * 1_000_000}
+        cluster.store.put(names.SERVER_KIND, "large-1", spec)
+    second = cluster.add_server("gate-2", "gate")
+    support.wait_for(lambda: second.name in servers.usable())
+    log = servers._follower.log
+    assert log.objects["large-1"].spec is None
+    ignored = support.find_lines(logged, events.Event.STORE_OBJECT_IGNORED)
+    assert any("large-1" in line["error"] for line in ignored)
--- a/tests/test_untrusted.py
+++ b/tests/test_untrusted.py
@@ -44,3 +44,20 @@
             assert len(error.message) < 300
         else:
             json.dumps(found).encode()
+
+
+@pytest.mark.parametrize(
+    ("value", "is_larger"),
+    [
+        ("x" * 99, False),
+        ("x" * 101, True),
+        ({"x" * 101: 1}, True),
+        ([[["x" * 60], "x" * 60]], True),
+        (10**400, True),
+        ([None] * 200, True),
+        ({"address": "10.0.0.1:80", "slots": 8}, False),
+        (oddvalues.nest(900), True),
+    ],
+)
+def test_size_of_decoded_json_is_bounded(value: object, is_larger: bool) -> None:
+    assert untrusted.is_larger(value, 100) is is_larger
