--- a/celeryspan/gateway/requestbodies.py
+++ b/celeryspan/gateway/requestbodies.py
@@ -52,6 +52,8 @@
         expected = size_max
         if not request.chunked_read:
             expected = int(request.inheaders.get(b"Content-Length", 0))
+        if expected <= bufferbudget.UNCOUNTED_BYTES:
+            return acceptance.read_body(request)
         if not self._resize(request, expected):
             request.conn.has_unread_input = True
             request.close_connection = True
@@ -68,7 +70,8 @@
 
     def release(self, request: cheroot_server.HTTPRequest) -> None:
         """Give back the bytes of a request's body."""
-        self._resize(request, 0)
+        if id(request) in self._held:
+            self._resize(request, 0)
 
     def count_bytes(self) -> int:
         """Return the bytes that are held, without those of small bodies."""
--- a/celeryspan/services/callerconnections.py
+++ b/celeryspan/services/callerconnections.py
@@ -55,6 +55,10 @@
     return descriptors.divide(allowed)
 
 
+IDLE_SECONDS_MIN = 0.001
+"""A look at the connections that takes longer has waited for the first of them."""
+
+
 class CallerConnections(cheroot_connections.ConnectionManager):
     """Accepts connections, and closes some idle ones when the bound is reached.
 
@@ -130,13 +134,13 @@
         """
         began = time.monotonic()
         try:
-            ready = list(self._selector.select(0))
-            if not ready and timeout:
-                ready = list(self._selector.select(timeout))
-                began = self._collected_at = time.monotonic()
+            ready = list(self._selector.select(timeout))
         except OSError:
             self._remove_invalid_sockets()
             return
+        looked_at = time.monotonic()
+        if looked_at - began > IDLE_SECONDS_MIN:
+            began = self._collected_at = looked_at
         for descriptor, connection in ready:
             if connection is self.server:
                 while (arrival := self.accept()) is not None:
