--- a/celeryspan/decisions/handover.py
+++ b/celeryspan/decisions/handover.py
@@ -83,7 +83,7 @@
     """
     if not peers:
         return None
-    # Two different ones; generator.sample() takes ten times as long.
+    # Two different ones; generator.sample() takes three times as long.
     first = int(generator.random() * len(peers))
     step = 1 + int(generator.random() * (len(peers) - 1))
     return min(
