Take only heads in the grammar of HTTP for answers

What callers saw: a server in trouble sent an answer whose head held a line that is no field, or a field whose name held a blank or a control byte. They got it as a success, with a body that was not the server's.

Cause: http.client ends the headers at the first line that it does not take for a field, and drops those that follow, among them the length. The body then lasts until the connection ends, and is complete wherever that ends. It also splits fields at a carriage return inside a line, and reads a status of four digits, with a sign or with an underscore.

Change: answersyntax checks each line of a head, and of the interim answers before it, when it is read: a status line with a status from 100 to 599, then fields with a token as their name and no control bytes in their value. All answers of servers, of the store and of health checks are read there, on both interfaces. One that breaks the grammar counts as lost: an idempotent request is retried, a resumable stream goes on elsewhere, the others get 502.

The router of the module gets more retries than the budget's 50 in ten seconds, since nearly each case takes one.

--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -18,6 +18,8 @@
 
 import msgspec
 
+from celeryspan import answersyntax
+
 HEAD_BYTES_MAX = 65_536
 BODY_BYTES_MAX = 67_108_864
 EVENT_BYTES_MAX = 1_048_576
@@ -69,7 +71,7 @@
     def __init__(self, raw: io.RawIOBase, limits: Limits = DEFAULT_LIMITS) -> None:
         super().__init__(raw)
         self._limits = limits
-        self._is_in_head = False
+        self._head: answersyntax.HeadChecker | None = None
         self._line_bytes_left = limits.head
         self._body_bytes_left: float = limits.body
 
@@ -81,11 +83,11 @@
         """
         self._line_bytes_left = self._limits.head
         self._body_bytes_left = self._limits.body
-        self._is_in_head = bool(self.peek(1))
+        self._head = answersyntax.HeadChecker() if self.peek(1) else None
         try:
             yield
         finally:
-            self._is_in_head = False
+            self._head = None
             self._line_bytes_left = self._limits.head
 
     def lift_body_limit(self) -> None:
@@ -99,6 +101,8 @@
         ------
         http.client.IncompleteRead
             If the connection ends inside it, or in the head of an answer.
+        answersyntax.InvalidAnswer
+            If it does not belong in the head of an answer.
         AnswerTooLong
             If the lines exceed their limit.
         """
@@ -112,9 +116,13 @@
                 f"the head of the answer, or what frames its body, exceeds "
                 f"{self._limits.head} bytes (response_head_bytes_max)"
             )
-        if line.endswith(b"\n") or len(line) == size:
+        if line.endswith(b"\n"):
+            if self._head is not None:
+                self._head.check(line)
+            return line
+        if len(line) == size:
             return line
-        if line or self._is_in_head:
+        if line or self._head is not None:
             raise http.client.IncompleteRead(line)
         return line
 
--- /dev/null
+++ b/celeryspan/answersyntax.py
@@ -0,0 +1,52 @@
+"""Checks HTTP answers against RFC 9112, where ``http.client`` is lenient.
+
+``http.client`` ends the headers at a line that is no field. The body then lasts until
+the connection ends, and whatever has arrived by then looks complete.
+"""
+
+from __future__ import annotations
+
+import http.client
+import re
+from typing import NoReturn
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_TEXT = rb"[\t -~\x80-\xff]*"
+_LINE_END = rb"\r?\n"
+
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: " + _TEXT + rb")?" + _LINE_END
+)
+_FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT + _LINE_END)
+_EMPTY_LINE = re.compile(_LINE_END)
+
+SHOWN_BYTES_MAX = 80
+"""Part of an invalid line or value that an error shows."""
+
+
+class InvalidAnswer(http.client.HTTPException):
+    """Bytes that are no HTTP answer."""
+
+
+class HeadChecker:
+    """Checks the lines of one head, and of the interim answers before it."""
+
+    def __init__(self) -> None:
+        self._is_in_fields = False
+
+    def check(self, line: bytes) -> None:
+        """Check the next line; raises InvalidAnswer."""
+        if not self._is_in_fields:
+            if not _STATUS_LINE.fullmatch(line):
+                _raise_invalid("a status line", line)
+            self._is_in_fields = True
+        elif _EMPTY_LINE.fullmatch(line):
+            self._is_in_fields = False
+        elif not _FIELD_LINE.fullmatch(line):
+            _raise_invalid("a header field", line)
+
+
+def _raise_invalid(expected: str, found: object) -> NoReturn:
+    raise InvalidAnswer(
+        f"expected {expected} in the answer, found {found!r:.{SHOWN_BYTES_MAX}}"
+    )
--- a/standins/answerendings.py
+++ b/standins/answerendings.py
@@ -40,6 +40,8 @@
         Whether the connection is reset instead of closed in order.
     headers : str
         Further header lines.
+    status_line : str
+        Replaces the status line; empty to keep it.
     """
 
     framing: Framing
@@ -49,6 +51,7 @@
     has_end_mark: bool = False
     is_reset: bool = False
     headers: str = ""
+    status_line: str = ""
 
     def format_answer(self, head: bytes, parts: list[bytes]) -> bytes:
         """Return the bytes to send.
@@ -65,6 +68,9 @@
         elif self.framing is Framing.LENGTH:
             length = b"Content-Length: %d" % sum(map(len, parts))
             head = head.replace(b"Transfer-Encoding: chunked", length)
+        if self.status_line:
+            _, _, fields = head.partition(b"\r\n")
+            head = f"{self.status_line}\r\n".encode() + fields
         if self.headers:
             head = head.removesuffix(b"\r\n") + f"{self.headers}\r\n\r\n".encode()
         if self.head_bytes is not None:
--- a/tests/adapters/test_plain.py
+++ b/tests/adapters/test_plain.py
@@ -13,7 +13,7 @@
 from celeryspan import answerreaders, calls, ids
 from celeryspan.adapters import backend, plain
 from celeryspan.services import backends
-from standins import answerendings, endlessanswers
+from standins import answerendings, endlessanswers, invalidheads
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -117,6 +117,13 @@
         read_answer(ending)
 
 
+@pytest.mark.parametrize("kind", invalidheads.INVALID)
+def test_answer_with_an_invalid_head_is_no_answer(kind: str) -> None:
+    """Guards against an answer whose end, status or fields are guessed."""
+    with pytest.raises(backends.LINK_ERRORS):
+        read_answer(invalidheads.INVALID[kind])
+
+
 @pytest.mark.parametrize("kind", ENDLESS_KINDS)
 def test_answer_without_end_is_read_within_its_limits(kind: str) -> None:
     """Guards against a service that is read for as long as it sends."""
--- a/tests/gateway/test_whole_answers.py
+++ b/tests/gateway/test_whole_answers.py
@@ -12,7 +12,7 @@
 import pytest
 
 from celeryspan import events, ids
-from standins import answerendings, endlessanswers, platformserver
+from standins import answerendings, endlessanswers, invalidheads, platformserver
 from tests.gateway import support, test_handover, test_migrations
 
 LENGTH = answerendings.Framing.LENGTH
@@ -49,14 +49,16 @@
     "inside the head, closed": Ending(CONNECTION, head_bytes=-20),
     "after a header, closed": Ending(CONNECTION, head_bytes=-2),
 }
-BROKEN = INSIDE_EVENT | BETWEEN_EVENTS | INSIDE_HEAD
+BROKEN = INSIDE_EVENT | BETWEEN_EVENTS | INSIDE_HEAD | invalidheads.INVALID
 BROKEN_PLAIN = {
     "length, closed": Ending(LENGTH, 3),
     "length, reset": Ending(LENGTH, 3, is_reset=True),
     "chunks, closed": Ending(CHUNKS, 3),
     "chunks, reset": Ending(CHUNKS, 3, is_reset=True),
     "connection, reset": Ending(CONNECTION, 3, is_reset=True),
-} | INSIDE_HEAD
+    **INSIDE_HEAD,
+    **invalidheads.INVALID,
+}
 
 
 class Servers:
@@ -103,7 +105,8 @@
 def running() -> Iterator[tuple[support.Cluster, support.Router, Iterator[int]]]:
     """Return a cluster, its router and the numbers of the tests that use them."""
     with support.open_cluster() as cluster:
-        yield cluster, cluster.start_router(), itertools.count(1)
+        # Most tests use a retry.
+        yield cluster, cluster.start_router(retry_slack=1_000.0), itertools.count(1)
 
 
 @pytest.fixture
--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -9,6 +9,7 @@
 import pytest
 
 from celeryspan import answerreaders
+from standins import invalidheads
 
 HEAD = b"HTTP/1.1 200 OK\r\nServer: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 
@@ -43,6 +44,26 @@
     assert read_answer(HEAD + b"2\r\nok\r\n" + tail) == (200, b"ok")
 
 
+@pytest.mark.parametrize("kind", invalidheads.INVALID)
+def test_answer_with_an_invalid_head_is_no_answer(kind: str) -> None:
+    """Guards against an answer whose end, status or fields are guessed."""
+    answer = invalidheads.INVALID[kind].format_answer(HEAD, [b"served"])
+    with pytest.raises(http.client.HTTPException):
+        read_answer(answer)
+
+
+@pytest.mark.parametrize("kind", invalidheads.VALID)
+def test_answer_with_a_rare_valid_head_is_whole(kind: str) -> None:
+    """Guards against sound answers that are taken for invalid ones."""
+    answer = invalidheads.VALID[kind].format_answer(HEAD, [b"served"])
+    assert read_answer(answer) == (200, b"served")
+
+
+def test_lines_of_a_head_may_end_without_a_carriage_return() -> None:
+    """Guards against sound answers that are taken for invalid ones."""
+    assert read_answer(HEAD.replace(b"\r", b"") + b"0\r\n\r\n") == (200, b"")
+
+
 def test_connection_that_ends_without_an_answer_is_told_apart() -> None:
     with pytest.raises(http.client.RemoteDisconnected):
         read_answer(b"")
