Take no chunk whose size cannot be read

Found by reading, beside the lengths: http.client reads the size of a chunk as Python reads a number (a sign, a prefix, an underscore, blanks before it), and drops the two bytes after its data whatever they are, so that a chunk with a size too small is read on in its own data.

What callers would see: a body that is not the server's, as complete.

Change: a size has up to sixteen hexadecimal digits, an extension may follow, and the data ends with its line; any other answer is lost.

--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -199,3 +199,12 @@
                 self.headers = self._fields = None
                 super().begin()
         answersyntax.check_framing(self)
+
+    def _read_next_chunk_size(self) -> int:
+        return answersyntax.parse_chunk_size(self.fp.readline())
+
+    def _safe_read(self, amt: int) -> bytes:
+        data = super()._safe_read(amt)
+        if self.chunk_left == 0:
+            answersyntax.check_chunk_end(data)
+        return data
--- a/celeryspan/answersyntax.py
+++ b/celeryspan/answersyntax.py
@@ -20,8 +20,11 @@
 )
 _FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT + _LINE_END)
 _EMPTY_LINE = re.compile(_LINE_END)
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[\t ]*(?:;" + _TEXT + rb")?" + _LINE_END)
 _LENGTH = re.compile(r"[\t ]*[0-9]{1,18}[\t ]*")
 
+CHUNK_END = b"\r\n"
+
 SHOWN_BYTES_MAX = 80
 """Part of an invalid line or value that an error shows."""
 
@@ -68,6 +71,20 @@
         _raise_invalid("no transfer coding in HTTP/1.0", codings[0])
 
 
+def parse_chunk_size(line: bytes) -> int:
+    """Return the size in the line before a chunk; raises InvalidAnswer."""
+    found = _CHUNK_LINE.fullmatch(line)
+    if found is None:
+        _raise_invalid("the size of a chunk", line)
+    return int(found[1], 16)
+
+
+def check_chunk_end(data: bytes) -> None:
+    """Check what follows the data of a chunk; raises InvalidAnswer."""
+    if data != CHUNK_END:
+        _raise_invalid("the end of a chunk", data)
+
+
 def _raise_invalid(expected: str, found: object) -> NoReturn:
     raise InvalidAnswer(
         f"expected {expected} in the answer, found {found!r:.{SHOWN_BYTES_MAX}}"
--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -14,14 +14,23 @@
 HEAD = b"HTTP/1.1 200 OK\r\nServer: s\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
-def read_answer(sent: bytes) -> tuple[int, bytes]:
-    """Return status and body of an answer after which the connection ends."""
+def read_answer(sent: bytes, *, by_parts: bool = False) -> tuple[int, bytes]:
+    """Return status and body of an answer after which the connection ends.
+
+    Parameters
+    ----------
+    by_parts : bool
+        Whether the body is read as it arrives.
+    """
     ours, theirs = socket.socketpair()
     with ours, theirs:
         theirs.sendall(sent)
         theirs.shutdown(socket.SHUT_WR)
         answer = answerreaders.Answer(ours, method="GET")
         answer.begin()
+        if by_parts:
+            parts = iter(lambda: answer.read1(answerreaders.READ_BYTES), b"")
+            return answer.status, b"".join(parts)
         return answer.status, answer.read()
 
 
@@ -71,6 +80,43 @@
     assert read_answer(head.encode() + b"served, and more") == (200, b"served")
 
 
+CHUNKS = {
+    "sign": b"+6\r\nserved\r\n",
+    "negative size": b"-6\r\nserved\r\n",
+    "prefix": b"0x6\r\nserved\r\n",
+    "underscore": b"0_6\r\nserved\r\n",
+    "blank before the size": b" 6\r\nserved\r\n",
+    "no size": b"\r\nserved\r\n",
+    "size and no extension": b"6 x\r\nserved\r\n",
+    "control byte": b"6\0\r\nserved\r\n",
+    "size too small": b"3\r\nserved\r\n",
+    "size too small by the end of a line": b"4\r\nserved\r\n0\r\n",
+    "size too small before a zero": b"4\r\nserved0\r\n\r\n",
+    "size of 17 digits": b"00000000000000006\r\nserved\r\n",
+}
+
+
+@pytest.mark.parametrize("by_parts", [False, True], ids=["whole", "parts"])
+@pytest.mark.parametrize("chunk", CHUNKS.values(), ids=CHUNKS)
+def test_answer_with_an_invalid_chunk_is_incomplete(
+    chunk: bytes, by_parts: bool
+) -> None:
+    """Guards against a body whose parts are guessed."""
+    for before in (b"", b"2\r\nab\r\n"):
+        with pytest.raises(http.client.HTTPException):
+            read_answer(HEAD + before + chunk + b"0\r\n\r\n", by_parts=by_parts)
+
+
+@pytest.mark.parametrize(
+    "chunk", [b"6;a=b", b"6 ;a", b"006", b"6\t", b'6;a="b;c"', b"6;\xe4"]
+)
+def test_answer_with_a_rare_valid_chunk_is_whole(chunk: bytes) -> None:
+    """Guards against sound answers that are taken for invalid ones."""
+    body = chunk + b"\r\nserved\r\n2\r\nab\r\n0\r\n\r\n"
+    for by_parts in (False, True):
+        assert read_answer(HEAD + body, by_parts=by_parts) == (200, b"servedab")
+
+
 def test_connection_that_ends_without_an_answer_is_told_apart() -> None:
     with pytest.raises(http.client.RemoteDisconnected):
         read_answer(b"")
