Take no connection for ended that is reset during the upload

What callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was being written. They got that part as a complete answer.

Cause: the end of a connection ends such a body, and a reset can look like one. A process that has read what had arrived and dies, or closes, ends its data in order, and resets the connection only when more of the request reaches it; the gateway stops writing at the first byte of the answer, so that nothing more does. Where urllib3 writes (calls to the store), the write takes the error of the reset, urllib3 ignores it, and the read that follows sees an end.

Change: at the end of a connection a guarded socket looks for a reset, sends on what is left of the request, and waits until the other end has it or resets, a quarter of a second at most. Nothing is waited for if the request was acknowledged as a whole, and nothing is asked before the end.

--- a/celeryspan/gateway/channels.py
+++ b/celeryspan/gateway/channels.py
@@ -134,7 +134,8 @@
 
         A server may answer before it has read a long body; waiting until it reads the
         rest would deadlock. The connection is then not reused, because the server would
-        read the next request as the rest of the body.
+        read the next request as the rest of the body. The rest is sent on if the answer
+        ends with the connection, to tell that end from a reset.
 
         Raises
         ------
@@ -154,6 +155,7 @@
                     view = view[self._socket.send(view) :]
                 elif state & (select.POLLIN | select.POLLHUP | select.POLLERR):
                     self._is_unusable = True
+                    self._socket.unsent = view
                     return
 
     def receive(
--- a/celeryspan/guardedsockets.py
+++ b/celeryspan/guardedsockets.py
@@ -2,7 +2,8 @@
 
 The end of a connection marks the end of an answer that has neither a length nor chunks.
 A connection that this process shuts down ends in the same way for the thread that reads
-from it, which would take what has arrived for the whole answer.
+from it, which would take what has arrived for the whole answer. So does one that the
+other end closes before it has read the whole request, though it then resets it.
 
 A socket's timeout starts anew with each byte. A server that keeps sending would hold a
 thread for as long as it likes.
@@ -10,11 +11,15 @@
 
 from __future__ import annotations
 
+import array
+import contextlib
+import fcntl
 import math
+import select
 import socket
+import termios
 import time
 from collections.abc import Sequence
-from typing import NoReturn
 
 from urllib3.util import connection as urllib3_connection
 
@@ -26,6 +31,10 @@
 """Tolerance of read timeouts. Setting the timeout for each event of a stream would cost
 one system call per event."""
 
+RESET_SECONDS_MAX = 0.25
+"""Longest time for the other end to read or to reset what is still being sent to it."""
+
+CHECK_INTERVAL_MS = 5
 
 _receive_into = socket.socket.recv_into
 
@@ -43,10 +52,13 @@
         Why this process has ended the connection; empty if it has not.
     limits : Limits
         Limits of the answers that are read from it.
+    unsent : bytes or memoryview
+        Rest of a request of which the answer began before all of it was sent.
     """
 
     abort_reason = ""
     limits = answerreaders.DEFAULT_LIMITS
+    unsent: bytes | memoryview = b""
     _deadline: float | None = None
     _pause_max = math.inf
     _timeout_set_at = -math.inf
@@ -88,14 +100,16 @@
         ------
         Aborted
             At an end of the connection that this process has caused.
+        ConnectionError
+            At an end that is followed by a reset.
         TimeoutError
             After the deadline.
         """
         if self._deadline is not None:
             self._check_deadline()
         data = super().recv(size, flags)
-        if not data and self.abort_reason and size:
-            self._raise_aborted()
+        if not data and size:
+            self._check_end()
         return data
 
     def recv_into(
@@ -105,8 +119,8 @@
         if self._deadline is not None:
             self._check_deadline()
         count = _receive_into(self, buffer, size, flags)
-        if not count and self.abort_reason and len(buffer):
-            self._raise_aborted()
+        if not count and count is not None and len(buffer):
+            self._check_end()
         return count
 
     def _check_deadline(self) -> None:
@@ -118,8 +132,35 @@
             self._timeout_set_at = now
             self.settimeout(min(left, self._pause_max))
 
-    def _raise_aborted(self) -> NoReturn:
-        raise Aborted(f"ended by this process: {self.abort_reason}")
+    def _check_end(self) -> None:
+        """Check that the other end has closed the connection in order.
+
+        A process that dies, or closes a connection without reading, ends its data in
+        order and resets the connection as soon as more of the request reaches it.
+        """
+        if self.abort_reason:
+            raise Aborted(f"ended by this process: {self.abort_reason}")
+        # Reports errors and hang-ups alone.
+        poll = select.poll()
+        poll.register(self, 0)
+        until = time.monotonic() + RESET_SECONDS_MAX
+        interval = 0
+        while not poll.poll(interval):
+            if self.unsent:
+                with contextlib.suppress(BlockingIOError):
+                    sent = self.send(self.unsent, socket.MSG_DONTWAIT)
+                    self.unsent = self.unsent[sent:]
+            is_sent = not (self.unsent or self._count_unacknowledged())
+            if is_sent or time.monotonic() > until:
+                return
+            interval = CHECK_INTERVAL_MS
+        raise ConnectionResetError("reset before it had read the whole request")
+
+    def _count_unacknowledged(self) -> int:
+        """Return the number of bytes that were sent and not acknowledged."""
+        count = array.array("i", [0])
+        fcntl.ioctl(self, termios.TIOCOUTQ, count)
+        return count[0]
 
 
 def connect(
--- a/tests/adapters/test_plain.py
+++ b/tests/adapters/test_plain.py
@@ -13,7 +13,7 @@
 from celeryspan import answerreaders, calls, ids
 from celeryspan.adapters import backend, plain
 from celeryspan.services import backends
-from standins import answerendings, endlessanswers, invalidheads
+from standins import answerendings, earlyanswers, endlessanswers, invalidheads
 
 HEAD = (
     b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -59,7 +59,7 @@
         return b"".join(start_answer(link))
 
 
-def start_answer(link: backend.Connection) -> Iterator[bytes]:
+def start_answer(link: backend.Connection, body: bytes = b"") -> Iterator[bytes]:
     """Send a call and return the body of its answer as it arrives."""
     call = calls.Call(
         request=ids.RequestId("r1"),
@@ -70,7 +70,7 @@
         method="GET",
         target="/",
         headers=(),
-        body=b"",
+        body=body,
         hint=1.0,
         cancellation=calls.Cancellation(),
     )
@@ -160,6 +160,36 @@
             next(pieces)
 
 
+def upload(end: earlyanswers.End, size: int) -> bytes:
+    """Return the body of an answer to a long call; raises an error of a link."""
+    early = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nserved"
+    server = earlyanswers.EarlyServer(lambda _: early, end)
+    link = backend.Connection(*server.address, timeout=5.0)
+    link.server = ids.ServerId("desk-1")
+    link.connect()
+    with contextlib.closing(link):
+        try:
+            return b"".join(start_answer(link, b"x" * size))
+        finally:
+            assert server.answered == 1
+            server.stop()
+
+
+@pytest.mark.parametrize("size", [100_000, 8_000_000])
+@pytest.mark.parametrize("reset", earlyanswers.RESETS)
+def test_answer_that_is_reset_during_the_upload_is_not_complete(
+    reset: str, size: int
+) -> None:
+    """Guards against a part of an answer of no length that is taken for all of it."""
+    with pytest.raises(backends.LINK_ERRORS):
+        upload(earlyanswers.RESETS[reset], size)
+
+
+def test_early_answer_that_ends_in_order_is_whole() -> None:
+    """Guards against early answers that are taken for broken ones."""
+    assert upload(earlyanswers.end_in_order, 100_000) == b"served"
+
+
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_whole_stream_stays_whole(framing: answerendings.Framing) -> None:
     ending = answerendings.Ending(framing, has_end_mark=True)
--- a/tests/test_httpconnections.py
+++ b/tests/test_httpconnections.py
@@ -13,7 +13,7 @@
 
 from celeryspan import answerreaders, errors, httpconnections
 from celeryspan.platform import objects
-from standins import endlessanswers
+from standins import earlyanswers, endlessanswers
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 WAIT_SECONDS = 10.0
@@ -74,3 +74,22 @@
         with pytest.raises(errors.StoreUnavailable):
             client.get("config", "main")
         client.close()
+
+
+@pytest.mark.parametrize("size", [100_000, 8_000_000])
+@pytest.mark.parametrize("reset", earlyanswers.RESETS)
+def test_answer_that_is_reset_during_the_upload_is_not_complete(
+    reset: str, size: int
+) -> None:
+    """Guards against a part of an answer of no length that is taken for all of it."""
+    early = HEAD + b"Connection: close\r\n\r\nserved"
+    server = earlyanswers.EarlyServer(lambda _: early, earlyanswers.RESETS[reset])
+    pool = httpconnections.make_pool(retries=False)
+    url = f"http://{server.address}/"
+    try:
+        with pytest.raises((urllib3.exceptions.HTTPError, OSError)):
+            pool.request("PUT", url, body=b"x" * size, timeout=WAIT_SECONDS)
+        assert server.answered == 1
+    finally:
+        server.stop()
+        pool.clear()
