Keep half of a short grace period for requests in progress

What callers may see, reported by other operators: in a planned stop of one router, in calm, requests that came late in the grace period were taken and passed on, and cut at its end.

Cause: new requests are refused once no caller can still have the address cached, 2.9 s after the signal, however long the grace period is.

Change: refusals begin after half of the grace period, less the margin for errors, if that is earlier; from 6.4 s on nothing changes.

--- a/celeryspan/gateway/stopping.py
+++ b/celeryspan/gateway/stopping.py
@@ -26,6 +26,10 @@
 """Time before the end of the grace period at which requests in progress are aborted
 with an error, rather than cut by the end of the process."""
 
+FINISH_SHARE = 0.5
+"""Part of the grace period, less that margin, that is kept for requests in progress,
+however long callers cache addresses."""
+
 POLL_INTERVAL_SECONDS = 0.05
 
 QUIET_SECONDS = 0.4
@@ -68,7 +72,8 @@
         cached_until = (
             started_at + CACHED_TTLS_MAX * directory_module.ADDRESSES_TTL_SECONDS
         )
-        self._wait_until(cached_until - REFUSAL_MARGIN_SECONDS)
+        finish_from = started_at + (abort_at - started_at) * (1 - FINISH_SHARE)
+        self._wait_until(min(cached_until - REFUSAL_MARGIN_SECONDS, finish_from))
         self._front.refusing = True
         quiet_since = time.monotonic()
         while time.monotonic() < abort_at:
--- a/tests/gateway/processes.py
+++ b/tests/gateway/processes.py
@@ -143,6 +143,10 @@
         """Let the process run again."""
         self._process.send_signal(signal.SIGCONT)
 
+    def terminate(self) -> None:
+        """Begin a planned stop of the process."""
+        self._process.terminate()
+
     def stop(self) -> None:
         """Kill the process."""
         self._process.kill()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,11 +2,17 @@
 
 from __future__ import annotations
 
+import http.client
 import json
+import pathlib
 import threading
+import time
 
 from celeryspan.gateway import directory, stopping
-from tests.gateway import support
+from tests.gateway import processes, support
+
+SHORT_GRACE_SECONDS = 3.0
+"""A grace period that ends before callers have forgotten a router's address."""
 
 
 def test_stopping_router_serves_callers_that_still_have_its_address(cluster) -> None:
@@ -47,6 +53,42 @@
     assert server.received == []
 
 
+def test_short_grace_period_cuts_no_request_that_was_taken(
+    cluster: support.Cluster, tmp_path: pathlib.Path
+) -> None:
+    """Guards against requests that are taken until the end of the process cuts them."""
+    server = cluster.add_server("planner-1", "planner")
+    server.event_seconds = 0.03
+    whole: set[str] = set()
+
+    def call(request: str) -> None:
+        connection = router.connect()
+        try:
+            answer = support.send_request(
+                connection, "/notes/1", request, body=request.encode()
+            )
+        except (OSError, http.client.HTTPException):
+            return
+        if answer.status == 200:
+            whole.add(request)
+
+    with processes.run_router(
+        tmp_path, str(cluster.store.address), grace_seconds=SHORT_GRACE_SECONDS
+    ) as router:
+        router.terminate()
+        kill_at = time.monotonic() + SHORT_GRACE_SECONDS
+        threads = []
+        while time.monotonic() < kill_at:
+            request = f"r{len(threads)}"
+            threads.append(support.run_in_thread(lambda name=request: call(name)))
+            time.sleep(0.02)
+        router.stop()
+        for thread in threads:
+            thread.join(support.WAIT_SECONDS)
+    assert whole
+    assert set(server.ran) == whole
+
+
 def test_refusals_begin_before_the_last_cached_address_expires() -> None:
     accepted_seconds = (
         stopping.CACHED_TTLS_MAX * directory.ADDRESSES_TTL_SECONDS
