Refuse calls that reach a router late in its drain

What callers may see, on the own interface: a call on a connection that was kept open reaches a router after it has stopped to listen, is passed on, and is cut when the drain ends; one that may not run twice has an unknown outcome. With a short drain_seconds new connections were taken until the end as well.

Cause: the drain stops listening after address_seconds and three seconds, or drain_seconds if that is less, and serves open connections for as long as they come.

Change: half a second after it has stopped to listen, for the last connections that were accepted, the router refuses calls with 503 "stopping", not-run, and closes their connections. It stops listening after half of drain_seconds at the latest. Status, metrics and addresses are answered as before.

Shown: both new tests fail if nothing is refused and pass with the change; the first one's call was passed on and answered 200.

--- a/celeryspan/services/caller.py
+++ b/celeryspan/services/caller.py
@@ -56,6 +56,8 @@
         Requests whose answers are not yet fully written.
     draining : bool
         Whether this router omits its own address from ``/v1/addresses``.
+    refusing : bool
+        Whether new calls are refused because the router is about to stop.
     """
 
     def __init__(self, container: kernel.Kernel) -> None:
@@ -65,6 +67,7 @@
         self.configuration = container.find("configuration")
         self.membership = container.find("membership")
         self.draining = False
+        self.refusing = False
         self._container = container
         self.in_progress: set[exchange.Exchange] = set()
         self._random = random.Random(f"{self.settings.router} {time.time_ns()}")
@@ -159,7 +162,7 @@
     def complete_chat(self, http_exchange: exchange.Exchange) -> object:
         """Run a chat request on a model engine."""
         call = chat.read_call(http_exchange)
-        self._acquire_thread(http_exchange, call)
+        self._admit(http_exchange, call)
         http_exchange.watch_caller()
         return self.claims.run_once(
             http_exchange,
@@ -170,7 +173,7 @@
     def call_service(self, http_exchange: exchange.Exchange) -> object:
         """Run a call to a plain service."""
         call = plaincalls.read_call(http_exchange)
-        self._acquire_thread(http_exchange, call)
+        self._admit(http_exchange, call)
         http_exchange.watch_caller()
         return self.claims.run_once(
             http_exchange,
@@ -211,9 +214,10 @@
             self.in_progress.add(http_exchange)
         http_exchange.add_cleanup(lambda: self._untrack(http_exchange))
 
-    def _acquire_thread(
-        self, http_exchange: exchange.Exchange, call: calls.Call
-    ) -> None:
+    def _admit(self, http_exchange: exchange.Exchange, call: calls.Call) -> None:
+        """Let a call run; raises NotRun if it comes too late or gets no thread."""
+        if self.refusing:
+            raise make_stopping_error(self._random.random())
         with self._lock:
             taken = self._thread_quota.acquire(call.account)
         if not taken:
@@ -267,6 +271,17 @@
     )
 
 
+def make_stopping_error(jitter: float) -> errors.NotRun:
+    """Return the error for a call to a router that is about to stop."""
+    return errors.NotRun(
+        "the router is about to stop; use another one",
+        code="stopping",
+        status=503,
+        retry_after=RETRY_JITTER_SECONDS * jitter,
+        step="accept",
+    )
+
+
 def make_overload_error(code: str, jitter: float) -> errors.NotRun:
     """Return the error for a request that gets no thread."""
     return errors.NotRun(
--- a/celeryspan/services/drain.py
+++ b/celeryspan/services/drain.py
@@ -16,6 +16,13 @@
 # fleet of a thousand routers in a few rounds of one second.
 LEAVE_SPREAD_SECONDS = 3.0
 
+# Time for the first requests of connections that were accepted last.
+ARRIVAL_SECONDS = 0.5
+
+# Part of drain_seconds that is kept for requests in progress, however long callers keep
+# addresses.
+FINISH_SHARE = 0.5
+
 # Interval of the checks for requests in progress.
 CHECK_INTERVAL_SECONDS = 0.05
 
@@ -70,7 +77,9 @@
         """Drain the router and set ``finished``; a second call does nothing.
 
         Callers cache the answer of ``GET /v1/addresses``. Until it has expired
-        everywhere, this router still serves new requests.
+        everywhere, this router still serves new requests. Those that come later, on
+        connections that were kept open, are refused: the end of the drain would cut
+        them.
         """
         with self._lock:
             if self._began_at:
@@ -82,11 +91,13 @@
         self.finished.wait(
             min(
                 LEAVE_SPREAD_SECONDS + self._settings.address_seconds,
-                self._settings.drain_seconds,
+                self._settings.drain_seconds * (1 - FINISH_SHARE),
             )
         )
         if not self.finished.is_set():
             self._caller.stop_listening()
+            self.finished.wait(ARRIVAL_SECONDS)
+            self._caller.refusing = True
         while self._has_requests() and time.monotonic() < deadline:
             if self.finished.wait(CHECK_INTERVAL_SECONDS):
                 return
--- a/tests/services/test_drain.py
+++ b/tests/services/test_drain.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http.client
 import json
 import threading
 
@@ -10,7 +11,7 @@
 
 from celeryspan.services import drain
 from tests import scripted
-from tests.services import test_caller, test_streams
+from tests.services import support, test_caller, test_streams
 
 
 class PausedEngine:
@@ -77,6 +78,50 @@
     assert answers == [("one two three", "[DONE]")]
 
 
+def test_call_on_a_kept_connection_late_in_a_drain_is_refused():
+    """Guards against calls that are passed on late and cut by the end of the drain."""
+    engine = PausedEngine()
+    with scripted.run_router(
+        gates=[test_caller.echo], engines=[engine.serve]
+    ) as router:
+        stream = start_stream(router, [])
+        assert engine.started.wait(10)
+        kept = http.client.HTTPConnection(*router.address, timeout=10)
+        kept.connect()
+        # Accepted before the listener closes.
+        kept.request("GET", "/v1/addresses")
+        kept.getresponse().read()
+        threading.Thread(target=router.drain.begin, daemon=True).start()
+        support.wait_until(lambda: router.caller.refusing)
+        kept.request("POST", "/v1/services/gate-desk/x", b"x", test_caller.HEADERS)
+        answer = kept.getresponse()
+        error = json.loads(answer.read())["error"]
+        assert (answer.status, error["code"]) == (503, "stopping")
+        assert error["outcome"] == "not-run"
+        assert answer.headers["Connection"] == "close"
+        assert router.gates[0].received == []
+        kept.close()
+        engine.may_finish.set()
+        assert router.drain.finished.wait(10)
+        stream.join()
+
+
+def test_short_drain_keeps_time_for_requests_in_progress():
+    """Guards against callers who are served until the end of the drain cuts them."""
+    engine = PausedEngine()
+    with scripted.run_router(
+        engines=[engine.serve], drain_seconds=2.0, address_seconds=60.0
+    ) as router:
+        stream = start_stream(router, [])
+        assert engine.started.wait(10)
+        threading.Thread(target=router.drain.begin, daemon=True).start()
+        support.wait_until(lambda: router.caller.refusing)
+        assert not router.drain.finished.is_set()
+        engine.may_finish.set()
+        assert router.drain.finished.wait(10)
+        stream.join()
+
+
 def test_second_signal_cancels_requests_and_tells_callers():
     engine = PausedEngine()
     answers = []
