Collect no long answers to control calls of engines

What callers may see, reported by other operators: a faulty server sends bytes without end, the machine that called it keeps them and runs out of memory, and the requests of others end with it.

Change: a list may have 4 MB, the other answers 64 KB; a longer body ends the connection, and the call has failed, as after any other loss.

--- a/celeryspan/httpconnections.py
+++ b/celeryspan/httpconnections.py
@@ -59,6 +59,25 @@
     ConnectionCls = _TimedConnection
 
 
+def read_body(response: urllib3.BaseHTTPResponse, size_max: int) -> bytes:
+    """Return the body of an answer that was not read yet.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If it breaks off, or exceeds ``size_max`` bytes.
+    """
+    body = bytearray()
+    while piece := response.read1(answerreaders.READ_BYTES):
+        body += piece
+        if len(body) > size_max:
+            response.close()
+            raise urllib3.exceptions.ProtocolError(
+                f"expected a body of up to {size_max} bytes, found a longer one"
+            )
+    return bytes(body)
+
+
 def make_pool(*args: object, **options: object) -> urllib3.PoolManager:
     """Return a connection pool; the arguments are those of ``urllib3.PoolManager``."""
     manager = urllib3.PoolManager(*args, **options)
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -17,6 +17,12 @@
 LIST_TIMEOUT_SECONDS = 1.0
 """A later list of kept parts is of little use: prompts have shown the same by then."""
 
+LIST_BYTES_MAX = 4_194_304
+"""Largest list of kept parts: of a hundred thousand, with some forty bytes each."""
+
+ANSWER_BYTES_MAX = 65_536
+"""Largest body of the other answers, which hold a few fields."""
+
 ENGINES_MAX = 32
 """Engines to which connections are kept open."""
 
@@ -80,17 +86,17 @@
         errors.OutcomeUnknown
             If no response arrives; the run may have been stopped.
         """
-        body = {"id": request, "to": str(target), "last": True}
+        fields = {"id": request, "to": str(target), "last": True}
         try:
-            response = self._call(
+            status, body = self._call(
                 source,
                 "POST",
                 names.KV_MOVE,
-                body=json.dumps(body).encode(),
+                body=json.dumps(fields).encode(),
                 headers={"Content-Type": "application/json"},
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=seconds),
             )
-            handle = _parse_handle(response.data)
+            handle = _parse_handle(body)
         except (urllib3.exceptions.HTTPError, OSError, errors.InputError) as error:
             raise errors.OutcomeUnknown(
                 f"no response to the move of a run: {error!r}",
@@ -99,9 +105,9 @@
                 step="move",
                 peer=source.server,
             ) from error
-        if response.status in NOT_MOVABLE_STATUSES or not handle:
+        if status in NOT_MOVABLE_STATUSES or not handle:
             return None
-        return RunCopy(handle, is_at_target=response.status == 200)
+        return RunCopy(handle, is_at_target=status == 200)
 
     def list_kept_parts(
         self, entry: catalog.ServerEntry
@@ -114,17 +120,18 @@
             If no valid response arrives.
         """
         try:
-            response = self._call(
+            status, body = self._call(
                 entry,
                 "GET",
                 names.KV_LIST,
+                LIST_BYTES_MAX,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_SECONDS, read=LIST_TIMEOUT_SECONDS
                 ),
             )
-            if response.status != 200:
-                raise ValueError(f"status {response.status}")
-            return _parse_kept_parts(response.data)
+            if status != 200:
+                raise ValueError(f"status {status}")
+            return _parse_kept_parts(body)
         except (
             urllib3.exceptions.HTTPError,
             errors.InputError,
@@ -150,18 +157,22 @@
         entry: catalog.ServerEntry,
         method: str,
         path: str,
+        size_max: int = ANSWER_BYTES_MAX,
         *,
         headers: Mapping[str, str] = NO_HEADERS,
         **options: object,
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> tuple[int, bytes]:
+        """Return the status and the body of an answer of at most ``size_max`` bytes."""
         response = self._pool.request(
             method,
             f"http://{entry.address}{path}",
             headers={**headers, names.EXPECTED_SERVER: entry.server},
+            preload_content=False,
             **options,
         )
+        body = httpconnections.read_body(response, size_max)
         self._observe(entry, response.status, response.headers.get)
-        return response
+        return response.status, body
 
 
 def _parse_handle(data: bytes) -> str:
