Collect no long refusals, reports and states of servers

Change: a refusal of a plain service is read as far as a reason may reach and then relayed like any other answer. The others may have 64 KB; a longer body ends the connection, and the call has failed. None of these bodies is unpacked any more, so that a few packed bytes can't become many.

--- a/celeryspan/adapters/backend.py
+++ b/celeryspan/adapters/backend.py
@@ -13,6 +13,9 @@
 # Largest chunk of a response body to read at once.
 READ_CHUNK_BYTES = 16_384
 
+# Largest body of an answer that holds a few fields, such as a refusal or a load report.
+FIELDS_BYTES_MAX = 65_536
+
 
 class Declined(errors.CeleryspanError):
     """The backend server reports that it did not execute the request.
--- a/celeryspan/adapters/engine.py
+++ b/celeryspan/adapters/engine.py
@@ -5,7 +5,7 @@
 import json
 from collections.abc import Iterator
 
-from celeryspan import calls, events, ids, states
+from celeryspan import calls, events, httpconnections, ids, states
 from celeryspan.adapters import backend, plain
 
 # Far above the few short tokens that a line holds.
@@ -36,6 +36,7 @@
             body=json.dumps(body).encode(),
             headers={"Content-Type": "application/json"},
             preload_content=False,
+            decode_content=False,
         )
 
     def resume(
@@ -43,7 +44,10 @@
     ) -> None:
         """Request the stream from an offset."""
         connection.request(
-            "GET", f"/generate/{run}?offset={offset}", preload_content=False
+            "GET",
+            f"/generate/{run}?offset={offset}",
+            preload_content=False,
+            decode_content=False,
         )
 
     def receive(
@@ -52,7 +56,8 @@
         """Yield the stream from an offset; ends without Finished if it was cut off."""
         response = connection.getresponse()
         if response.status != 200:
-            _raise_refusal(response.status, response.read(), connection.server)
+            body = httpconnections.read_body(response, backend.FIELDS_BYTES_MAX)
+            _raise_refusal(response.status, body, connection.server)
         for line in _split_lines(backend.read_body(response), connection.server):
             piece = _parse_line(line, run, offset, connection.server)
             if piece is None:
@@ -64,8 +69,11 @@
 
     def cancel(self, connection: backend.Connection, run: ids.RequestId) -> None:
         """Ask the engine to stop a run, and wait for its response."""
-        connection.request("DELETE", f"/generate/{run}", preload_content=False)
-        connection.getresponse().read()
+        connection.request(
+            "DELETE", f"/generate/{run}", preload_content=False, decode_content=False
+        )
+        response = connection.getresponse()
+        httpconnections.read_body(response, backend.FIELDS_BYTES_MAX)
 
 
 def _raise_refusal(status: int, body: bytes, server: ids.ServerId) -> None:
--- a/celeryspan/adapters/load.py
+++ b/celeryspan/adapters/load.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import json
 import time
 
 import urllib3
 
 from celeryspan import errors, httpconnections, ids
+from celeryspan.adapters import backend
 from celeryspan.decisions import limits
 
 TIMEOUT_SECONDS = 2.0
@@ -37,8 +39,14 @@
             If no valid response arrives.
         """
         try:
-            response = self._pool.request("GET", f"http://{address}/load")
-            fields = response.json()
+            response = self._pool.request(
+                "GET",
+                f"http://{address}/load",
+                preload_content=False,
+                decode_content=False,
+            )
+            body = httpconnections.read_body(response, backend.FIELDS_BYTES_MAX)
+            fields = json.loads(body)
             age = max(0.0, time.time() - float(fields["as_of"]))
             return limits.LoadReport(
                 slots=int(fields["slots"]),
--- a/celeryspan/adapters/orders.py
+++ b/celeryspan/adapters/orders.py
@@ -7,6 +7,7 @@
 import urllib3
 
 from celeryspan import errors, httpconnections, ids
+from celeryspan.adapters import backend
 from celeryspan.decisions import loading
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -35,9 +36,9 @@
         errors.CeleryspanError
             If no valid response arrives.
         """
-        response = self._call("GET", address, "/state", None)
+        _, content = self._call("GET", address, "/state", None)
         try:
-            fields = json.loads(response.data)
+            fields = json.loads(content)
             return loading.EngineState(
                 model=str(fields["model"]),
                 adapters=tuple(str(name) for name in fields["adapters"]),
@@ -77,21 +78,30 @@
             order["version"] = wanted.version
         else:
             order["role"] = wanted.role
-        response = self._call("POST", address, "/orders", json.dumps(order).encode())
-        if response.status == 409:
+        body = json.dumps(order).encode()
+        status, _ = self._call("POST", address, "/orders", body)
+        if status == 409:
             raise FenceRefused("fence", step="order", peer=str(address))
-        if response.status != 202:
+        if status != 202:
             raise errors.CeleryspanError(
-                f"expected status 202, found {response.status}",
+                f"expected status 202, found {status}",
                 step="order",
                 peer=str(address),
             )
 
     def _call(
         self, method: str, address: ids.Address, path: str, body: bytes | None
-    ) -> urllib3.BaseHTTPResponse:
+    ) -> tuple[int, bytes]:
         try:
-            return self._pool.request(method, f"http://{address}{path}", body=body)
+            response = self._pool.request(
+                method,
+                f"http://{address}{path}",
+                body=body,
+                preload_content=False,
+                decode_content=False,
+            )
+            content = httpconnections.read_body(response, backend.FIELDS_BYTES_MAX)
+            return response.status, content
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise errors.CeleryspanError(
                 f"no response: {error}", step="order", peer=str(address)
--- a/celeryspan/adapters/plain.py
+++ b/celeryspan/adapters/plain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import itertools
 import json
 from collections.abc import Iterator
 
@@ -61,15 +62,20 @@
     def _read_refusal(
         self, connection: backend.Connection, response: urllib3_response.HTTPResponse
     ) -> tuple[backend.Head, Iterator[bytes]]:
-        body = response.read()
-        if is_leaving(body):
+        pieces = _read_body(response)
+        start = b""
+        for piece in pieces:
+            start += piece
+            if len(start) > ERROR_BODY_BYTES_MAX:
+                break
+        if is_leaving(start):
             raise backend.Declined(
                 "the server is leaving",
                 leaving=True,
                 step="send",
                 peer=connection.server,
             )
-        return _make_head(response), iter([body])
+        return _make_head(response), itertools.chain([start], pieces)
 
 
 def _read_body(response: urllib3_response.HTTPResponse) -> Iterator[bytes]:
--- a/celeryspan/platform/engines.py
+++ b/celeryspan/platform/engines.py
@@ -168,6 +168,7 @@
             f"http://{entry.address}{path}",
             headers={**headers, names.EXPECTED_SERVER: entry.server},
             preload_content=False,
+            decode_content=False,
             **options,
         )
         body = httpconnections.read_body(response, size_max)
--- a/standins/endlessanswers.py
+++ b/standins/endlessanswers.py
@@ -2,11 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
+import socket
+import threading
 from collections.abc import Callable, Iterator
 
+from celeryspan import ids
+
 PIECE_BYTES = 16_384
 
+SOCKET_BYTES = 12_000_000
+"""What the buffers of two sockets take of an answer that nobody reads."""
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+WAIT_SECONDS = 10.0
+
 Write = Callable[[str, bytes], Iterator[bytes]]
 """Yields the bytes of an answer to a request, whose head without framing is given."""
 
@@ -140,3 +151,40 @@
 def _write_no_events(_: str, head: bytes) -> Iterator[bytes]:
     yield head + b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"
     yield from _fill(b"x\n\n")
+
+
+class Server:
+    """Answers one request with bytes that have no end.
+
+    Parameters
+    ----------
+    head : bytes
+        Status line and fields that do not frame the body.
+
+    Attributes
+    ----------
+    sent : int
+        Bytes that were sent.
+    """
+
+    def __init__(self, kind: str, head: bytes = HEAD) -> None:
+        self._kind, self._head = kind, head
+        self.sent = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = ids.Address(*self._listener.getsockname())
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def wait(self) -> None:
+        """Wait until the client has closed the connection."""
+        self._thread.join(WAIT_SECONDS)
+        self._listener.close()
+        assert not self._thread.is_alive()
+
+    def _serve(self) -> None:
+        connection, _ = self._listener.accept()
+        with connection, contextlib.suppress(OSError):
+            connection.recv(65_536)
+            for piece in KINDS[self._kind]("r1", self._head):
+                connection.sendall(piece)
+                self.sent += len(piece)
