Parse heads of answers once, and strictly

Change: answers are read by answersyntax alone: status line, fields, length and chunks, each once. What http.client's reader of bodies needs is set from them. A status without a body has none even if its fields speak of chunks; the reader waited for one.

Shown: all tests of answers pass unchanged; the two new cases of 204 and 304 with chunks failed before.

--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -27,6 +27,11 @@
 
 READ_BYTES = 65_536
 
+FIELDS_MAX = 100
+"""Headers of an answer, as many as ``http.client`` takes."""
+
+BODILESS_STATUSES = (http.client.NO_CONTENT, http.client.NOT_MODIFIED)
+
 CHUNK_END_BYTES = 2
 """What ``http.client`` reads at the end of a chunk, and what is no data of the body."""
 
@@ -71,7 +76,7 @@
     def __init__(self, raw: io.RawIOBase, limits: Limits = DEFAULT_LIMITS) -> None:
         super().__init__(raw)
         self._limits = limits
-        self._head: answersyntax.HeadChecker | None = None
+        self._is_in_head = False
         self._line_bytes_left = limits.head
         self._body_bytes_left: float = limits.body
 
@@ -83,11 +88,11 @@
         """
         self._line_bytes_left = self._limits.head
         self._body_bytes_left = self._limits.body
-        self._head = answersyntax.HeadChecker() if self.peek(1) else None
+        self._is_in_head = bool(self.peek(1))
         try:
             yield
         finally:
-            self._head = None
+            self._is_in_head = False
             self._line_bytes_left = self._limits.head
 
     def lift_body_limit(self) -> None:
@@ -101,8 +106,6 @@
         ------
         http.client.IncompleteRead
             If the connection ends inside it, or in the head of an answer.
-        answersyntax.InvalidAnswer
-            If it does not belong in the head of an answer.
         AnswerTooLong
             If the lines exceed their limit.
         """
@@ -116,13 +119,9 @@
                 f"the head of the answer, or what frames its body, exceeds "
                 f"{self._limits.head} bytes (response_head_bytes_max)"
             )
-        if line.endswith(b"\n"):
-            if self._head is not None:
-                self._head.check(line)
+        if line.endswith(b"\n") or len(line) == size:
             return line
-        if len(line) == size:
-            return line
-        if line or self._head is not None:
+        if line or self._is_in_head:
             raise http.client.IncompleteRead(line)
         return line
 
@@ -167,10 +166,9 @@
         A :class:`guardedsockets.GuardedSocket` states the limits.
     """
 
-    _fields: dict[str, str] | None = None
-
     def __init__(self, sock: object, *args: object, **values: object) -> None:
         super().__init__(sock, *args, **values)
+        self._fields: dict[str, str] = {}
         if isinstance(self.fp, io.BufferedReader):
             self.fp = Reader(self.fp.detach(), getattr(sock, "limits", DEFAULT_LIMITS))
 
@@ -179,26 +177,58 @@
 
         The base class searches all headers for each name.
         """
-        if self._fields is None:
-            self._fields = {}
-            for key, value in self.headers.raw_items():
-                key = key.lower()
-                known = self._fields.get(key)
-                self._fields[key] = value if known is None else f"{known}, {value}"
         return self._fields.get(name.lower(), default)
 
     def begin(self) -> None:
-        """Read the status line and the headers; interim answers are skipped."""
+        """Read the status line and the headers; interim answers are skipped.
+
+        Raises
+        ------
+        http.client.RemoteDisconnected
+            If the connection has ended without an answer.
+        http.client.HTTPException
+            If what has arrived is no answer.
+        """
         if self.headers is not None:
             return
         with self.fp.require_head():
-            super().begin()
+            self._read_head()
             while self.status < 200:
                 if self.status == http.client.SWITCHING_PROTOCOLS:
                     raise http.client.HTTPException("the server switches protocols")
-                self.headers = self._fields = None
-                super().begin()
-        answersyntax.check_framing(self)
+                self._read_head()
+        self._set_framing()
+
+    def _read_head(self) -> None:
+        line = self.fp.readline()
+        if not line:
+            raise http.client.RemoteDisconnected("the connection ended without answer")
+        minor, self.status, self.reason = answersyntax.parse_status_line(line)
+        self.version = 11 if minor else 10
+        self.code = self.status
+        self.headers = self.msg = http.client.HTTPMessage()
+        self._fields = {}
+        while (line := self.fp.readline()) not in answersyntax.EMPTY_LINES:
+            name, value = answersyntax.parse_field(line)
+            self.headers[name] = value
+            if len(self.headers) > FIELDS_MAX:
+                raise AnswerTooLong(f"the answer has more than {FIELDS_MAX} headers")
+            name = name.lower()
+            known = self._fields.get(name)
+            self._fields[name] = value if known is None else f"{known}, {value}"
+
+    def _set_framing(self) -> None:
+        """Set what marks the end of the body."""
+        coding = self.getheader("Transfer-Encoding")
+        length = answersyntax.parse_framing(self.getheader("Content-Length"), coding)
+        if coding is not None and self.version < 11:
+            raise answersyntax.InvalidAnswer("chunks in an answer of HTTP/1.0")
+        has_body = self._method != "HEAD" and self.status not in BODILESS_STATUSES
+        self.chunked = has_body and coding is not None
+        self.chunk_left = None
+        self.length = length if has_body else 0
+        ends_with_connection = not self.chunked and self.length is None
+        self.will_close = ends_with_connection or self._check_close()
 
     def _read_next_chunk_size(self) -> int:
         return answersyntax.parse_chunk_size(self.fp.readline())
--- a/celeryspan/answersyntax.py
+++ b/celeryspan/answersyntax.py
@@ -1,4 +1,4 @@
-"""Checks HTTP answers against RFC 9112, where ``http.client`` is lenient.
+"""Parses the lines of HTTP answers (RFC 9112) strictly.
 
 ``http.client`` ends the headers at a line that is no field, and takes a length or a
 transfer coding that it cannot read for none at all. The body then lasts until the
@@ -16,14 +16,17 @@
 _LINE_END = rb"\r?\n"
 
 _STATUS_LINE = re.compile(
-    rb"HTTP/1\.[0-9] [1-5][0-9]{2}(?: " + _TEXT + rb")?" + _LINE_END
+    rb"HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (" + _TEXT + rb"))?" + _LINE_END
 )
-_FIELD_LINE = re.compile(_TOKEN + rb":" + _TEXT + _LINE_END)
-_EMPTY_LINE = re.compile(_LINE_END)
+_FIELD_LINE = re.compile(rb"(" + _TOKEN + rb"):(" + _TEXT + rb")" + _LINE_END)
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[\t ]*(?:;" + _TEXT + rb")?" + _LINE_END)
-_LENGTH = re.compile(r"[\t ]*[0-9]{1,18}[\t ]*")
+_LENGTH = re.compile(r"[0-9]{1,18}")
+
+EMPTY_LINES = (b"\r\n", b"\n")
+"""Lines that end a head."""
 
 CHUNK_END = b"\r\n"
+CHUNKED = "chunked"
 
 SHOWN_BYTES_MAX = 80
 """Part of an invalid line or value that an error shows."""
@@ -33,40 +36,47 @@
     """Bytes that are no HTTP answer, or an answer whose body has no clear end."""
 
 
-class HeadChecker:
-    """Checks the lines of one head, and of the interim answers before it."""
+def parse_status_line(line: bytes) -> tuple[int, int, str]:
+    """Return the minor version, the status and the reason; raises InvalidAnswer."""
+    found = _STATUS_LINE.fullmatch(line)
+    if found is None:
+        _raise_invalid("a status line", line)
+    minor, status, reason = found.groups(b"")
+    return int(minor), int(status), reason.strip().decode("latin-1")
+
 
-    def __init__(self) -> None:
-        self._is_in_fields = False
+def parse_field(line: bytes) -> tuple[str, str]:
+    """Return the name and the value of a header; raises InvalidAnswer."""
+    found = _FIELD_LINE.fullmatch(line)
+    if found is None:
+        _raise_invalid("a header field", line)
+    name, value = found.groups()
+    return name.decode("latin-1"), value.strip(b"\t ").decode("latin-1")
 
-    def check(self, line: bytes) -> None:
-        """Check the next line; raises InvalidAnswer."""
-        if not self._is_in_fields:
-            if not _STATUS_LINE.fullmatch(line):
-                _raise_invalid("a status line", line)
-            self._is_in_fields = True
-        elif _EMPTY_LINE.fullmatch(line):
-            self._is_in_fields = False
-        elif not _FIELD_LINE.fullmatch(line):
-            _raise_invalid("a header field", line)
 
+def parse_framing(length: str | None, coding: str | None) -> int | None:
+    """Return the length of a body, or None if it has none.
 
-def check_framing(answer: http.client.HTTPResponse) -> None:
-    """Check what the headers of an answer say of the end of its body.
+    Parameters
+    ----------
+    length, coding : str or None
+        Values of all fields ``Content-Length`` and ``Transfer-Encoding``.
 
     Raises
     ------
     InvalidAnswer
-        Unless they state at most one length, or that the body comes in chunks.
+        Unless they state one length, or that the body comes in chunks, or nothing.
     """
-    length = answer.getheader("Content-Length")
-    coding = answer.getheader("Transfer-Encoding")
-    if length is not None and coding is not None:
-        _raise_invalid("a length or a transfer coding", (length, coding))
-    if length is not None and not _LENGTH.fullmatch(length):
+    if coding is not None:
+        if coding.lower() != CHUNKED:
+            _raise_invalid("the transfer coding 'chunked'", coding)
+        if length is not None:
+            _raise_invalid("no length beside chunks", length)
+    if length is None:
+        return None
+    if not _LENGTH.fullmatch(length):
         _raise_invalid("a length in digits", length)
-    if coding is not None and (coding.lower() != "chunked" or answer.version < 11):
-        _raise_invalid("the transfer coding 'chunked' of HTTP/1.1", coding)
+    return int(length)
 
 
 def parse_chunk_size(line: bytes) -> int:
@@ -83,7 +93,7 @@
         _raise_invalid("the end of a chunk", data)
 
 
-def _raise_invalid(expected: str, found: object) -> NoReturn:
+def _raise_invalid(expected: str, found: bytes | str) -> NoReturn:
     raise InvalidAnswer(
-        f"expected {expected} in the answer, found {found!r:.{SHOWN_BYTES_MAX}}"
+        f"expected {expected} in the answer, found {found[:SHOWN_BYTES_MAX]!r}"
     )
--- a/tests/test_answerreaders.py
+++ b/tests/test_answerreaders.py
@@ -80,6 +80,17 @@
     assert read_answer(head.encode() + b"served, and more") == (200, b"served")
 
 
+@pytest.mark.parametrize("status", [204, 304])
+@pytest.mark.parametrize("field", ["Transfer-Encoding: chunked", "Content-Length: 6"])
+def test_status_without_a_body_has_none_whatever_its_fields_say(
+    status: int, field: str
+) -> None:
+    """Guards against a reader that waits for a body which never comes."""
+    head = f"HTTP/1.1 {status} Text\r\n{field}\r\n\r\n".encode()
+    for by_parts in (False, True):
+        assert read_answer(head, by_parts=by_parts) == (status, b"")
+
+
 CHUNKS = {
     "sign": b"+6\r\nserved\r\n",
     "negative size": b"-6\r\nserved\r\n",
