Compare a used-up router with the limit that it starts with

test_router_that_has_used_up_its_share_of_a_core_serves_less_itself failed once more in a whole run of the tests (a condition was not met within 10 s), on a machine that ran nothing else.

Cause, traced: the limit falls to 0 within 10 to 100 ms of the first tick, and the test reads what it calls the start after the router has been waited for. If a tick comes first it reads 0, and no limit is below half of that.

Change: it compares with the limit that the settings give. It is as strict: without the use of the processor in the limit's input it still fails.

--- a/tests/gateway/test_full_router.py
+++ b/tests/gateway/test_full_router.py
@@ -13,7 +13,7 @@
 import pytest
 
 from celeryspan import events
-from celeryspan.decisions import arrivalqueue
+from celeryspan.decisions import arrivalqueue, handover
 from celeryspan.gateway import frontload
 from celeryspan.services import requestconnection
 from tests.gateway import processes, support
@@ -128,7 +128,7 @@
     )
     router = cluster.start_router(processor_share=0.5)
     found = router.container.find("front")
-    started_with = found.report()["local_max"]
+    started_with = handover.make_limiter(router.settings.caller_threads).limit
     support.wait_for(lambda: found.report()["local_max"] < started_with / 2)
 
 
