Tell an answer that ends before a chunk from an invalid one

It is an answer that breaks off, like one that ends inside the size, and its error says so now. Callers see no difference: the answer is lost either way.

--- a/celeryspan/answerreaders.py
+++ b/celeryspan/answerreaders.py
@@ -231,7 +231,10 @@
         self.will_close = ends_with_connection or self._check_close()
 
     def _read_next_chunk_size(self) -> int:
-        return answersyntax.parse_chunk_size(self.fp.readline())
+        line = self.fp.readline()
+        if not line:
+            raise http.client.IncompleteRead(line)
+        return answersyntax.parse_chunk_size(line)
 
     def _safe_read(self, amt: int) -> bytes:
         data = super()._safe_read(amt)
