Wait for the stored answer in a test of claims

Cause, traced: an answer is put beside its claim after the caller has it, and the test asks the second router without waiting for that, as its neighbour test_published_answer_outlives_its_router does. With a publication that is 0.3 s late the test fails; with the wait it passes, late or not. What it checks is the same.

--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -179,6 +179,7 @@
     """
     fleet.store.answers_lost = 1
     assert send_request(fleet, Idempotency_Key="k")[:2] == (200, "ran")
+    wait_for_publishing(fleet.store)
     fleet.second.membership.members = fleet.second.membership.members[1:]
     assert send_request(fleet.second, Idempotency_Key="k")[:2] == (200, "ran")
     assert count_runs(fleet) == 1
